Serve a request through the whole path, as separate processes

Ruled out: tRPC's own reconnection between processes (it sends pending calls again by itself, which could run a call twice); each connection here has one life, and its owner decides whether to ask again. Change: entry and side daemons, configuration on the log, claims and tickets for unrepeatable requests, stand-ins, launcher, demo and a system test. Before: nothing.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,20 @@
+import antfu from '@antfu/eslint-config'
+
+// ESLint reads its configuration from the default export.
+export default antfu({
+  type: 'lib',
+  typescript: true,
+  markdown: false,
+  ignores: ['**/dist/**', '**/*.md'],
+}, {
+  rules: {
+    'node/prefer-global/process': 'off',
+    'node/prefer-global/buffer': 'off',
+    'ts/explicit-function-return-type': 'off',
+    'no-console': 'off',
+    'antfu/no-top-level-await': 'off',
+    'unicorn/throw-new-error': 'off',
+    'test/prefer-lowercase-title': 'off',
+    'ts/no-use-before-define': ['error', { functions: false, classes: false, variables: false }],
+  },
+})
--- /dev/null
+++ b/packages/daemon/src/connection/body-reader.ts
@@ -0,0 +1,51 @@
+/**
+ * Reads a caller's body within a size and a time, so that a caller that sends
+ * too much or stalls holds no memory.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { Result } from 'ts-results-es'
+import type { RequestError } from '../request/errors.js'
+import { Err, Ok } from 'ts-results-es'
+import { createError, ErrorKind } from '../request/errors.js'
+
+/** Limits of a body. */
+export interface BodyLimits {
+  maximumBytes: number
+  /** Milliseconds within which the whole body must come. */
+  timeoutMs: number
+}
+
+/** Reads a body as UTF-8 text. */
+export function readBody(request: IncomingMessage, limits: BodyLimits): Promise<Result<string, RequestError>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let size = 0
+    const timer = setTimeout(() => {
+      end(Err(createError(ErrorKind.BodyStalled, `The body did not come within ${limits.timeoutMs} ms; send the request again.`)))
+    }, limits.timeoutMs)
+    const end = (result: Result<string, RequestError>): void => {
+      clearTimeout(timer)
+      request.off('data', onData)
+      resolve(result)
+    }
+    const onData = (chunk: Buffer): void => {
+      size += chunk.length
+      if (size > limits.maximumBytes)
+        end(Err(createError(ErrorKind.BodyTooLarge, `The body is larger than ${limits.maximumBytes} bytes; send a smaller one.`)))
+      else
+        chunks.push(chunk)
+    }
+    request.on('data', onData)
+    request.once('end', () => end(decode(Buffer.concat(chunks))))
+    request.once('error', () => end(Err(createError(ErrorKind.BodyStalled, 'The connection closed before the whole body came; send the request again.'))))
+  })
+}
+
+function decode(bytes: Buffer): Result<string, RequestError> {
+  try {
+    return Ok(new TextDecoder('utf-8', { fatal: true }).decode(bytes))
+  }
+  catch {
+    return Err(createError(ErrorKind.InvalidRequest, 'The body is not UTF-8; encode it as UTF-8.'))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/connection/caller-headers.ts
@@ -0,0 +1,80 @@
+/**
+ * A caller's headers, checked. Nothing of them reaches other processes
+ * unchecked.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { Result } from 'ts-results-es'
+import type { RequestError } from '../request/errors.js'
+import { createHash } from 'node:crypto'
+import { Err, Ok } from 'ts-results-es'
+import { createError, ErrorKind } from '../request/errors.js'
+import { isRequestId } from '../request/identity.js'
+import { MAX_DEADLINE_MS } from '../version/objects.js'
+
+/** Headers of a caller's request. */
+export interface CallerHeaders {
+  account: string
+  requestId?: string
+  deadlineMs?: number
+  unrepeatable: boolean
+  ticket?: string
+  /** Lower-case hexadecimal SHA-256 of the bearer token, where there is one. */
+  tokenHash?: string
+  /** Whether the answer is wanted as server-sent events. */
+  stream: boolean
+}
+
+const ACCOUNT_PATTERN = /^[a-z0-9][\w.-]{0,99}$/i
+const MAX_TICKET_LENGTH = 2000
+
+function single(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name]
+  return Array.isArray(value) ? value.join(',') : value
+}
+
+function invalid(message: string): Err<RequestError> {
+  return Err(createError(ErrorKind.InvalidRequest, message))
+}
+
+/** Checks the headers of a request. */
+export function parseCallerHeaders(headers: IncomingHttpHeaders): Result<CallerHeaders, RequestError> {
+  const account = single(headers, 'eidermast-account')
+  if (account === undefined || !ACCOUNT_PATTERN.test(account))
+    return invalid('Send the header Eidermast-Account with the name of your client account.')
+  const requestId = single(headers, 'eidermast-request-id')
+  if (requestId !== undefined && !isRequestId(requestId))
+    return invalid('Eidermast-Request-Id must be a lower-case UUIDv7; leave it out to have one made.')
+  const deadlineText = single(headers, 'eidermast-deadline-ms')
+  const deadlineMs = deadlineText === undefined ? undefined : parseDeadline(deadlineText)
+  if (Number.isNaN(deadlineMs))
+    return invalid(`Eidermast-Deadline-Ms must be a whole number of milliseconds from 1 to ${MAX_DEADLINE_MS}.`)
+  const unrepeatable = single(headers, 'eidermast-unrepeatable') ?? 'false'
+  if (unrepeatable !== 'true' && unrepeatable !== 'false')
+    return invalid('Eidermast-Unrepeatable must be true or false.')
+  const ticket = single(headers, 'eidermast-ticket')
+  if (ticket !== undefined && ticket.length > MAX_TICKET_LENGTH)
+    return invalid('Eidermast-Ticket is too long; send it as POST /v1/tickets gave it.')
+  if (ticket !== undefined && requestId !== undefined)
+    return invalid('Send either Eidermast-Ticket or Eidermast-Request-Id, since a ticket brings its own id.')
+  return Ok({
+    account,
+    requestId,
+    deadlineMs,
+    unrepeatable: unrepeatable === 'true',
+    ticket,
+    tokenHash: hashBearerToken(single(headers, 'authorization')),
+    stream: (single(headers, 'accept') ?? '').includes('text/event-stream'),
+  })
+}
+
+function parseDeadline(text: string): number {
+  if (!/^\d{1,9}$/.test(text))
+    return Number.NaN
+  const value = Number(text)
+  return value >= 1 && value <= MAX_DEADLINE_MS ? value : Number.NaN
+}
+
+function hashBearerToken(authorization: string | undefined): string | undefined {
+  const token = /^Bearer (\S+)$/i.exec(authorization ?? '')?.[1]
+  return token === undefined ? undefined : createHash('sha256').update(token).digest('hex')
+}
--- /dev/null
+++ b/packages/daemon/src/connection/peer-router.ts
@@ -0,0 +1,89 @@
+/**
+ * Procedures between the system's processes, by tRPC.
+ */
+import type { Decision } from '../process/decision-log.js'
+import type { ConfigurationDifference } from '../version/configuration.js'
+import type { CancelReply, DifferenceRequest, ForwardedRequest, Greeting, GreetingReply, OutcomeQuestion, OutcomeReply, StageCall, StageReply, StreamMessage } from './messages.js'
+import { initTRPC } from '@trpc/server'
+import { z } from 'zod'
+import { differenceRequestSchema, differenceSchema, forwardedRequestSchema, greetingSchema, outcomeQuestionSchema, stageCallSchema } from './messages.js'
+
+const trpc = initTRPC.create()
+
+/** What operators are told of a process. */
+export interface ProcessStatus {
+  name: string
+  role: string
+  incarnation: string
+  pid: number
+  failureDomain: string
+  offset: number
+  ready: boolean
+  detail: StatusDetail[]
+}
+
+/** One line of a process's status. */
+export interface StatusDetail {
+  subject: string
+  text: string
+}
+
+/** What every process answers to its peers. */
+export interface PeerService {
+  greet: (greeting: Greeting) => GreetingReply
+  difference: (request: DifferenceRequest) => ConfigurationDifference
+  /** Applies a difference; returns the offset now held. */
+  offer: (difference: ConfigurationDifference) => number
+  status: () => ProcessStatus
+  explain: (requestId: string) => Decision[]
+}
+
+/** What a side answers. */
+export interface SideService extends PeerService {
+  run: (call: StageCall) => Promise<StageReply>
+  stream: (call: StageCall, signal?: AbortSignal) => AsyncIterable<StreamMessage>
+  cancel: (key: string) => CancelReply
+  findResult: (question: OutcomeQuestion & { stage: string }) => StageReply | undefined
+}
+
+/** What an entry answers. */
+export interface EntryService extends PeerService {
+  /** Runs a request under its ticket, or joins it where it is claimed here. Returns the answer as JSON text. */
+  forward: (request: ForwardedRequest) => Promise<string>
+  outcome: (question: OutcomeQuestion) => OutcomeReply
+}
+
+function createCommonProcedures(service: PeerService) {
+  return {
+    greet: trpc.procedure.input(greetingSchema).mutation(({ input }) => service.greet(input)),
+    difference: trpc.procedure.input(differenceRequestSchema).query(({ input }) => service.difference(input)),
+    offer: trpc.procedure.input(differenceSchema).mutation(({ input }) => service.offer(input as ConfigurationDifference)),
+    status: trpc.procedure.query(() => service.status()),
+    explain: trpc.procedure.input(z.object({ requestId: z.string() })).query(({ input }) => service.explain(input.requestId)),
+  }
+}
+
+/** Creates the procedures of a side. */
+export function createSideRouter(service: SideService) {
+  return trpc.router({
+    ...createCommonProcedures(service),
+    run: trpc.procedure.input(stageCallSchema).mutation(({ input }) => service.run(input)),
+    stream: trpc.procedure.input(stageCallSchema).subscription(async function* ({ input, signal }) {
+      yield* service.stream(input, signal)
+    }),
+    cancel: trpc.procedure.input(z.object({ key: z.string() })).mutation(({ input }) => service.cancel(input.key)),
+    findResult: trpc.procedure.input(outcomeQuestionSchema.extend({ stage: z.string() })).query(({ input }) => service.findResult(input)),
+  })
+}
+
+/** Creates the procedures of an entry. */
+export function createEntryRouter(service: EntryService) {
+  return trpc.router({
+    ...createCommonProcedures(service),
+    forward: trpc.procedure.input(forwardedRequestSchema).mutation(({ input }) => service.forward(input)),
+    outcome: trpc.procedure.input(outcomeQuestionSchema).query(({ input }) => service.outcome(input)),
+  })
+}
+
+export type SideRouter = ReturnType<typeof createSideRouter>
+export type EntryRouter = ReturnType<typeof createEntryRouter>
--- /dev/null
+++ b/packages/daemon/src/connection/side-link.ts
@@ -0,0 +1,244 @@
+/**
+ * An entry's task for one side: keeps one connection, greets on it at each
+ * interval, carries configuration both ways and counts the calls under way.
+ */
+import type { Configuration } from '../version/configuration.js'
+import type { CancelReply, Load, StageCall, StageReply } from './messages.js'
+import type { PeerConnection, SideClient } from './peer-connection.js'
+import { createLogger } from '../process/logger.js'
+import { wait } from '../process/wait.js'
+import { ObjectKind } from '../version/objects.js'
+import { greetingReplySchema, stageKey, stageReplySchema, streamMessageSchema } from './messages.js'
+import { callPeer, CallState, connectSide } from './peer-connection.js'
+
+const log = createLogger('membership')
+
+/** The kinds of objects that sides hold. */
+export const SIDE_OBJECT_KINDS = [ObjectKind.Template, ObjectKind.Backend] as const
+
+/** How a stage call over a link ended. */
+export enum LinkOutcome {
+  Replied = 'replied',
+  /** The link was not open: nothing was sent. */
+  NotSent = 'not-sent',
+  /** Sent, perhaps received, and no reply. */
+  Lost = 'lost',
+}
+
+/** The end of a stage call over a link. */
+export type LinkResult = { outcome: LinkOutcome.Replied, reply: StageReply } | { outcome: LinkOutcome.NotSent | LinkOutcome.Lost, message: string }
+
+/** Receives streamed tokens. */
+export type LinkTokenListener = (index: number, text: string) => void
+
+/** Options of a side link. */
+export interface SideLinkOptions {
+  backendName: string
+  address: string
+  key: string
+  entryName: string
+  entryIncarnation: string
+  configuration: Configuration
+  greetIntervalMs: number
+  /** Whether the log confirmed the configuration a short while ago. */
+  isFresh: () => boolean
+  /** Called when the side comes, goes or reports other load. */
+  onChange: () => void
+}
+
+/** Missed greetings after which a side counts as not answering. */
+const MISSED_GREETINGS = 3
+const RECONNECT_MS = 200
+const MAXIMUM_RECONNECT_MS = 2000
+const MAXIMUM_ACKNOWLEDGEMENTS = 10_000
+
+/** An entry's link to one side. */
+export class SideLink {
+  /** Calls sent on this link that have no reply. */
+  outstanding = 0
+  /** Calls sent since the newest load report. */
+  sentSinceReport = 0
+  private connection: PeerConnection<SideClient> | undefined
+  private sideIncarnation: string | undefined
+  private newestLoad: Load | undefined
+  private acknowledgements: string[] = []
+  private answering = false
+  private readonly stop = new AbortController()
+
+  constructor(private readonly options: SideLinkOptions) {}
+
+  get backendName(): string {
+    return this.options.backendName
+  }
+
+  get address(): string {
+    return this.options.address
+  }
+
+  /** The side's process life, while it answers. */
+  get incarnation(): string | undefined {
+    return this.sideIncarnation
+  }
+
+  /** The newest load report. */
+  get load(): Load | undefined {
+    return this.newestLoad
+  }
+
+  /** Whether the side answers greetings on an open connection. */
+  get ready(): boolean {
+    return this.answering && this.connection?.isOpen() === true
+  }
+
+  /** Keeps the link until it is closed. */
+  async run(): Promise<void> {
+    let waitMs = RECONNECT_MS
+    while (!this.stop.signal.aborted) {
+      const opened = await connectSide({ address: this.options.address, key: this.options.key })
+      if (opened.isOk()) {
+        waitMs = RECONNECT_MS
+        await this.keep(opened.value)
+      }
+      this.setAnswering(false)
+      await wait(waitMs * (0.5 + Math.random()), this.stop.signal)
+      waitMs = Math.min(waitMs * 2, MAXIMUM_RECONNECT_MS)
+    }
+  }
+
+  /** Closes the link for good. */
+  close(): void {
+    this.stop.abort()
+    this.connection?.close()
+  }
+
+  /** Sends a stage call and waits for its reply. */
+  async call(call: StageCall, onToken?: LinkTokenListener): Promise<LinkResult> {
+    const connection = this.connection
+    if (!connection?.isOpen())
+      return { outcome: LinkOutcome.NotSent, message: 'not connected' }
+    this.outstanding++
+    this.sentSinceReport++
+    const result = await callPeer(connection, client => onToken ? readStream(client, call, onToken) : client.run.mutate(call))
+    this.outstanding--
+    if (result.state === CallState.Lost)
+      return { outcome: LinkOutcome.Lost, message: result.message }
+    const reply = stageReplySchema.safeParse(result.value)
+    if (!reply.success)
+      return { outcome: LinkOutcome.Lost, message: 'the side replied in an unknown form' }
+    this.takeLoad(reply.data.load)
+    return { outcome: LinkOutcome.Replied, reply: reply.data }
+  }
+
+  /** Stops a call at the side; undefined where the side did not say what came of it. */
+  async cancel(call: StageCall): Promise<CancelReply | undefined> {
+    const connection = this.connection
+    if (!connection?.isOpen())
+      return undefined
+    const result = await callPeer(connection, client => client.cancel.mutate({ key: stageKey(call.identity) }), this.answerTimeoutMs())
+    return result.state === CallState.Answered ? result.value : undefined
+  }
+
+  /** Asks the side for a finished result of a request's stage. */
+  async findResult(account: string, requestId: string, stage: string): Promise<StageReply | undefined> {
+    const connection = this.connection
+    if (!connection?.isOpen())
+      return undefined
+    const result = await callPeer(connection, client => client.findResult.query({ account, requestId, stage }), this.answerTimeoutMs())
+    return result.state === CallState.Answered ? stageReplySchema.safeParse(result.value).data : undefined
+  }
+
+  /** Tells the side, with the next greeting, that a result was taken. */
+  acknowledge(call: StageCall): void {
+    if (this.acknowledgements.length < MAXIMUM_ACKNOWLEDGEMENTS)
+      this.acknowledgements.push(stageKey(call.identity))
+  }
+
+  /** Brings a newer configuration to the side at once. */
+  async spread(): Promise<void> {
+    if (this.connection?.isOpen())
+      await this.greet(this.connection)
+  }
+
+  /** Greets on one connection until it is lost. */
+  private async keep(connection: PeerConnection<SideClient>): Promise<void> {
+    this.connection = connection
+    let missed = 0
+    while (connection.isOpen() && missed < MISSED_GREETINGS && !this.stop.signal.aborted) {
+      const answered = await this.greet(connection)
+      missed = answered ? 0 : missed + 1
+      this.setAnswering(answered)
+      if (answered)
+        await this.waitForNextGreeting(connection)
+    }
+    connection.close()
+    this.connection = undefined
+  }
+
+  private async waitForNextGreeting(connection: PeerConnection<SideClient>): Promise<void> {
+    await wait(this.options.greetIntervalMs, this.stop.signal, connection.closed)
+  }
+
+  private async greet(connection: PeerConnection<SideClient>): Promise<boolean> {
+    const { configuration, entryIncarnation, entryName } = this.options
+    const acknowledged = this.acknowledgements
+    this.acknowledgements = []
+    const greeting = { incarnation: entryIncarnation, name: entryName, offset: configuration.offset, fresh: this.options.isFresh(), acknowledged }
+    const result = await callPeer(connection, client => client.greet.mutate(greeting), this.answerTimeoutMs())
+    if (result.state === CallState.Lost)
+      return false
+    const reply = greetingReplySchema.safeParse(result.value)
+    if (!reply.success)
+      return false
+    this.sideIncarnation = reply.data.incarnation
+    if (reply.data.load)
+      this.takeLoad(reply.data.load)
+    await this.exchangeConfiguration(connection, reply.data.offset)
+    return true
+  }
+
+  /** Whichever end holds the older configuration gets the difference. */
+  private async exchangeConfiguration(connection: PeerConnection<SideClient>, sideOffset: number): Promise<void> {
+    const { configuration } = this.options
+    if (sideOffset < configuration.offset) {
+      const difference = configuration.differenceSince(sideOffset, SIDE_OBJECT_KINDS)
+      await callPeer(connection, client => client.offer.mutate(difference), this.answerTimeoutMs())
+    }
+  }
+
+  private takeLoad(load: Load): void {
+    const changed = this.newestLoad?.draining !== load.draining
+    this.newestLoad = load
+    this.sentSinceReport = 0
+    if (changed)
+      this.options.onChange()
+  }
+
+  private setAnswering(answering: boolean): void {
+    if (this.answering === answering)
+      return
+    this.answering = answering
+    log(answering ? 'side-answers' : 'side-silent', { backend: this.options.backendName, address: this.options.address, incarnation: this.sideIncarnation })
+    this.options.onChange()
+  }
+
+  private answerTimeoutMs(): number {
+    return this.options.greetIntervalMs * 2
+  }
+}
+
+/** Reads a streamed call to its reply. */
+function readStream(client: SideClient, call: StageCall, onToken: LinkTokenListener): Promise<unknown> {
+  return new Promise((resolve, reject) => {
+    const subscription = client.stream.subscribe(call, {
+      onData: (data) => {
+        const message = streamMessageSchema.parse(data)
+        if ('token' in message)
+          return onToken(message.token.index, message.token.text)
+        resolve(message.reply)
+        subscription.unsubscribe()
+      },
+      onError: reject,
+      onComplete: () => reject(new Error('the stream ended without a reply')),
+    })
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/eidermastd.ts
@@ -0,0 +1,48 @@
+/**
+ * The daemon's command line.
+ */
+import process from 'node:process'
+import { Command } from 'commander'
+import { formatError } from './process/logger.js'
+import { runDaemon } from './process/run-daemon.js'
+import { formatFault, loadSettings } from './process/settings.js'
+
+/** Exit code for faulty settings or arguments. */
+const EXIT_BAD_INPUT = 2
+/** Exit code when the daemon could not start. */
+const EXIT_FAILED = 1
+
+interface DaemonOptions {
+  settings: string
+  check: boolean
+}
+
+const program = new Command('eidermastd')
+  .description('Eidermast daemon: an entry before callers, or a side beside a backend server')
+  .requiredOption('--settings <file>', 'INI file with the settings')
+  .option('--check', 'check the settings and exit: 0 if they are good, 2 if not', false)
+  .exitOverride(error => process.exit(error.exitCode === 0 ? 0 : EXIT_BAD_INPUT))
+
+program.parse()
+await main(program.opts<DaemonOptions>())
+
+async function main(options: DaemonOptions): Promise<void> {
+  const settings = loadSettings(options.settings)
+  if (settings.isErr()) {
+    for (const fault of settings.error)
+      console.error(formatFault(fault))
+    process.exitCode = EXIT_BAD_INPUT
+    return
+  }
+  if (options.check) {
+    console.log('the settings are good')
+    return
+  }
+  try {
+    await runDaemon(settings.value)
+  }
+  catch (error) {
+    console.error(`eidermastd could not start: ${formatError(error)}`)
+    process.exit(EXIT_FAILED)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * What other packages of the workspace may use of the daemon.
+ */
+export * from './connection/index.js'
+export * from './process/index.js'
+export * from './request/index.js'
+export * from './version/index.js'
--- /dev/null
+++ b/packages/daemon/src/process/decision-log.ts
@@ -0,0 +1,40 @@
+/**
+ * The routing decisions of one process: a log line for each, and the newest
+ * ones kept in memory so that operators can ask why a request went where.
+ */
+import type { LogFields, Logger } from './logger.js'
+import { createLogger } from './logger.js'
+
+/** One decision about a request. */
+export interface Decision {
+  /** Epoch milliseconds. */
+  at: number
+  /** Name of the process that decided. */
+  by: string
+  event: string
+  requestId: string
+  fields: LogFields
+}
+
+const DEFAULT_CAPACITY = 20_000
+
+/** Logs and remembers decisions. */
+export class DecisionLog {
+  private readonly ring: Decision[] = []
+  private next = 0
+  private readonly log: Logger = createLogger('route')
+
+  constructor(private readonly processName: string, private readonly capacity = DEFAULT_CAPACITY) {}
+
+  /** Logs one decision and keeps it. */
+  record(event: string, requestId: string, fields: LogFields): void {
+    this.log(event, { request: requestId, ...fields })
+    this.ring[this.next] = { at: Date.now(), by: this.processName, event, requestId, fields }
+    this.next = (this.next + 1) % this.capacity
+  }
+
+  /** The kept decisions about a request, oldest first. */
+  explain(requestId: string): Decision[] {
+    return this.ring.filter(decision => decision.requestId === requestId).sort((left, right) => left.at - right.at)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/process/incarnation.ts
@@ -0,0 +1,10 @@
+/**
+ * The identity of one process life. A restarted process has another one, so
+ * that nobody takes it for its predecessor.
+ */
+import { v7 as uuidv7 } from 'uuid'
+
+/** Creates the identity of this process life. */
+export function createIncarnation(): string {
+  return uuidv7()
+}
--- /dev/null
+++ b/packages/daemon/src/process/policies.ts
@@ -0,0 +1,50 @@
+/**
+ * Creates the decision classes that the settings name.
+ */
+import type { AdmissionPolicy } from '../request/admission.js'
+import type { ChoicePolicy } from '../request/choice.js'
+import type { EjectionPolicy } from '../request/ejection.js'
+import type { RetryPolicy } from '../request/retry.js'
+import type { StageBudgetPolicy } from '../request/stage-budget.js'
+import type { StageQueue } from '../request/stage-queue.js'
+import type { SideSettings } from './settings.js'
+import { AdmitAll, DeadlineAdmission } from '../request/admission.js'
+import { PredictedChoice, RandomChoice, RoundRobinChoice } from '../request/choice.js'
+import { NoEjection, OutlierEjection } from '../request/ejection.js'
+import { BudgetRetry, FixedRetry } from '../request/retry.js'
+import { ReservedBudget, WholeBudget } from '../request/stage-budget.js'
+import { DeadlineQueue, FifoQueue } from '../request/stage-queue.js'
+import { AdmissionName, ChoiceName, EjectionName, QueueName, RetryName, StageBudgetName } from './settings.js'
+
+export function createAdmission(name: AdmissionName): AdmissionPolicy {
+  return name === AdmissionName.All ? new AdmitAll() : new DeadlineAdmission()
+}
+
+export function createChoice(name: ChoiceName): ChoicePolicy {
+  switch (name) {
+    case ChoiceName.Random:
+      return new RandomChoice()
+    case ChoiceName.RoundRobin:
+      return new RoundRobinChoice()
+    case ChoiceName.Predicted:
+      return new PredictedChoice()
+  }
+}
+
+export function createEjection(name: EjectionName): EjectionPolicy {
+  return name === EjectionName.None ? new NoEjection() : new OutlierEjection()
+}
+
+export function createRetry(name: RetryName): RetryPolicy {
+  return name === RetryName.Fixed ? new FixedRetry() : new BudgetRetry()
+}
+
+export function createStageBudget(name: StageBudgetName): StageBudgetPolicy {
+  return name === StageBudgetName.Whole ? new WholeBudget() : new ReservedBudget()
+}
+
+export function createQueue(settings: SideSettings): StageQueue {
+  if (settings.queue === QueueName.Fifo)
+    return new FifoQueue()
+  return new DeadlineQueue({ limit: settings['queue-limit'], bytes: settings['queue-bytes'] })
+}
--- /dev/null
+++ b/packages/daemon/src/process/run-daemon.ts
@@ -0,0 +1,38 @@
+/**
+ * Runs a daemon from its settings until it is told to stop.
+ */
+import type { Daemon } from './daemon.js'
+import type { Settings } from './settings.js'
+import { Entry } from './entry.js'
+import { createLogger, enableLogs, formatError } from './logger.js'
+import { ProcessRole } from './settings.js'
+import { Side } from './side.js'
+
+const log = createLogger('process')
+
+/** Starts the role that the settings name. */
+export function startDaemon(settings: Settings): Promise<Daemon> {
+  return settings.process.role === ProcessRole.Entry ? Entry.start(settings) : Side.start(settings)
+}
+
+/** Runs a daemon until SIGTERM or SIGINT; prints one JSON line once it listens. */
+export async function runDaemon(settings: Settings): Promise<void> {
+  enableLogs(settings.log.namespaces)
+  process.on('unhandledRejection', error => log('unhandled', { error: formatError(error) }))
+  const daemon = await startDaemon(settings)
+  const stopOnce = createStop(daemon)
+  process.on('SIGTERM', stopOnce)
+  process.on('SIGINT', stopOnce)
+  process.stdout.write(`${JSON.stringify(daemon.addresses)}\n`)
+  log('listening', { ...daemon.addresses })
+}
+
+function createStop(daemon: Daemon): () => void {
+  let stopping = false
+  return () => {
+    if (stopping)
+      return
+    stopping = true
+    void daemon.stop().then(() => process.exit(0))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/request/errors.ts
@@ -0,0 +1,113 @@
+/**
+ * The closed list of error kinds that callers can receive, and the one table
+ * from kind to HTTP status, to what may be said of work done, and to whether
+ * the caller is told when to come back.
+ */
+
+/** What of a request ran. `None` is a promise. */
+export enum Ran {
+  None = 'none',
+  Part = 'part',
+  Unknown = 'unknown',
+}
+
+/** Every error kind that a caller can receive. */
+export enum ErrorKind {
+  InvalidRequest = 'invalid-request',
+  BodyTooLarge = 'body-too-large',
+  BodyStalled = 'body-stalled',
+  Unauthenticated = 'unauthenticated',
+  UnknownAccount = 'unknown-account',
+  UnknownPipeline = 'unknown-pipeline',
+  UnknownService = 'unknown-service',
+  UnknownPath = 'unknown-path',
+  MethodNotAllowed = 'method-not-allowed',
+  UnknownRequest = 'unknown-request',
+  RequestIdReused = 'request-id-reused',
+  RequestIdExpired = 'request-id-expired',
+  TicketInvalid = 'ticket-invalid',
+  Overloaded = 'overloaded',
+  AccountOverShare = 'account-over-share',
+  DeadlineUnreachable = 'deadline-unreachable',
+  NoBackend = 'no-backend',
+  NotReady = 'not-ready',
+  Stopping = 'stopping',
+  LogUnavailable = 'log-unavailable',
+  DeadlineExceeded = 'deadline-exceeded',
+  StageFailed = 'stage-failed',
+  OutcomeUnknown = 'outcome-unknown',
+  Cancelled = 'cancelled',
+  Internal = 'internal',
+}
+
+/** How an error kind is answered. */
+export interface ErrorAnswer {
+  status: number
+  /** What may be said of work done with this kind. */
+  ran: readonly Ran[]
+  /** Whether the answer carries a time to come back. */
+  retryAfter: boolean
+}
+
+const NONE = [Ran.None] as const
+const STARTED = [Ran.Part, Ran.Unknown] as const
+const ANY = [Ran.None, Ran.Part, Ran.Unknown] as const
+
+/** The one table from error kind to answer. */
+export const ERROR_ANSWERS: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  [ErrorKind.InvalidRequest]: { status: 400, ran: NONE, retryAfter: false },
+  [ErrorKind.BodyTooLarge]: { status: 413, ran: NONE, retryAfter: false },
+  [ErrorKind.BodyStalled]: { status: 408, ran: NONE, retryAfter: false },
+  [ErrorKind.Unauthenticated]: { status: 401, ran: NONE, retryAfter: false },
+  [ErrorKind.UnknownAccount]: { status: 403, ran: NONE, retryAfter: false },
+  [ErrorKind.UnknownPipeline]: { status: 404, ran: NONE, retryAfter: false },
+  [ErrorKind.UnknownService]: { status: 404, ran: NONE, retryAfter: false },
+  [ErrorKind.UnknownPath]: { status: 404, ran: NONE, retryAfter: false },
+  [ErrorKind.MethodNotAllowed]: { status: 405, ran: NONE, retryAfter: false },
+  [ErrorKind.UnknownRequest]: { status: 404, ran: [Ran.Unknown], retryAfter: false },
+  [ErrorKind.RequestIdReused]: { status: 409, ran: [Ran.Unknown], retryAfter: false },
+  [ErrorKind.RequestIdExpired]: { status: 410, ran: [Ran.Unknown], retryAfter: false },
+  [ErrorKind.TicketInvalid]: { status: 400, ran: NONE, retryAfter: false },
+  [ErrorKind.Overloaded]: { status: 429, ran: NONE, retryAfter: true },
+  [ErrorKind.AccountOverShare]: { status: 429, ran: NONE, retryAfter: true },
+  [ErrorKind.DeadlineUnreachable]: { status: 503, ran: ANY, retryAfter: true },
+  [ErrorKind.NoBackend]: { status: 503, ran: ANY, retryAfter: true },
+  [ErrorKind.NotReady]: { status: 503, ran: NONE, retryAfter: true },
+  [ErrorKind.Stopping]: { status: 503, ran: NONE, retryAfter: true },
+  [ErrorKind.LogUnavailable]: { status: 503, ran: [Ran.None, Ran.Unknown], retryAfter: true },
+  [ErrorKind.DeadlineExceeded]: { status: 504, ran: ANY, retryAfter: false },
+  [ErrorKind.StageFailed]: { status: 502, ran: STARTED, retryAfter: false },
+  [ErrorKind.OutcomeUnknown]: { status: 502, ran: [Ran.Unknown], retryAfter: false },
+  [ErrorKind.Cancelled]: { status: 499, ran: ANY, retryAfter: false },
+  [ErrorKind.Internal]: { status: 500, ran: ANY, retryAfter: false },
+}
+
+/** An error as the caller receives it. */
+export interface RequestError {
+  kind: ErrorKind
+  /** A sentence that says what to do. */
+  message: string
+  ran: Ran
+  /** Milliseconds after which to come back. */
+  retryAfterMs?: number
+}
+
+/** Time to come back where nothing better is known, in milliseconds. */
+export const DEFAULT_RETRY_AFTER_MS = 1000
+
+/** Parts of an error that its kind does not fix. */
+export interface ErrorDetails {
+  ran?: Ran
+  retryAfterMs?: number
+}
+
+/** Creates an error; what it says of work done is held to its kind's row. */
+export function createError(kind: ErrorKind, message: string, details: ErrorDetails = {}): RequestError {
+  const answer = ERROR_ANSWERS[kind]
+  const wanted = details.ran ?? answer.ran[0]
+  // Unknown is the safe word wherever a kind may not promise more.
+  const ran = answer.ran.includes(wanted) ? wanted : Ran.Unknown
+  if (!answer.retryAfter)
+    return { kind, message, ran }
+  return { kind, message, ran, retryAfterMs: Math.max(1, Math.round(details.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS)) }
+}
--- /dev/null
+++ b/packages/daemon/src/request/request-runner.ts
@@ -0,0 +1,128 @@
+/**
+ * Runs the stages of one request in order, from its plan to its one answer.
+ */
+import type { LinkTokenListener } from '../connection/side-link.js'
+import type { EntryMetrics } from '../process/metrics.js'
+import type { RequestAnswer, StageReport, WholeAnswer } from './answer.js'
+import type { RequestError } from './errors.js'
+import type { PlannedStage, RequestPlan } from './plan.js'
+import type { StageBudgetPolicy } from './stage-budget.js'
+import type { RequestProgress, StageCaller, StageTask } from './stage-caller.js'
+import { Err, Ok } from 'ts-results-es'
+import { createError, ErrorKind } from './errors.js'
+import { RecentTimesByKey } from './recent-times.js'
+import { describeProgress } from './stage-caller.js'
+
+/** One admitted request. */
+export interface RunningRequest {
+  account: string
+  requestId: string
+  plan: RequestPlan
+  body: string
+  /** Time of the process clock by which the answer is due, in milliseconds. */
+  deadlineAt: number
+  /** Aborts when the caller is gone. */
+  callerGone: AbortSignal
+  onToken?: LinkTokenListener
+}
+
+/** Parts of a request runner. */
+export interface RequestRunnerOptions {
+  stageCaller: StageCaller
+  stageBudget: StageBudgetPolicy
+  metrics: EntryMetrics
+}
+
+/** Recent time of a later stage that is kept free for it. */
+const RESERVED_QUANTILE = 0.9
+const PREFIX_LENGTH = 64
+
+/** Runs requests for one entry. */
+export class RequestRunner {
+  private readonly times = new RecentTimesByKey()
+
+  constructor(private readonly options: RequestRunnerOptions) {}
+
+  /** Recent mean time of a stage, in milliseconds; 0 where it has not run. */
+  expectedStageMs(target: string, stage: PlannedStage): number {
+    return this.times.of(timesKey(target, stage)).mean()
+  }
+
+  /** Runs a request to its answer. Returns at once when its deadline passes or its caller goes. */
+  async run(request: RunningRequest): Promise<RequestAnswer> {
+    const over = new AbortController()
+    const end = (): void => over.abort()
+    const timer = setTimeout(end, Math.max(0, request.deadlineAt - performance.now()))
+    request.callerGone.addEventListener('abort', end)
+    if (request.callerGone.aborted)
+      end()
+    const answer = await this.runStages(request, over.signal)
+    clearTimeout(timer)
+    request.callerGone.removeEventListener('abort', end)
+    return answer
+  }
+
+  private async runStages(request: RunningRequest, signal: AbortSignal): Promise<RequestAnswer> {
+    const { plan } = request
+    const progress: RequestProgress = { started: false, inDoubt: false, pending: false }
+    const reports: StageReport[] = []
+    let previous: WholeAnswer | undefined
+    for (const [index, stage] of plan.stages.entries()) {
+      const task = this.createTask(request, index, previous?.output, progress, signal)
+      const result = await this.options.stageCaller.run(task)
+      if (result.isErr()) {
+        this.recordCost(reports, true)
+        return Err(request.callerGone.aborted ? describeGone(progress) : result.error)
+      }
+      const { reply, report } = result.value
+      this.times.of(timesKey(plan.target, stage)).add(report.milliseconds)
+      reports.push(report)
+      previous = { requestId: request.requestId, output: reply.output, stages: reports, status: reply.status, contentType: reply.contentType }
+    }
+    this.recordCost(reports, false)
+    return previous ? Ok(previous) : Err(createError(ErrorKind.Internal, 'The pipeline has no stage; publish its template again.'))
+  }
+
+  private createTask(request: RunningRequest, index: number, previous: string | undefined, progress: RequestProgress, signal: AbortSignal): StageTask {
+    const { account, requestId, plan, body, deadlineAt } = request
+    const stage = plan.stages[index]
+    const later = plan.stages.slice(index + 1)
+    const last = later.length === 0
+    return {
+      account,
+      requestId,
+      stage,
+      input: stage.serviceRequest ? body : formatStageInput(body, previous),
+      priority: plan.priority,
+      prefixKey: `${account}/${plan.target}/${body.slice(0, PREFIX_LENGTH)}`,
+      unrepeatable: plan.unrepeatable,
+      progress,
+      budgetMs: () => this.options.stageBudget.budgetMs(deadlineAt - performance.now(), this.reservedFor(plan.target, later)),
+      signal,
+      onToken: last ? request.onToken : undefined,
+    }
+  }
+
+  private reservedFor(target: string, stages: readonly PlannedStage[]): number[] {
+    return stages.map(stage => this.times.of(timesKey(target, stage)).quantile(RESERVED_QUANTILE))
+  }
+
+  /** Stages of a request that ends without an answer were run in vain. */
+  private recordCost(reports: readonly StageReport[], wasted: boolean): void {
+    for (const report of reports)
+      this.options.metrics.recordCost(report.stage, report.cost, wasted)
+  }
+}
+
+/** The input of a stage: the caller's input and the previous stage's output. */
+export function formatStageInput(input: string, previous: string | undefined): string {
+  return JSON.stringify({ input, previous: previous ?? null })
+}
+
+function describeGone(progress: RequestProgress): RequestError {
+  return createError(ErrorKind.Cancelled, 'The caller closed the connection before the answer.', { ran: describeProgress(progress) })
+}
+
+function timesKey(target: string, stage: PlannedStage): string {
+  return `${target}/${stage.name}`
+}
--- /dev/null
+++ b/packages/daemon/src/version/index.ts
@@ -0,0 +1,7 @@
+export * from './checkpointer.js'
+export * from './configuration.js'
+export * from './follower.js'
+export * from './objects.js'
+export * from './placement.js'
+export * from './publisher.js'
+export * from './record.js'
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,7 @@
+export * from './backend-service.js'
+export * from './deployment.js'
+export * from './http-service.js'
+export * from './launcher.js'
+export * from './log-service.js'
+export * from './outputs.js'
+export * from './platform-services.js'
--- /dev/null
+++ b/packages/stand-ins/src/launcher.ts
@@ -0,0 +1,409 @@
+import type { ChangeRecord, ProcessStatus } from '@eidermast/daemon'
+/**
+ * Starts a whole deployment on loopback, each part as a process of its own,
+ * with ports from the system. For demo, tests and load runs; the system's own
+ * processes start none.
+ */
+import type { ChildProcess } from 'node:child_process'
+import type { Deployment, PoolDeployment } from './deployment.js'
+import type { ListedMachine } from './platform-services.js'
+import { spawn } from 'node:child_process'
+import { randomBytes } from 'node:crypto'
+import { once } from 'node:events'
+import { mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs'
+import { createRequire } from 'node:module'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import { createInterface } from 'node:readline'
+import { fileURLToPath } from 'node:url'
+import { backendSchema, callPeer, CallState, CONFIGURATION_STREAM, connectEntry, HttpLogClient, MemberState, NO_OFFSET, ObjectKind, RecordKind } from '@eidermast/daemon'
+import { request } from 'undici'
+import { v7 as uuidv7 } from 'uuid'
+import { BackendKind } from './backend-service.js'
+import { delay } from './http-service.js'
+
+/** What a launched process is. */
+export enum ProcessKind {
+  Platform = 'platform',
+  Backend = 'backend',
+  Side = 'side',
+  Entry = 'entry',
+}
+
+/** One launched process. */
+export interface LaunchedProcess {
+  kind: ProcessKind
+  name: string
+  pid: number
+  /** URL of a stand-in, or the callers' URL of an entry. */
+  url?: string
+  /** Address between processes, of entries and sides. */
+  peer?: string
+  child: ChildProcess
+}
+
+/** Options of a launch. */
+export interface LaunchOptions {
+  deployment: Deployment
+  /**
+   * Settings to put into every entry's section `entry`.
+   * @default {}
+   */
+  entrySettings?: Record<string, string>
+  /**
+   * Settings to put into every side's section `side`.
+   * @default {}
+   */
+  sideSettings?: Record<string, string>
+  /**
+   * Settings to put into every section `platform`.
+   * @default {}
+   */
+  platformSettings?: Record<string, string>
+  /**
+   * Milliseconds for which the log keeps records.
+   * @default 86400000
+   */
+  retentionMs?: number
+  /**
+   * Milliseconds by which the VM list lags.
+   * @default 0
+   */
+  listLagMs?: number
+}
+
+const require = createRequire(import.meta.url)
+const STAND_IN_PROGRAM = fileURLToPath(new URL('./stand-in.js', import.meta.url))
+const DAEMON_PROGRAM = path.join(path.dirname(require.resolve('@eidermast/daemon')), '..', 'bin', 'eidermastd.js')
+const START_TIMEOUT_MS = 30_000
+const READY_TIMEOUT_MS = 60_000
+const STOP_TIMEOUT_MS = 15_000
+const STARTS_AT_ONCE = 8
+
+/** A running deployment. */
+export class RunningSystem {
+  readonly processes = new Map<string, LaunchedProcess>()
+  readonly directory = mkdtempSync(path.join(tmpdir(), 'eidermast-'))
+  readonly key = randomBytes(24).toString('hex')
+  private readonly settingsFiles = new Map<string, string>()
+  private machines: ListedMachine[] = []
+  private logUrl = ''
+  private machinesUrl = ''
+  private weightsUrl = ''
+
+  private constructor(private readonly options: LaunchOptions) {}
+
+  /** Starts every process, publishes the configuration and waits until it is in force. */
+  static async launch(options: LaunchOptions): Promise<RunningSystem> {
+    const system = new RunningSystem(options)
+    try {
+      await system.startPlatform()
+      await system.startBackends()
+      await system.startEntries()
+      await system.publish()
+      await system.waitUntilReady()
+    }
+    catch (error) {
+      await system.stop()
+      throw error
+    }
+    return system
+  }
+
+  /** Processes of one kind. */
+  list(kind: ProcessKind): LaunchedProcess[] {
+    return [...this.processes.values()].filter(launched => launched.kind === kind)
+  }
+
+  find(name: string): LaunchedProcess {
+    const launched = this.processes.get(name)
+    if (!launched)
+      throw new Error(`no process is named ${name}`)
+    return launched
+  }
+
+  /** URLs of the entries for callers. */
+  get entryUrls(): string[] {
+    return this.list(ProcessKind.Entry).map(entry => entry.url!)
+  }
+
+  /** The settings file for the operators' command line. */
+  get commandLineSettings(): string {
+    return path.join(this.directory, 'eidermast.ini')
+  }
+
+  get logServiceUrl(): string {
+    return this.logUrl
+  }
+
+  get machineListUrl(): string {
+    return this.machinesUrl
+  }
+
+  /** Sends a signal to a process by its id. */
+  signal(name: string, signal: NodeJS.Signals): void {
+    process.kill(this.find(name).pid, signal)
+  }
+
+  /** Sends a signal and waits for the process's end; returns its exit code. */
+  async end(name: string, signal: NodeJS.Signals): Promise<number | null> {
+    const { child } = this.find(name)
+    if (child.exitCode !== null || child.signalCode !== null)
+      return child.exitCode
+    const exited = once(child, 'exit')
+    process.kill(this.find(name).pid, signal)
+    await exited
+    return child.exitCode
+  }
+
+  /** Starts an entry or a side again with the settings it had, on a new port. */
+  async restart(name: string): Promise<void> {
+    const { kind } = this.find(name)
+    await this.startDaemon(kind, name, this.settingsFiles.get(name)!)
+    if (kind === ProcessKind.Entry)
+      await this.listEntry(name)
+  }
+
+  /** Sets the faults of a stand-in. */
+  async setFaults(url: string, faults: object): Promise<void> {
+    const response = await request(`${url}/faults`, { method: 'POST', body: JSON.stringify(faults) })
+    await response.body.dump()
+    if (response.statusCode !== 200)
+      throw new Error(`the faults were refused with status ${response.statusCode}`)
+  }
+
+  /** Sets what the platform lists. */
+  async setMachines(machines: ListedMachine[]): Promise<void> {
+    this.machines = machines
+    const response = await request(this.machinesUrl, { method: 'POST', body: JSON.stringify({ virtualMachines: machines }) })
+    await response.body.dump()
+  }
+
+  /** What the platform lists. */
+  get listedMachines(): ListedMachine[] {
+    return this.machines
+  }
+
+  /** Runs counted by the backend servers, by account, request and stage. */
+  async countRuns(): Promise<Map<string, number>> {
+    const counts = new Map<string, number>()
+    for (const backend of this.list(ProcessKind.Backend)) {
+      if (backend.child.exitCode !== null || backend.child.signalCode !== null)
+        continue
+      const response = await request(`${backend.url}/runs`)
+      const { runs } = await response.body.json() as { runs: Record<string, number> }
+      for (const [key, count] of Object.entries(runs))
+        counts.set(key, (counts.get(key) ?? 0) + count)
+    }
+    return counts
+  }
+
+  /** Status of an entry, as operators get it. */
+  async entryStatus(name: string): Promise<ProcessStatus | undefined> {
+    const opened = await connectEntry({ address: this.find(name).peer!, key: this.key })
+    if (opened.isErr())
+      return undefined
+    const result = await callPeer(opened.value, client => client.status.query(), 2000)
+    opened.value.close()
+    return result.state === CallState.Answered ? result.value : undefined
+  }
+
+  /** Ends every process by its id. */
+  async stop(): Promise<void> {
+    const running = [...this.processes.values()].filter(({ child }) => child.exitCode === null && child.signalCode === null)
+    await Promise.all(running.map(launched => this.stopOne(launched)))
+    rmSync(this.directory, { recursive: true, force: true })
+  }
+
+  /** Waits until every entry holds every backend server in force. */
+  async waitUntilReady(): Promise<void> {
+    const wanted = this.list(ProcessKind.Side).length
+    const giveUpAt = Date.now() + READY_TIMEOUT_MS
+    for (const entry of this.list(ProcessKind.Entry)) {
+      for (;;) {
+        const status = await this.entryStatus(entry.name)
+        const inForce = status?.detail.filter(line => line.text === MemberState.InForce).length ?? 0
+        if (inForce >= wanted)
+          break
+        if (Date.now() > giveUpAt)
+          throw new Error(`${entry.name} sees ${inForce} of ${wanted} backend servers in force`)
+        await delay(50)
+      }
+    }
+  }
+
+  private async startPlatform(): Promise<void> {
+    const { retentionMs = 86_400_000, listLagMs = 0 } = this.options
+    const [logService, machines, weights] = await Promise.all([
+      this.startStandIn(ProcessKind.Platform, 'log', ['log', '--retention-ms', String(retentionMs)]),
+      this.startStandIn(ProcessKind.Platform, 'machines', ['machines', '--lag-ms', String(listLagMs)]),
+      this.startStandIn(ProcessKind.Platform, 'weights', ['weights']),
+    ])
+    this.logUrl = logService.url!
+    this.machinesUrl = machines.url!
+    this.weightsUrl = weights.url!
+  }
+
+  private async startBackends(): Promise<void> {
+    const starts = this.options.deployment.pools.flatMap(pool => Array.from({ length: pool.replicas }, (_, index) => () => this.startBackend(pool, index)))
+    await runLimited(starts, STARTS_AT_ONCE)
+  }
+
+  private async startBackend(pool: PoolDeployment, index: number): Promise<void> {
+    const name = `${pool.service}-${index + 1}`
+    const fences = index % 2 === 0 ? ['--checks-fences'] : []
+    const backend = await this.startStandIn(ProcessKind.Backend, `${name}.backend`, [
+      'backend',
+      '--kind',
+      pool.kind,
+      '--slots',
+      String(pool.slots),
+      '--base-ms',
+      String(pool.baseMs),
+      '--token-ms',
+      String(pool.tokenMs),
+      ...fences,
+    ])
+    const file = this.writeSettings(name, 'side', index, {
+      side: { backend: backend.url!, slots: String(pool.slots), ...this.options.sideSettings },
+    })
+    await this.startDaemon(ProcessKind.Side, name, file)
+  }
+
+  private async startEntries(): Promise<void> {
+    for (let index = 0; index < this.options.deployment.entries; index++) {
+      const name = `entry-${index + 1}`
+      const file = this.writeSettings(name, 'entry', index, { entry: this.options.entrySettings ?? {} })
+      await this.startDaemon(ProcessKind.Entry, name, file)
+    }
+  }
+
+  /** Publishes templates, accounts and backend servers in one append, and lists the VMs. */
+  private async publish(): Promise<void> {
+    const { templates, accounts, pools } = this.options.deployment
+    const changes: ChangeRecord[] = [
+      ...templates.map(template => createChange(ObjectKind.Template, template.name, template.value)),
+      ...accounts.map(account => createChange(ObjectKind.Account, account.name, account.value)),
+      ...pools.flatMap(pool => Array.from({ length: pool.replicas }, (_, index) => this.createBackendChange(pool, index))),
+    ]
+    const client = new HttpLogClient({ url: this.logUrl })
+    const appended = await client.append(CONFIGURATION_STREAM, changes)
+    await client.close()
+    if (appended.isErr())
+      throw new Error(`the configuration could not be published: ${appended.error.message}`)
+    await this.setMachines([...this.list(ProcessKind.Side), ...this.list(ProcessKind.Entry)].map(launched => this.createListed(launched)))
+    writeFileSync(this.commandLineSettings, formatIni({
+      platform: { 'log': this.logUrl, 'virtual-machines': this.machinesUrl },
+      peers: { key: this.key },
+      callers: { entries: this.entryUrls.join(', ') },
+    }))
+  }
+
+  private createBackendChange(pool: PoolDeployment, index: number): ChangeRecord {
+    const name = `${pool.service}-${index + 1}`
+    return createChange(ObjectKind.Backend, name, backendSchema.parse({
+      order: 'in',
+      role: pool.kind === BackendKind.Plain ? 'plain' : 'stage',
+      service: pool.service,
+      virtualMachine: name,
+      address: this.find(name).peer,
+      failureDomain: this.failureDomain(index),
+      checksOrders: index % 2 === 0,
+      model: pool.model,
+      version: pool.version,
+      adapters: pool.adapters ?? [],
+    }))
+  }
+
+  private createListed({ kind, name, peer }: LaunchedProcess): ListedMachine {
+    const role = kind === ProcessKind.Entry ? 'entry' : 'backend'
+    return { name, role, state: 'live', failureDomain: this.failureDomain(0), address: peer! }
+  }
+
+  private async listEntry(name: string): Promise<void> {
+    const { peer } = this.find(name)
+    await this.setMachines(this.machines.map(machine => machine.name === name ? { ...machine, address: peer! } : machine))
+  }
+
+  private failureDomain(index: number): string {
+    const { failureDomains } = this.options.deployment
+    return failureDomains[index % failureDomains.length]
+  }
+
+  private writeSettings(name: string, role: string, index: number, sections: IniSections): string {
+    const file = path.join(this.directory, `${name}.ini`)
+    writeFileSync(file, formatIni({
+      process: { role, name, 'virtual-machine': name, 'failure-domain': this.failureDomain(index), 'host': '127.0.0.1', 'key': this.key },
+      platform: { 'log': this.logUrl, 'virtual-machines': this.machinesUrl, 'weight-store': this.weightsUrl, ...this.options.platformSettings },
+      ...sections,
+    }))
+    this.settingsFiles.set(name, file)
+    return file
+  }
+
+  private async startStandIn(kind: ProcessKind, name: string, parameters: string[]): Promise<LaunchedProcess> {
+    return this.start(kind, name, [STAND_IN_PROGRAM, ...parameters])
+  }
+
+  private async startDaemon(kind: ProcessKind, name: string, settingsFile: string): Promise<void> {
+    await this.start(kind, name, [DAEMON_PROGRAM, '--settings', settingsFile])
+  }
+
+  /** Starts a process and waits for the JSON line that says where it listens. */
+  private async start(kind: ProcessKind, name: string, parameters: string[]): Promise<LaunchedProcess> {
+    const logFile = openSync(path.join(this.directory, `${name}.log`), 'a')
+    const child = spawn(process.execPath, parameters, { stdio: ['ignore', 'pipe', logFile] })
+    const line = await readFirstLine(child, name)
+    const listening = JSON.parse(line) as { pid: number, url?: string, peer?: string, caller?: string }
+    const url = listening.url ?? (listening.caller && `http://${listening.caller}`)
+    const launched: LaunchedProcess = { kind, name, pid: listening.pid, url, peer: listening.peer, child }
+    this.processes.set(name, launched)
+    return launched
+  }
+
+  private async stopOne({ name, kind, child, pid }: LaunchedProcess): Promise<void> {
+    // A stopped process would never see SIGTERM.
+    process.kill(pid, 'SIGCONT')
+    const exited = once(child, 'exit')
+    process.kill(pid, kind === ProcessKind.Platform || kind === ProcessKind.Backend ? 'SIGKILL' : 'SIGTERM')
+    const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS)
+    await exited
+    clearTimeout(timer)
+    this.processes.delete(name)
+  }
+}
+
+interface IniSections {
+  [section: string]: Record<string, string>
+}
+
+function formatIni(sections: IniSections): string {
+  return Object.entries(sections)
+    .map(([section, keys]) => `[${section}]\n${Object.entries(keys).map(([key, value]) => `${key} = ${value}\n`).join('')}`)
+    .join('\n')
+}
+
+function createChange(kind: ObjectKind, name: string, value: unknown): ChangeRecord {
+  return { record: RecordKind.Change, id: uuidv7(), kind, name, base: NO_OFFSET, value, author: 'launcher' }
+}
+
+async function readFirstLine(child: ChildProcess, name: string): Promise<string> {
+  const lines = createInterface({ input: child.stdout! })
+  const timeout = AbortSignal.timeout(START_TIMEOUT_MS)
+  const line = await Promise.race([
+    once(lines, 'line', { signal: timeout }).then(([text]) => String(text)),
+    once(child, 'exit', { signal: timeout }).then(() => undefined),
+  ])
+  if (line === undefined)
+    throw new Error(`${name} ended before it listened`)
+  return line
+}
+
+async function runLimited(starts: (() => Promise<void>)[], limit: number): Promise<void> {
+  const left = [...starts]
+  const work = async (): Promise<void> => {
+    for (let next = left.shift(); next; next = left.shift())
+      await next()
+  }
+  await Promise.all(Array.from({ length: limit }, work))
+}
--- /dev/null
+++ b/packages/stand-ins/src/system.ts
@@ -0,0 +1,24 @@
+/**
+ * Runs a whole deployment until SIGTERM; prints one JSON line with every
+ * address and process id once it serves.
+ */
+import { Command, Option } from 'commander'
+import { DeploymentName, resolveDeployment } from './deployment.js'
+import { RunningSystem } from './launcher.js'
+
+const program = new Command('system')
+  .addOption(new Option('--deployment <name>', 'which deployment to run').choices(Object.values(DeploymentName)).default(DeploymentName.Coventry))
+program.parse()
+
+const { deployment } = program.opts<{ deployment: DeploymentName }>()
+const system = await RunningSystem.launch({ deployment: resolveDeployment(deployment) })
+const processes = [...system.processes.values()].map(({ kind, name, pid, url, peer }) => ({ kind, name, pid, url, peer }))
+process.stdout.write(`${JSON.stringify({ deployment, settings: system.commandLineSettings, processes })}\n`)
+
+async function stop(): Promise<void> {
+  await system.stop()
+  process.exit(0)
+}
+
+process.on('SIGTERM', () => void stop())
+process.on('SIGINT', () => void stop())
