Add the operators' command line and an open-loop load run

Cause: operators had no way to publish, order backend servers or look inside. Ruled out: a JSON-only object format, since operators write settings in INI. Change: eidermast with template, account, backend, config, status, explain and load; exit codes for accepted, conflict, unknown, unreachable. Before: none.

--- /dev/null
+++ b/packages/command-line/src/backend-commands.ts
@@ -0,0 +1,84 @@
+/**
+ * The command `backend`: orders backend servers in and out.
+ */
+import type { Backend } from '@eidermast/daemon'
+import type { Command } from 'commander'
+import { BackendOrder, BackendRole, ObjectKind } from '@eidermast/daemon'
+import { Option } from 'commander'
+import { CommandFailure, failUnreachable, globalOptions, reportPublication, withOperator } from './context.js'
+import { ExitCode } from './exit-codes.js'
+import { listObjects, showObject } from './object-commands.js'
+
+interface BackendOptions {
+  service?: string
+  role?: BackendRole
+  virtualMachine?: string
+  address?: string
+  failureDomain?: string
+  checksOrders?: boolean
+  model?: string
+  modelVersion?: string
+  adapters?: string
+}
+
+/** Adds the command `backend`. */
+export function addBackendCommands(program: Command): void {
+  const group = program.command('backend').description('order backend servers in or out')
+  group.command('in <name>')
+    .description('order a backend server in; what is not given stays as it was')
+    .option('--service <name>', 'the pool or plain service that it belongs to')
+    .addOption(new Option('--role <role>', 'what it does').choices(Object.values(BackendRole)))
+    .option('--virtual-machine <name>', 'the VM that it runs on')
+    .option('--address <host:port>', 'address of the side beside it')
+    .option('--failure-domain <name>', 'its failure domain')
+    .option('--checks-orders', 'it refuses orders with an old fence itself')
+    .option('--no-checks-orders', 'it does not check orders; its side does')
+    .option('--model <name>', 'the model to hold')
+    .option('--model-version <name>', 'the version to hold')
+    .option('--adapters <names>', 'the adapters to hold, separated by commas')
+    .action((name: string, options: BackendOptions, command: Command) => orderIn(name, options, command))
+  group.command('out <name>')
+    .description('order a backend server out: it finishes what it has and gets nothing new')
+    .action((name: string, _options: object, command: Command) => orderOut(name, command))
+  group.command('show <name>').description('show its newest version').action((name: string, _options: object, command: Command) => showObject(ObjectKind.Backend, name, command))
+  group.command('list').description('list all').action((_options: object, command: Command) => listObjects(ObjectKind.Backend, command))
+}
+
+async function orderIn(name: string, given: BackendOptions, command: Command): Promise<void> {
+  const options = globalOptions(command)
+  await withOperator(options, async (operator) => {
+    const configuration = await operator.configuration() ?? failUnreachable()
+    const value = operator.resolveBackend(configuration.get(ObjectKind.Backend, name), createOrder(given))
+    if (value.isErr())
+      throw new CommandFailure(ExitCode.BadInput, `the backend server ${name} is not described in full: ${value.error}`)
+    reportPublication(options, await operator.publish({ kind: ObjectKind.Backend, name, value: value.value, base: configuration.baseOffset(ObjectKind.Backend, name) }))
+  })
+}
+
+async function orderOut(name: string, command: Command): Promise<void> {
+  const options = globalOptions(command)
+  await withOperator(options, async (operator) => {
+    const configuration = await operator.configuration() ?? failUnreachable()
+    const known = configuration.get(ObjectKind.Backend, name)
+    if (!known)
+      throw new CommandFailure(ExitCode.NotFound, `no backend server is named ${name}`)
+    reportPublication(options, await operator.publish({ kind: ObjectKind.Backend, name, value: { ...known.value, order: BackendOrder.Out }, base: known.offset }))
+  })
+}
+
+/** The fields that were given, so that the others stay as they were. */
+function createOrder(given: BackendOptions): Partial<Backend> {
+  const order: Partial<Backend> = {
+    order: BackendOrder.In,
+    service: given.service,
+    role: given.role,
+    virtualMachine: given.virtualMachine,
+    address: given.address,
+    failureDomain: given.failureDomain,
+    checksOrders: given.checksOrders,
+    model: given.model,
+    version: given.modelVersion,
+    adapters: given.adapters?.split(',').map(adapter => adapter.trim()),
+  }
+  return Object.fromEntries(Object.entries(order).filter(([, value]) => value !== undefined))
+}
--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './exit-codes.js'
+export * from './load/index.js'
+export * from './object-file.js'
+export * from './operator.js'
+export * from './output.js'
+export * from './settings.js'
--- /dev/null
+++ b/packages/command-line/src/load/index.ts
@@ -0,0 +1,4 @@
+export * from './format-report.js'
+export * from './load-kind.js'
+export * from './load-report.js'
+export * from './load-run.js'
--- /dev/null
+++ b/packages/command-line/src/object-file.ts
@@ -0,0 +1,109 @@
+/**
+ * Templates and client accounts as operators write them: INI files with the
+ * same keys as the settings style, or JSON in the form that `show` prints.
+ */
+import type { ObjectValues, SettingsFault } from '@eidermast/daemon'
+import type { Result } from 'ts-results-es'
+import { readFileSync } from 'node:fs'
+import { describeFaults, ObjectKind, objectSchemas } from '@eidermast/daemon'
+import { parse as parseIni } from 'ini'
+import { Err, Ok } from 'ts-results-es'
+import { z } from 'zod'
+
+const NUMBER_RULE = 'a number'
+const numberText = z.string({ error: NUMBER_RULE }).regex(/^\d+(?:\.\d+)?$/, NUMBER_RULE).transform(Number)
+const flag = z.union([z.boolean(), z.enum(['true', 'false']).transform(text => text === 'true')], { error: 'true or false' })
+const names = z.string({ error: 'names, separated by commas' })
+  .transform(value => value.split(',').map(part => part.trim()).filter(part => part !== ''))
+const nameByName = z.record(z.string(), z.string())
+
+const stageFileSchema = z.strictObject({
+  'service': z.string({ error: 'the name of a service' }),
+  'model': z.string().optional(),
+  'version': z.string().optional(),
+  'adapter': z.string().optional(),
+  'cost-per-call': numberText.optional(),
+  'cost-per-millisecond': numberText.optional(),
+  'max-tokens': numberText.optional(),
+})
+
+const templateFileSchema = z.strictObject({
+  'deadline-ms': numberText,
+  'priority': z.string().optional(),
+  'unrepeatable': flag.optional(),
+  'stage': z.record(z.string(), stageFileSchema),
+}).transform(file => ({
+  deadlineMs: file['deadline-ms'],
+  priority: file.priority,
+  unrepeatable: file.unrepeatable,
+  stages: Object.entries(file.stage).map(([name, stage]) => ({
+    name,
+    service: stage.service,
+    model: stage.model,
+    version: stage.version,
+    adapter: stage.adapter,
+    costPerCall: stage['cost-per-call'],
+    costPerMillisecond: stage['cost-per-millisecond'],
+    maxTokens: stage['max-tokens'],
+  })),
+}))
+
+const accountFileSchema = z.strictObject({
+  'deadline-ms': numberText.optional(),
+  'priority': z.string().optional(),
+  'share': numberText.optional(),
+  'unrepeatable': names.optional(),
+  'token-hashes': names.optional(),
+  'versions': nameByName.optional(),
+  'adapters': nameByName.optional(),
+}).transform(file => ({
+  deadlineMs: file['deadline-ms'],
+  priority: file.priority,
+  share: file.share,
+  unrepeatable: file.unrepeatable,
+  tokenHashes: file['token-hashes'],
+  versions: file.versions,
+  adapters: file.adapters,
+}))
+
+/** Kinds of objects that operators write as files. */
+export type FileKind = ObjectKind.Template | ObjectKind.Account
+
+const fileSchemas: Record<FileKind, z.ZodType> = {
+  [ObjectKind.Template]: templateFileSchema,
+  [ObjectKind.Account]: accountFileSchema,
+}
+
+/** Reads and checks an object file; names every fault. */
+export function loadObjectFile<Kind extends FileKind>(kind: Kind, file: string): Result<ObjectValues[Kind], SettingsFault[]> {
+  try {
+    return parseObjectFile(kind, readFileSync(file, 'utf8'), file.endsWith('.json'))
+  }
+  catch (error) {
+    return Err([{ section: 'file', key: 'path', value: file, allowed: `a readable file (${String(error)})` }])
+  }
+}
+
+/** Checks the text of an object file. */
+export function parseObjectFile<Kind extends FileKind>(kind: Kind, text: string, isJson: boolean): Result<ObjectValues[Kind], SettingsFault[]> {
+  const raw: unknown = isJson ? JSON.parse(text) : parseIni(text)
+  const value = isJson ? Ok(raw) : parseIniObject(kind, raw)
+  if (value.isErr())
+    return value
+  const checked = objectSchemas[kind].safeParse(value.value)
+  return checked.success ? Ok(checked.data) : Err(describeValueFaults(checked.error))
+}
+
+function parseIniObject(kind: FileKind, raw: unknown): Result<unknown, SettingsFault[]> {
+  const parsed = fileSchemas[kind].safeParse(raw)
+  return parsed.success ? Ok(parsed.data) : Err(describeFaults(parsed.error, raw))
+}
+
+function describeValueFaults(error: z.ZodError): SettingsFault[] {
+  return error.issues.map(issue => ({
+    section: issue.path.slice(0, -1).join('.') || 'file',
+    key: String(issue.path.at(-1) ?? '(file)'),
+    value: issue.code,
+    allowed: issue.message,
+  }))
+}
