Prove configuration, claims, tickets and stage calls against simple oracles

Cause: the mechanisms had only the whole-path test. Ruled out: mocks of the log's HTTP form; tests use the stand-in or a log whose appends fail as the test says. Change: fault tables and seeded fuzzing for folding, publication, checkpoints, claims, tickets, side calls, decisions, settings; the log and the checkpointer take a clock so that retention needs no real time.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,6 +15,7 @@
     'antfu/no-top-level-await': 'off',
     'unicorn/throw-new-error': 'off',
     'test/prefer-lowercase-title': 'off',
+    'test/consistent-test-it': ['error', { fn: 'test', withinDescribe: 'test' }],
     'ts/no-use-before-define': ['error', { functions: false, classes: false, variables: false }],
   },
 })
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -86,6 +86,8 @@
   .refine(values => values.every(value => /^[^\s:]+:\d+$/.test(value)), 'host:port, separated by commas')
 
 const MINIMUM_KEY_LENGTH = 16
+/** Keys whose values never appear in messages. */
+const SECRET_KEYS = new Set(['key'])
 const PORT_MAXIMUM = 65_535
 const HOUR_MS = 3_600_000
 
@@ -200,6 +202,9 @@
   if (!parsed.success)
     return Err(describeFaults(parsed.error, raw))
   const settings = parsed.data
+  const claimMemoryMs = settings.entry['claim-memory-ms']
+  if (claimMemoryMs > settings.platform['log-retention-ms'] / 2)
+    return Err([{ section: 'entry', key: 'claim-memory-ms', value: String(claimMemoryMs), allowed: 'at most half of [platform] log-retention-ms' }])
   if (settings.process.role === ProcessRole.Side && !settings.side)
     return Err([{ section: 'side', key: 'backend', value: '(absent)', allowed: 'the section [side] with a backend, since the role is side' }])
   return Ok(settings)
@@ -229,5 +234,7 @@
     value = typeof value === 'object' && value !== null ? (value as Record<string, unknown>)[part] : undefined
   if (value === undefined)
     return '(absent)'
+  if (SECRET_KEYS.has(path.at(-1)!))
+    return '(hidden)'
   return typeof value === 'object' ? '(section)' : String(value)
 }
--- a/packages/daemon/src/request/errors.ts
+++ b/packages/daemon/src/request/errors.ts
@@ -105,7 +105,7 @@
 export function createError(kind: ErrorKind, message: string, details: ErrorDetails = {}): RequestError {
   const answer = ERROR_ANSWERS[kind]
   const wanted = details.ran ?? answer.ran[0]
-  // Unknown is the safe word wherever a kind may not promise more.
+  // A kind that cannot say what was found falls back to the word that promises nothing.
   const ran = answer.ran.includes(wanted) ? wanted : Ran.Unknown
   if (!answer.retryAfter)
     return { kind, message, ran }
--- a/packages/daemon/src/version/checkpointer.ts
+++ b/packages/daemon/src/version/checkpointer.ts
@@ -21,6 +21,11 @@
    * @default Math.random
    */
   random?: () => number
+  /**
+   * Clock, in epoch milliseconds.
+   * @default Date.now
+   */
+  now?: () => number
 }
 
 /** Share of the retention after which a new checkpoint is due. */
@@ -32,6 +37,7 @@
 export class Checkpointer {
   private readonly dueMs: number
   private readonly random: () => number
+  private readonly now: () => number
 
   constructor(
     private readonly client: LogClient,
@@ -40,6 +46,7 @@
   ) {
     this.dueMs = options.retentionMs * DUE_SHARE
     this.random = options.random ?? Math.random
+    this.now = options.now ?? Date.now
   }
 
   /** Checks and appends until the signal aborts. */
@@ -60,11 +67,11 @@
     if (page.isErr() || page.value.nextOffset > this.configuration.offset + 1)
       return false
     const newest = page.value.records.findLast(record => parseRecord(record.value)?.record === RecordKind.Checkpoint)
-    if (newest && Date.now() - newest.time < this.dueMs)
+    if (newest && this.now() - newest.time < this.dueMs)
       return false
     // A young log without a checkpoint needs none before its oldest record ages.
     const oldest = page.value.records[0]
-    if (!newest && oldest && page.value.firstOffset === 0 && Date.now() - oldest.time < this.dueMs)
+    if (!newest && oldest && page.value.firstOffset === 0 && this.now() - oldest.time < this.dueMs)
       return false
     const appended = await this.client.append(CONFIGURATION_STREAM, [this.configuration.checkpoint()], signal)
     log('checkpoint', { upTo: this.configuration.offset, result: appended.isOk() ? 'appended' : formatError(appended.error) })
--- a/packages/stand-ins/src/launcher.ts
+++ b/packages/stand-ins/src/launcher.ts
@@ -77,7 +77,6 @@
 const DAEMON_PROGRAM = path.join(path.dirname(require.resolve('@eidermast/daemon')), '..', 'bin', 'eidermastd.js')
 const START_TIMEOUT_MS = 30_000
 const READY_TIMEOUT_MS = 60_000
-const STOP_TIMEOUT_MS = 15_000
 const STARTS_AT_ONCE = 8
 
 /** A running deployment. */
@@ -208,7 +207,7 @@
     return result.state === CallState.Answered ? result.value : undefined
   }
 
-  /** Ends every process by its id. */
+  /** Ends every process by its id, at once; for a planned stop see `end`. */
   async stop(): Promise<void> {
     const running = [...this.processes.values()].filter(({ child }) => child.exitCode === null && child.signalCode === null)
     await Promise.all(running.map(launched => this.stopOne(launched)))
@@ -361,14 +360,10 @@
     return launched
   }
 
-  private async stopOne({ name, kind, child, pid }: LaunchedProcess): Promise<void> {
-    // A stopped process would never see SIGTERM.
-    process.kill(pid, 'SIGCONT')
+  private async stopOne({ name, child, pid }: LaunchedProcess): Promise<void> {
     const exited = once(child, 'exit')
-    process.kill(pid, kind === ProcessKind.Platform || kind === ProcessKind.Backend ? 'SIGKILL' : 'SIGTERM')
-    const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS)
+    process.kill(pid, 'SIGKILL')
     await exited
-    clearTimeout(timer)
     this.processes.delete(name)
   }
 }
--- a/packages/stand-ins/src/log-service.ts
+++ b/packages/stand-ins/src/log-service.ts
@@ -42,6 +42,11 @@
    * @default 100
    */
   appendsPerSecond?: number
+  /**
+   * Clock of records and retention, in epoch milliseconds.
+   * @default Date.now
+   */
+  now?: () => number
 }
 
 interface StoredRecord {
@@ -69,6 +74,7 @@
   private faults: LogFaults = faultsSchema.parse({})
   private readonly retentionMs: number
   private readonly appendsPerSecond: number
+  private readonly now: () => number
   private tokens: number
   private refilledAt = performance.now()
   /** Appends that were taken. */
@@ -77,6 +83,7 @@
   constructor(options: LogServiceOptions = {}) {
     this.retentionMs = options.retentionMs ?? DAY_MS
     this.appendsPerSecond = options.appendsPerSecond ?? 100
+    this.now = options.now ?? Date.now
     this.tokens = this.appendsPerSecond * BURST_SECONDS
   }
 
@@ -141,7 +148,7 @@
   private store(stream: Stream, values: unknown[]): number {
     const offset = stream.nextOffset
     for (const value of values)
-      stream.records.push({ offset: stream.nextOffset++, time: Date.now(), value })
+      stream.records.push({ offset: stream.nextOffset++, time: this.now(), value })
     wakeAll(stream)
     return offset
   }
@@ -161,7 +168,7 @@
   }
 
   private trim(stream: Stream): void {
-    const oldest = Date.now() - this.retentionMs
+    const oldest = this.now() - this.retentionMs
     const kept = stream.records.findIndex(record => record.time >= oldest)
     const dropped = kept < 0 ? stream.records.length : kept
     stream.records.splice(0, dropped)
--- a/test/system/whole-path.test.ts
+++ b/test/system/whole-path.test.ts
@@ -1,6 +1,6 @@
 import { DeploymentName, ProcessKind, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
 import { request } from 'undici'
-import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { afterAll, beforeAll, describe, expect, test } from 'vitest'
 import { callPipeline, DEFAULT_ACCOUNT, runsOf, smallAnswer } from '../support/caller.js'
 
 let system: RunningSystem
@@ -12,25 +12,25 @@
 afterAll(() => system.stop())
 
 describe('the whole path', () => {
-  it('runs every part as a process of its own', () => {
+  test('runs every part as a process of its own', () => {
     const processIds = [...system.processes.values()].map(launched => launched.pid)
     expect(new Set(processIds).size).toBe(system.processes.size)
   })
 
-  it('serves a request through four stages and answers it whole', async () => {
+  test('serves a request through four stages and answers it whole', async () => {
     const told = await callPipeline({ entryUrl: system.entryUrls[0], pipeline: 'rider-answer', input: 'When is the next 12X?' })
     expect(told).toMatchObject({ status: 200, output: smallAnswer('rider-answer', 'When is the next 12X?') })
     expect(told.stages?.map(stage => stage.stage)).toEqual(['encode', 'retrieve', 'rerank', 'generate'])
     expect(await runsOf(system, told.requestId!)).toEqual([1, 1, 1, 1])
   })
 
-  it('answers many requests at once, each caller with its own answer', async () => {
+  test('answers many requests at once, each caller with its own answer', async () => {
     const inputs = Array.from({ length: 60 }, (_, index) => `question ${index}`)
     const told = await Promise.all(inputs.map((input, index) => callPipeline({ entryUrl: system.entryUrls[index % 2], pipeline: 'rider-answer', input, headers: { 'eidermast-deadline-ms': '20000' } })))
     expect(told.map(answer => answer.output)).toEqual(inputs.map(input => smallAnswer('rider-answer', input)))
   })
 
-  it('streams the last stage as server-sent events and ends with the whole answer', async () => {
+  test('streams the last stage as server-sent events and ends with the whole answer', async () => {
     const response = await request(`${system.entryUrls[0]}/v1/pipelines/rider-answer/requests`, {
       method: 'POST',
       headers: { 'eidermast-account': DEFAULT_ACCOUNT, 'accept': 'text/event-stream' },
@@ -42,20 +42,20 @@
     expect(events.at(-1)).toMatchObject({ name: 'done', data: { whole: true, output: smallAnswer('rider-answer', 'streamed') } })
   })
 
-  it('routes a plain service by its path', async () => {
+  test('routes a plain service by its path', async () => {
     const response = await request(`${system.entryUrls[1]}/v1/services/rider-app-backend/stops/7?fields=name`, { headers: { 'eidermast-account': DEFAULT_ACCOUNT } })
     expect(response.statusCode).toBe(200)
     expect(await response.body.json()).toMatchObject({ method: 'GET', path: '/stops/7?fields=name' })
   })
 
-  it('tells the outcome of a request at any entry, to its own account alone', async () => {
+  test('tells the outcome of a request at any entry, to its own account alone', async () => {
     const told = await callPipeline({ entryUrl: system.entryUrls[0], pipeline: 'departure-alert', input: 'stand C' })
     const ask = (account: string) => request(`${system.entryUrls[1]}/v1/requests/${told.requestId}`, { headers: { 'eidermast-account': account } })
     expect(await (await ask(DEFAULT_ACCOUNT)).body.json()).toMatchObject({ output: told.output })
     expect((await ask('depot-control')).statusCode).toBe(404)
   })
 
-  it('answers health and metrics on entries and sides', async () => {
+  test('answers health and metrics on entries and sides', async () => {
     const side = system.list(ProcessKind.Side)[0]
     for (const url of [system.entryUrls[0], `http://${side.peer}`]) {
       expect((await request(`${url}/healthz`)).statusCode).toBe(200)
--- /dev/null
+++ b/test/version/publisher.test.ts
@@ -0,0 +1,97 @@
+import type { StandInService } from '@eidermast/stand-ins'
+import { Checkpointer, Configuration, CONFIGURATION_STREAM, foldPage, HttpLogClient, NO_OFFSET, ObjectKind, publishChange, PublishOutcome, readConfiguration, resolvePlacement } from '@eidermast/daemon'
+import { LogOutage, LogService } from '@eidermast/stand-ins'
+import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { createBackend, createChange, createTemplate } from '../support/fixtures.js'
+
+let log: LogService
+let service: StandInService
+let client: HttpLogClient
+let clock = 0
+
+const RETENTION_MS = 1000
+
+async function startLog(): Promise<void> {
+  log = new LogService({ retentionMs: RETENTION_MS, now: () => clock })
+  service = await log.start()
+  client = new HttpLogClient({ url: service.url, timeoutMs: 300 })
+}
+
+beforeEach(() => startLog())
+
+afterEach(async () => {
+  await client.close()
+  await service.close()
+})
+
+function publish(deadlineMs: number, base?: number) {
+  return publishChange(client, { kind: ObjectKind.Template, name: 'a', value: createTemplate(deadlineMs), base, timeoutMs: 1500 })
+}
+
+describe('publishing', () => {
+  test('tells that a change is accepted, and where', async () => {
+    expect(await publish(100)).toMatchObject({ outcome: PublishOutcome.Accepted, offset: 0 })
+  })
+
+  test('lets the first of two racing operators win and tells the second', async () => {
+    await publish(100)
+    const outcomes = await Promise.all([publish(200, 0), publish(300, 0)])
+    expect(outcomes.map(publication => publication.outcome).sort()).toEqual([PublishOutcome.Accepted, PublishOutcome.Conflict])
+  })
+
+  test('finds its record when the acknowledgement was lost, and does not append again', async () => {
+    log.setFaults({ dropAcknowledgements: 1 })
+    expect(await publish(100)).toMatchObject({ outcome: PublishOutcome.Accepted, offset: 0 })
+    const page = await client.read({ stream: CONFIGURATION_STREAM, from: 0, limit: 10, waitMs: 0 })
+    expect(page.unwrap().records).toHaveLength(1)
+  })
+
+  test('is accepted once when the log takes the append twice', async () => {
+    log.setFaults({ repeatAppends: 1 })
+    await publish(100)
+    const second = await publish(200, 0)
+    await new Promise(resolve => setTimeout(resolve, 400))
+    const configuration = await readConfiguration(client)
+    expect(second.outcome).toBe(PublishOutcome.Accepted)
+    expect(configuration?.get(ObjectKind.Template, 'a')?.value.deadlineMs).toBe(200)
+  })
+
+  test.each([LogOutage.Refuse, LogOutage.Hang])('tells that nothing was changed while the log is out (%s)', async (outage) => {
+    log.setFaults({ outage })
+    expect((await publish(100)).outcome).toBe(PublishOutcome.Unreachable)
+  })
+
+  test('tells that nothing was changed while the log refuses for its rate', async () => {
+    log.setFaults({ refuseAppends: true })
+    expect((await publish(100)).outcome).toBe(PublishOutcome.Unreachable)
+  })
+})
+
+describe('checkpoints', () => {
+  test('keep the configuration readable after its records are gone', async () => {
+    await publish(100)
+    const configuration = (await readConfiguration(client))!
+    const checkpointer = new Checkpointer(client, configuration, { retentionMs: RETENTION_MS, now: () => clock })
+    expect(await checkpointer.appendIfDue(), 'a young log needs none').toBe(false)
+    clock += RETENTION_MS * 0.6
+    expect(await checkpointer.appendIfDue()).toBe(true)
+    expect(await checkpointer.appendIfDue(), 'one is enough').toBe(false)
+    clock += RETENTION_MS * 0.6
+    const page = (await client.read({ stream: CONFIGURATION_STREAM, from: 0, limit: 10, waitMs: 0 })).unwrap()
+    expect(page.firstOffset).toBe(1)
+    const reader = new Configuration()
+    foldPage(reader, page)
+    expect(reader.get(ObjectKind.Template, 'a')?.value.deadlineMs).toBe(100)
+  })
+})
+
+describe('placement', () => {
+  test('is a function of the configuration, fenced by the offset of the backend server\'s record', () => {
+    const configuration = new Configuration()
+    configuration.fold(0, createChange(ObjectKind.Backend, 'b', NO_OFFSET, createBackend({ model: 'm', version: 'v1' })))
+    configuration.fold(1, createChange(ObjectKind.Template, 'a', NO_OFFSET, createTemplate()))
+    expect(resolvePlacement(configuration, 'b')).toMatchObject({ fence: 0, model: 'm', version: 'v1' })
+    configuration.fold(2, createChange(ObjectKind.Backend, 'b', 0, createBackend({ model: 'm', version: 'v2' })))
+    expect(resolvePlacement(configuration, 'b')).toMatchObject({ fence: 2, version: 'v2' })
+  })
+})
