Refuse bad callers' input, stalled callers and strangers; keep path calls to plain services

Cause: tests of the callers' interface found that a path call could reach a model engine's order path by naming the engine's pool as a service, and that dot segments were resolved before the service was looked up. Ruled out: a list of forbidden paths, which would grow with every engine. Change: only backend servers with the role plain are reached by path, checked at the entry and again at the side; paths are taken as they came and dot segments refused. Before: GET /v1/services/language-model/v1/orders was forwarded. Conclusion: the hole is closed at both ends.

--- a/packages/daemon/src/connection/caller-server.ts
+++ b/packages/daemon/src/connection/caller-server.ts
@@ -95,11 +95,12 @@
 
   private async route(request: IncomingMessage, response: ServerResponse, writer: AnswerWriter): Promise<void> {
     const arrivedAt = performance.now()
-    const target = new URL(request.url ?? '/', 'http://entry')
-    const pipeline = PIPELINE_PATH.exec(target.pathname)?.[1]
-    const service = SERVICE_PATH.exec(target.pathname)
-    const outcome = REQUEST_PATH.exec(target.pathname)?.[1]
-    const isTicket = target.pathname === TICKET_PATH
+    // The path is taken as it came: resolving dot segments could lead it to another service.
+    const [path, query] = splitTarget(request.url ?? '/')
+    const pipeline = PIPELINE_PATH.exec(path)?.[1]
+    const service = SERVICE_PATH.exec(path)
+    const outcome = REQUEST_PATH.exec(path)?.[1]
+    const isTicket = path === TICKET_PATH
     if (!pipeline && !service && !outcome && !isTicket)
       return this.reject(request, writer, createError(ErrorKind.UnknownPath, 'There is nothing at this path; see the callers\' interface in the README.'))
     const wantedMethod = outcome ? 'GET' : 'POST'
@@ -116,7 +117,7 @@
     if (body.isErr())
       return this.reject(request, writer, body.error)
     const incoming = service
-      ? this.createServiceRequest(request, caller.value, service[1], service[2] + target.search, body.value, arrivedAt)
+      ? this.createServiceRequest(request, caller.value, service[1], service[2] + query, body.value, arrivedAt)
       : this.createPipelineRequest(caller.value, pipeline!, body.value, arrivedAt)
     if (incoming.isErr())
       return writer.sendError(incoming.error)
@@ -228,6 +229,12 @@
   }
 }
 
+/** Splits a request target into its path and its query, which begins with a question mark. */
+function splitTarget(target: string): [string, string] {
+  const index = target.indexOf('?')
+  return index < 0 ? [target, ''] : [target.slice(0, index), target.slice(index)]
+}
+
 function acceptsToken(account: Account, tokenHash: string | undefined): boolean {
   if (account.tokenHashes.length === 0)
     return true
--- a/packages/daemon/src/connection/messages.ts
+++ b/packages/daemon/src/connection/messages.ts
@@ -98,6 +98,8 @@
   /** The call was meant for another process life or backend server. */
   OtherIncarnation = 'other-incarnation',
   WrongModel = 'wrong-model',
+  /** A path call to a stage's backend server, or a stage call to a plain service. */
+  WrongRole = 'wrong-role',
   BackendRefused = 'backend-refused',
   Cancelled = 'cancelled',
 }
--- a/packages/daemon/src/process/entry.ts
+++ b/packages/daemon/src/process/entry.ts
@@ -333,8 +333,12 @@
     }
   }
 
-  private answerOperations(request: IncomingMessage, response: ServerResponse): Promise<boolean> {
-    const refresh = (): void => this.metrics.setConfiguration(this.configuration.offset, this.follower.ageMs)
+  private async answerOperations(request: IncomingMessage, response: ServerResponse): Promise<boolean> {
+    const connections = await new Promise<number>(resolve => this.callerServer.getConnections((_error, count) => resolve(count ?? 0)))
+    const refresh = (): void => {
+      this.metrics.setConfiguration(this.configuration.offset, this.follower.ageMs)
+      this.metrics.setCallerConnections(connections)
+    }
     return answerOperations({ registry: this.metrics.registry, isReady: () => this.isReady(), refresh }, request, response)
   }
 
--- a/packages/daemon/src/process/membership.ts
+++ b/packages/daemon/src/process/membership.ts
@@ -11,7 +11,7 @@
 import type { VirtualMachineList } from './virtual-machine-list.js'
 import { SideLink } from '../connection/side-link.js'
 import { rendezvousHash } from '../request/choice.js'
-import { BackendOrder, ObjectKind } from '../version/objects.js'
+import { BackendOrder, BackendRole, ObjectKind } from '../version/objects.js'
 import { createLogger } from './logger.js'
 import { VirtualMachineState } from './virtual-machine-list.js'
 
@@ -87,7 +87,8 @@
   /** Whether this backend server holds what a stage needs. */
   serves(stage: PlannedStage): boolean {
     const { service, model, version, adapters } = this.backend
-    if (service !== stage.service)
+    const role = stage.serviceRequest ? BackendRole.Plain : BackendRole.Stage
+    if (service !== stage.service || this.backend.role !== role)
       return false
     if (stage.model !== undefined && stage.model !== model)
       return false
@@ -120,9 +121,9 @@
     return this.list().filter(member => member.serves(stage) && member.state === MemberState.InForce)
   }
 
-  /** Whether any backend server of a service is configured. */
+  /** Whether a plain service of this name is configured; callers reach no other backend server by path. */
   knowsService(service: string): boolean {
-    return this.configuration.list(ObjectKind.Backend).some(backend => backend.value.service === service)
+    return this.configuration.list(ObjectKind.Backend).some(({ value }) => value.service === service && value.role === BackendRole.Plain)
   }
 
   /** Brings the links in line with the configuration and carries it to the sides. */
--- a/packages/daemon/src/process/metrics.ts
+++ b/packages/daemon/src/process/metrics.ts
@@ -36,6 +36,12 @@
   private readonly age = new Gauge({ name: 'eidermast_configuration_age_seconds', help: 'Time since the log last confirmed the configuration', registers: [this.registry] })
   private readonly claims = new Counter({ name: 'eidermast_claims_total', help: 'Claims of unrepeatable requests, by result', labelNames: ['result'], registers: [this.registry] })
 
+  private readonly connections = new Gauge({ name: 'eidermast_caller_connections', help: 'Open connections of callers', registers: [this.registry] })
+
+  setCallerConnections(count: number): void {
+    this.connections.set(count)
+  }
+
   recordRequest(target: string, priority: string, end: RequestEnd, milliseconds: number): void {
     this.requests.inc({ target, priority, end })
     this.seconds.observe({ target }, milliseconds / MILLISECONDS_PER_SECOND)
--- a/packages/daemon/src/process/side.ts
+++ b/packages/daemon/src/process/side.ts
@@ -7,7 +7,6 @@
 import type { ProcessStatus, SideService } from '../connection/peer-router.js'
 import type { PeerServer } from '../connection/peer-server.js'
 import type { ConfigurationDifference } from '../version/configuration.js'
-import type { ObjectKind } from '../version/objects.js'
 import type { Daemon } from './daemon.js'
 import type { Settings, SideSettings } from './settings.js'
 import { HttpBackendClient } from '../connection/backend-client.js'
@@ -19,6 +18,7 @@
 import { StageTable } from '../request/stage-table.js'
 import { Configuration } from '../version/configuration.js'
 import { ConfigurationFollower } from '../version/follower.js'
+import { BackendRole, ObjectKind } from '../version/objects.js'
 import { isOrderedIn, resolvePlacement } from '../version/placement.js'
 import { answerOperations } from './daemon.js'
 import { DecisionLog } from './decision-log.js'
@@ -224,6 +224,9 @@
       return RefusalReason.Draining
     if (call.backend !== this.settings.process.name)
       return RefusalReason.OtherIncarnation
+    const role = this.configuration.get(ObjectKind.Backend, this.settings.process.name)?.value.role
+    if ((role === BackendRole.Plain) !== (call.serviceRequest !== undefined))
+      return RefusalReason.WrongRole
     const placement = resolvePlacement(this.configuration, this.settings.process.name)
     if (placement && call.offset < placement.fence && call.model !== placement.model)
       return RefusalReason.Stale
--- /dev/null
+++ b/test/system/callers-interface.test.ts
@@ -0,0 +1,173 @@
+import { createHash } from 'node:crypto'
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import { ErrorKind, Ran } from '@eidermast/daemon'
+import { DeploymentName, ProcessKind, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
+import { request } from 'undici'
+import { v7 as uuidv7 } from 'uuid'
+import { afterAll, beforeAll, describe, expect, test } from 'vitest'
+import { WebSocket } from 'ws'
+import { callPipeline, DEFAULT_ACCOUNT, runsOf } from '../support/caller.js'
+
+const MAX_BODY_BYTES = 3_000_000
+const BODY_TIMEOUT_MS = 400
+const WRITE_TIMEOUT_MS = 500
+const TOKEN = 'a-token-of-the-council'
+
+let system: RunningSystem
+
+beforeAll(async () => {
+  const small = resolveDeployment(DeploymentName.Small)
+  const guarded = small.accounts.map(account => account.name === 'council-warwick'
+    ? { ...account, value: { ...account.value, tokenHashes: [createHash('sha256').update(TOKEN).digest('hex')] } }
+    : account)
+  system = await RunningSystem.launch({
+    deployment: { ...small, accounts: guarded },
+    entrySettings: { 'max-body-bytes': String(MAX_BODY_BYTES), 'body-timeout-ms': String(BODY_TIMEOUT_MS), 'write-timeout-ms': String(WRITE_TIMEOUT_MS) },
+  })
+})
+
+afterAll(() => system.stop())
+
+interface RawCall {
+  method?: 'GET' | 'POST' | 'PUT'
+  path?: string
+  headers?: Record<string, string>
+  body?: string | Buffer
+}
+
+const PIPELINE_PATH = '/v1/pipelines/rider-answer/requests'
+const GOOD_BODY = '{"input":"x"}'
+
+async function send({ method = 'POST', path = PIPELINE_PATH, headers = {}, body }: RawCall) {
+  const response = await request(system.entryUrls[0] + path, {
+    method,
+    headers: { 'eidermast-account': DEFAULT_ACCOUNT, ...headers },
+    body: method === 'GET' ? null : body ?? GOOD_BODY,
+  })
+  const told = await response.body.json() as { kind: ErrorKind, ran: Ran, message: string }
+  return { status: response.statusCode, ...told }
+}
+
+/** Opens a connection to an entry and writes text on it. */
+function openCaller(text: string) {
+  const { hostname, port } = new URL(system.entryUrls[0])
+  const socket = connect(Number(port), hostname)
+  socket.on('error', () => {})
+  socket.write(text)
+  return socket
+}
+
+describe('bad input gets its error kind, ran none and a sentence', () => {
+  test.each<[string, RawCall, number, ErrorKind]>([
+    ['an unknown path', { path: '/v2/other' }, 404, ErrorKind.UnknownPath],
+    ['a method that is not allowed', { method: 'PUT' }, 405, ErrorKind.MethodNotAllowed],
+    ['an unknown pipeline', { path: '/v1/pipelines/none/requests' }, 404, ErrorKind.UnknownPipeline],
+    ['an unknown plain service', { path: '/v1/services/none/stops' }, 404, ErrorKind.UnknownService],
+    ['a path call to a model engine', { path: '/v1/services/language-model/v1/orders' }, 404, ErrorKind.UnknownService],
+    ['no account', { headers: { 'eidermast-account': '' } }, 400, ErrorKind.InvalidRequest],
+    ['a malformed account', { headers: { 'eidermast-account': 'a/b' } }, 400, ErrorKind.InvalidRequest],
+    ['an unknown account', { headers: { 'eidermast-account': 'nobody' } }, 403, ErrorKind.UnknownAccount],
+    ['no token where the account asks for one', { headers: { 'eidermast-account': 'council-warwick' } }, 401, ErrorKind.Unauthenticated],
+    ['a wrong token', { headers: { 'eidermast-account': 'council-warwick', 'authorization': 'Bearer wrong' } }, 401, ErrorKind.Unauthenticated],
+    ['a deadline of zero', { headers: { 'eidermast-deadline-ms': '0' } }, 400, ErrorKind.InvalidRequest],
+    ['a deadline that is no number', { headers: { 'eidermast-deadline-ms': 'soon' } }, 400, ErrorKind.InvalidRequest],
+    ['a deadline beyond the limit', { headers: { 'eidermast-deadline-ms': '600001' } }, 400, ErrorKind.InvalidRequest],
+    ['a request id that is no UUID', { headers: { 'eidermast-request-id': 'mine' } }, 400, ErrorKind.InvalidRequest],
+    ['a request id of another UUID version', { headers: { 'eidermast-request-id': '6fa459ea-ee8a-4ca4-894e-db77e160355e' } }, 400, ErrorKind.InvalidRequest],
+    ['a word for unrepeatable that is none', { headers: { 'eidermast-unrepeatable': 'yes' } }, 400, ErrorKind.InvalidRequest],
+    ['a ticket and a request id together', { headers: { 'eidermast-ticket': 'x.y', 'eidermast-request-id': uuidv7() } }, 400, ErrorKind.InvalidRequest],
+    ['a forged ticket', { headers: { 'eidermast-ticket': 'x.y' } }, 400, ErrorKind.TicketInvalid],
+    ['a body that is no JSON', { body: '{' }, 400, ErrorKind.InvalidRequest],
+    ['a body without an input', { body: '{}' }, 400, ErrorKind.InvalidRequest],
+    ['an empty input', { body: '{"input":""}' }, 400, ErrorKind.InvalidRequest],
+    ['a field too many', { body: '{"input":"x","inputs":"y"}' }, 400, ErrorKind.InvalidRequest],
+    ['a body that is not UTF-8', { body: Buffer.from([0x22, 0xFF, 0xFE, 0x22]) }, 400, ErrorKind.InvalidRequest],
+    ['a body that is too large', { body: 'x'.repeat(MAX_BODY_BYTES + 1) }, 413, ErrorKind.BodyTooLarge],
+  ])('%s', async (_name, call, status, kind) => {
+    const told = await send(call)
+    expect(told).toMatchObject({ status, kind, ran: Ran.None })
+    expect(told.message.length).toBeGreaterThan(10)
+  })
+
+  test('dot segments in a service path', async () => {
+    // A raw connection, since clients resolve dot segments before they send.
+    const socket = openCaller(`GET /v1/services/rider-app-backend/%2e%2e/language-model/v1/orders HTTP/1.1\r\nHost: entry\r\nEidermast-Account: ${DEFAULT_ACCOUNT}\r\nConnection: close\r\n\r\n`)
+    const [answer] = await once(socket, 'data') as [Buffer]
+    expect(String(answer)).toContain('HTTP/1.1 400')
+    expect(String(answer)).toContain('"ran":"none"')
+  })
+
+  test('an unrepeatable request whose id is in the future', async () => {
+    const future = uuidv7({ msecs: Date.now() + 3_600_000 })
+    const told = await callPipeline({ entryUrl: system.entryUrls[0], pipeline: 'departure-alert', input: 'x', requestId: future })
+    expect(told).toMatchObject({ status: 400, kind: ErrorKind.InvalidRequest, ran: Ran.None })
+    expect(await runsOf(system, future)).toEqual([])
+  })
+
+  test('an unrepeatable request whose id is too old to tell whether it ran', async () => {
+    const old = uuidv7({ msecs: Date.now() - 3_600_000 })
+    const told = await callPipeline({ entryUrl: system.entryUrls[0], pipeline: 'departure-alert', input: 'x', requestId: old })
+    expect(told).toMatchObject({ status: 410, kind: ErrorKind.RequestIdExpired, ran: Ran.Unknown })
+    expect(await runsOf(system, old)).toEqual([])
+  })
+
+  test('one id for two different requests', async () => {
+    const requestId = uuidv7()
+    const call = { entryUrl: system.entryUrls[0], pipeline: 'departure-alert', requestId }
+    expect((await callPipeline({ ...call, input: 'first' })).status).toBe(200)
+    expect(await callPipeline({ ...call, input: 'second' })).toMatchObject({ status: 409, kind: ErrorKind.RequestIdReused })
+    expect(await runsOf(system, requestId)).toEqual([1, 1, 1, 1])
+  })
+
+  test('a right token is taken', async () => {
+    const told = await callPipeline({ entryUrl: system.entryUrls[0], pipeline: 'rider-answer', input: 'x', account: 'council-warwick', headers: { authorization: `Bearer ${TOKEN}` } })
+    expect(told.status).toBe(200)
+  })
+})
+
+describe('slow callers', () => {
+  test('that stall their body are answered and cut off', async () => {
+    const socket = openCaller(`POST ${PIPELINE_PATH} HTTP/1.1\r\nHost: entry\r\nEidermast-Account: ${DEFAULT_ACCOUNT}\r\nContent-Length: 1000\r\n\r\n{"inp`)
+    const chunks: string[] = []
+    socket.on('data', chunk => chunks.push(String(chunk)))
+    await once(socket, 'close')
+    expect(chunks.join('')).toContain('408')
+    expect(chunks.join('')).toContain(ErrorKind.BodyStalled)
+  })
+
+  test('that never read their answer are cut off', async () => {
+    const body = 'x'.repeat(2_500_000)
+    const head = `POST /v1/services/rider-app-backend/echo HTTP/1.1\r\nHost: entry\r\nEidermast-Account: ${DEFAULT_ACCOUNT}\r\nContent-Length: ${body.length}\r\n\r\n`
+    const socket = openCaller(head + body + head + body + head + body + head + body)
+    socket.pause()
+    await expect.poll(() => hasOpenAnswers(), { timeout: 20_000, interval: 100 }).toBe(true)
+    await expect.poll(() => hasOpenAnswers(), { timeout: 20_000, interval: 100 }).toBe(false)
+    socket.destroy()
+  })
+
+  /** Whether the entry still holds a caller's connection beside this question's. */
+  async function hasOpenAnswers(): Promise<boolean> {
+    const metrics = await (await request(`${system.entryUrls[0]}/metrics`, { reset: true })).body.text()
+    return Number(/^eidermast_caller_connections (\d+)$/m.exec(metrics)?.[1]) > 1
+  }
+})
+
+describe('ports between the system\'s processes', () => {
+  test.each([
+    ['without a key', undefined],
+    ['with a wrong key', 'Eidermast wrong-key-of-some-length'],
+    ['with the key\'s beginning', 'Eidermast '],
+  ])('refuse strangers %s', async (_name, authorization) => {
+    for (const kind of [ProcessKind.Entry, ProcessKind.Side]) {
+      const socket = new WebSocket(`ws://${system.list(kind)[0].peer}`, { headers: authorization ? { authorization } : {} })
+      const [error] = await once(socket, 'error') as [Error]
+      expect(error.message).toContain('401')
+    }
+  })
+
+  test('have nothing but metrics and health for plain HTTP', async () => {
+    for (const kind of [ProcessKind.Entry, ProcessKind.Side])
+      expect((await request(`http://${system.list(kind)[0].peer}/run`, { method: 'POST', body: '{}' })).statusCode).toBe(404)
+  })
+})
