--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -210,22 +210,25 @@
   return Ok(settings)
 }
 
+/** Section name of keys that stand above the first section. */
+const TOP_LEVEL = 'top level'
+
 /** Lists the faults that a schema found in an INI document, key by key. */
 export function describeFaults(error: z.ZodError, raw: unknown): SettingsFault[] {
   return error.issues.flatMap((issue) => {
-    const [section = 'file', key = ''] = issue.path.map(String)
+    const path = issue.path.map(String)
     if (issue.code === 'unrecognized_keys')
-      return issue.keys.map(unknownKey => describeUnknown(section, unknownKey, issue.path.length, raw))
-    if (key === '')
-      return [{ section, key: '(section)', value: describeValue(raw, [section]), allowed: `the section [${section}]` }]
-    return [{ section, key, value: describeValue(raw, [section, key]), allowed: issue.message }]
+      return issue.keys.map(key => describeFault([...path, key], raw, 'no key or section of this name'))
+    const wantsSection = issue.code === 'invalid_type' && (issue.expected === 'object' || issue.expected === 'record')
+    if (wantsSection)
+      return [{ section: path.join('.'), key: '(section)', value: describeValue(raw, path), allowed: `the section [${path.join('.')}]` }]
+    return [describeFault(path, raw, issue.message)]
   })
 }
 
-function describeUnknown(section: string, key: string, depth: number, raw: unknown): SettingsFault {
-  if (depth === 0)
-    return { section: key, key: '(section)', value: describeValue(raw, [key]), allowed: 'no section or key of this name' }
-  return { section, key, value: describeValue(raw, [section, key]), allowed: 'no key of this name' }
+function describeFault(path: string[], raw: unknown, allowed: string): SettingsFault {
+  const section = path.slice(0, -1).join('.') || TOP_LEVEL
+  return { section, key: path.at(-1) ?? '(file)', value: describeValue(raw, path), allowed }
 }
 
 function describeValue(raw: unknown, path: string[]): string {
