--- a/packages/stand-ins/src/launcher.ts
+++ b/packages/stand-ins/src/launcher.ts
@@ -166,15 +166,19 @@
       await this.listAgain(name)
   }
 
-  /** Publishes a side's new address, as operators do for a replaced VM. */
-  async publishAddress(name: string): Promise<void> {
+  /** Publishes the new addresses of restarted sides, as operators do for replaced VMs. */
+  async publishNewAddresses(): Promise<void> {
     const client = new HttpLogClient({ url: this.logUrl })
     const configuration = await readConfiguration(client)
-    const backend = configuration?.get(ObjectKind.Backend, name)
-    const publication = backend && await publishChange(client, { kind: ObjectKind.Backend, name, value: { ...backend.value, address: this.find(name).peer }, base: backend.offset })
+    for (const { name, offset, value } of configuration?.list(ObjectKind.Backend) ?? []) {
+      const address = this.processes.get(name)?.peer
+      if (address === undefined || address === value.address)
+        continue
+      const publication = await publishChange(client, { kind: ObjectKind.Backend, name, value: { ...value, address }, base: offset })
+      if (publication.outcome !== PublishOutcome.Accepted)
+        throw new Error(`the new address of ${name} was not accepted: ${publication.outcome}`)
+    }
     await client.close()
-    if (publication?.outcome !== PublishOutcome.Accepted)
-      throw new Error(`the new address of ${name} was not accepted: ${publication?.outcome ?? 'not configured'}`)
   }
 
   /** Sets the faults of a stand-in. */
@@ -223,17 +227,15 @@
 
   /** Wakes and restarts what was frozen or ended, and turns every fault off. */
   async recover(): Promise<void> {
-    for (const { name, kind, child, pid } of [...this.processes.values()]) {
-      if (isRunning(child)) {
+    for (const { name, child, pid } of [...this.processes.values()]) {
+      if (isRunning(child))
         process.kill(pid, 'SIGCONT')
-        continue
-      }
-      await this.restart(name)
-      if (kind === ProcessKind.Side)
-        await this.publishAddress(name)
+      else
+        await this.restart(name)
     }
     const faulty = [this.logUrl, this.machinesUrl, ...this.list(ProcessKind.Backend).map(backend => backend.url!)]
     await Promise.all(faulty.map(url => this.setFaults(url, {})))
+    await this.publishNewAddresses()
     await this.waitUntilReady()
   }
 
--- a/test/promises/unrepeatable.test.ts
+++ b/test/promises/unrepeatable.test.ts
@@ -187,7 +187,7 @@
     const side = await findSide(sent.requestId, stage)
     await system.end(side, 'SIGKILL')
     await system.restart(side)
-    await system.publishAddress(side)
+    await system.publishNewAddresses()
     expect(await first).toMatchObject({ kind: ErrorKind.OutcomeUnknown, ran: Ran.Unknown })
     expect(record.violations(system)).toEqual([])
   })
