Fence orders to engines that do not check, and order anew after an engine's restart

Ruled out: a lease for the side, which lapses while its holder is paused; asking entries, whose word may have waited in the paused side's socket. Change: load reports name the engine's process life, and another one is ordered anew; before an order to an engine that does not check, the side asks the log itself and measures that it was not paused since; while a model is not held the side counts as draining. Conclusion: holds, but while the log is out an engine that does not check gets no order; it then stays out of force.

--- a/packages/daemon/src/connection/backend-client.ts
+++ b/packages/daemon/src/connection/backend-client.ts
@@ -34,7 +34,12 @@
   contentType?: string
 }
 
-const backendLoadSchema = z.object({ running: z.int().min(0), draining: z.boolean().default(false) })
+const backendLoadSchema = z.object({
+  running: z.int().min(0),
+  draining: z.boolean().default(false),
+  /** The backend server's process life; another one holds no model. */
+  instance: z.string().default(''),
+})
 
 /** Load as a backend server reports it. */
 export type BackendLoad = z.infer<typeof backendLoadSchema>
--- a/packages/daemon/src/process/order-keeper.ts
+++ b/packages/daemon/src/process/order-keeper.ts
@@ -24,6 +24,8 @@
   Current = 'current',
   /** The newest configuration is not known yet. */
   NotYet = 'not-yet',
+  /** The log could not confirm that no newer order exists. */
+  NotConfirmed = 'not-confirmed',
 }
 
 /** Parts of an order keeper. */
@@ -35,22 +37,41 @@
   metrics: SideMetrics
   /** Whether the newest configuration was learnt from the log or a peer in this process life. */
   isConfigurationKnown: () => boolean
+  /** Asks the log whether this configuration is the newest, and takes over what is newer. */
+  confirmNewest: () => Promise<boolean>
+  /**
+   * Monotonic clock, in milliseconds.
+   * @default performance.now
+   */
+  now?: () => number
 }
 
 const RETRY_MS = 300
+/** Time for which the log's confirmation holds, in milliseconds; a pause of this process shows as a longer one. */
+const CONFIRMATION_MS = 1000
 
 /** Keeps one backend server's placement. */
 export class OrderKeeper {
   private appliedFence = NO_OFFSET
   private held: Placement | undefined
+  private ordering = false
+  private readonly now: () => number
 
-  constructor(private readonly options: OrderKeeperOptions) {}
+  constructor(private readonly options: OrderKeeperOptions) {
+    this.now = options.now ?? (() => performance.now())
+  }
 
   /** What the backend server holds by the newest order that took effect. */
   get placement(): Placement | undefined {
     return this.held
   }
 
+  /** Takes note that the backend server is another process life, which holds nothing. */
+  forget(): void {
+    this.appliedFence = NO_OFFSET
+    this.held = undefined
+  }
+
   /** Applies placements as the configuration advances, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -66,7 +87,12 @@
     const placement = resolvePlacement(this.options.configuration, this.options.backendName)
     if (!placement || placement.fence <= this.appliedFence)
       return OrderResult.Current
+    // One order at a time: two under way could arrive in the wrong order.
+    if (this.ordering)
+      return OrderResult.NotYet
+    this.ordering = true
     const result = await this.order(placement)
+    this.ordering = false
     log('order', { backend: this.options.backendName, fence: placement.fence, model: placement.model, version: placement.version, adapters: placement.adapters.join(','), result })
     this.options.metrics.recordOrder(result)
     return result
@@ -80,10 +106,9 @@
         return OrderResult.WeightsAbsent
       if (weights === WeightState.Unknown)
         return OrderResult.WeightsUnknown
-      // A newer configuration may have come while the weight store was asked.
-      const newest = resolvePlacement(this.options.configuration, this.options.backendName)
-      if (newest && newest.fence > fence)
-        return OrderResult.NotYet
+      const hindrance = await this.checkFence(placement)
+      if (hindrance)
+        return hindrance
       if (!await this.options.backend.order({ fence, model, version, adapters }))
         return OrderResult.Failed
     }
@@ -91,4 +116,19 @@
     this.held = placement
     return OrderResult.Applied
   }
+
+  /**
+   * Why an order must not be sent, or undefined. For a backend server that does
+   * not check fences, the log is asked just before: this process may have been
+   * paused while another took its place.
+   */
+  private async checkFence(placement: Placement): Promise<OrderResult | undefined> {
+    const askedAt = this.now()
+    if (!placement.checksOrders && !await this.options.confirmNewest())
+      return OrderResult.NotConfirmed
+    if (this.now() - askedAt > CONFIRMATION_MS)
+      return OrderResult.NotConfirmed
+    const newest = resolvePlacement(this.options.configuration, this.options.backendName)
+    return newest && newest.fence > placement.fence ? OrderResult.NotYet : undefined
+  }
 }
--- a/packages/daemon/src/process/side.ts
+++ b/packages/daemon/src/process/side.ts
@@ -3,6 +3,7 @@
  * it, the table of stage results and the fence of its orders.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { BackendLoad } from '../connection/backend-client.js'
 import type { Greeting, GreetingReply, OutcomeQuestion, StageCall, StageReply, StreamMessage } from '../connection/messages.js'
 import type { ProcessStatus, SideService } from '../connection/peer-router.js'
 import type { PeerServer } from '../connection/peer-server.js'
@@ -17,9 +18,10 @@
 import { StageRunner } from '../request/stage-runner.js'
 import { StageTable } from '../request/stage-table.js'
 import { Configuration } from '../version/configuration.js'
-import { ConfigurationFollower } from '../version/follower.js'
+import { ConfigurationFollower, foldPage } from '../version/follower.js'
 import { BackendRole, ObjectKind } from '../version/objects.js'
 import { isOrderedIn, resolvePlacement } from '../version/placement.js'
+import { CONFIGURATION_STREAM } from '../version/record.js'
 import { answerOperations } from './daemon.js'
 import { DecisionLog } from './decision-log.js'
 import { createIncarnation } from './incarnation.js'
@@ -57,6 +59,7 @@
   private leaving = false
   private backendDraining = false
   private missedReadings = 0
+  private backendInstance: string | undefined
   private configurationKnown = false
   private heardFromPeer = false
 
@@ -73,6 +76,7 @@
       weights: new HttpWeightStore(platform['weight-store']),
       metrics: this.metrics,
       isConfigurationKnown: () => this.configurationKnown,
+      confirmNewest: () => this.confirmNewest(),
     })
     this.table = new StageTable({
       entries: sideSettings['result-memory-entries'],
@@ -215,8 +219,10 @@
   /** Leaving by its own word, by the backend server's, or by the operators' order. */
   private get draining(): boolean {
     const orderedOut = this.configurationKnown && !isOrderedIn(this.configuration, this.settings.process.name)
+    const placement = resolvePlacement(this.configuration, this.settings.process.name)
+    const holdsNothing = placement?.model !== undefined && this.orders.placement === undefined
     const backendDown = this.missedReadings >= MISSED_READINGS
-    return this.leaving || this.backendDraining || backendDown || orderedOut || !this.configurationKnown
+    return this.leaving || this.backendDraining || backendDown || orderedOut || holdsNothing || !this.configurationKnown
   }
 
   private refusal(call: StageCall): RefusalReason | undefined {
@@ -270,10 +276,35 @@
       const load = await this.backend.readLoad()
       this.missedReadings = load ? 0 : this.missedReadings + 1
       this.backendDraining = load?.draining ?? this.backendDraining
+      this.noteInstance(load)
       await wait(this.sideSettings['load-interval-ms'], signal)
     }
   }
 
+  /** A backend server that was started again holds no model: its placement is ordered anew. */
+  private noteInstance(load: BackendLoad | undefined): void {
+    if (!load || load.instance === this.backendInstance)
+      return
+    const restarted = this.backendInstance !== undefined
+    this.backendInstance = load.instance
+    if (!restarted)
+      return
+    log('backend-restarted', { name: this.settings.process.name, instance: load.instance })
+    this.orders.forget()
+    void this.orders.applyNewest()
+  }
+
+  /** Reads the log once; false where it does not answer or held newer records, which are taken over. */
+  private async confirmNewest(): Promise<boolean> {
+    const from = this.configuration.offset + 1
+    const page = await this.logClient.read({ stream: CONFIGURATION_STREAM, from, limit: Number.MAX_SAFE_INTEGER, waitMs: 0 })
+    if (page.isErr())
+      return false
+    const newest = page.value.nextOffset <= from
+    foldPage(this.configuration, page.value)
+    return newest
+  }
+
   private async answerHttp(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const refresh = (): void => {
       const load = this.runner.load()
--- a/packages/stand-ins/src/backend-service.ts
+++ b/packages/stand-ins/src/backend-service.ts
@@ -5,6 +5,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { StandInCall, StandInService } from './http-service.js'
+import { randomUUID } from 'node:crypto'
 import { appendFileSync } from 'node:fs'
 import { z } from 'zod'
 import { delay, sendJson, startService } from './http-service.js'
@@ -109,6 +110,7 @@
   private runNumber = 0
   private order: Order | undefined
   private orders: Order[] = []
+  private readonly instance = randomUUID()
   draining = false
 
   constructor(private readonly options: BackendServiceOptions) {}
@@ -133,7 +135,7 @@
       case '/orders':
         return sendJson(call.response, 200, { orders: this.orders, current: this.order ?? null })
       case '/v1/load':
-        return sendJson(call.response, 200, { running: this.reportedRunning(), draining: this.draining })
+        return sendJson(call.response, 200, { running: this.reportedRunning(), draining: this.draining, instance: this.instance })
       case '/v1/events':
         return this.sendEvents(call)
       case '/v1/orders':
@@ -297,7 +299,7 @@
     const key = `${account}/${requestId}/${stage}`
     this.runs.set(key, (this.runs.get(key) ?? 0) + 1)
     if (this.options.runsFile !== undefined)
-      appendFileSync(this.options.runsFile, `${key}\n`)
+      appendFileSync(this.options.runsFile, `${key} ${Date.now()}\n`)
   }
 
   /** Fails a fixed share of runs, evenly spread. */
--- a/packages/stand-ins/src/launcher.ts
+++ b/packages/stand-ins/src/launcher.ts
@@ -10,7 +10,7 @@
 import { spawn } from 'node:child_process'
 import { randomBytes } from 'node:crypto'
 import { once } from 'node:events'
-import { mkdtempSync, openSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { existsSync, mkdtempSync, openSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
@@ -137,6 +137,10 @@
     return this.logUrl
   }
 
+  get weightStoreUrl(): string {
+    return this.weightsUrl
+  }
+
   get machineListUrl(): string {
     return this.machinesUrl
   }
@@ -207,14 +211,18 @@
     for (const file of readdirSync(this.directory)) {
       if (!file.endsWith(RUNS_SUFFIX))
         continue
-      for (const key of readFileSync(path.join(this.directory, file), 'utf8').split('\n')) {
-        if (key !== '')
-          counts.set(key, (counts.get(key) ?? 0) + 1)
-      }
+      for (const { key } of readRuns(path.join(this.directory, file)))
+        counts.set(key, (counts.get(key) ?? 0) + 1)
     }
     return counts
   }
 
+  /** When each run of one backend server began, in epoch milliseconds. */
+  runTimes(sideName: string): number[] {
+    const file = path.join(this.directory, sideName + RUNS_SUFFIX)
+    return existsSync(file) ? readRuns(file).map(run => run.time) : []
+  }
+
   /** Status of an entry, as operators get it. */
   async entryStatus(name: string): Promise<ProcessStatus | undefined> {
     const opened = await connectEntry({ address: this.find(name).peer!, key: this.key })
@@ -233,7 +241,7 @@
       else
         await this.restart(name)
     }
-    const faulty = [this.logUrl, this.machinesUrl, ...this.list(ProcessKind.Backend).map(backend => backend.url!)]
+    const faulty = [this.logUrl, this.machinesUrl, this.weightsUrl, ...this.list(ProcessKind.Backend).map(backend => backend.url!)]
     await Promise.all(faulty.map(url => this.setFaults(url, {})))
     await this.publishNewAddresses()
     await this.waitUntilReady()
@@ -402,6 +410,19 @@
   }
 }
 
+interface CountedRun {
+  key: string
+  time: number
+}
+
+function readRuns(file: string): CountedRun[] {
+  const lines = readFileSync(file, 'utf8').split('\n').filter(line => line !== '')
+  return lines.map((line) => {
+    const [key, time] = line.split(' ')
+    return { key, time: Number(time) }
+  })
+}
+
 function isRunning(child: ChildProcess): boolean {
   return child.exitCode === null && child.signalCode === null
 }
--- a/packages/stand-ins/src/platform-services.ts
+++ b/packages/stand-ins/src/platform-services.ts
@@ -4,7 +4,7 @@
  */
 import type { StandInService } from './http-service.js'
 import { z } from 'zod'
-import { sendJson, startService } from './http-service.js'
+import { delay, sendJson, startService } from './http-service.js'
 
 const virtualMachineSchema = z.object({
   name: z.string(),
@@ -57,11 +57,17 @@
 /** The weight store: every name and version but those that hold the word "absent". */
 export class WeightStoreService {
   private reads: number[] = []
+  private delayMs = 0
 
   constructor(private readonly readsPerSecond = 50) {}
 
   start(): Promise<StandInService> {
-    return startService((call) => {
+    return startService(async (call) => {
+      if (call.path === '/faults') {
+        this.delayMs = z.strictObject({ delayMs: z.number().min(0).default(0) }).parse(JSON.parse(call.body)).delayMs
+        return sendJson(call.response, 200, {})
+      }
+      await delay(this.delayMs)
       const version = WEIGHTS_PATH.exec(call.path)?.[1]
       if (!version)
         return sendJson(call.response, 404, { message: 'no such path' })
--- a/test/support/fixtures.ts
+++ b/test/support/fixtures.ts
@@ -65,7 +65,7 @@
   }
 
   async readLoad() {
-    return { running: this.held.length, draining: false }
+    return { running: this.held.length, draining: false, instance: 'fake' }
   }
 
   async order() {
