--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -203,7 +203,7 @@
     return Err(describeFaults(parsed.error, raw))
   const settings = parsed.data
   const claimMemoryMs = settings.entry['claim-memory-ms']
-  if (claimMemoryMs > settings.platform['log-retention-ms'] / 2)
+  if (settings.process.role === ProcessRole.Entry && claimMemoryMs > settings.platform['log-retention-ms'] / 2)
     return Err([{ section: 'entry', key: 'claim-memory-ms', value: String(claimMemoryMs), allowed: 'at most half of [platform] log-retention-ms' }])
   if (settings.process.role === ProcessRole.Side && !settings.side)
     return Err([{ section: 'side', key: 'backend', value: '(absent)', allowed: 'the section [side] with a backend, since the role is side' }])
--- a/packages/stand-ins/src/launcher.ts
+++ b/packages/stand-ins/src/launcher.ts
@@ -16,7 +16,7 @@
 import path from 'node:path'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
-import { backendSchema, callPeer, CallState, CONFIGURATION_STREAM, connectEntry, HttpLogClient, MemberState, NO_OFFSET, ObjectKind, publishChange, PublishOutcome, readConfiguration, RecordKind } from '@eidermast/daemon'
+import { backendSchema, callPeer, CallState, CONFIGURATION_STREAM, connectEntry, connectSide, HttpLogClient, MemberState, NO_OFFSET, ObjectKind, publishChange, PublishOutcome, readConfiguration, RecordKind } from '@eidermast/daemon'
 import { request } from 'undici'
 import { v7 as uuidv7 } from 'uuid'
 import { BackendKind } from './backend-service.js'
@@ -77,6 +77,8 @@
 const DAEMON_PROGRAM = path.join(path.dirname(require.resolve('@eidermast/daemon')), '..', 'bin', 'eidermastd.js')
 const START_TIMEOUT_MS = 30_000
 const READY_TIMEOUT_MS = 15_000
+const STATUS_TIMEOUT_MS = 2000
+const POLL_MS = 50
 const STARTS_AT_ONCE = 8
 const RUNS_SUFFIX = '.runs'
 
@@ -228,13 +230,16 @@
     const opened = await connectEntry({ address: this.find(name).peer!, key: this.key })
     if (opened.isErr())
       return undefined
-    const result = await callPeer(opened.value, client => client.status.query(), 2000)
+    const result = await callPeer(opened.value, client => client.status.query(), STATUS_TIMEOUT_MS)
     opened.value.close()
     return result.state === CallState.Answered ? result.value : undefined
   }
 
-  /** Wakes and restarts what was frozen or ended, and turns every fault off. */
-  async recover(): Promise<void> {
+  /**
+   * Wakes and restarts what was frozen or ended, and turns every fault off.
+   * @param restore What else to put right before everything can be ready.
+   */
+  async recover(restore: () => Promise<void> = async () => {}): Promise<void> {
     for (const { name, child, pid } of [...this.processes.values()]) {
       if (isRunning(child))
         process.kill(pid, 'SIGCONT')
@@ -244,6 +249,7 @@
     const faulty = [this.logUrl, this.machinesUrl, this.weightsUrl, ...this.list(ProcessKind.Backend).map(backend => backend.url!)]
     await Promise.all(faulty.map(url => this.setFaults(url, {})))
     await this.publishNewAddresses()
+    await restore()
     await this.waitUntilReady()
   }
 
@@ -254,21 +260,29 @@
     rmSync(this.directory, { recursive: true, force: true })
   }
 
-  /** Waits until every entry holds every backend server in force. */
+  /** Status of a side, as operators get it. */
+  async sideStatus(name: string): Promise<ProcessStatus | undefined> {
+    const opened = await connectSide({ address: this.find(name).peer!, key: this.key })
+    if (opened.isErr())
+      return undefined
+    const result = await callPeer(opened.value, client => client.status.query(), STATUS_TIMEOUT_MS)
+    opened.value.close()
+    return result.state === CallState.Answered ? result.value : undefined
+  }
+
+  /** Waits until every side takes work, and then until every entry sees that. */
   async waitUntilReady(): Promise<void> {
-    const wanted = this.list(ProcessKind.Side).length
+    const sides = this.list(ProcessKind.Side)
     const giveUpAt = Date.now() + READY_TIMEOUT_MS
-    for (const entry of this.list(ProcessKind.Entry)) {
-      for (;;) {
-        const status = await this.entryStatus(entry.name)
-        const inForce = status?.detail.filter(line => line.text === MemberState.InForce).length ?? 0
-        if (inForce >= wanted)
-          break
-        if (Date.now() > giveUpAt)
-          throw new Error(`${entry.name} sees ${inForce} of ${wanted} backend servers in force`)
-        await delay(50)
-      }
-    }
+    for (const { name } of sides)
+      await waitUntil(async () => (await this.sideStatus(name))?.ready === true, giveUpAt, `${name} takes no work`)
+    for (const { name } of this.list(ProcessKind.Entry))
+      await waitUntil(async () => await this.countInForce(name) >= sides.length, giveUpAt, `${name} does not see every backend server in force`)
+  }
+
+  private async countInForce(entryName: string): Promise<number> {
+    const status = await this.entryStatus(entryName)
+    return status?.detail.filter(line => line.text === MemberState.InForce).length ?? 0
   }
 
   private async startPlatform(): Promise<void> {
@@ -423,6 +437,14 @@
   })
 }
 
+async function waitUntil(holds: () => Promise<boolean>, giveUpAt: number, message: string): Promise<void> {
+  while (!await holds()) {
+    if (Date.now() > giveUpAt)
+      throw new Error(message)
+    await delay(POLL_MS)
+  }
+}
+
 function isRunning(child: ChildProcess): boolean {
   return child.exitCode === null && child.signalCode === null
 }
--- /dev/null
+++ b/test/promises/leaving.test.ts
@@ -0,0 +1,98 @@
+import { HttpLogClient, ObjectKind, publishChange, PublishOutcome, readConfiguration } from '@eidermast/daemon'
+import { DeploymentName, LogOutage, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
+import { afterAll, afterEach, beforeAll, describe, expect, test } from 'vitest'
+import { CallerRecord } from '../support/oracle.js'
+
+/** The users' "a few seconds". */
+const FEW_SECONDS_MS = 5000
+const WATCHED_MS = 2000
+const SEND_EVERY_MS = 15
+const LEAVING = 'encoder-1'
+
+let system: RunningSystem
+let client: HttpLogClient
+
+beforeAll(async () => {
+  const small = resolveDeployment(DeploymentName.Small)
+  system = await RunningSystem.launch({ deployment: { ...small, entries: 3 } })
+  client = new HttpLogClient({ url: system.logServiceUrl })
+})
+
+afterEach(() => system.recover(async () => {
+  await order('in')
+  await system.setMachines(system.listedMachines.map(machine => ({ ...machine, state: 'live' as const })))
+}), 30_000)
+
+afterAll(async () => {
+  await client.close()
+  await system.stop()
+})
+
+async function order(wanted: 'in' | 'out'): Promise<void> {
+  const configuration = await readConfiguration(client)
+  const { value, offset } = configuration!.get(ObjectKind.Backend, LEAVING)!
+  if (value.order === wanted)
+    return
+  const publication = await publishChange(client, { kind: ObjectKind.Backend, name: LEAVING, value: { ...value, order: wanted }, base: offset })
+  expect(publication.outcome).toBe(PublishOutcome.Accepted)
+}
+
+/** Sends requests to every entry while a backend server leaves; returns when it got its last run, after the leave. */
+async function measureLastRun(leave: () => Promise<void>): Promise<number> {
+  const record = new CallerRecord()
+  const sends: Promise<unknown>[] = []
+  const timer = setInterval(() => {
+    const url = system.entryUrls[record.requests.length % system.entryUrls.length]
+    sends.push(record.send(record.begin('rider-answer', `question ${record.requests.length}`, false), url, { 'eidermast-deadline-ms': '20000' }))
+  }, SEND_EVERY_MS)
+  await expect.poll(() => system.runTimes(LEAVING).length, { timeout: 10_000 }).toBeGreaterThan(5)
+  await leave()
+  const leftAt = Date.now()
+  await new Promise(resolve => setTimeout(resolve, WATCHED_MS + FEW_SECONDS_MS / 2))
+  clearInterval(timer)
+  await Promise.all(sends)
+  expect(record.violations(system)).toEqual([])
+  const lastRunMs = Math.max(0, system.runTimes(LEAVING).at(-1)! - leftAt)
+  if (process.env.EIDERMAST_SHOW_FAULTS)
+    console.log(`last run ${lastRunMs} ms after the leave; told ${JSON.stringify(record.summarize())}`)
+  return lastRunMs
+}
+
+describe('a leaving backend server gets no new work after a few seconds', () => {
+  test('by the operators\' order', async () => {
+    expect(await measureLastRun(() => order('out'))).toBeLessThan(FEW_SECONDS_MS)
+  })
+
+  test('by the operators\' order, with the log out straight after', async () => {
+    const leave = async (): Promise<void> => {
+      await order('out')
+      await system.setFaults(system.logServiceUrl, { outage: LogOutage.Refuse })
+    }
+    expect(await measureLastRun(leave)).toBeLessThan(FEW_SECONDS_MS)
+  })
+
+  test('by the operators\' order, whatever an entry believes that was frozen meanwhile', async () => {
+    const leave = async (): Promise<void> => {
+      system.signal('entry-1', 'SIGSTOP')
+      await order('out')
+      await new Promise(resolve => setTimeout(resolve, 1000))
+      system.signal('entry-1', 'SIGCONT')
+    }
+    expect(await measureLastRun(leave)).toBeLessThan(FEW_SECONDS_MS)
+  })
+
+  test('by the platform\'s list', async () => {
+    const leave = (): Promise<void> => system.setMachines(system.listedMachines.map(machine => machine.name === LEAVING ? { ...machine, state: 'leaving' as const } : machine))
+    expect(await measureLastRun(leave)).toBeLessThan(FEW_SECONDS_MS)
+  })
+
+  test('by the side\'s own word', async () => {
+    expect(await measureLastRun(async () => system.signal(LEAVING, 'SIGTERM'))).toBeLessThan(FEW_SECONDS_MS)
+  })
+
+  test('by the backend server\'s own word, with the log and the list out', async () => {
+    await system.setFaults(system.logServiceUrl, { outage: LogOutage.Refuse })
+    await system.setFaults(system.machineListUrl, { out: true })
+    expect(await measureLastRun(async () => system.signal(`${LEAVING}.backend`, 'SIGTERM'))).toBeLessThan(FEW_SECONDS_MS)
+  })
+})
--- /dev/null
+++ b/test/promises/planned-stop.test.ts
@@ -0,0 +1,132 @@
+import { DeploymentName, ProcessKind, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
+import { request } from 'undici'
+import { afterAll, beforeAll, describe, expect, test } from 'vitest'
+import { DEFAULT_ACCOUNT, smallAnswer } from '../support/caller.js'
+import { CallerRecord } from '../support/oracle.js'
+
+const PROBE_MS = 100
+const CALLERS = 6
+const DEADLINE = { 'eidermast-deadline-ms': '20000' }
+
+let system: RunningSystem
+
+beforeAll(async () => {
+  system = await RunningSystem.launch({ deployment: resolveDeployment(DeploymentName.Small) })
+})
+
+afterAll(() => system.stop())
+
+/** A balancer's view: entries that answered ready at the last probe. */
+class Balancer {
+  private ready: string[] = []
+  private next = 0
+  private readonly timer = setInterval(() => void this.probe(), PROBE_MS)
+
+  async probe(): Promise<void> {
+    const probes = system.entryUrls.map(async url => await isReady(url) ? [url] : [])
+    this.ready = (await Promise.all(probes)).flat()
+  }
+
+  pick(): string {
+    return this.ready[this.next++ % this.ready.length]
+  }
+
+  close(): void {
+    clearInterval(this.timer)
+  }
+}
+
+async function isReady(url: string): Promise<boolean> {
+  try {
+    const response = await request(`${url}/readyz`, { reset: true })
+    await response.body.dump()
+    return response.statusCode === 200
+  }
+  catch {
+    return false
+  }
+}
+
+/** Callers that send one request after another, streams and stop lookups included. */
+class Callers {
+  readonly record = new CallerRecord()
+  readonly faults: string[] = []
+  private running = true
+  private readonly loops: Promise<void>[]
+
+  constructor(private readonly balancer: Balancer) {
+    this.loops = Array.from({ length: CALLERS }, (_, index) => this.loop(index))
+  }
+
+  async stop(): Promise<void> {
+    this.running = false
+    await Promise.all(this.loops)
+  }
+
+  private async loop(index: number): Promise<void> {
+    const kinds = [() => this.call('rider-answer', false), () => this.call('departure-alert', true), () => this.stream(), () => this.lookUp()]
+    while (this.running)
+      await kinds[index % kinds.length]()
+  }
+
+  private async call(pipeline: string, unrepeatable: boolean): Promise<void> {
+    const sent = this.record.begin(pipeline, `${pipeline} ${this.record.requests.length}`, unrepeatable)
+    const told = await this.record.send(sent, this.balancer.pick(), DEADLINE)
+    if (told?.status !== 200)
+      this.faults.push(`${pipeline}: ${JSON.stringify(told)}`)
+  }
+
+  private async stream(): Promise<void> {
+    const input = `stream ${this.record.requests.length}`
+    try {
+      const response = await request(`${this.balancer.pick()}/v1/pipelines/rider-answer/requests`, {
+        method: 'POST',
+        headers: { 'eidermast-account': DEFAULT_ACCOUNT, 'accept': 'text/event-stream', ...DEADLINE },
+        body: JSON.stringify({ input }),
+      })
+      const text = await response.body.text()
+      if (!text.includes('"whole":true') || !text.includes(smallAnswer('rider-answer', input)))
+        this.faults.push(`stream: ${text.slice(-300)}`)
+    }
+    catch (error) {
+      this.faults.push(`stream: ${String(error)}`)
+    }
+  }
+
+  private async lookUp(): Promise<void> {
+    try {
+      const response = await request(`${this.balancer.pick()}/v1/services/rider-app-backend/stops/1`, { headers: { 'eidermast-account': DEFAULT_ACCOUNT, ...DEADLINE } })
+      const text = await response.body.text()
+      if (response.statusCode !== 200)
+        this.faults.push(`stop lookup: ${text}`)
+    }
+    catch (error) {
+      this.faults.push(`stop lookup: ${String(error)}`)
+    }
+  }
+}
+
+describe('a planned stop', () => {
+  test('of every process in turn, under load, cuts off no request and ends with exit code 0', async () => {
+    const balancer = new Balancer()
+    await balancer.probe()
+    const callers = new Callers(balancer)
+    const names = [ProcessKind.Entry, ProcessKind.Side, ProcessKind.Backend].flatMap(kind => system.list(kind).map(({ name }) => name))
+    const exitCodes: (number | null)[] = []
+    for (const name of names) {
+      exitCodes.push(await system.end(name, 'SIGTERM'))
+      await system.restart(name)
+      await system.publishNewAddresses()
+      await system.waitUntilReady()
+      await balancer.probe()
+    }
+    await callers.stop()
+    balancer.close()
+    expect(callers.faults).toEqual([])
+    expect(callers.record.violations(system)).toEqual([])
+    expect(exitCodes).toEqual(names.map(() => 0))
+    expect(callers.record.requests.length).toBeGreaterThan(names.length)
+    if (process.env.EIDERMAST_SHOW_FAULTS)
+      console.log(`${names.length} processes replaced, ${callers.record.requests.length} requests beside streams and lookups`)
+  }, 180_000)
+})
