Prove that answers are whole, their callers' own, and that not run means nothing ran

Cause: streams cut in the middle, overload, frozen sides and empty pools had no proof. Ruled out: expecting 'none' the moment a pool is killed: a call sent before its entry sees the cut is rightly told 'unknown'; the test waits for the entries. Change: 16 tests against the callers' record and the counts.

--- /dev/null
+++ b/test/promises/results.test.ts
@@ -0,0 +1,174 @@
+import type { Told } from '../support/caller.js'
+import { answersCall, ErrorKind, MemberState, Ran } from '@eidermast/daemon'
+import { DeploymentName, ProcessKind, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
+import { request } from 'undici'
+import { v7 as uuidv7 } from 'uuid'
+import { afterAll, afterEach, beforeAll, describe, expect, test } from 'vitest'
+import { DEFAULT_ACCOUNT } from '../support/caller.js'
+import { createStageCall } from '../support/fixtures.js'
+import { CallerRecord } from '../support/oracle.js'
+
+const PIPELINE = 'rider-answer'
+const LONG_DEADLINE = { 'eidermast-deadline-ms': '20000' }
+
+let system: RunningSystem
+
+beforeAll(async () => {
+  system = await RunningSystem.launch({ deployment: resolveDeployment(DeploymentName.Small) })
+})
+
+afterEach(() => system.recover(), 30_000)
+
+afterAll(() => system.stop())
+
+async function setFaults(service: string, faults: object): Promise<void> {
+  const backends = system.list(ProcessKind.Backend).filter(backend => backend.name.startsWith(`${service}-`))
+  await Promise.all(backends.map(backend => system.setFaults(backend.url!, faults)))
+}
+
+/** Sends a streamed request and returns the whole text that came. */
+async function stream(input: string, onText: (text: string) => void = () => {}): Promise<string> {
+  const response = await request(`${system.entryUrls[0]}/v1/pipelines/${PIPELINE}/requests`, {
+    method: 'POST',
+    headers: { 'eidermast-account': DEFAULT_ACCOUNT, 'accept': 'text/event-stream', ...LONG_DEADLINE },
+    body: JSON.stringify({ input }),
+  })
+  let text = ''
+  try {
+    for await (const chunk of response.body) {
+      text += String(chunk)
+      onText(text)
+    }
+  }
+  catch {
+    // A connection that breaks tells that the answer is not whole.
+  }
+  return text
+}
+
+/** Streams a request and kills processes at its first token; returns the whole text that came. */
+async function streamAndKill(names: string[]): Promise<string> {
+  let ends: Promise<unknown>[] | undefined
+  const text = await stream('killed', (sofar) => {
+    if (sofar.includes('event: token'))
+      ends ??= names.map(name => system.end(name, 'SIGKILL'))
+  })
+  await Promise.all(ends ?? [])
+  return text
+}
+
+describe('a truncated stream is never called whole', () => {
+  test('when the engine ends it in the middle', async () => {
+    await setFaults('language-model', { cutStreams: 1 })
+    const text = await stream('cut')
+    expect(text).toContain('event: token')
+    expect(text).toContain('event: error')
+    expect(text).toContain('"whole":false')
+    expect(text).not.toContain('"whole":true')
+  })
+
+  test.each([ProcessKind.Side, ProcessKind.Backend])('when its %s is killed in the middle', async (kind) => {
+    await setFaults('language-model', { slowFactor: 20 })
+    const names = system.list(kind).map(({ name }) => name).filter(name => name.startsWith('language-model'))
+    const text = await streamAndKill(names)
+    expect(text).toContain('"whole":false')
+    expect(text).not.toContain('"whole":true')
+  })
+
+  test('when its entry is killed in the middle', async () => {
+    await setFaults('language-model', { slowFactor: 20 })
+    const text = await streamAndKill(['entry-1'])
+    expect(text).not.toContain('"whole":true')
+  })
+
+  test('and the run of a repeatable request whose caller goes is stopped', async () => {
+    await setFaults('language-model', { slowFactor: 200 })
+    const leave = new AbortController()
+    const answered = request(`${system.entryUrls[0]}/v1/pipelines/${PIPELINE}/requests`, {
+      method: 'POST',
+      headers: { 'eidermast-account': DEFAULT_ACCOUNT, ...LONG_DEADLINE },
+      body: JSON.stringify({ input: 'left' }),
+      signal: leave.signal,
+    })
+    const busy = async (): Promise<number> => {
+      const statuses = await Promise.all(['language-model-1', 'language-model-2'].map(name => system.sideStatus(name)))
+      return statuses.reduce((sum, status) => sum + Number(status?.detail.find(line => line.subject === 'running')?.text ?? 0), 0)
+    }
+    await expect.poll(busy, { timeout: 10_000 }).toBe(1)
+    leave.abort()
+    await expect(answered).rejects.toThrow()
+    await expect.poll(busy, { timeout: 3000 }).toBe(0)
+  })
+})
+
+describe('every caller gets its own answer', () => {
+  test('over shared connections, with uneven backend servers and lost replies', async () => {
+    await Promise.all(system.list(ProcessKind.Backend).map((backend, index) => system.setFaults(backend.url!, { slowFactor: 1 + index % 4, dropReplies: index % 3 })))
+    const record = new CallerRecord()
+    await Promise.all(Array.from({ length: 150 }, (_, index) => record.send(record.begin(PIPELINE, `question ${index}`, false), system.entryUrls[index % 2], LONG_DEADLINE)))
+    expect(record.violations(system)).toEqual([])
+    expect(record.summarize().whole).toBeGreaterThan(140)
+  })
+
+  const call = createStageCall().identity
+  test.each([
+    ['another request', { requestId: uuidv7() }],
+    ['another account', { account: 'other' }],
+    ['another stage', { stage: 'other' }],
+    ['another attempt', { attempt: 2 }],
+    ['another process life of the entry', { entryIncarnation: uuidv7() }],
+    ['another process life of the side', { sideIncarnation: uuidv7() }],
+  ])('and a reply to %s is not taken', (_name, change) => {
+    expect(answersCall(call, call)).toBe(true)
+    expect(answersCall(call, { ...call, ...change })).toBe(false)
+  })
+})
+
+describe('"not run" means that nothing ran', () => {
+  async function sendMany(count: number, headers: Record<string, string>, pipeline = PIPELINE): Promise<CallerRecord> {
+    const record = new CallerRecord()
+    await Promise.all(Array.from({ length: count }, (_, index) => record.send(record.begin(pipeline, `question ${index}`, pipeline === 'departure-alert'), system.entryUrls[index % 2], headers)))
+    return record
+  }
+
+  async function countSilent(entry: string): Promise<number | undefined> {
+    const status = await system.entryStatus(entry)
+    return status?.detail.filter(line => line.text === MemberState.Silent).length
+  }
+
+  function told(record: CallerRecord): Told[] {
+    return record.requests.flatMap(sent => sent.told)
+  }
+
+  test.each([PIPELINE, 'departure-alert'])('for what is shed in an overload (%s)', async (pipeline) => {
+    await sendMany(30, LONG_DEADLINE)
+    const record = await sendMany(500, { 'eidermast-deadline-ms': '250' }, pipeline)
+    expect(told(record).some(answer => answer.ran === Ran.None)).toBe(true)
+    expect(record.violations(system)).toEqual([])
+  })
+
+  test('for calls in flight to frozen sides when the deadline passes, and after they wake', async () => {
+    const encoders = ['encoder-1', 'encoder-2']
+    encoders.forEach(name => system.signal(name, 'SIGSTOP'))
+    const record = await sendMany(20, { 'eidermast-deadline-ms': '400' })
+    encoders.forEach(name => system.signal(name, 'SIGCONT'))
+    await system.recover()
+    expect(record.violations(system)).toEqual([])
+    expect(told(record).every(answer => answer.ran !== undefined)).toBe(true)
+  })
+
+  test('for what comes while no backend server is in force, and the answer comes at once with a time to come back', async () => {
+    const encoders = ['encoder-1', 'encoder-2']
+    await Promise.all(encoders.map(name => system.end(name, 'SIGKILL')))
+    for (const entry of ['entry-1', 'entry-2'])
+      await expect.poll(() => countSilent(entry), { timeout: 10_000 }).toBe(encoders.length)
+    const startedAt = performance.now()
+    const record = await sendMany(20, LONG_DEADLINE)
+    expect(performance.now() - startedAt, 'never held towards the deadline').toBeLessThan(10_000)
+    for (const answer of told(record)) {
+      expect(answer).toMatchObject({ kind: ErrorKind.NoBackend, ran: Ran.None })
+      expect(answer.retryAfterMs).toBeGreaterThan(0)
+    }
+    expect(record.violations(system)).toEqual([])
+  })
+})
