--- a/packages/daemon/src/connection/caller-server.ts
+++ b/packages/daemon/src/connection/caller-server.ts
@@ -67,6 +67,7 @@
     requestTimeout: HEADERS_TIMEOUT_MS + options.settings['body-timeout-ms'],
     keepAliveTimeout: 60_000,
   }, (request, response) => void handler.handle(request, response))
+  server.maxConnections = options.settings['max-connections']
   server.on('clientError', (_error, socket) => {
     if (socket.writable)
       socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
--- a/packages/daemon/src/process/membership.ts
+++ b/packages/daemon/src/process/membership.ts
@@ -101,6 +101,7 @@
 /** The backend servers of one entry. */
 export class Membership {
   private readonly members = new Map<string, Member>()
+  private membersByService = new Map<string, Member[]>()
   private readonly unsubscribe: () => void
 
   constructor(
@@ -118,7 +119,8 @@
 
   /** Backend servers in force that hold what a stage needs. */
   candidates(stage: PlannedStage): Member[] {
-    return this.list().filter(member => member.serves(stage) && member.state === MemberState.InForce)
+    const pool = this.membersByService.get(stage.service) ?? []
+    return pool.filter(member => member.serves(stage) && member.state === MemberState.InForce)
   }
 
   /** Whether a plain service of this name is configured; callers reach no other backend server by path. */
@@ -138,6 +140,7 @@
     }
     for (const [name, backend] of watched)
       this.watch(name, backend)
+    this.indexMembers()
     this.logStates()
   }
 
@@ -154,6 +157,16 @@
       member.link.close()
   }
 
+  private indexMembers(): void {
+    this.membersByService = new Map()
+    for (const member of this.members.values()) {
+      const { service } = member.backend
+      const pool = this.membersByService.get(service) ?? []
+      pool.push(member)
+      this.membersByService.set(service, pool)
+    }
+  }
+
   private watch(name: string, backend: Backend): void {
     const existing = this.members.get(name)
     if (existing) {
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -119,6 +119,7 @@
 })
 
 const entrySchema = z.strictObject({
+  'max-connections': integer(1, 1_000_000).default(10_000),
   'max-requests': integer(1, 1_000_000).default(2000),
   'max-service-calls': integer(1, 1_000_000).default(500),
   'max-body-bytes': integer(1, 100_000_000).default(262_144),
--- a/packages/daemon/src/request/recent-times.ts
+++ b/packages/daemon/src/request/recent-times.ts
@@ -8,6 +8,9 @@
 export class RecentTimes {
   private readonly samples: number[] = []
   private next = 0
+  private sum = 0
+  /** Sorted copy, made when a quantile is first asked for after a change. */
+  private sorted: number[] | undefined
 
   constructor(private readonly window = DEFAULT_WINDOW) {}
 
@@ -18,24 +21,24 @@
 
   /** Adds a duration in milliseconds. */
   add(milliseconds: number): void {
+    this.sum += milliseconds - (this.samples[this.next] ?? 0)
     this.samples[this.next] = milliseconds
     this.next = (this.next + 1) % this.window
+    this.sorted = undefined
   }
 
   /** Mean in milliseconds; 0 where nothing was added. */
   mean(): number {
-    if (this.samples.length === 0)
-      return 0
-    return this.samples.reduce((sum, sample) => sum + sample, 0) / this.samples.length
+    return this.samples.length === 0 ? 0 : this.sum / this.samples.length
   }
 
   /** A quantile between 0 and 1, in milliseconds; 0 where nothing was added. */
   quantile(share: number): number {
     if (this.samples.length === 0)
       return 0
-    const sorted = [...this.samples].sort((left, right) => left - right)
-    const index = Math.min(sorted.length - 1, Math.floor(share * sorted.length))
-    return sorted[index]
+    this.sorted ??= [...this.samples].sort((left, right) => left - right)
+    const index = Math.min(this.sorted.length - 1, Math.floor(share * this.sorted.length))
+    return this.sorted[index]
   }
 }
 
