Take finding another entry's outcome out of the request service

Ruled out: a base class; the two share no state but the parts they are given. Change: OutcomeFinder; waiting within a time moves to process/wait.

--- a/packages/daemon/src/process/entry.ts
+++ b/packages/daemon/src/process/entry.ts
@@ -20,6 +20,7 @@
 import { createError, ErrorKind } from '../request/errors.js'
 import { createRequestKey } from '../request/identity.js'
 import { NotRunProof } from '../request/not-run-proof.js'
+import { OutcomeFinder } from '../request/outcome-finder.js'
 import { OutcomeTable } from '../request/outcomes.js'
 import { planPipeline, planService } from '../request/plan.js'
 import { RequestRunner } from '../request/request-runner.js'
@@ -68,6 +69,7 @@
   private readonly outcomes: OutcomeTable
   private claims!: ClaimRegistry
   private tickets!: TicketOffice
+  private finder!: OutcomeFinder
   private pipelines!: RequestService
   private services!: RequestService
   private peerServer!: PeerServer
@@ -162,7 +164,7 @@
 
   async forward(request: ForwardedRequest): Promise<string> {
     if (request.ticket === undefined)
-      return formatAnswer(await this.pipelines.answerForPeer(request.account, request.requestId, request.deadlineMs))
+      return formatAnswer(await this.finder.answerForPeer(request.account, request.requestId, request.deadlineMs))
     const incoming = this.createForwarded(request, request.ticket)
     if (!incoming)
       return formatAnswer(Err(createError(ErrorKind.TicketInvalid, 'The entry that made the ticket does not know the account or the pipeline; check them.')))
@@ -217,6 +219,8 @@
       doubtMs: this.settings.platform['log-timeout-ms'],
     })
     this.tickets = new TicketOffice({ key: identity.key, incarnation: this.incarnation, address, lifetimeMs: entry['ticket-lifetime-ms'] })
+    const { incarnation, claims, outcomes, peers, membership, decisions } = this
+    this.finder = new OutcomeFinder({ incarnation, claims, outcomes, peers, membership, decisions })
     this.pipelines = this.createRequestService(entry['max-requests'])
     this.services = this.createRequestService(entry['max-service-calls'])
     this.callerServer = createCallerServer({
@@ -258,7 +262,7 @@
       claims,
       outcomes,
       proof: new NotRunProof({ claims, peers, machines: this.machines, address: this.peerServer.address }),
-      peers,
+      finder: this.finder,
       membership,
       decisions,
       metrics,
--- a/packages/daemon/src/process/wait.ts
+++ b/packages/daemon/src/process/wait.ts
@@ -39,3 +39,18 @@
   }
   return { signal: controller.signal, dispose }
 }
+
+/** A promise's value, or undefined where the time is over or the signal aborts first. */
+export function settleWithin<Value>(promise: Promise<Value>, milliseconds: number, signal: AbortSignal): Promise<Value | undefined> {
+  return new Promise((resolve) => {
+    const end = (value?: Value): void => {
+      clearTimeout(timer)
+      signal.removeEventListener('abort', onAbort)
+      resolve(value)
+    }
+    const onAbort = (): void => end()
+    const timer = setTimeout(end, Math.max(0, milliseconds))
+    signal.addEventListener('abort', onAbort)
+    void promise.then(end)
+  })
+}
--- a/packages/daemon/src/request/request-service.ts
+++ b/packages/daemon/src/request/request-service.ts
@@ -2,26 +2,25 @@
  * Takes requests in at an entry: joins repeats, admits or sheds, makes sure
  * that an unrepeatable request is run by one process life only, and runs it.
  */
-import type { EntryPeers } from '../connection/entry-peers.js'
 import type { LinkTokenListener } from '../connection/side-link.js'
 import type { DecisionLog } from '../process/decision-log.js'
 import type { Membership } from '../process/membership.js'
 import type { EntryMetrics } from '../process/metrics.js'
 import type { AdmissionPolicy } from './admission.js'
 import type { RequestAnswer } from './answer.js'
-import type { Claim, ClaimRegistry } from './claims.js'
+import type { ClaimRegistry } from './claims.js'
 import type { RequestError } from './errors.js'
 import type { NotRunProof } from './not-run-proof.js'
+import type { OutcomeFinder } from './outcome-finder.js'
 import type { Outcome, OutcomeTable } from './outcomes.js'
 import type { RequestPlan } from './plan.js'
 import type { RequestRunner } from './request-runner.js'
 import type { Ticket } from './tickets.js'
-import { Err, Ok } from 'ts-results-es'
-import { ForwardState } from '../connection/entry-peers.js'
-import { OutcomeState, StageReplyKind } from '../connection/messages.js'
+import { Err } from 'ts-results-es'
+import { OutcomeState } from '../connection/messages.js'
 import { RequestEnd } from '../process/metrics.js'
+import { settleWithin } from '../process/wait.js'
 import { AccountLoad } from './account-load.js'
-import { parseAnswer } from './answer.js'
 import { predictWaitMs } from './choice.js'
 import { ClaimResultKind } from './claims.js'
 import { createError, ErrorKind, Ran } from './errors.js'
@@ -57,7 +56,7 @@
   claims: ClaimRegistry
   outcomes: OutcomeTable
   proof: NotRunProof
-  peers: EntryPeers
+  finder: OutcomeFinder
   membership: Membership
   decisions: DecisionLog
   metrics: EntryMetrics
@@ -91,24 +90,10 @@
     return answer
   }
 
-  /** Answers another entry that asks for a request claimed here; never runs it. */
-  async answerForPeer(account: string, requestId: string, deadlineMs: number): Promise<RequestAnswer> {
-    const key = createRequestKey(account, requestId)
-    const known = this.options.outcomes.find(key)
-    if (known) {
-      const answer = await settleWithin(known.answer, deadlineMs, NEVER)
-      return (known.finished ?? answer) ?? Err(createError(ErrorKind.OutcomeUnknown, 'The request still runs or its answer is no longer kept; ask for its outcome with GET /v1/requests/{id}.'))
-    }
-    const holder = this.options.claims.find(key)
-    if (holder && this.options.claims.isAbandoned(holder))
-      return Err(createError(ErrorKind.LogUnavailable, 'An earlier claim of this request is being released; come back after the given time.'))
-    return Err(createError(ErrorKind.OutcomeUnknown, 'The entry that took this request no longer knows its outcome; look at what it did before you send another.'))
-  }
-
   private async route(incoming: IncomingRequest, requestId: string): Promise<RequestAnswer> {
     const { ticket } = incoming
     if (ticket && ticket.incarnation !== this.options.incarnation)
-      return this.forward(incoming, requestId, ticket)
+      return this.options.finder.forward(incoming, requestId, ticket)
     const key = createRequestKey(incoming.account, requestId)
     const digest = digestRequest(incoming.plan.target, incoming.body)
     const known = this.options.outcomes.find(key)
@@ -121,7 +106,7 @@
       return Err(idFault)
     const holder = this.options.claims.find(key)
     if (holder)
-      return this.askHolder(incoming, requestId, holder)
+      return this.options.finder.askHolder(incoming, requestId, holder)
     if (!this.options.claims.current)
       return this.answerNotRun(incoming, requestId, key, createLogError())
     return this.admitAndRun(incoming, requestId, key, digest)
@@ -235,7 +220,7 @@
       case ClaimResultKind.Won:
         return { granted: true }
       case ClaimResultKind.Lost:
-        return { granted: false, keep: false, state: OutcomeState.Unknown, answer: await this.askHolder(incoming, requestId, result.winner) }
+        return { granted: false, keep: false, state: OutcomeState.Unknown, answer: await this.options.finder.askHolder(incoming, requestId, result.winner) }
       default: {
         return { granted: false, keep: false, state: OutcomeState.NotRun, answer: await this.answerNotRun(incoming, requestId, outcome.key, createLogError()) }
       }
@@ -251,59 +236,10 @@
       return Err(error)
     const holder = this.options.claims.find(key)
     if (holder)
-      return this.askHolder(incoming, requestId, holder)
+      return this.options.finder.askHolder(incoming, requestId, holder)
     return Err(createError(ErrorKind.LogUnavailable, 'The log does not answer and another entry may have run this request; ask for its outcome with GET /v1/requests/{id}.', { ran: Ran.Unknown }))
   }
 
-  /** Another process life holds the claim: asks it, then the sides of the last stage, and never runs the request. */
-  private async askHolder(incoming: IncomingRequest, requestId: string, holder: Claim): Promise<RequestAnswer> {
-    const { account, plan, body } = incoming
-    const deadlineMs = incoming.arrivedAt + plan.deadlineMs - performance.now()
-    if (holder.incarnation === this.options.incarnation)
-      return this.answerForPeer(account, requestId, deadlineMs)
-    const { state, answer } = await this.options.peers.forward(holder.address, holder.incarnation, { account, requestId, target: plan.target, body, deadlineMs })
-    this.options.decisions.record('ask-holder', requestId, { holder: holder.incarnation, address: holder.address, state })
-    if (state === ForwardState.Answered)
-      return parseAnswer(answer)
-    return await this.findResult(incoming, requestId) ?? Err(createError(ErrorKind.OutcomeUnknown, 'Another entry took this request and cannot be asked; look at what it did before you send another.'))
-  }
-
-  /** Looks for the last stage's result at the sides, whoever asked for it. */
-  private async findResult(incoming: IncomingRequest, requestId: string): Promise<RequestAnswer | undefined> {
-    const last = incoming.plan.stages.at(-1)!
-    const members = this.options.membership.list().filter(member => member.backend.service === last.service)
-    const replies = await Promise.all(members.map(async member => ({ member, reply: await member.link.findResult(incoming.account, requestId, last.name) })))
-    for (const { member, reply } of replies) {
-      if (reply?.kind !== StageReplyKind.Done)
-        continue
-      const report = { stage: last.name, backend: member.backendName, milliseconds: reply.queueMs + reply.serviceMs, cost: 0, attempts: reply.identity.attempt }
-      return Ok({ requestId, output: reply.output, stages: [report], status: reply.status, contentType: reply.contentType })
-    }
-    return undefined
-  }
-
-  /** Passes a request on to the process life that made its ticket. */
-  private async forward(incoming: IncomingRequest, requestId: string, ticket: Ticket): Promise<RequestAnswer> {
-    const { account, plan, body, ticketText } = incoming
-    const [stage] = plan.stages
-    const deadlineMs = incoming.arrivedAt + plan.deadlineMs - performance.now()
-    const { state, answer } = await this.options.peers.forward(ticket.address, ticket.incarnation, {
-      account,
-      requestId,
-      target: plan.target,
-      pipeline: stage.serviceRequest ? undefined : plan.target,
-      service: stage.serviceRequest ? stage.service : undefined,
-      serviceRequest: stage.serviceRequest,
-      body,
-      deadlineMs,
-      ticket: ticketText,
-    })
-    this.options.decisions.record('forward', requestId, { address: ticket.address, state })
-    if (state === ForwardState.Answered)
-      return parseAnswer(answer)
-    return await this.findResult(incoming, requestId) ?? Err(createError(ErrorKind.OutcomeUnknown, 'The entry that made this ticket is gone; look at what the request did before you send another.'))
-  }
-
   /** The time in a request id must be within what is remembered of claims. */
   private checkRequestIdTime(requestId: string): RequestError | undefined {
     const age = Date.now() - requestIdTime(requestId)
@@ -346,18 +282,3 @@
   const settled = await settleWithin(answer, deadlineMs, incoming.callerGone)
   return settled ?? Err(createError(ErrorKind.DeadlineExceeded, 'The request still runs; ask for its outcome with GET /v1/requests/{id}.', { ran: Ran.Unknown }))
 }
-
-/** A promise's value, or undefined where the time is over or the signal aborts first. */
-function settleWithin<Value>(promise: Promise<Value>, milliseconds: number, signal: AbortSignal): Promise<Value | undefined> {
-  return new Promise((resolve) => {
-    const end = (value?: Value): void => {
-      clearTimeout(timer)
-      signal.removeEventListener('abort', onAbort)
-      resolve(value)
-    }
-    const onAbort = (): void => end()
-    const timer = setTimeout(end, Math.max(0, milliseconds))
-    signal.addEventListener('abort', onAbort)
-    void promise.then(end)
-  })
-}
