Greet busy links less often; test that a lost call is never called not run

Ruled out: a longer interval for all, which would find frozen sides later. Change: a link that has just carried a reply, with its load report, is greeted every sixth interval; a test kills the last backend server while it runs. What busy links save is not measured yet; idle ones cost as before.

--- a/packages/daemon/src/connection/side-link.ts
+++ b/packages/daemon/src/connection/side-link.ts
@@ -8,6 +8,7 @@
 import { createLogger } from '../process/logger.js'
 import { wait } from '../process/wait.js'
 import { ObjectKind } from '../version/objects.js'
+import { NO_OFFSET } from '../version/record.js'
 import { greetingReplySchema, stageKey, stageReplySchema, streamMessageSchema } from './messages.js'
 import { callPeer, CallState, ConnectFailure, connectSide } from './peer-connection.js'
 
@@ -48,6 +49,10 @@
 
 /** Missed greetings after which a side counts as not answering. */
 const MISSED_GREETINGS = 3
+/** Greeting intervals that a busy link may go without a greeting. */
+const LONGEST_GREETING_GAP = 6
+/** Taken results that are worth a greeting. */
+const ACKNOWLEDGEMENTS_AT_ONCE = 500
 const RECONNECT_MS = 200
 const MAXIMUM_RECONNECT_MS = 2000
 const MAXIMUM_ACKNOWLEDGEMENTS = 10_000
@@ -63,6 +68,11 @@
   private newestLoad: Load | undefined
   private acknowledgements: string[] = []
   private answering = false
+  /** When the newest reply and the newest answered greeting came, in milliseconds of the process clock. */
+  private repliedAt = Number.NEGATIVE_INFINITY
+  private greetedAt = Number.NEGATIVE_INFINITY
+  /** The configuration that the side held at the newest greeting. */
+  private sideOffset = NO_OFFSET
   private readonly stop = new AbortController()
 
   constructor(private readonly options: SideLinkOptions) {}
@@ -129,6 +139,7 @@
     const reply = stageReplySchema.safeParse(result.value)
     if (!reply.success)
       return { outcome: LinkOutcome.Lost, message: 'the side replied in an unknown form' }
+    this.repliedAt = performance.now()
     this.takeLoad(reply.data.load)
     return { outcome: LinkOutcome.Replied, reply: reply.data }
   }
@@ -166,9 +177,10 @@
   /** Greets on one connection until it is lost. */
   private async keep(connection: PeerConnection<SideClient>): Promise<void> {
     this.connection = connection
+    this.repliedAt = Number.NEGATIVE_INFINITY
     let missed = 0
     while (connection.isOpen() && missed < MISSED_GREETINGS && !this.stop.signal.aborted) {
-      const answered = await this.greet(connection)
+      const answered = this.needsGreeting() ? await this.greet(connection) : true
       missed = answered ? 0 : missed + 1
       this.setAnswering(answered)
       if (answered)
@@ -178,6 +190,16 @@
     this.connection = undefined
   }
 
+  /** A link that has just carried a reply, with its load report, needs no greeting of its own. */
+  private needsGreeting(): boolean {
+    const { configuration, greetIntervalMs } = this.options
+    const now = performance.now()
+    const quiet = now - this.repliedAt >= greetIntervalMs
+    const overdue = now - this.greetedAt >= greetIntervalMs * LONGEST_GREETING_GAP
+    const manyTaken = this.acknowledgements.length >= ACKNOWLEDGEMENTS_AT_ONCE
+    return quiet || overdue || manyTaken || this.sideOffset < configuration.offset
+  }
+
   private async waitForNextGreeting(connection: PeerConnection<SideClient>): Promise<void> {
     await wait(this.options.greetIntervalMs, this.stop.signal, connection.closed)
   }
@@ -193,6 +215,8 @@
     const reply = greetingReplySchema.safeParse(result.value)
     if (!reply.success)
       return false
+    this.greetedAt = performance.now()
+    this.sideOffset = reply.data.offset
     this.sideIncarnation = reply.data.incarnation
     if (reply.data.load)
       this.takeLoad(reply.data.load)
--- a/test/promises/results.test.ts
+++ b/test/promises/results.test.ts
@@ -4,7 +4,7 @@
 import { request } from 'undici'
 import { v7 as uuidv7 } from 'uuid'
 import { afterAll, afterEach, beforeAll, describe, expect, test } from 'vitest'
-import { DEFAULT_ACCOUNT } from '../support/caller.js'
+import { DEFAULT_ACCOUNT, runsOf } from '../support/caller.js'
 import { createStageCall } from '../support/fixtures.js'
 import { CallerRecord } from '../support/oracle.js'
 
@@ -157,6 +157,18 @@
     expect(told(record).every(answer => answer.ran !== undefined)).toBe(true)
   })
 
+  test('and a repeatable request whose last backend server is killed while it runs is not told so', async () => {
+    await setFaults('encoder', { slowFactor: 500 })
+    await system.end('encoder-2', 'SIGKILL')
+    const record = new CallerRecord()
+    const sent = record.begin(PIPELINE, 'question', false)
+    const answered = record.send(sent, system.entryUrls[0], LONG_DEADLINE)
+    await expect.poll(() => runsOf(system, sent.requestId).length, { timeout: 10_000 }).toBe(1)
+    await system.end('encoder-1', 'SIGKILL')
+    expect((await answered)?.ran).toBe(Ran.Unknown)
+    expect(record.violations(system)).toEqual([])
+  })
+
   test('for what comes while no backend server is in force, and the answer comes at once with a time to come back', async () => {
     const encoders = ['encoder-1', 'encoder-2']
     await Promise.all(encoders.map(name => system.end(name, 'SIGKILL')))
