Measure baseline and candidate decisions; count calls that hang as failures

Ruled out: counting every given-up call, which would eject servers for short deadlines of callers; only a call far longer than its pool's median counts.

--- a/packages/daemon/src/request/ejection.ts
+++ b/packages/daemon/src/request/ejection.ts
@@ -21,6 +21,8 @@
   filter: <Subject extends EjectionSubject>(candidates: readonly Subject[]) => Subject[]
   recordSuccess: (backendName: string, pool: string, milliseconds: number) => void
   recordFailure: (backendName: string) => void
+  /** A call was given up without an end after a time, in milliseconds. */
+  recordGivenUp: (backendName: string, pool: string, milliseconds: number) => void
 }
 
 /** The baseline: nobody is left out. */
@@ -32,6 +34,8 @@
   recordSuccess(): void {}
 
   recordFailure(): void {}
+
+  recordGivenUp(): void {}
 }
 
 interface BackendHealth {
@@ -97,6 +101,13 @@
       this.eject(backendName, health, 'failing')
   }
 
+  /** A call that has run far longer than its pool's calls do counts as failed, whoever gave it up. */
+  recordGivenUp(backendName: string, pool: string, milliseconds: number): void {
+    const times = this.poolTimes.of(pool)
+    if (times.count >= SLOW_MINIMUM_CALLS && milliseconds > times.quantile(0.5) * SLOW_FACTOR + SLOW_MARGIN_MS)
+      this.recordFailure(backendName)
+  }
+
   /** An ejected backend server gets one call at a time once its time is over. */
   private isEjected(candidate: EjectionSubject): boolean {
     const health = this.backends.get(candidate.backendName)
--- a/packages/daemon/src/request/stage-caller.ts
+++ b/packages/daemon/src/request/stage-caller.ts
@@ -222,8 +222,8 @@
     if (result.outcome === LinkOutcome.Replied && result.reply.kind === StageReplyKind.Failed)
       this.recordWaste(task, attempt, result.reply)
     const safe = isProvablyNotRun(result)
-    if (!safe && !task.signal.aborted)
-      this.options.ejection.recordFailure(attempt.member.backendName)
+    if (!safe)
+      this.recordEjectionSign(task, attempt)
     if (!safe && task.unrepeatable)
       return this.describeUnrepeatable(task, result)
     if (!safe && task.onToken)
@@ -236,6 +236,15 @@
     return undefined
   }
 
+  private recordEjectionSign(task: StageTask, attempt: Attempt): void {
+    const { backendName } = attempt.member
+    // A call that ended with its request says nothing, unless it had run far too long.
+    if (task.signal.aborted)
+      this.options.ejection.recordGivenUp(backendName, task.stage.service, performance.now() - attempt.startedAt)
+    else
+      this.options.ejection.recordFailure(backendName)
+  }
+
   private recordWaste(task: StageTask, attempt: Attempt, reply: FailedReply): void {
     task.progress.started = true
     attempt.member.link.acknowledge(attempt.call)
--- a/packages/stand-ins/src/measure.ts
+++ b/packages/stand-ins/src/measure.ts
@@ -39,6 +39,7 @@
   pairs: string
   seconds: string
   variants: string
+  situations: string
   output: string
 }
 
@@ -60,7 +61,7 @@
 
 const LANGUAGE_MODEL = 'language-model-1'
 const BURST_FACTOR = 5
-const CAPACITY_CALLERS = 96
+const CAPACITY_CALLERS = 192
 const CAPACITY_SECONDS = 6
 const SETTLE_MS = 1000
 /** Engines of this measurement are slow enough for them, not this machine, to be the limit. */
@@ -87,17 +88,19 @@
     .option('--pairs <n>', 'how often each variant is measured', '3')
     .option('--seconds <n>', 'seconds of each load', '10')
     .option('--variants <names>', 'separated by commas', 'baseline,candidate')
+    .option('--situations <names>', 'separated by commas; all where absent', '')
     .option('--output <file>', 'the page to write', 'docs/MEASUREMENTS.md')
   program.parse()
   const options = program.opts<MeasureOptions>()
   const deployment = slowEngines(resolveDeployment(options.deployment))
   const variants = options.variants.split(',').map(resolveVariant)
+  const situations = resolveSituations(options.situations)
   const capacity = await measureCapacity(deployment)
   console.log(`capacity ${capacity.toFixed(0)} requests a second`)
   const cells: MeasuredCell[] = []
   for (let pair = 0; pair < Number(options.pairs); pair++) {
     for (const variant of variants)
-      cells.push(...await measureVariant(deployment, variant, capacity, Number(options.seconds), pair))
+      cells.push(...await measureVariant(deployment, variant, capacity, situations, Number(options.seconds), pair))
   }
   writeFileSync(options.output, formatMeasurements({ deployment: options.deployment, capacity, seconds: Number(options.seconds), pairs: Number(options.pairs), cells }))
 }
@@ -109,6 +112,13 @@
   return variant
 }
 
+function resolveSituations(names: string): Situation[] {
+  if (names === '')
+    return SITUATIONS
+  const wanted = names.split(',')
+  return SITUATIONS.filter(situation => wanted.includes(situation.name))
+}
+
 function slowEngines(deployment: Deployment): Deployment {
   const pools = deployment.pools.map(pool => pool.model ? { ...pool, baseMs: ENGINE_BASE_MS, tokenMs: ENGINE_TOKEN_MS } : pool)
   return { ...deployment, pools }
@@ -139,11 +149,11 @@
 }
 
 /** Measures every situation with one variant, on one launched system. */
-async function measureVariant(deployment: Deployment, variant: Variant, capacity: number, seconds: number, pair: number): Promise<MeasuredCell[]> {
+async function measureVariant(deployment: Deployment, variant: Variant, capacity: number, situations: Situation[], seconds: number, pair: number): Promise<MeasuredCell[]> {
   const system = await RunningSystem.launch({ deployment, entrySettings: variant.entrySettings, sideSettings: variant.sideSettings })
   const cells: MeasuredCell[] = []
   try {
-    for (const situation of SITUATIONS) {
+    for (const situation of situations) {
       const cell = await measureSituation(system, situation, variant, capacity, seconds, pair)
       cells.push(cell)
       console.log(`${variant.name}, ${situation.name}: attainment ${cell.report.overall.attainment.toFixed(4)}, goodput ${cell.report.goodputPerSecond.toFixed(1)}`)
