Keep one test for 'nothing was sent', and take files and children out of the launcher

Ruled out: splitting the launcher's class, whose parts all share its processes. Change: isNotConnected in json-http; run-counts and child-process beside the launcher; setServiceFaults on the running system. Conclusion: behaviour as it was.

--- a/packages/daemon/src/connection/backend-client.ts
+++ b/packages/daemon/src/connection/backend-client.ts
@@ -7,7 +7,7 @@
 import { createInterface } from 'node:readline'
 import { Agent, request } from 'undici'
 import { z } from 'zod'
-import { callJson } from '../process/json-http.js'
+import { callJson, isNotConnected } from '../process/json-http.js'
 
 /** How a call to a backend server ended. */
 export enum BackendOutcome {
@@ -75,7 +75,6 @@
 const ORDER_TIMEOUT_MS = 10_000
 const SERVER_ERROR = 500
 const NOT_STARTED_STATUSES = new Set([409, 429, 503])
-const NOT_CONNECTED_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
 /** A backend server over HTTP. */
 export class HttpBackendClient implements BackendClient {
@@ -193,8 +192,7 @@
   const message = error instanceof Error ? error.message : String(error)
   if (signal.aborted)
     return failure(BackendOutcome.Stopped, message)
-  const code = error instanceof Error && 'code' in error ? String(error.code) : ''
-  return failure(NOT_CONNECTED_CODES.has(code) ? BackendOutcome.Refused : BackendOutcome.Lost, message)
+  return failure(isNotConnected(error) ? BackendOutcome.Refused : BackendOutcome.Lost, message)
 }
 
 function failure(outcome: BackendOutcome, message: string): BackendResult {
--- a/packages/daemon/src/process/json-http.ts
+++ b/packages/daemon/src/process/json-http.ts
@@ -66,9 +66,13 @@
   return refused ? CallFailure.NotTaken : CallFailure.InDoubt
 }
 
+/** Whether a call failed before it had a connection, so that nothing was sent. */
+export function isNotConnected(error: unknown): boolean {
+  return error instanceof Error && 'code' in error && NOT_CONNECTED_CODES.has(String(error.code))
+}
+
 function describeFailure(error: unknown, url: string): CallError {
-  const code = error instanceof Error && 'code' in error ? String(error.code) : ''
-  const failure = NOT_CONNECTED_CODES.has(code) ? CallFailure.NotTaken : CallFailure.InDoubt
+  const failure = isNotConnected(error) ? CallFailure.NotTaken : CallFailure.InDoubt
   const message = error instanceof Error ? error.message : String(error)
   return { failure, message: `${url}: ${message}` }
 }
--- /dev/null
+++ b/packages/stand-ins/src/child-process.ts
@@ -0,0 +1,26 @@
+/**
+ * Child processes of the launcher.
+ */
+import type { ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+
+const START_TIMEOUT_MS = 30_000
+
+/** Whether a child has not ended. */
+export function isRunning(child: ChildProcess): boolean {
+  return child.exitCode === null && child.signalCode === null
+}
+
+/** The first line that a child prints; throws if it ends before. */
+export async function readFirstLine(child: ChildProcess, name: string): Promise<string> {
+  const lines = createInterface({ input: child.stdout! })
+  const timeout = AbortSignal.timeout(START_TIMEOUT_MS)
+  const line = await Promise.race([
+    once(lines, 'line', { signal: timeout }).then(([text]) => String(text)),
+    once(child, 'exit', { signal: timeout }).then(() => undefined),
+  ])
+  if (line === undefined)
+    throw new Error(`${name} ended before it listened`)
+  return line
+}
--- a/packages/stand-ins/src/launcher.ts
+++ b/packages/stand-ins/src/launcher.ts
@@ -10,17 +10,18 @@
 import { spawn } from 'node:child_process'
 import { randomBytes } from 'node:crypto'
 import { once } from 'node:events'
-import { existsSync, mkdtempSync, openSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { existsSync, mkdtempSync, openSync, readdirSync, rmSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
-import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
 import { backendSchema, callPeer, CallState, CONFIGURATION_STREAM, connectEntry, connectSide, HttpLogClient, MemberState, NO_OFFSET, ObjectKind, publishChange, PublishOutcome, readConfiguration, RecordKind } from '@eidermast/daemon'
 import { request } from 'undici'
 import { v7 as uuidv7 } from 'uuid'
 import { BackendKind } from './backend-service.js'
+import { isRunning, readFirstLine } from './child-process.js'
 import { delay } from './http-service.js'
+import { readRuns } from './run-counts.js'
 
 /** What a launched process is. */
 export enum ProcessKind {
@@ -75,7 +76,6 @@
 const require = createRequire(import.meta.url)
 const STAND_IN_PROGRAM = fileURLToPath(new URL('./stand-in.js', import.meta.url))
 const DAEMON_PROGRAM = path.join(path.dirname(require.resolve('@eidermast/daemon')), '..', 'bin', 'eidermastd.js')
-const START_TIMEOUT_MS = 30_000
 const READY_TIMEOUT_MS = 15_000
 const STATUS_TIMEOUT_MS = 2000
 const POLL_MS = 50
@@ -195,6 +195,12 @@
       throw new Error(`the faults were refused with status ${response.statusCode}`)
   }
 
+  /** Sets the faults of every backend server of a service. */
+  async setServiceFaults(service: string, faults: object): Promise<void> {
+    const backends = this.list(ProcessKind.Backend).filter(({ name }) => name.startsWith(`${service}-`))
+    await Promise.all(backends.map(({ url }) => this.setFaults(url!, faults)))
+  }
+
   /** Sets what the platform lists. */
   async setMachines(machines: ListedMachine[]): Promise<void> {
     this.machines = machines
@@ -424,19 +430,6 @@
   }
 }
 
-interface CountedRun {
-  key: string
-  time: number
-}
-
-function readRuns(file: string): CountedRun[] {
-  const lines = readFileSync(file, 'utf8').split('\n').filter(line => line !== '')
-  return lines.map((line) => {
-    const [key, time] = line.split(' ')
-    return { key, time: Number(time) }
-  })
-}
-
 async function waitUntil(holds: () => Promise<boolean>, giveUpAt: number, message: string): Promise<void> {
   while (!await holds()) {
     if (Date.now() > giveUpAt)
@@ -445,10 +438,6 @@
   }
 }
 
-function isRunning(child: ChildProcess): boolean {
-  return child.exitCode === null && child.signalCode === null
-}
-
 interface IniSections {
   [section: string]: Record<string, string>
 }
@@ -463,18 +452,6 @@
   return { record: RecordKind.Change, id: uuidv7(), kind, name, base: NO_OFFSET, value, author: 'launcher' }
 }
 
-async function readFirstLine(child: ChildProcess, name: string): Promise<string> {
-  const lines = createInterface({ input: child.stdout! })
-  const timeout = AbortSignal.timeout(START_TIMEOUT_MS)
-  const line = await Promise.race([
-    once(lines, 'line', { signal: timeout }).then(([text]) => String(text)),
-    once(child, 'exit', { signal: timeout }).then(() => undefined),
-  ])
-  if (line === undefined)
-    throw new Error(`${name} ended before it listened`)
-  return line
-}
-
 async function runLimited(starts: (() => Promise<void>)[], limit: number): Promise<void> {
   const left = [...starts]
   const work = async (): Promise<void> => {
--- a/test/promises/results.test.ts
+++ b/test/promises/results.test.ts
@@ -21,11 +21,6 @@
 
 afterAll(() => system.stop())
 
-async function setFaults(service: string, faults: object): Promise<void> {
-  const backends = system.list(ProcessKind.Backend).filter(backend => backend.name.startsWith(`${service}-`))
-  await Promise.all(backends.map(backend => system.setFaults(backend.url!, faults)))
-}
-
 /** Sends a streamed request and returns the whole text that came. */
 async function stream(input: string, onText: (text: string) => void = () => {}): Promise<string> {
   const response = await request(`${system.entryUrls[0]}/v1/pipelines/${PIPELINE}/requests`, {
@@ -59,7 +54,7 @@
 
 describe('a truncated stream is never called whole', () => {
   test('when the engine ends it in the middle', async () => {
-    await setFaults('language-model', { cutStreams: 1 })
+    await system.setServiceFaults('language-model', { cutStreams: 1 })
     const text = await stream('cut')
     expect(text).toContain('event: token')
     expect(text).toContain('event: error')
@@ -68,7 +63,7 @@
   })
 
   test.each([ProcessKind.Side, ProcessKind.Backend])('when its %s is killed in the middle', async (kind) => {
-    await setFaults('language-model', { slowFactor: 20 })
+    await system.setServiceFaults('language-model', { slowFactor: 20 })
     const names = system.list(kind).map(({ name }) => name).filter(name => name.startsWith('language-model'))
     const text = await streamAndKill(names)
     expect(text).toContain('"whole":false')
@@ -76,13 +71,13 @@
   })
 
   test('when its entry is killed in the middle', async () => {
-    await setFaults('language-model', { slowFactor: 20 })
+    await system.setServiceFaults('language-model', { slowFactor: 20 })
     const text = await streamAndKill(['entry-1'])
     expect(text).not.toContain('"whole":true')
   })
 
   test('and the run of a repeatable request whose caller goes is stopped', async () => {
-    await setFaults('language-model', { slowFactor: 200 })
+    await system.setServiceFaults('language-model', { slowFactor: 200 })
     const leave = new AbortController()
     const answered = request(`${system.entryUrls[0]}/v1/pipelines/${PIPELINE}/requests`, {
       method: 'POST',
@@ -158,7 +153,7 @@
   })
 
   test('and a repeatable request whose last backend server is killed while it runs is not told so', async () => {
-    await setFaults('encoder', { slowFactor: 500 })
+    await system.setServiceFaults('encoder', { slowFactor: 500 })
     await system.end('encoder-2', 'SIGKILL')
     const record = new CallerRecord()
     const sent = record.begin(PIPELINE, 'question', false)
--- a/test/promises/unrepeatable.test.ts
+++ b/test/promises/unrepeatable.test.ts
@@ -1,6 +1,6 @@
 import type { RecordedRequest } from '../support/oracle.js'
 import { callPeer, CallState, connectEntry, ErrorKind, Ran } from '@eidermast/daemon'
-import { DeploymentName, LogOutage, ProcessKind, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
+import { DeploymentName, LogOutage, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
 import { request } from 'undici'
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, test } from 'vitest'
 import { callPipeline, DEFAULT_ACCOUNT, runsOf, smallAnswer } from '../support/caller.js'
@@ -32,12 +32,6 @@
   return record.begin(PIPELINE, `alert ${record.requests.length}`, true)
 }
 
-/** Sets faults on every backend server of a service. */
-async function setFaults(service: string, faults: object): Promise<void> {
-  const backends = system.list(ProcessKind.Backend).filter(backend => backend.name.startsWith(`${service}-`))
-  await Promise.all(backends.map(backend => system.setFaults(backend.url!, faults)))
-}
-
 /** Waits until a stage of a request runs and returns the backend server's name. */
 async function waitForRun(requestId: string, stage: string): Promise<void> {
   await expect.poll(() => [...system.countRuns().keys()].some(key => key.endsWith(`/${requestId}/${stage}`)), { timeout: 10_000, interval: 10 }).toBe(true)
@@ -75,7 +69,7 @@
   })
 
   test.each(STAGES)('runs at most once when its entry is killed while stage %s runs and it is sent again', async (stage) => {
-    await setFaults(STAGE_SERVICES[stage], { slowFactor: 60 })
+    await system.setServiceFaults(STAGE_SERVICES[stage], { slowFactor: 60 })
     const sent = begin()
     const first = record.send(sent, system.entryUrls[0], LONG_DEADLINE)
     await waitForRun(sent.requestId, stage)
@@ -87,7 +81,7 @@
   })
 
   test('is answered whole from the last stage\'s side when its entry is killed after it ran', async () => {
-    await setFaults('language-model', { slowFactor: 4 })
+    await system.setServiceFaults('language-model', { slowFactor: 4 })
     const sent = begin()
     const first = record.send(sent, system.entryUrls[0], LONG_DEADLINE)
     await waitForRun(sent.requestId, 'generate')
@@ -99,7 +93,7 @@
   })
 
   test('runs at most once when its entry is frozen, it is sent again, and the entry wakes', async () => {
-    await setFaults('reranker', { slowFactor: 60 })
+    await system.setServiceFaults('reranker', { slowFactor: 60 })
     const sent = begin()
     const first = record.send(sent, system.entryUrls[0], LONG_DEADLINE)
     await waitForRun(sent.requestId, 'rerank')
@@ -180,7 +174,7 @@
 
 describe('an unrepeatable request at the sides', () => {
   test.each(STAGES)('runs at most once when the side of stage %s is killed while it runs', async (stage) => {
-    await setFaults(STAGE_SERVICES[stage], { slowFactor: 60 })
+    await system.setServiceFaults(STAGE_SERVICES[stage], { slowFactor: 60 })
     const sent = begin()
     const first = record.send(sent, system.entryUrls[0], LONG_DEADLINE)
     await waitForRun(sent.requestId, stage)
@@ -193,7 +187,7 @@
   })
 
   test.each(STAGES)('runs at most once when the backend server of stage %s drops its reply', async (stage) => {
-    await setFaults(STAGE_SERVICES[stage], { dropReplies: 1 })
+    await system.setServiceFaults(STAGE_SERVICES[stage], { dropReplies: 1 })
     const sent = begin()
     expect((await record.send(sent, system.entryUrls[0], LONG_DEADLINE))?.ran).not.toBe(Ran.None)
     expect(runsOf(system, sent.requestId).length).toBe(STAGES.indexOf(stage) + 1)
@@ -201,14 +195,14 @@
   })
 
   test.each(STAGES)('runs at most once when the backend server of stage %s dies in its run', async (stage) => {
-    await setFaults(STAGE_SERVICES[stage], { die: true })
+    await system.setServiceFaults(STAGE_SERVICES[stage], { die: true })
     const sent = begin()
     expect((await record.send(sent, system.entryUrls[0], LONG_DEADLINE))?.ran).not.toBe(Ran.None)
     expect(record.violations(system)).toEqual([])
   })
 
   test.each(STAGES)('is answered whole when the side of stage %s is frozen for a while, and ran once', async (stage) => {
-    await setFaults(STAGE_SERVICES[stage], { slowFactor: 20 })
+    await system.setServiceFaults(STAGE_SERVICES[stage], { slowFactor: 20 })
     const sent = begin()
     const first = record.send(sent, system.entryUrls[0], LONG_DEADLINE)
     await waitForRun(sent.requestId, stage)
