Answer another entry's question only for the very request, not just its id

Cause: read as a newcomer, an entry that asked the holder of a claim, or the sides of a dead holder, took the answer by account and id alone: a second, different request under a used id got the first one's answer there, while the same entry refused it. Ruled out: the digest in the claim record, which would make every claim longer. Change: the holder compares the digest; sides compare the caller's input, which every stage input carries. The dead field 'keep' is gone. Before: 200 with the other request's output.

--- a/packages/daemon/src/connection/messages.ts
+++ b/packages/daemon/src/connection/messages.ts
@@ -195,6 +195,13 @@
 /** Asks an entry for what it knows of a request. */
 export const outcomeQuestionSchema = z.object({ account: z.string(), requestId: z.string() })
 
+/** Asks a side for a finished result of a request's stage. */
+export const resultQuestionSchema = outcomeQuestionSchema.extend({
+  stage: z.string(),
+  /** The caller's input: another request under the same id is not meant. */
+  body: z.string(),
+})
+
 /** What an entry knows of a request and of the claim stream. */
 export const outcomeReplySchema = z.object({
   state: z.enum(OutcomeState),
@@ -219,6 +226,7 @@
 export type CancelReply = z.infer<typeof cancelReplySchema>
 export type ForwardedRequest = z.infer<typeof forwardedRequestSchema>
 export type OutcomeQuestion = z.infer<typeof outcomeQuestionSchema>
+export type ResultQuestion = z.infer<typeof resultQuestionSchema>
 export type OutcomeReply = z.infer<typeof outcomeReplySchema>
 
 /** The key under which a side knows a stage call. */
--- a/packages/daemon/src/connection/peer-router.ts
+++ b/packages/daemon/src/connection/peer-router.ts
@@ -3,10 +3,10 @@
  */
 import type { Decision } from '../process/decision-log.js'
 import type { ConfigurationDifference } from '../version/configuration.js'
-import type { CancelReply, DifferenceRequest, ForwardedRequest, Greeting, GreetingReply, OutcomeQuestion, OutcomeReply, StageCall, StageReply, StreamMessage } from './messages.js'
+import type { CancelReply, DifferenceRequest, ForwardedRequest, Greeting, GreetingReply, OutcomeQuestion, OutcomeReply, ResultQuestion, StageCall, StageReply, StreamMessage } from './messages.js'
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
-import { differenceRequestSchema, differenceSchema, forwardedRequestSchema, greetingSchema, outcomeQuestionSchema, stageCallSchema } from './messages.js'
+import { differenceRequestSchema, differenceSchema, forwardedRequestSchema, greetingSchema, outcomeQuestionSchema, resultQuestionSchema, stageCallSchema } from './messages.js'
 
 const trpc = initTRPC.create()
 
@@ -43,7 +43,7 @@
   run: (call: StageCall) => Promise<StageReply>
   stream: (call: StageCall, signal?: AbortSignal) => AsyncIterable<StreamMessage>
   cancel: (key: string) => CancelReply
-  findResult: (question: OutcomeQuestion & { stage: string }) => StageReply | undefined
+  findResult: (question: ResultQuestion) => StageReply | undefined
 }
 
 /** What an entry answers. */
@@ -72,7 +72,7 @@
       yield* service.stream(input, signal)
     }),
     cancel: trpc.procedure.input(z.object({ key: z.string() })).mutation(({ input }) => service.cancel(input.key)),
-    findResult: trpc.procedure.input(outcomeQuestionSchema.extend({ stage: z.string() })).query(({ input }) => service.findResult(input)),
+    findResult: trpc.procedure.input(resultQuestionSchema).query(({ input }) => service.findResult(input)),
   })
 }
 
--- a/packages/daemon/src/connection/side-link.ts
+++ b/packages/daemon/src/connection/side-link.ts
@@ -3,7 +3,7 @@
  * interval, carries configuration both ways and counts the calls under way.
  */
 import type { Configuration } from '../version/configuration.js'
-import type { CancelReply, Load, StageCall, StageReply } from './messages.js'
+import type { CancelReply, Load, ResultQuestion, StageCall, StageReply } from './messages.js'
 import type { PeerConnection, SideClient } from './peer-connection.js'
 import { createLogger } from '../process/logger.js'
 import { wait } from '../process/wait.js'
@@ -154,11 +154,11 @@
   }
 
   /** Asks the side for a finished result of a request's stage. */
-  async findResult(account: string, requestId: string, stage: string): Promise<StageReply | undefined> {
+  async findResult(question: ResultQuestion): Promise<StageReply | undefined> {
     const connection = this.connection
     if (!connection?.isOpen())
       return undefined
-    const result = await callPeer(connection, client => client.findResult.query({ account, requestId, stage }), this.answerTimeoutMs())
+    const result = await callPeer(connection, client => client.findResult.query(question), this.answerTimeoutMs())
     return result.state === CallState.Answered ? stageReplySchema.safeParse(result.value).data : undefined
   }
 
--- a/packages/daemon/src/process/entry.ts
+++ b/packages/daemon/src/process/entry.ts
@@ -18,7 +18,7 @@
 import { formatAnswer } from '../request/answer.js'
 import { ClaimRegistry } from '../request/claims.js'
 import { createError, ErrorKind } from '../request/errors.js'
-import { createRequestKey } from '../request/identity.js'
+import { createRequestKey, digestRequest } from '../request/identity.js'
 import { NotRunProof } from '../request/not-run-proof.js'
 import { OutcomeFinder } from '../request/outcome-finder.js'
 import { OutcomeTable } from '../request/outcomes.js'
@@ -163,8 +163,10 @@
   }
 
   async forward(request: ForwardedRequest): Promise<string> {
-    if (request.ticket === undefined)
-      return formatAnswer(await this.finder.answerForPeer(request.account, request.requestId, request.deadlineMs))
+    if (request.ticket === undefined) {
+      const { account, requestId, target, body, deadlineMs } = request
+      return formatAnswer(await this.finder.answerForPeer({ account, requestId, digest: digestRequest(target, body), deadlineMs }))
+    }
     const incoming = this.createForwarded(request, request.ticket)
     if (!incoming)
       return formatAnswer(Err(createError(ErrorKind.TicketInvalid, 'The entry that made the ticket does not know the account or the pipeline; check them.')))
--- a/packages/daemon/src/process/side.ts
+++ b/packages/daemon/src/process/side.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { BackendLoad } from '../connection/backend-client.js'
-import type { Greeting, GreetingReply, OutcomeQuestion, StageCall, StageReply, StreamMessage } from '../connection/messages.js'
+import type { Greeting, GreetingReply, ResultQuestion, StageCall, StageReply, StreamMessage } from '../connection/messages.js'
 import type { ProcessStatus, SideService } from '../connection/peer-router.js'
 import type { PeerServer } from '../connection/peer-server.js'
 import type { ConfigurationDifference } from '../version/configuration.js'
@@ -197,8 +197,8 @@
     return this.runner.cancel(key)
   }
 
-  findResult(question: OutcomeQuestion & { stage: string }): StageReply | undefined {
-    return this.table.findFinished(question.account, question.requestId, question.stage)
+  findResult(question: ResultQuestion): StageReply | undefined {
+    return this.table.findFinished(question)
   }
 
   private createSideState() {
--- a/packages/daemon/src/request/outcome-finder.ts
+++ b/packages/daemon/src/request/outcome-finder.ts
@@ -16,7 +16,7 @@
 import { settleWithin } from '../process/wait.js'
 import { parseAnswer } from './answer.js'
 import { createError, ErrorKind } from './errors.js'
-import { createRequestKey } from './identity.js'
+import { createRequestKey, digestRequest } from './identity.js'
 
 /** Parts of an outcome finder. */
 export interface OutcomeFinderOptions {
@@ -28,6 +28,15 @@
   decisions: DecisionLog
 }
 
+/** A request that another entry asks for. */
+export interface PeerQuestion {
+  account: string
+  requestId: string
+  /** Digest of what the request asks for, to tell a repeat from another request under the same id. */
+  digest: string
+  deadlineMs: number
+}
+
 /** A signal that never aborts. */
 const NEVER = new AbortController().signal
 
@@ -36,9 +45,12 @@
   constructor(private readonly options: OutcomeFinderOptions) {}
 
   /** Answers another entry that asks for a request claimed here; never runs it. */
-  async answerForPeer(account: string, requestId: string, deadlineMs: number): Promise<RequestAnswer> {
+  async answerForPeer(request: PeerQuestion): Promise<RequestAnswer> {
+    const { account, requestId, digest, deadlineMs } = request
     const key = createRequestKey(account, requestId)
     const known = this.options.outcomes.find(key)
+    if (known && known.digest !== digest)
+      return Err(createError(ErrorKind.RequestIdReused, 'This request id was used for another request; make a new id.'))
     if (known) {
       const answer = await settleWithin(known.answer, deadlineMs, NEVER)
       return (known.finished ?? answer) ?? Err(createError(ErrorKind.OutcomeUnknown, 'The request still runs or its answer is no longer kept; ask for its outcome with GET /v1/requests/{id}.'))
@@ -54,7 +66,7 @@
     const { account, plan, body } = incoming
     const deadlineMs = incoming.arrivedAt + plan.deadlineMs - performance.now()
     if (holder.incarnation === this.options.incarnation)
-      return this.answerForPeer(account, requestId, deadlineMs)
+      return this.answerForPeer({ account, requestId, digest: digestRequest(plan.target, body), deadlineMs })
     const { state, answer } = await this.options.peers.forward(holder.address, holder.incarnation, { account, requestId, target: plan.target, body, deadlineMs })
     this.options.decisions.record('ask-holder', requestId, { holder: holder.incarnation, address: holder.address, state })
     if (state === ForwardState.Answered)
@@ -66,7 +78,7 @@
   private async findResult(incoming: IncomingRequest, requestId: string): Promise<RequestAnswer | undefined> {
     const last = incoming.plan.stages.at(-1)!
     const members = this.options.membership.list().filter(member => member.backend.service === last.service)
-    const replies = await Promise.all(members.map(async member => ({ member, reply: await member.link.findResult(incoming.account, requestId, last.name) })))
+    const replies = await Promise.all(members.map(async member => ({ member, reply: await member.link.findResult({ account: incoming.account, requestId, stage: last.name, body: incoming.body }) })))
     for (const { member, reply } of replies) {
       if (reply?.kind !== StageReplyKind.Done)
         continue
--- a/packages/daemon/src/request/request-runner.ts
+++ b/packages/daemon/src/request/request-runner.ts
@@ -12,6 +12,7 @@
 import { createError, ErrorKind } from './errors.js'
 import { RecentTimesByKey } from './recent-times.js'
 import { describeProgress } from './stage-caller.js'
+import { formatStageInput } from './stage-input.js'
 
 /** One admitted request. */
 export interface RunningRequest {
@@ -114,11 +115,6 @@
   }
 }
 
-/** The input of a stage: the caller's input and the previous stage's output. */
-export function formatStageInput(input: string, previous: string | undefined): string {
-  return JSON.stringify({ input, previous: previous ?? null })
-}
-
 function describeGone(progress: RequestProgress): RequestError {
   return createError(ErrorKind.Cancelled, 'The caller closed the connection before the answer.', { ran: describeProgress(progress) })
 }
--- a/packages/daemon/src/request/request-service.ts
+++ b/packages/daemon/src/request/request-service.ts
@@ -69,7 +69,7 @@
 const NEVER = new AbortController().signal
 
 /** Where the authority to run a request stands. */
-type Authority = { granted: true } | { granted: false, answer: RequestAnswer, keep: boolean, state: OutcomeState }
+type Authority = { granted: true } | { granted: false, answer: RequestAnswer, state: OutcomeState }
 
 /** Takes in the requests of one entry and one kind of work. */
 export class RequestService {
@@ -186,8 +186,8 @@
     const authority = needsClaim(incoming) ? await this.claim(incoming, requestId, outcome) : { granted: true as const }
     if (!authority.granted) {
       this.options.outcomes.finish(outcome, authority.answer, authority.state)
-      if (!authority.keep)
-        this.options.outcomes.forget(outcome)
+      // Nothing ran here: the id may be sent again.
+      this.options.outcomes.forget(outcome)
       return authority.answer
     }
     const { account, plan, body, arrivedAt, callerGone, onToken } = incoming
@@ -220,9 +220,9 @@
       case ClaimResultKind.Won:
         return { granted: true }
       case ClaimResultKind.Lost:
-        return { granted: false, keep: false, state: OutcomeState.Unknown, answer: await this.options.finder.askHolder(incoming, requestId, result.winner) }
+        return { granted: false, state: OutcomeState.Unknown, answer: await this.options.finder.askHolder(incoming, requestId, result.winner) }
       default: {
-        return { granted: false, keep: false, state: OutcomeState.NotRun, answer: await this.answerNotRun(incoming, requestId, outcome.key, createLogError()) }
+        return { granted: false, state: OutcomeState.NotRun, answer: await this.answerNotRun(incoming, requestId, outcome.key, createLogError()) }
       }
     }
   }
--- a/packages/daemon/src/request/stage-table.ts
+++ b/packages/daemon/src/request/stage-table.ts
@@ -6,8 +6,9 @@
  *
  * Replaying results by identity follows the idea of verifiers pull request 1565.
  */
-import type { StageCall, StageReply } from '../connection/messages.js'
+import type { ResultQuestion, StageCall, StageReply } from '../connection/messages.js'
 import { stageKey, StageReplyKind } from '../connection/messages.js'
+import { carriesBody } from './stage-input.js'
 
 /** Receives the tokens of a running call. */
 export type TokenListener = (index: number, text: string) => void
@@ -77,11 +78,12 @@
   }
 
   /** Finds the finished result of a request's stage, whichever entry asked for it. */
-  findFinished(account: string, requestId: string, stage: string): StageReply | undefined {
+  findFinished(question: ResultQuestion): StageReply | undefined {
     for (const key of this.finished.keys()) {
       const run = this.runs.get(key)!
       const { identity } = run.call
-      if (identity.requestId === requestId && identity.account === account && identity.stage === stage && run.finished?.kind === StageReplyKind.Done)
+      const sameStage = identity.requestId === question.requestId && identity.account === question.account && identity.stage === question.stage
+      if (sameStage && run.finished?.kind === StageReplyKind.Done && carriesBody(run.call, question.body))
         return run.finished
     }
     return undefined
--- a/test/promises/unrepeatable.test.ts
+++ b/test/promises/unrepeatable.test.ts
@@ -68,6 +68,14 @@
     expect(record.violations(system)).toEqual([])
   })
 
+  test('is not answered with another request\'s result when its id was used for that at another entry', async () => {
+    const sent = begin()
+    await record.send(sent, system.entryUrls[0], LONG_DEADLINE)
+    const other = await callPipeline({ entryUrl: system.entryUrls[1], pipeline: PIPELINE, input: 'another alert', requestId: sent.requestId, headers: LONG_DEADLINE })
+    expect(other).toMatchObject({ status: 409, kind: ErrorKind.RequestIdReused })
+    expect(record.violations(system)).toEqual([])
+  })
+
   test.each(STAGES)('runs at most once when its entry is killed while stage %s runs and it is sent again', async (stage) => {
     await system.setServiceFaults(STAGE_SERVICES[stage], { slowFactor: 60 })
     const sent = begin()
--- a/test/request/stage-runner.test.ts
+++ b/test/request/stage-runner.test.ts
@@ -1,5 +1,5 @@
 import type { StageCall, StageReply } from '@eidermast/daemon'
-import { BackendOutcome, DeadlineQueue, DecisionLog, FailureReason, FifoQueue, RefusalReason, SideMetrics, stageKey, StageReplyKind, StageRunner, StageTable } from '@eidermast/daemon'
+import { BackendOutcome, DeadlineQueue, DecisionLog, FailureReason, FifoQueue, formatStageInput, RefusalReason, SideMetrics, stageKey, StageReplyKind, StageRunner, StageTable } from '@eidermast/daemon'
 import fc from 'fast-check'
 import { v7 as uuidv7 } from 'uuid'
 import { describe, expect, test } from 'vitest'
@@ -73,6 +73,17 @@
     expect(bench.backend.started).toHaveLength(1)
   })
 
+  test('are found by their request and its own input, and not by another input under the same id', async () => {
+    const bench = new SideBench()
+    const call = createStageCall({ input: formatStageInput('body', undefined) })
+    const reply = bench.run(call)
+    bench.endOldest(BackendOutcome.Done)
+    const { account, requestId, stage } = call.identity
+    expect(bench.table.findFinished({ account, requestId, stage, body: 'body' })).toBe(await reply)
+    expect(bench.table.findFinished({ account, requestId, stage, body: 'other' })).toBeUndefined()
+    expect(bench.table.findFinished({ account: 'other', requestId, stage, body: 'body' })).toBeUndefined()
+  })
+
   test('are refused when they were meant for another process life', async () => {
     const bench = new SideBench()
     const call = createStageCall()
