Await the reply before looking for its result in a test

Ruled out: a fault of the table: the result is there once the reply is. Change: the test awaits the reply first. Conclusion: the fault was the test's.

--- a/test/request/stage-runner.test.ts
+++ b/test/request/stage-runner.test.ts
@@ -76,10 +76,11 @@
   test('are found by their request and its own input, and not by another input under the same id', async () => {
     const bench = new SideBench()
     const call = createStageCall({ input: formatStageInput('body', undefined) })
-    const reply = bench.run(call)
+    const answered = bench.run(call)
     bench.endOldest(BackendOutcome.Done)
+    const reply = await answered
     const { account, requestId, stage } = call.identity
-    expect(bench.table.findFinished({ account, requestId, stage, body: 'body' })).toBe(await reply)
+    expect(bench.table.findFinished({ account, requestId, stage, body: 'body' })).toBe(reply)
     expect(bench.table.findFinished({ account, requestId, stage, body: 'other' })).toBeUndefined()
     expect(bench.table.findFinished({ account: 'other', requestId, stage, body: 'body' })).toBeUndefined()
   })
