Cut connections before a call, after it and before its reply; test the unknown outcome

Cause: kills and freezes were covered, cuts alone were not, and exit code 4 had no run. Ruled out: cutting by text: callers' frames are masked, so the proxy tells calls from greetings by size. Change: a small cutting proxy before one side; a log client that loses the acknowledgement and the reading back. Conclusion: asking the same process life again carries all three cuts.

--- /dev/null
+++ b/test/promises/cut-connections.test.ts
@@ -0,0 +1,54 @@
+import { HttpLogClient, ObjectKind, publishChange, readConfiguration } from '@eidermast/daemon'
+import { DeploymentName, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
+import { afterAll, beforeAll, describe, expect, test, vi } from 'vitest'
+import { runsOf, smallAnswer } from '../support/caller.js'
+import { CutMoment, CuttingProxy, LARGE_INPUT_LENGTH } from '../support/cutting-proxy.js'
+import { CallerRecord } from '../support/oracle.js'
+
+const ENCODER = 'encoder-1'
+
+let system: RunningSystem
+let proxy: CuttingProxy
+
+beforeAll(async () => {
+  system = await RunningSystem.launch({ deployment: resolveDeployment(DeploymentName.Small) })
+  proxy = new CuttingProxy(system.find(ENCODER).peer!)
+  const address = await proxy.listen()
+  const client = new HttpLogClient({ url: system.logServiceUrl })
+  const { value, offset } = (await readConfiguration(client))!.get(ObjectKind.Backend, ENCODER)!
+  await publishChange(client, { kind: ObjectKind.Backend, name: ENCODER, value: { ...value, address }, base: offset })
+  const other = (await readConfiguration(client))!.get(ObjectKind.Backend, 'encoder-2')!
+  await publishChange(client, { kind: ObjectKind.Backend, name: 'encoder-2', value: { ...other.value, order: 'out' }, base: other.offset })
+  await client.close()
+  const inForce = async (): Promise<boolean> => {
+    const detail = (await system.entryStatus('entry-1'))?.detail ?? []
+    return detail.some(line => line.subject === ENCODER && line.text === 'in-force') && detail.some(line => line.subject === 'encoder-2' && line.text === 'ordered-out')
+  }
+  await vi.waitUntil(inForce, { timeout: 15_000, interval: 50 })
+  await system.setServiceFaults('encoder', { slowFactor: 50 })
+})
+
+afterAll(async () => {
+  proxy.close()
+  await system.stop()
+})
+
+describe('a connection between entry and side that is cut', () => {
+  test.each(Object.values(CutMoment).flatMap(moment => [[moment, 'departure-alert', true], [moment, 'rider-answer', false]] as const))('%s: a request to %s runs at most once if it must, and is never told that nothing ran', async (moment, pipeline, unrepeatable) => {
+    const record = new CallerRecord()
+    const sent = record.begin(pipeline, `cut ${moment} `.padEnd(LARGE_INPUT_LENGTH, 'x'), unrepeatable)
+    const cutsBefore = proxy.cuts
+    proxy.cutAt(moment)
+    const told = await record.send(sent, system.entryUrls[0], { 'eidermast-deadline-ms': '20000' })
+    expect(proxy.cuts, 'the connection was cut').toBe(cutsBefore + 1)
+    expect(record.violations(system)).toEqual([])
+    if (unrepeatable) {
+      expect(told?.output).toBe(smallAnswer(pipeline, sent.input))
+      expect(runsOf(system, sent.requestId)).toEqual([1, 1, 1, 1])
+    }
+    else {
+      expect(told?.ran ?? 'whole').not.toBe('none')
+    }
+    await expect.poll(async () => (await system.entryStatus('entry-1'))?.detail.find(line => line.subject === ENCODER)?.text, { timeout: 10_000 }).toBe('in-force')
+  })
+})
--- a/test/version/publisher.test.ts
+++ b/test/version/publisher.test.ts
@@ -1,6 +1,9 @@
+import type { LogClient } from '@eidermast/daemon'
 import type { StandInService } from '@eidermast/stand-ins'
-import { Checkpointer, Configuration, CONFIGURATION_STREAM, foldPage, HttpLogClient, NO_OFFSET, ObjectKind, publishChange, PublishOutcome, readConfiguration, resolvePlacement } from '@eidermast/daemon'
+import { PUBLISH_EXIT_CODES } from '@eidermast/command-line'
+import { AppendFailure, Checkpointer, Configuration, CONFIGURATION_STREAM, foldPage, HttpLogClient, NO_OFFSET, ObjectKind, publishChange, PublishOutcome, readConfiguration, resolvePlacement } from '@eidermast/daemon'
 import { LogOutage, LogService } from '@eidermast/stand-ins'
+import { Err, Ok } from 'ts-results-es'
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import { createBackend, createChange, createTemplate } from '../support/fixtures.js'
 
@@ -67,6 +70,26 @@
   })
 })
 
+describe('a change whose acknowledgement and reading back are lost', () => {
+  test('is told to be unknown, with an exit code of its own', async () => {
+    const appended: unknown[] = []
+    const lostAfterAppend: LogClient = {
+      append: async (_stream, values) => {
+        appended.push(...values)
+        return Err({ failure: AppendFailure.InDoubt, message: 'lost' })
+      },
+      read: async () => appended.length === 0
+        ? Ok({ records: [], firstOffset: 0, nextOffset: 0 })
+        : Err({ failure: AppendFailure.InDoubt, message: 'out' }),
+      close: async () => {},
+    }
+    const publication = await publishChange(lostAfterAppend, { kind: ObjectKind.Template, name: 'a', value: createTemplate(), timeoutMs: 300 })
+    expect(publication.outcome).toBe(PublishOutcome.Unknown)
+    expect(appended).toHaveLength(1)
+    expect(new Set(Object.values(PUBLISH_EXIT_CODES)).size).toBe(Object.values(PublishOutcome).length)
+  })
+})
+
 describe('checkpoints', () => {
   test('keep the configuration readable after its records are gone', async () => {
     await publish(100)
