Do not call a side silent for one late answer; wait for sides to see a new backend server

A side counted as silent after one greeting answered late, and the test took a side for ready that had not yet seen its backend server's restart. Which of the two it was is not known. Ruled out: letting requests wait for a backend server to come back, which would hide a pool that is gone. Change: two missed greetings make a side silent, three still end the connection; sides report the backend server's process life, and the launcher compares it.

--- a/packages/daemon/src/connection/side-link.ts
+++ b/packages/daemon/src/connection/side-link.ts
@@ -47,7 +47,9 @@
   onChange: () => void
 }
 
-/** Missed greetings after which a side counts as not answering. */
+/** Greetings missed in a row after which a side counts as not answering. */
+const SILENT_AFTER = 2
+/** Greetings missed in a row after which the connection is given up. */
 const MISSED_GREETINGS = 3
 /** Greeting intervals that a busy link may go without a greeting. */
 const LONGEST_GREETING_GAP = 6
@@ -182,7 +184,9 @@
     while (connection.isOpen() && missed < MISSED_GREETINGS && !this.stop.signal.aborted) {
       const answered = this.needsGreeting() ? await this.greet(connection) : true
       missed = answered ? 0 : missed + 1
-      this.setAnswering(answered)
+      // One late answer on a loaded machine is no sign that the side is gone.
+      if (answered || missed >= SILENT_AFTER)
+        this.setAnswering(answered)
       if (answered)
         await this.waitForNextGreeting(connection)
     }
--- a/packages/daemon/src/process/side.ts
+++ b/packages/daemon/src/process/side.ts
@@ -157,6 +157,7 @@
       { subject: 'running', text: String(load.running) },
       { subject: 'queued', text: String(load.queued.high + load.queued.normal + load.queued.low) },
       { subject: 'draining', text: String(load.draining) },
+      { subject: 'backend-instance', text: this.backendInstance ?? 'unknown' },
       { subject: 'placement', text: placement ? `${placement.model ?? '-'}@${placement.version ?? '-'} fence ${placement.fence}` : 'none' },
     ]
     return { name, role, incarnation: this.incarnation, pid: process.pid, failureDomain, offset: this.configuration.offset, ready: !load.draining, detail }
--- a/packages/stand-ins/src/launcher.ts
+++ b/packages/stand-ins/src/launcher.ts
@@ -281,11 +281,18 @@
     const sides = this.list(ProcessKind.Side)
     const giveUpAt = Date.now() + READY_TIMEOUT_MS
     for (const { name } of sides)
-      await waitUntil(async () => (await this.sideStatus(name))?.ready === true, giveUpAt, `${name} takes no work`)
+      await waitUntil(() => this.takesWork(name), giveUpAt, `${name} takes no work`)
     for (const { name } of this.list(ProcessKind.Entry))
       await waitUntil(async () => await this.countInForce(name) >= sides.length, giveUpAt, `${name} does not see every backend server in force`)
   }
 
+  /** Whether a side takes work and has seen that its backend server is the one that runs now. */
+  private async takesWork(sideName: string): Promise<boolean> {
+    const status = await this.sideStatus(sideName)
+    const seen = status?.detail.find(line => line.subject === 'backend-instance')?.text
+    return status?.ready === true && seen === await readInstance(this.find(`${sideName}.backend`).url!)
+  }
+
   private async countInForce(entryName: string): Promise<number> {
     const status = await this.entryStatus(entryName)
     return status?.detail.filter(line => line.text === MemberState.InForce).length ?? 0
@@ -430,6 +437,12 @@
   }
 }
 
+async function readInstance(backendUrl: string): Promise<string> {
+  const response = await request(`${backendUrl}/v1/load`)
+  const { instance } = await response.body.json() as { instance: string }
+  return instance
+}
+
 async function waitUntil(holds: () => Promise<boolean>, giveUpAt: number, message: string): Promise<void> {
   while (!await holds()) {
     if (Date.now() > giveUpAt)
