Let the launcher find a backend server that has just died

Ruled out: a fault of the system; the test itself had passed. Change: the clean-up asks a backend server before it counts it as running.

--- a/packages/stand-ins/src/launcher.ts
+++ b/packages/stand-ins/src/launcher.ts
@@ -19,7 +19,7 @@
 import { request } from 'undici'
 import { v7 as uuidv7 } from 'uuid'
 import { BackendKind } from './backend-service.js'
-import { isRunning, readFirstLine } from './child-process.js'
+import { isRunning, readFirstLine, untilEnded } from './child-process.js'
 import { delay } from './http-service.js'
 import { readRuns } from './run-counts.js'
 
@@ -246,10 +246,13 @@
    * @param restore What else to put right before everything can be ready.
    */
   async recover(restore: () => Promise<void> = async () => {}): Promise<void> {
-    for (const { name, child, pid } of [...this.processes.values()]) {
+    for (const { name, kind, url, child, pid } of [...this.processes.values()]) {
       if (isRunning(child))
         process.kill(pid, 'SIGCONT')
-      else
+      // A backend server may have died so shortly before that its end is not known yet.
+      if (kind === ProcessKind.Backend && isRunning(child) && !await answers(url!))
+        await untilEnded(child)
+      if (!isRunning(child))
         await this.restart(name)
     }
     const faulty = [this.logUrl, this.machinesUrl, this.weightsUrl, ...this.list(ProcessKind.Backend).map(backend => backend.url!)]
@@ -437,6 +440,10 @@
   }
 }
 
+async function answers(url: string): Promise<boolean> {
+  return request(`${url}/v1/load`).then(response => response.body.dump()).then(() => true, () => false)
+}
+
 async function readInstance(backendUrl: string): Promise<string> {
   const response = await request(`${backendUrl}/v1/load`)
   const { instance } = await response.body.json() as { instance: string }
