--- a/packages/daemon/src/request/errors.ts
+++ b/packages/daemon/src/request/errors.ts
@@ -14,6 +14,7 @@
 /** Every error kind that a caller can receive. */
 export enum ErrorKind {
   InvalidRequest = 'invalid-request',
+  HeadersTooLarge = 'headers-too-large',
   BodyTooLarge = 'body-too-large',
   BodyStalled = 'body-stalled',
   Unauthenticated = 'unauthenticated',
@@ -56,6 +57,7 @@
 /** The one table from error kind to answer. */
 export const ERROR_ANSWERS: Readonly<Record<ErrorKind, ErrorAnswer>> = {
   [ErrorKind.InvalidRequest]: { status: 400, ran: NONE, retryAfter: false },
+  [ErrorKind.HeadersTooLarge]: { status: 431, ran: NONE, retryAfter: false },
   [ErrorKind.BodyTooLarge]: { status: 413, ran: NONE, retryAfter: false },
   [ErrorKind.BodyStalled]: { status: 408, ran: NONE, retryAfter: false },
   [ErrorKind.Unauthenticated]: { status: 401, ran: NONE, retryAfter: false },
--- /dev/null
+++ b/packages/gateway/src/configuration/configuration.ts
@@ -0,0 +1,106 @@
+/**
+ * What operators publish: routes, services, tenants and limits, held whole
+ * under one version.
+ */
+
+/** A service that a route may use, and its share of the route's requests. */
+export interface WeightedService {
+  service: string
+  /** Relative share; 0 is never chosen. */
+  weight: number
+}
+
+/** One preparing stage of a route; stages are numbered by their place in the list. */
+export interface StageDefinition {
+  service: string
+  /** Numbers of the stages whose results this one reads. */
+  dependsOn: number[]
+  /** About the size of one result, in bytes. */
+  resultBytes: number
+}
+
+/** How requests of one host and path prefix are served. */
+export interface Route {
+  name: string
+  host: string
+  /** Begins and ends with a slash. */
+  pathPrefix: string
+  /** The answer is a stream of events. */
+  streaming: boolean
+  /** Whether a request may run more than once. */
+  repeatable: boolean
+  /** Whether a stream may go on at another replica after its last event. */
+  resumable: boolean
+  /** The longest time that a request is held, in milliseconds. */
+  timeoutMs: number
+  /** The time within which an answer is worth most, in milliseconds. */
+  targetLatencyMs: number
+  /** 0 is the most urgent. */
+  priority: number
+  services: WeightedService[]
+  /** The most replicas that one request may be sent to. */
+  maxAttempts: number
+  stages: StageDefinition[]
+  /** Served without a key. */
+  public: boolean
+}
+
+/** Limits of a replica that makes stage results. */
+export interface StageLimits {
+  /** Calls at work at once. */
+  concurrency: number
+  /** The most pieces in one call. */
+  batch: number
+  /** Fixed time of a call, in milliseconds. */
+  callMs: number
+  /** Further time of each piece, in milliseconds. */
+  pieceMs: number
+  /** Room for results, in bytes. */
+  roomBytes: number
+  /** How long a result is kept after its call, in milliseconds. */
+  resultLifetimeMs: number
+  /** Speed at which results are fetched, in megabits a second. */
+  bandwidthMbps: number
+}
+
+/** Limits of a model replica. */
+export interface EngineLimits {
+  /** Requests at work at once. */
+  concurrency: number
+  /** Tokens that its memory holds. */
+  memoryTokens: number
+}
+
+/** A pool of replicas. */
+export interface Service {
+  name: string
+  /** Connections that one replica takes from all callers together. */
+  maxConnections: number
+  engine?: EngineLimits
+  stage?: StageLimits
+}
+
+/** Bounds on what a client may send and how long it may take. */
+export interface ClientLimits {
+  maxHeaderBytes: number
+  maxBodyBytes: number
+  headerTimeoutMs: number
+  idleTimeoutMs: number
+}
+
+/** A customer with its keys. */
+export interface Tenant {
+  name: string
+  keys: string[]
+  /** Goes before the route's priority. */
+  priority?: number
+}
+
+/** The whole configuration under one version. */
+export interface Configuration {
+  version: number
+  routes: Route[]
+  services: Service[]
+  limits: ClientLimits
+  tenants: Tenant[]
+}
--- /dev/null
+++ b/packages/gateway/src/configuration/index.ts
@@ -0,0 +1,3 @@
+export * from './configuration-holder.js'
+export * from './configuration.js'
+export * from './route-table.js'
--- /dev/null
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -0,0 +1,68 @@
+/**
+ * Look-ups in one version of the configuration.
+ */
+import type { Configuration, Route, Service, Tenant } from './configuration.js'
+
+/** One version of the configuration, indexed for requests. */
+export class RouteTable {
+  private readonly routesByHost = new Map<string, Route[]>()
+  private readonly tenantsByKey = new Map<string, Tenant>()
+  private readonly servicesByName = new Map<string, Service>()
+
+  constructor(readonly configuration: Configuration) {
+    for (const route of configuration.routes)
+      this.addRoute(route)
+    for (const routes of this.routesByHost.values())
+      routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+    for (const tenant of configuration.tenants) {
+      for (const key of tenant.keys)
+        this.tenantsByKey.set(key, tenant)
+    }
+    for (const service of configuration.services)
+      this.servicesByName.set(service.name, service)
+  }
+
+  get version(): number {
+    return this.configuration.version
+  }
+
+  /** Whether requests on routes that are not public need a key. */
+  get needsKeys(): boolean {
+    return this.configuration.tenants.length > 0
+  }
+
+  /** The route with the longest prefix that begins the path, among those of the host. */
+  findRoute(host: string, path: string): Route | undefined {
+    return this.routesByHost.get(host.toLowerCase())?.find(route => path.startsWith(route.pathPrefix))
+  }
+
+  /** The tenant that holds a key. */
+  findTenant(key: string): Tenant | undefined {
+    return this.tenantsByKey.get(key)
+  }
+
+  findService(name: string): Service | undefined {
+    return this.servicesByName.get(name)
+  }
+
+  private addRoute(route: Route): void {
+    const host = route.host.toLowerCase()
+    const routes = this.routesByHost.get(host)
+    if (routes)
+      routes.push(route)
+    else
+      this.routesByHost.set(host, [route])
+  }
+}
+
+/** Picks one of a route's services by weight; `position` lies in [0, 1). */
+export function pickService(route: Route, position: number): string | undefined {
+  const total = route.services.reduce((sum, entry) => sum + entry.weight, 0)
+  let remaining = position * total
+  for (const entry of route.services) {
+    remaining -= entry.weight
+    if (remaining < 0)
+      return entry.service
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,6 @@
+export * from './configuration/index.js'
+export * from './membership/index.js'
+export * from './process/index.js'
+export * from './replica/index.js'
+export * from './request/index.js'
+export * from './stage/index.js'
--- /dev/null
+++ b/packages/gateway/src/membership/members.ts
@@ -0,0 +1,212 @@
+/**
+ * Which gateways there are, which of them answer, and which one owns the
+ * stage work. The list comes from the platform; that a member is alive is
+ * learned by direct contact only.
+ */
+import type { EventLog } from '../process/event-log.js'
+import { rankByRendezvous } from '../replica/rendezvous.js'
+
+/** A gateway as it announced itself. */
+export interface Member {
+  name: string
+  /** `IP:PORT` for its peers. */
+  address: string
+}
+
+/** Takes what a directory tells. */
+export interface MemberSink {
+  upsert: (member: Member) => void
+  remove: (name: string) => void
+}
+
+/** Where gateways announce themselves. */
+export interface MemberDirectory {
+  /** Announces this gateway, again and again until it is taken. */
+  announce: (member: Member, signal: AbortSignal) => Promise<void>
+  /** Takes this gateway off the list. */
+  withdraw: (member: Member) => Promise<void>
+  /** Tells the members as they come and go, until the signal aborts. */
+  follow: (sink: MemberSink, signal: AbortSignal) => Promise<void>
+}
+
+/** What a greeting brings back. */
+export interface GreetingReply {
+  /** Configuration version that the peer holds. */
+  version: number
+  /** It is leaving and gives its ownership up. */
+  stopping: boolean
+}
+
+/** What members ask of each other to know who is alive. */
+export interface PeerContact {
+  greet: (member: Member) => Promise<GreetingReply>
+}
+
+const GREET_INTERVAL_MS = 150
+/** A member that has not answered for this long is taken for lost, in milliseconds. */
+const LOST_AFTER_MS = 600
+/** Lost members are greeted this often, in milliseconds. */
+const LOST_GREET_INTERVAL_MS = 500
+const OWNERSHIP_KEY = 'stages'
+
+interface MemberState {
+  member: Member
+  heardAt: number
+  greetedAt: number
+  greeting: boolean
+  stopping: boolean
+  alive: boolean
+}
+
+/** Tells when a member is lost. */
+export interface LossWatch {
+  signal: AbortSignal
+  dispose: () => void
+}
+
+/** Called with a peer and the version that it holds. */
+export type VersionListener = (member: Member, version: number) => void
+
+/** Follows members and says who owns the stage work. */
+export class Members implements MemberSink {
+  private readonly states = new Map<string, MemberState>()
+  private ranked: MemberState[] = []
+  private currentOwner: Member
+  private readonly ownerListeners: ((owner: Member) => void)[] = []
+  private readonly lossWatchers = new Map<string, Set<() => void>>()
+  private timer: NodeJS.Timeout | undefined
+
+  constructor(
+    readonly self: Member,
+    private readonly contact: PeerContact,
+    private readonly log: EventLog,
+    private readonly onVersion: VersionListener,
+  ) {
+    this.currentOwner = self
+    this.upsert(self)
+  }
+
+  /** Members listed, this one included. */
+  get count(): number {
+    return this.states.size
+  }
+
+  get owner(): Member {
+    return this.currentOwner
+  }
+
+  get ownsStages(): boolean {
+    return this.currentOwner.name === this.self.name
+  }
+
+  onOwnerChange(listener: (owner: Member) => void): void {
+    this.ownerListeners.push(listener)
+  }
+
+  /** A signal that aborts when a member is lost; released by `dispose`. */
+  watchLoss(member: Member): LossWatch {
+    const controller = new AbortController()
+    const watch = (): void => controller.abort()
+    const watchers = this.lossWatchers.get(member.name) ?? new Set()
+    this.lossWatchers.set(member.name, watchers.add(watch))
+    return { signal: controller.signal, dispose: () => watchers.delete(watch) }
+  }
+
+  start(): void {
+    this.timer = setInterval(() => this.tick(), GREET_INTERVAL_MS)
+  }
+
+  stop(): void {
+    clearInterval(this.timer)
+  }
+
+  upsert(member: Member): void {
+    const existing = this.states.get(member.name)
+    if (existing?.member.address === member.address)
+      return
+    this.log.write('member-listed', { member: member.name, address: member.address })
+    this.states.set(member.name, { member, heardAt: Number.NEGATIVE_INFINITY, greetedAt: Number.NEGATIVE_INFINITY, greeting: false, stopping: false, alive: member.name === this.self.name })
+    this.rank()
+  }
+
+  remove(name: string): void {
+    if (name === this.self.name || !this.states.delete(name))
+      return
+    this.log.write('member-removed', { member: name })
+    this.rank()
+  }
+
+  /** A call to a member failed; it must answer a greeting before it is used again. */
+  suspect(member: Member): void {
+    const state = this.states.get(member.name)
+    if (!state || member.name === this.self.name)
+      return
+    state.heardAt = Number.NEGATIVE_INFINITY
+    this.setAlive(state, false)
+    this.chooseOwner()
+  }
+
+  private rank(): void {
+    this.ranked = rankByRendezvous(OWNERSHIP_KEY, [...this.states.values()], state => state.member.name)
+    this.chooseOwner()
+  }
+
+  /** Greets every member that would own the stage work before the one that does. */
+  private tick(): void {
+    const now = performance.now()
+    for (const state of this.ranked) {
+      if (state.member.name === this.self.name)
+        break
+      this.setAlive(state, now - state.heardAt < LOST_AFTER_MS)
+      const interval = state.alive ? GREET_INTERVAL_MS : LOST_GREET_INTERVAL_MS
+      if (!state.greeting && now - state.greetedAt >= interval * 0.9)
+        void this.greet(state, now)
+      if (state.alive && !state.stopping)
+        break
+    }
+    this.chooseOwner()
+  }
+
+  private async greet(state: MemberState, now: number): Promise<void> {
+    state.greeting = true
+    state.greetedAt = now
+    try {
+      const reply = await this.contact.greet(state.member)
+      state.heardAt = performance.now()
+      state.stopping = reply.stopping
+      this.setAlive(state, true)
+      this.onVersion(state.member, reply.version)
+    }
+    catch {
+      // Whether it is lost is decided by when it was last heard.
+    }
+    state.greeting = false
+    this.chooseOwner()
+  }
+
+  private setAlive(state: MemberState, alive: boolean): void {
+    if (state.alive === alive)
+      return
+    state.alive = alive
+    this.log.write(alive ? 'member-regained' : 'member-lost', { member: state.member.name })
+    if (!alive)
+      this.tellLoss(state.member.name)
+  }
+
+  private tellLoss(name: string): void {
+    const watchers = this.lossWatchers.get(name)
+    this.lossWatchers.delete(name)
+    for (const watch of watchers ?? [])
+      watch()
+  }
+
+  private chooseOwner(): void {
+    const owner = this.ranked.find(state => state.member.name === this.self.name || (state.alive && !state.stopping))?.member ?? this.self
+    if (owner.name === this.currentOwner.name && owner.address === this.currentOwner.address)
+      return
+    this.log.write('stage-owner', { owner: owner.name, previous: this.currentOwner.name, members: this.states.size })
+    this.currentOwner = owner
+    for (const listener of this.ownerListeners)
+      listener(owner)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/membership/shared-preparer.ts
@@ -0,0 +1,95 @@
+/**
+ * Stage work at whichever gateway owns it. When the owner is lost, the work
+ * begins anew at the next one; the lost one frees what it made when it sees
+ * its caller gone.
+ */
+import type { Result } from 'ts-results-es'
+import type { EventLog } from '../process/event-log.js'
+import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../stage/preparation.js'
+import type { Member, Members } from './members.js'
+import type { PeerClients } from './peer-clients.js'
+import { Err, Ok } from 'ts-results-es'
+import { PreparationFailureKind } from '../stage/preparation.js'
+
+const MOST_OWNERS = 4
+const RELEASE_DELAY_MS = 20
+const RETRY_AFTER_MS = 1000
+
+/** Calls the owner of the stage work, be it this process or another. */
+export class SharedPreparer implements Preparer {
+  private readonly ownerOf = new Map<string, Member>()
+  private readonly toRelease = new Map<string, string[]>()
+
+  constructor(
+    private readonly members: Members,
+    private readonly local: Preparer,
+    private readonly peers: PeerClients,
+    private readonly log: EventLog,
+  ) {}
+
+  async prepare(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
+    const startedAt = performance.now()
+    for (let tried = 0; tried < MOST_OWNERS && !signal.aborted; tried++) {
+      const elapsed = performance.now() - startedAt
+      const rest = { ...request, targetMs: request.targetMs - elapsed, deadlineMs: request.deadlineMs - elapsed }
+      if (rest.deadlineMs <= 0)
+        break
+      const result = await this.prepareAt(this.members.owner, rest, signal)
+      if (result)
+        return result
+    }
+    const kind = signal.aborted ? PreparationFailureKind.Cancelled : PreparationFailureKind.Failed
+    return Err({ kind, message: 'no owner of the stage work answered', retryAfterMs: RETRY_AFTER_MS })
+  }
+
+  release(requestId: string): void {
+    const owner = this.ownerOf.get(requestId)
+    this.ownerOf.delete(requestId)
+    if (!owner)
+      return
+    if (owner.name === this.members.self.name)
+      this.local.release(requestId)
+    else
+      this.releaseAt(owner, requestId)
+  }
+
+  /** The owner's word, or undefined where the owner was lost. */
+  private async prepareAt(owner: Member, request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure> | undefined> {
+    this.ownerOf.set(request.requestId, owner)
+    if (owner.name === this.members.self.name)
+      return this.local.prepare(request, signal)
+    const lost = this.members.watchLoss(owner)
+    try {
+      const reply = await this.peers.prepare(owner, request, AbortSignal.any([signal, lost.signal]))
+      return 'prepared' in reply ? Ok(reply.prepared) : Err(reply.failure)
+    }
+    catch (error) {
+      if (!signal.aborted)
+        this.loseOwner(owner, request.requestId, error)
+      return undefined
+    }
+    finally {
+      lost.dispose()
+    }
+  }
+
+  private loseOwner(owner: Member, requestId: string, error: unknown): void {
+    this.log.write('stage-owner-lost', { request: requestId, owner: owner.name, error: error instanceof Error ? error.message : String(error) })
+    this.members.suspect(owner)
+  }
+
+  private releaseAt(owner: Member, requestId: string): void {
+    const waiting = this.toRelease.get(owner.address)
+    if (waiting) {
+      waiting.push(requestId)
+      return
+    }
+    this.toRelease.set(owner.address, [requestId])
+    setTimeout(() => {
+      const ids = this.toRelease.get(owner.address) ?? []
+      this.toRelease.delete(owner.address)
+      // A result that is not given up ends by itself.
+      void this.peers.release(owner, ids).catch(() => {})
+    }, RELEASE_DELAY_MS)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -0,0 +1,50 @@
+/**
+ * Metrics of a gateway, by prom-client.
+ */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16]
+const MILLISECONDS_PER_SECOND = 1000
+
+/** What a gateway tells at the time of a scrape. */
+export interface GatewayGauges {
+  activeRequests: () => number
+  configurationVersion: () => number
+  replicas: () => number
+  members: () => number
+  ownsStages: () => boolean
+}
+
+/** Counters and histograms of one gateway. */
+export class GatewayMetrics {
+  readonly registry = new Registry()
+  private readonly requests = new Counter({ name: 'eidermast_gateway_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers: [this.registry] })
+  private readonly seconds = new Histogram({ name: 'eidermast_gateway_request_seconds', help: 'Time from arrival to the end of the answer', labelNames: ['route'], buckets: SECONDS_BUCKETS, registers: [this.registry] })
+
+  countRequest(route: string, outcome: string, milliseconds: number): void {
+    this.requests.inc({ route, outcome })
+    this.seconds.observe({ route }, milliseconds / MILLISECONDS_PER_SECOND)
+  }
+
+  /** Serves values that are read when they are asked for. */
+  addGauges(gauges: GatewayGauges): void {
+    this.addGauge('eidermast_gateway_active_requests', 'Requests without an answer yet', gauges.activeRequests)
+    this.addGauge('eidermast_gateway_configuration_version', 'Configuration version in force', gauges.configurationVersion)
+    this.addGauge('eidermast_gateway_replicas', 'Replicas known', gauges.replicas)
+    this.addGauge('eidermast_gateway_members', 'Gateways known, this one included', gauges.members)
+    this.addGauge('eidermast_gateway_owns_stages', '1 where this gateway owns the stage work', () => Number(gauges.ownsStages()))
+  }
+
+  private addGauge(name: string, help: string, read: () => number): void {
+    // prom-client calls collect with the gauge as `this`.
+    const registry = this.registry
+    void new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(read())
+      },
+    })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/replica/replica-registry.ts
@@ -0,0 +1,85 @@
+/**
+ * The replicas that the registry lists, by service.
+ */
+import type { EventLog } from '../process/event-log.js'
+import type { ReplicaRecord } from './replica.js'
+import { Replica } from './replica.js'
+
+/** What follows changes of the registry. */
+export interface ReplicaListener {
+  added?: (replica: Replica) => void
+  removed?: (replica: Replica) => void
+}
+
+/** Holds replicas; a source upserts and removes them. */
+export class ReplicaRegistry {
+  private readonly byId = new Map<string, Replica>()
+  private readonly byService = new Map<string, Set<Replica>>()
+  private readonly listeners: ReplicaListener[] = []
+
+  constructor(private readonly log: EventLog) {}
+
+  get size(): number {
+    return this.byId.size
+  }
+
+  listen(listener: ReplicaListener): void {
+    this.listeners.push(listener)
+  }
+
+  find(id: string): Replica | undefined {
+    return this.byId.get(id)
+  }
+
+  /** Replicas of a service that take new work. */
+  available(service: string): Replica[] {
+    return [...this.byService.get(service) ?? []].filter(replica => !replica.record.draining)
+  }
+
+  upsert(record: ReplicaRecord): void {
+    const existing = this.byId.get(record.id)
+    if (existing) {
+      if (existing.record.draining !== record.draining)
+        this.log.write('replica-state', { replica: record.id, service: record.service, draining: record.draining })
+      existing.record = record
+      return
+    }
+    const replica = new Replica(record)
+    this.byId.set(record.id, replica)
+    this.membersOf(record.service).add(replica)
+    this.log.write('replica-added', { replica: record.id, service: record.service, zone: record.zone, address: record.address, draining: record.draining })
+    for (const listener of this.listeners)
+      listener.added?.(replica)
+  }
+
+  remove(id: string, reason: string): void {
+    const replica = this.byId.get(id)
+    if (!replica)
+      return
+    this.byId.delete(id)
+    this.membersOf(replica.service).delete(replica)
+    this.log.write('replica-removed', { replica: id, service: replica.service, reason })
+    for (const listener of this.listeners)
+      listener.removed?.(replica)
+  }
+
+  /** Holds exactly these replicas. */
+  replaceAll(records: readonly ReplicaRecord[]): void {
+    const listed = new Set(records.map(record => record.id))
+    for (const id of [...this.byId.keys()]) {
+      if (!listed.has(id))
+        this.remove(id, 'not listed')
+    }
+    for (const record of records)
+      this.upsert(record)
+  }
+
+  private membersOf(service: string): Set<Replica> {
+    const existing = this.byService.get(service)
+    if (existing)
+      return existing
+    const created = new Set<Replica>()
+    this.byService.set(service, created)
+    return created
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request/client-answer.ts
@@ -0,0 +1,21 @@
+/**
+ * Where a request's answer goes.
+ */
+import type { RequestError } from '@eidermast/daemon/errors'
+import type { HeaderList } from '../replica/replica-client.js'
+
+/** The one answer of one request. */
+export interface ClientAnswer {
+  /** Whether the head was sent. */
+  readonly started: boolean
+  /** Sends a whole answer. */
+  sendWhole: (status: number, headers: HeaderList, body: Buffer) => void
+  /** Begins an answer whose body comes in parts. */
+  begin: (status: number, headers: HeaderList) => void
+  /** Sends a part; waits while the client does not read. */
+  send: (bytes: Buffer) => Promise<void>
+  end: () => void
+  /** Closes the connection, so that what was sent does not look whole. */
+  breakOff: () => void
+  fail: (error: RequestError) => void
+}
--- /dev/null
+++ b/packages/gateway/src/request/client-codec.ts
@@ -0,0 +1,33 @@
+/**
+ * How clients spell requests and read answers; the platform's adapter and the
+ * product's own stand-ins each bring one.
+ */
+import type { RequestError } from '@eidermast/daemon/errors'
+import type { Result } from 'ts-results-es'
+import type { PromptPart } from '../replica/replica-choice.js'
+import type { HeaderList } from '../replica/replica-client.js'
+
+/** What a request's head says. */
+export interface ClientRequestHead {
+  requestId: string
+  host: string
+  key: string | undefined
+  /** Milliseconds that the client will wait. */
+  deadlineMs: number | undefined
+  promptParts: PromptPart[]
+  /** Pieces of each stage. */
+  stagePieces: number[]
+  /** What stages without inputs work on. */
+  stageKey: string
+  lastEventId: string | undefined
+  /** Headers that are passed on. */
+  headers: HeaderList
+}
+
+/** Reads heads and spells errors. */
+export interface ClientCodec {
+  /** A head, or what is wrong with it. */
+  readHead: (rawHeaders: readonly string[]) => Result<ClientRequestHead, string>
+  /** Status and headers of an error of the gateway's own. */
+  errorHead: (error: RequestError, requestId: string | undefined) => { status: number, headers: HeaderList }
+}
--- /dev/null
+++ b/packages/gateway/src/request/index.ts
@@ -0,0 +1,7 @@
+export * from './client-answer.js'
+export * from './client-codec.js'
+export * from './client-server.js'
+export * from './event-splitter.js'
+export * from './pass-through.js'
+export * from './replica-runner.js'
+export * from './retry-budget.js'
--- /dev/null
+++ b/packages/gateway/src/request/pass-through.ts
@@ -0,0 +1,167 @@
+/**
+ * Serves one request by passing it through to a replica, after the stages
+ * that its route asks for.
+ */
+import type { RequestError } from '@eidermast/daemon/errors'
+import type { ConfigurationHolder } from '../configuration/configuration-holder.js'
+import type { Route, Tenant } from '../configuration/configuration.js'
+import type { RouteTable } from '../configuration/route-table.js'
+import type { EventLog } from '../process/event-log.js'
+import type { GatewayMetrics } from '../process/gateway-metrics.js'
+import type { PreparationRequest, Preparer } from '../stage/preparation.js'
+import type { ClientAnswer } from './client-answer.js'
+import type { ClientRequestHead } from './client-codec.js'
+import type { ReplicaRunner } from './replica-runner.js'
+import { createError, ErrorKind, Ran } from '@eidermast/daemon/errors'
+import { pickService } from '../configuration/route-table.js'
+import { hashText } from '../replica/rendezvous.js'
+import { PreparationFailureKind } from '../stage/preparation.js'
+
+const HASH_RANGE = 2 ** 32
+const DEFAULT_DEADLINE_MS = 10_000
+/** Time kept for the answer's way back, in milliseconds. */
+const ANSWER_MARGIN_MS = 20
+
+/** A request that was read whole. */
+export interface ClientRequest {
+  method: string
+  /** Path with its query. */
+  path: string
+  head: ClientRequestHead
+  body: Buffer | undefined
+  /** When its first byte was read, on the process clock. */
+  arrivedAt: number
+}
+
+/** A request with what the configuration says of it. */
+export interface RoutedRequest extends ClientRequest {
+  route: Route
+  tenant: Tenant | undefined
+  service: string
+  /** 0 is the most urgent. */
+  priority: number
+  /** When it must be answered, on the process clock. */
+  deadlineAt: number
+}
+
+/** What the pass-through works with. */
+export interface PassThroughParts {
+  configuration: ConfigurationHolder
+  preparer: Preparer
+  runner: ReplicaRunner
+  metrics: GatewayMetrics
+  log: EventLog
+}
+
+/** Serves requests on the configured routes. */
+export class PassThrough {
+  constructor(private readonly parts: PassThroughParts) {}
+
+  /** Finds the route and tenant of a request, or the error that answers it. */
+  route(request: ClientRequest): RoutedRequest | RequestError {
+    const table = this.parts.configuration.table
+    if (!table)
+      return createError(ErrorKind.NotReady, 'no configuration is known yet; come back')
+    const path = request.path.split('?', 1)[0]
+    const route = table.findRoute(request.head.host, path)
+    if (!route)
+      return createError(ErrorKind.UnknownPath, `no route for ${request.head.host}${path}`)
+    const tenant = this.findTenant(table, route, request.head.key)
+    if (tenant === 'unknown')
+      return createError(ErrorKind.Unauthenticated, 'the key is not known')
+    const service = pickService(route, hashText(request.head.requestId) / HASH_RANGE)
+    if (!service)
+      return createError(ErrorKind.NoBackend, `route ${route.name} has no service`)
+    const deadlineMs = Math.min(request.head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs)
+    return { ...request, route, tenant, service, priority: tenant?.priority ?? route.priority, deadlineAt: request.arrivedAt + deadlineMs - ANSWER_MARGIN_MS }
+  }
+
+  /** Answers a request; the signal aborts when its client leaves. */
+  async serve(request: ClientRequest, answer: ClientAnswer, signal: AbortSignal): Promise<void> {
+    const routed = this.route(request)
+    if (isError(routed)) {
+      this.finish(request, answer, routed, version(this.parts))
+      return
+    }
+    const error = routed.route.stages.length > 0
+      ? await this.prepareAndRun(routed, answer, signal)
+      : await this.parts.runner.run(routed, { handles: undefined, zone: undefined, bytes: 0 }, answer, signal)
+    this.finish(routed, answer, error, version(this.parts))
+  }
+
+  private async prepareAndRun(request: RoutedRequest, answer: ClientAnswer, signal: AbortSignal): Promise<RequestError | undefined> {
+    const { requestId } = request.head
+    const clock = AbortSignal.any([signal, AbortSignal.timeout(Math.max(1, Math.ceil(request.deadlineAt - performance.now())))])
+    const prepared = await this.parts.preparer.prepare(this.describe(request), clock)
+    if (prepared.isErr())
+      return preparationError(prepared.error.kind, prepared.error.message, prepared.error.retryAfterMs)
+    try {
+      const inputs = { handles: prepared.value.handles, zone: prepared.value.zone, bytes: prepared.value.bytes, onRead: () => this.parts.preparer.release(requestId), renew: () => this.renew(request, clock) }
+      return await this.parts.runner.run(request, inputs, answer, signal)
+    }
+    finally {
+      this.parts.preparer.release(requestId)
+    }
+  }
+
+  /** Makes the inputs again, after the ones made were read or lost. */
+  private async renew(request: RoutedRequest, signal: AbortSignal): Promise<readonly string[] | undefined> {
+    const prepared = await this.parts.preparer.prepare(this.describe(request), signal)
+    return prepared.isOk() ? prepared.value.handles : undefined
+  }
+
+  private describe(request: RoutedRequest): PreparationRequest {
+    const elapsed = performance.now() - request.arrivedAt
+    return {
+      requestId: request.head.requestId,
+      stages: request.route.stages.map((stage, number) => ({ ...stage, pieces: request.head.stagePieces[number] ?? 0 })),
+      key: request.head.stageKey,
+      priority: request.priority,
+      targetMs: request.route.targetLatencyMs - elapsed,
+      deadlineMs: request.deadlineAt - performance.now(),
+      zone: this.parts.runner.preferredZone(request),
+    }
+  }
+
+  private findTenant(table: RouteTable, route: Route, key: string | undefined): Tenant | undefined | 'unknown' {
+    if (route.public || !table.needsKeys)
+      return undefined
+    return (key === undefined ? undefined : table.findTenant(key)) ?? 'unknown'
+  }
+
+  private finish(request: ClientRequest | RoutedRequest, answer: ClientAnswer, error: RequestError | undefined, configurationVersion: number): void {
+    const route = 'route' in request ? request.route.name : undefined
+    const tookMs = performance.now() - request.arrivedAt
+    this.parts.metrics.countRequest(route ?? 'none', error?.kind ?? 'answered', tookMs)
+    this.parts.log.write('request-ended', { request: request.head.requestId, route, outcome: error?.kind ?? 'answered', ran: error?.ran, reason: error?.message, retryAfterMs: error?.retryAfterMs, tookMs: Math.round(tookMs), configuration: configurationVersion })
+    if (!error)
+      return
+    if (answer.started)
+      answer.breakOff()
+    else
+      answer.fail(error)
+  }
+}
+
+function version(parts: PassThroughParts): number {
+  return parts.configuration.version
+}
+
+function isError(routed: RoutedRequest | RequestError): routed is RequestError {
+  return 'kind' in routed
+}
+
+function preparationError(kind: PreparationFailureKind, message: string, retryAfterMs: number): RequestError {
+  switch (kind) {
+    case PreparationFailureKind.TooLate:
+      return createError(ErrorKind.DeadlineUnreachable, message, { ran: Ran.None, retryAfterMs })
+    case PreparationFailureKind.NoReplica:
+      return createError(ErrorKind.NoBackend, message, { ran: Ran.None, retryAfterMs })
+    case PreparationFailureKind.Overloaded:
+      return createError(ErrorKind.Overloaded, message, { retryAfterMs })
+    case PreparationFailureKind.Cancelled:
+      return createError(ErrorKind.DeadlineUnreachable, message, { ran: Ran.None, retryAfterMs })
+    case PreparationFailureKind.Failed:
+      return createError(ErrorKind.NoBackend, message, { ran: Ran.None, retryAfterMs })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -0,0 +1,342 @@
+/**
+ * The replicas of one stage service and the tasks that wait for them. Pieces
+ * of all requests are gathered into batches: whole tasks first, near their
+ * inputs and readers where waiting for that zone costs no target.
+ */
+import type { StageLimits } from '../configuration/configuration.js'
+import type { EventLog } from '../process/event-log.js'
+import type { Replica } from '../replica/replica.js'
+import type { PieceOutcome, StageCallResult, StageClient, StagePiece } from './stage-client.js'
+import type { StageOrder } from './stage-order.js'
+import type { StageResult, StageTask } from './stage-task.js'
+import { PieceFailure, StageCallEnd } from './stage-client.js'
+import { crossingBytes } from './stage-task.js'
+import { StageWorker } from './stage-worker.js'
+
+/** A call is given up after its expected time times this, and a margin. */
+const TIMEOUT_FACTOR = 2.5
+const TIMEOUT_MARGIN_MS = 400
+/** Longest that a task waits for a replica of the better zone, in milliseconds. */
+const LONGEST_ZONE_WAIT_MS = 400
+/** Time kept before a target when a task waits for the better zone, in milliseconds. */
+const TARGET_MARGIN_MS = 150
+/** Bytes to another zone that weigh as much as one millisecond of waiting. */
+const CROSSING_BYTES_PER_MS = 4000
+const MOST_PIECE_FAILURES = 3
+const BITS_PER_BYTE = 8
+/** Both links and a busy replica: factor and margin over the plain time of a fetch. */
+const FETCH_FACTOR = 3
+const FETCH_MARGIN_MS = 80
+const FREE_DELAY_MS = 15
+
+interface PieceWork {
+  task: TaskState
+  index: number
+  attempts: number
+}
+
+interface TaskState {
+  task: StageTask
+  waiting: PieceWork[]
+  results: (StageResult | undefined)[]
+  fetched: number
+  ended: boolean
+}
+
+/** Says whether pieces may be sent once more, and counts them. */
+export interface RepeatAllowance {
+  takeRepeats: (service: string, count: number) => boolean
+}
+
+/** Gathers and runs the pieces of one service. */
+export class StagePool {
+  private readonly workers = new Map<string, StageWorker>()
+  private queue: TaskState[] = []
+  private readonly toFree = new Map<StageWorker, string[]>()
+
+  constructor(
+    readonly service: string,
+    private limits: StageLimits,
+    private readonly client: StageClient,
+    private readonly order: StageOrder,
+    private readonly repeats: RepeatAllowance,
+    private readonly log: EventLog,
+  ) {}
+
+  setLimits(limits: StageLimits): void {
+    this.limits = limits
+    for (const worker of this.workers.values())
+      worker.limits = limits
+  }
+
+  /** Holds exactly the replicas that take new work; results of others stay readable. */
+  setReplicas(replicas: readonly Replica[]): void {
+    const listed = new Set(replicas.map(replica => replica.id))
+    for (const id of [...this.workers.keys()]) {
+      if (!listed.has(id))
+        this.workers.delete(id)
+    }
+    for (const replica of replicas) {
+      if (!this.workers.has(replica.id))
+        this.addWorker(replica)
+    }
+    this.dispatch()
+  }
+
+  /** Expected time of one call, in milliseconds. */
+  typicalCallMs(): number {
+    return this.limits.callMs + this.limits.pieceMs * this.limits.batch * 0.6
+  }
+
+  get waitingPieces(): number {
+    return this.queue.reduce((sum, state) => sum + state.waiting.length, 0)
+  }
+
+  /** Milliseconds until pieces that come now are likely begun. */
+  expectedWaitMs(now: number): number {
+    const workers = [...this.workers.values()].filter(worker => worker.isUsable(now))
+    if (workers.length === 0)
+      return Number.POSITIVE_INFINITY
+    const soonest = Math.min(...workers.map(worker => worker.startsIn(now)))
+    const rounds = this.waitingPieces / (this.limits.batch * workers.length)
+    return soonest + rounds * this.typicalCallMs()
+  }
+
+  /** Takes a task; returns what ends it without a report. Pieces under way are freed when they are made. */
+  submit(task: StageTask): () => void {
+    const state: TaskState = { task, waiting: [], results: Array.from({ length: task.pieces }), fetched: 0, ended: false }
+    for (let index = 0; index < task.pieces; index++)
+      state.waiting.push({ task: state, index, attempts: 0 })
+    this.queue.push(state)
+    this.dispatch()
+    return () => this.cancel(state)
+  }
+
+  /** Gives a result up. */
+  free(result: StageResult): void {
+    if (!result.worker.drop(result.handle))
+      return
+    const handles = this.toFree.get(result.worker)
+    if (handles) {
+      handles.push(result.handle)
+      return
+    }
+    this.toFree.set(result.worker, [result.handle])
+    setTimeout(() => this.flushFrees(result.worker), FREE_DELAY_MS)
+  }
+
+  /** Lets waiting tasks end that can no longer be in time, and begins what can be begun. */
+  dispatch(): void {
+    const now = performance.now()
+    this.endLateTasks(now)
+    for (const worker of this.workers.values())
+      worker.expire(now)
+    if (this.queue.length === 0)
+      return
+    this.queue.sort((left, right) => this.order.compare(left.task, right.task, now))
+    const idle = [...this.workers.values()].filter(worker => worker.isIdle(now))
+    idle.sort((left, right) => left.callTime(1) - right.callTime(1) || right.freeBytes() - left.freeBytes())
+    for (const worker of idle) {
+      const batch = this.collect(worker, now)
+      if (batch.length > 0)
+        void this.run(worker, batch, now)
+    }
+  }
+
+  private addWorker(replica: Replica): void {
+    const worker = new StageWorker(replica, this.limits)
+    this.workers.set(replica.id, worker)
+    void this.client.freeRoom(replica).then((bytes) => {
+      if (bytes !== undefined)
+        worker.learnRoom(bytes)
+    })
+  }
+
+  private endLateTasks(now: number): void {
+    const late = this.queue.filter(state => state.waiting.length > 0 && now + this.limits.callMs > state.task.deadlineAt)
+    for (const state of late)
+      this.fail(state, PieceFailure.Late)
+  }
+
+  /** Picks the pieces of the next call of an idle replica. */
+  private collect(worker: StageWorker, now: number): PieceWork[] {
+    const batch: PieceWork[] = []
+    let room = worker.freeBytes()
+    for (const state of this.queue) {
+      const places = this.limits.batch - batch.length
+      if (places <= 0)
+        break
+      const fitting = Math.min(places, Math.floor(room / state.task.resultBytes))
+      const whole = fitting >= state.waiting.length
+      const mustSplit = batch.length === 0 && state.waiting.length > this.limits.batch
+      if (fitting <= 0 || !(whole || mustSplit || batch.length === 0) || !this.suits(state.task, worker, now))
+        continue
+      const taken = state.waiting.splice(0, fitting)
+      batch.push(...taken)
+      room -= taken.length * state.task.resultBytes
+    }
+    this.queue = this.queue.filter(state => state.waiting.length > 0)
+    return batch
+  }
+
+  /** Whether a task should run here now rather than wait for a replica in a better zone. */
+  private suits(task: StageTask, worker: StageWorker, now: number): boolean {
+    const costHere = crossingBytes(task, worker.zone) / CROSSING_BYTES_PER_MS
+    if (costHere < 1)
+      return true
+    const callMs = worker.callTime(task.pieces)
+    const latest = Math.min(LONGEST_ZONE_WAIT_MS, costHere, task.targetAt - now - callMs - task.remainingMs - TARGET_MARGIN_MS)
+    for (const other of this.workers.values()) {
+      if (other === worker || !other.isUsable(now) || crossingBytes(task, other.zone) / CROSSING_BYTES_PER_MS >= costHere)
+        continue
+      if (other.startsIn(now) + other.callTime(task.pieces) - callMs < latest)
+        return false
+    }
+    return true
+  }
+
+  private async run(worker: StageWorker, batch: PieceWork[], startedAt: number): Promise<void> {
+    const bytes = batch.reduce((sum, work) => sum + work.task.task.resultBytes, 0)
+    worker.begin(batch.length, bytes, startedAt)
+    const timeoutMs = worker.callTime(batch.length) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS
+    const fetchMs = this.fetchTime(batch)
+    const fetchTimer = fetchMs === undefined ? undefined : setTimeout(() => this.reportFetched(batch), fetchMs)
+    const result = await this.client.run(worker.replica, batch.map(work => describePiece(work, startedAt)), AbortSignal.timeout(Math.ceil(timeoutMs)))
+    clearTimeout(fetchTimer)
+    const tookMs = performance.now() - startedAt
+    this.log.write('stage-call', { service: this.service, replica: worker.replica.id, zone: worker.zone, pieces: batch.length, tookMs: Math.round(tookMs), expectedMs: Math.round(worker.callTime(batch.length)), end: result.end, failed: result.outcomes.filter(outcome => 'failure' in outcome).length, roomBytes: worker.freeBytes(), requests: [...new Set(batch.map(work => work.task.task.requestId))].join(',') })
+    if (result.end === StageCallEnd.Done)
+      this.take(worker, batch, result, tookMs)
+    else
+      this.takeFailure(worker, batch, result.end)
+    this.dispatch()
+  }
+
+  /** Time after which the replica has fetched a batch's inputs, in milliseconds. */
+  private fetchTime(batch: readonly PieceWork[]): number | undefined {
+    const bytes = batch.reduce((sum, work) => sum + work.task.task.inputs.reduce((total, input) => total + input.bytes, 0), 0)
+    if (bytes === 0 || this.limits.bandwidthMbps <= 0)
+      return undefined
+    return bytes * BITS_PER_BYTE / (this.limits.bandwidthMbps * 1000) * FETCH_FACTOR + FETCH_MARGIN_MS
+  }
+
+  private reportFetched(batch: readonly PieceWork[]): void {
+    for (const work of batch) {
+      const state = work.task
+      state.fetched++
+      if (state.fetched === state.task.pieces && !state.ended)
+        state.task.listener.inputsFetched()
+    }
+  }
+
+  private take(worker: StageWorker, batch: readonly PieceWork[], result: StageCallResult, tookMs: number): void {
+    worker.succeed(batch.length, tookMs)
+    const now = performance.now()
+    batch.forEach((work, position) => this.takeOutcome(worker, work, result.outcomes[position], now))
+  }
+
+  private takeOutcome(worker: StageWorker, work: PieceWork, outcome: PieceOutcome, now: number): void {
+    const { task } = work.task
+    if ('failure' in outcome) {
+      worker.returnRoom(task.resultBytes)
+      this.takePieceFailure(work, outcome.failure)
+      return
+    }
+    worker.hold(outcome.handle, task.resultBytes, now)
+    const stageResult = { handle: outcome.handle, worker, bytes: task.resultBytes }
+    if (work.task.ended) {
+      this.free(stageResult)
+      return
+    }
+    work.task.results[work.index] = stageResult
+    if (work.task.results.every(entry => entry !== undefined))
+      this.complete(work.task)
+  }
+
+  private takePieceFailure(work: PieceWork, failure: PieceFailure): void {
+    if (work.task.ended)
+      return
+    if (failure === PieceFailure.Late || failure === PieceFailure.InputGone)
+      this.fail(work.task, failure)
+    else
+      this.retry([work])
+  }
+
+  private takeFailure(worker: StageWorker, batch: readonly PieceWork[], end: StageCallEnd): void {
+    const pauseMs = worker.fail(performance.now())
+    for (const work of batch)
+      worker.returnRoom(work.task.task.resultBytes)
+    this.log.write('stage-replica-paused', { service: this.service, replica: worker.replica.id, reason: end, milliseconds: pauseMs })
+    setTimeout(() => this.dispatch(), pauseMs)
+    if (end === StageCallEnd.NotSent)
+      this.putBack(batch)
+    else
+      this.retry(batch)
+  }
+
+  /** Sends pieces once more, within the budget. */
+  private retry(batch: readonly PieceWork[]): void {
+    const live = batch.filter(work => !work.task.ended)
+    for (const work of live) {
+      work.attempts++
+      if (work.attempts >= MOST_PIECE_FAILURES || !this.repeats.takeRepeats(this.service, 1))
+        this.fail(work.task, PieceFailure.Error)
+    }
+    this.putBack(live)
+  }
+
+  private putBack(batch: readonly PieceWork[]): void {
+    for (const work of batch) {
+      const state = work.task
+      if (state.ended)
+        continue
+      state.waiting.push(work)
+      state.fetched = Number.NEGATIVE_INFINITY
+      if (!this.queue.includes(state))
+        this.queue.push(state)
+    }
+  }
+
+  private cancel(state: TaskState): void {
+    if (state.ended)
+      return
+    this.end(state)
+  }
+
+  private complete(state: TaskState): void {
+    state.ended = true
+    state.task.listener.completed(state.results as StageResult[])
+  }
+
+  private fail(state: TaskState, failure: PieceFailure): void {
+    this.end(state)
+    state.task.listener.failed(failure)
+  }
+
+  private end(state: TaskState): void {
+    state.ended = true
+    this.queue = this.queue.filter(other => other !== state)
+    for (const result of state.results) {
+      if (result)
+        this.free(result)
+    }
+  }
+
+  private flushFrees(worker: StageWorker): void {
+    const handles = this.toFree.get(worker) ?? []
+    this.toFree.delete(worker)
+    void this.client.free(worker.replica, handles).then(() => this.dispatch())
+  }
+}
+
+function describePiece(work: PieceWork, now: number): StagePiece {
+  const { task } = work.task
+  return {
+    requestId: task.requestId,
+    stage: task.stage,
+    index: work.index,
+    remainingMs: Math.max(1, Math.round(task.deadlineAt - now)),
+    key: task.key,
+    inputs: task.inputs.length > 0 ? task.inputs.map(input => input.handle) : undefined,
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/stage/stage-scheduler.ts
@@ -0,0 +1,111 @@
+/**
+ * The stage work of all requests that this process owns. Ownership is
+ * efficiency, never safety: a piece may be made again, and two schedulers at
+ * once cost room and time only.
+ */
+import type { Result } from 'ts-results-es'
+import type { Service } from '../configuration/configuration.js'
+import type { RouteTable } from '../configuration/route-table.js'
+import type { EventLog } from '../process/event-log.js'
+import type { ReplicaRegistry } from '../replica/replica-registry.js'
+import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from './preparation.js'
+import type { StageClient } from './stage-client.js'
+import type { StageOrder } from './stage-order.js'
+import type { RepeatAllowance } from './stage-pool.js'
+import { Err } from 'ts-results-es'
+import { PreparationRun } from './preparation-run.js'
+import { PreparationFailureKind } from './preparation.js'
+import { StagePool } from './stage-pool.js'
+
+const DISPATCH_INTERVAL_MS = 50
+/** Results that nobody gives up are forgotten after this time, in milliseconds. */
+const LONGEST_HOLD_MS = 20_000
+
+/** Owns the pools of all stage services, and the requests whose results are held. */
+export class StageScheduler implements Preparer {
+  private readonly pools = new Map<string, StagePool>()
+  private readonly runs = new Map<string, PreparationRun>()
+  private readonly timer: NodeJS.Timeout
+
+  constructor(
+    private readonly registry: ReplicaRegistry,
+    private readonly client: StageClient,
+    private readonly order: StageOrder,
+    private readonly repeats: RepeatAllowance,
+    private readonly log: EventLog,
+  ) {
+    registry.listen({ added: replica => this.refresh(replica.service), removed: replica => this.refresh(replica.service) })
+    this.timer = setInterval(() => this.dispatchWaiting(), DISPATCH_INTERVAL_MS)
+    this.timer.unref()
+  }
+
+  /** Follows the stage services of a configuration. */
+  applyConfiguration(table: RouteTable): void {
+    for (const service of table.configuration.services) {
+      if (service.stage)
+        this.applyService(service)
+    }
+  }
+
+  /** The state of a replica changed, such as that it is leaving. */
+  refresh(service: string): void {
+    this.pools.get(service)?.setReplicas(this.registry.available(service))
+  }
+
+  async prepare(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
+    if (signal.aborted)
+      return Err(cancelled())
+    return new Promise((resolve) => {
+      const end = (result: Result<PreparedInputs, PreparationFailure>): void => {
+        signal.removeEventListener('abort', onAbort)
+        this.log.write('stages-ended', { request: request.requestId, outcome: result.isOk() ? 'prepared' : result.error.kind, targetMs: Math.round(request.targetMs), tookMs: Math.round(performance.now() - startedAt), reason: result.isErr() ? result.error.message : undefined })
+        resolve(result)
+      }
+      const onAbort = (): void => {
+        this.release(request.requestId)
+        end(Err(cancelled()))
+      }
+      const startedAt = performance.now()
+      signal.addEventListener('abort', onAbort)
+      this.begin(request, end)
+    })
+  }
+
+  release(requestId: string): void {
+    this.runs.get(requestId)?.release()
+    this.runs.delete(requestId)
+  }
+
+  stop(): void {
+    clearInterval(this.timer)
+  }
+
+  private begin(request: PreparationRequest, end: (result: Result<PreparedInputs, PreparationFailure>) => void): void {
+    this.release(request.requestId)
+    const run = new PreparationRun(request, service => this.pools.get(service), end)
+    this.runs.set(request.requestId, run)
+    setTimeout(() => this.runs.get(request.requestId) === run && this.release(request.requestId), LONGEST_HOLD_MS).unref()
+    run.start()
+  }
+
+  private applyService(service: Service): void {
+    const pool = this.pools.get(service.name)
+    if (pool) {
+      pool.setLimits(service.stage!)
+      return
+    }
+    this.pools.set(service.name, new StagePool(service.name, service.stage!, this.client, this.order, this.repeats, this.log))
+    this.refresh(service.name)
+  }
+
+  private dispatchWaiting(): void {
+    for (const pool of this.pools.values()) {
+      if (pool.waitingPieces > 0)
+        pool.dispatch()
+    }
+  }
+}
+
+function cancelled(): PreparationFailure {
+  return { kind: PreparationFailureKind.Cancelled, message: 'the request was given up', retryAfterMs: 0 }
+}
--- /dev/null
+++ b/packages/gateway/src/stage/stage-worker.ts
@@ -0,0 +1,124 @@
+/**
+ * One replica that makes stage results, as the scheduler accounts for it:
+ * whether it is at work, how fast it is, and what room its results take.
+ */
+import type { StageLimits } from '../configuration/configuration.js'
+import type { Replica } from '../replica/replica.js'
+
+/** First pause after a failed call, in milliseconds; it doubles with each further one. */
+const FIRST_PAUSE_MS = 100
+const LONGEST_PAUSE_MS = 5000
+const SPEED_WEIGHT = 0.4
+const SLOWEST_FACTOR = 20
+const FASTEST_FACTOR = 0.5
+
+interface HeldResult {
+  bytes: number
+  expiresAt: number
+}
+
+/** Accounts for one replica; times are on the process clock, in milliseconds. */
+export class StageWorker {
+  callsUnderWay = 0
+  /** When the call under way should end. */
+  busyUntil = 0
+  private usedBytes = 0
+  private failures = 0
+  private pausedUntil = 0
+  /** Measured time of calls over the configured one. */
+  private slowness = 1
+  private readonly held = new Map<string, HeldResult>()
+
+  constructor(readonly replica: Replica, public limits: StageLimits) {}
+
+  get zone(): string {
+    return this.replica.zone
+  }
+
+  /** Whether a call may be sent now. */
+  isIdle(now: number): boolean {
+    return this.callsUnderWay < this.limits.concurrency && now >= this.pausedUntil
+  }
+
+  /** Whether it gets work at all now, or after the call under way. */
+  isUsable(now: number): boolean {
+    return now >= this.pausedUntil
+  }
+
+  /** Milliseconds until it could begin another call. */
+  startsIn(now: number): number {
+    const busy = this.callsUnderWay >= this.limits.concurrency ? Math.max(1, this.busyUntil - now) : 0
+    return Math.max(busy, this.pausedUntil - now, 0)
+  }
+
+  freeBytes(): number {
+    return this.limits.roomBytes - this.usedBytes
+  }
+
+  /** Expected time of a call, in milliseconds. */
+  callTime(pieces: number): number {
+    return (this.limits.callMs + this.limits.pieceMs * pieces) * this.slowness
+  }
+
+  begin(pieces: number, bytes: number, now: number): void {
+    this.callsUnderWay++
+    this.usedBytes += bytes
+    this.busyUntil = now + this.callTime(pieces)
+  }
+
+  /** A call ended with an answer. */
+  succeed(pieces: number, tookMs: number): void {
+    this.callsUnderWay--
+    this.failures = 0
+    const measured = tookMs / (this.limits.callMs + this.limits.pieceMs * pieces)
+    const bounded = Math.min(SLOWEST_FACTOR, Math.max(FASTEST_FACTOR, measured))
+    this.slowness += (bounded - this.slowness) * SPEED_WEIGHT
+  }
+
+  /** A call brought nothing; the replica is left alone for a while. */
+  fail(now: number): number {
+    this.callsUnderWay--
+    const pause = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.failures)
+    this.failures++
+    this.pausedUntil = now + pause
+    return pause
+  }
+
+  /** Room reserved for a piece that was not made. */
+  returnRoom(bytes: number): void {
+    this.usedBytes = Math.max(0, this.usedBytes - bytes)
+  }
+
+  /** A result now takes its reserved room until it is freed or ends by itself. */
+  hold(handle: string, bytes: number, now: number): void {
+    this.held.set(handle, { bytes, expiresAt: now + this.limits.resultLifetimeMs })
+  }
+
+  /** The result's room is free again. */
+  drop(handle: string): boolean {
+    const result = this.held.get(handle)
+    if (!result)
+      return false
+    this.held.delete(handle)
+    this.returnRoom(result.bytes)
+    return true
+  }
+
+  holds(handle: string): boolean {
+    return this.held.has(handle)
+  }
+
+  /** Forgets results that ended by themselves. */
+  expire(now: number): void {
+    for (const [handle, result] of this.held) {
+      if (result.expiresAt <= now)
+        this.drop(handle)
+    }
+  }
+
+  /** Room that results of others take there, as the replica told it. */
+  learnRoom(freeBytes: number): void {
+    const own = [...this.held.values()].reduce((sum, result) => sum + result.bytes, 0)
+    this.usedBytes = Math.max(own, this.limits.roomBytes - freeBytes)
+  }
+}
