Send no stage work to a replica that says it is leaving

Ruled out: a late word from the store; the log shows the state read 2 s before. Change: the registry tells state changes; a replica without the room it was thought to have is left alone for 60 ms, and such calls no longer count as its speed.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
   type: 'lib',
   typescript: true,
   markdown: false,
-  ignores: ['**/dist/**', '**/*.md'],
+  ignores: ['**/dist/**', '**/*.md', 'journal/**', 'target/**'],
 }, {
   rules: {
     'node/prefer-global/process': 'off',
--- a/packages/gateway/src/replica/replica-registry.ts
+++ b/packages/gateway/src/replica/replica-registry.ts
@@ -9,6 +9,8 @@
 export interface ReplicaListener {
   added?: (replica: Replica) => void
   removed?: (replica: Replica) => void
+  /** It began to leave, or came back. */
+  stateChanged?: (replica: Replica) => void
 }
 
 /** Holds replicas; a source upserts and removes them. */
@@ -39,9 +41,7 @@
   upsert(record: ReplicaRecord): void {
     const existing = this.byId.get(record.id)
     if (existing) {
-      if (existing.record.draining !== record.draining)
-        this.log.write('replica-state', { replica: record.id, service: record.service, draining: record.draining })
-      existing.record = record
+      this.update(existing, record)
       return
     }
     const replica = new Replica(record)
@@ -74,6 +74,16 @@
       this.upsert(record)
   }
 
+  private update(replica: Replica, record: ReplicaRecord): void {
+    const stateChanged = replica.record.draining !== record.draining
+    replica.record = record
+    if (!stateChanged)
+      return
+    this.log.write('replica-state', { replica: record.id, service: record.service, draining: record.draining })
+    for (const listener of this.listeners)
+      listener.stateChanged?.(replica)
+  }
+
   private membersOf(service: string): Set<Replica> {
     const existing = this.byService.get(service)
     if (existing)
--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -9,6 +9,7 @@
 import type { PieceOutcome, StageCallResult, StageClient, StagePiece } from './stage-client.js'
 import type { StageOrder } from './stage-order.js'
 import type { StageResult, StageTask } from './stage-task.js'
+import { createBoundedSignal } from '@eidermast/daemon/wait'
 import { PieceFailure, StageCallEnd } from './stage-client.js'
 import { crossingBytes } from './stage-task.js'
 import { StageWorker } from './stage-worker.js'
@@ -201,7 +202,9 @@
     const timeoutMs = worker.callTime(batch.length) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS
     const fetchMs = this.fetchTime(batch)
     const fetchTimer = fetchMs === undefined ? undefined : setTimeout(() => this.reportFetched(batch), fetchMs)
-    const result = await this.client.run(worker.replica, batch.map(work => describePiece(work, startedAt)), AbortSignal.timeout(Math.ceil(timeoutMs)))
+    const timeout = createBoundedSignal(timeoutMs)
+    const result = await this.client.run(worker.replica, batch.map(work => describePiece(work, startedAt)), timeout.signal)
+    timeout.dispose()
     clearTimeout(fetchTimer)
     const tookMs = performance.now() - startedAt
     this.log.write('stage-call', { service: this.service, replica: worker.replica.id, zone: worker.zone, pieces: batch.length, tookMs: Math.round(tookMs), expectedMs: Math.round(worker.callTime(batch.length)), end: result.end, failed: result.outcomes.filter(outcome => 'failure' in outcome).length, roomBytes: worker.freeBytes(), requests: [...new Set(batch.map(work => work.task.task.requestId))].join(',') })
@@ -230,8 +233,10 @@
   }
 
   private take(worker: StageWorker, batch: readonly PieceWork[], result: StageCallResult, tookMs: number): void {
-    worker.succeed(batch.length, tookMs)
     const now = performance.now()
+    worker.succeed(batch.length, tookMs, result.outcomes.every(outcome => 'handle' in outcome))
+    if (result.outcomes.some(outcome => 'failure' in outcome && outcome.failure === PieceFailure.NoRoom))
+      worker.pauseForRoom(now)
     batch.forEach((work, position) => this.takeOutcome(worker, work, result.outcomes[position], now))
   }
 
--- a/packages/gateway/src/stage/stage-scheduler.ts
+++ b/packages/gateway/src/stage/stage-scheduler.ts
@@ -8,6 +8,7 @@
 import type { RouteTable } from '../configuration/route-table.js'
 import type { EventLog } from '../process/event-log.js'
 import type { ReplicaRegistry } from '../replica/replica-registry.js'
+import type { Replica } from '../replica/replica.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from './preparation.js'
 import type { StageClient } from './stage-client.js'
 import type { StageOrder } from './stage-order.js'
@@ -34,7 +35,8 @@
     private readonly repeats: RepeatAllowance,
     private readonly log: EventLog,
   ) {
-    registry.listen({ added: replica => this.refresh(replica.service), removed: replica => this.refresh(replica.service) })
+    const refresh = (replica: Replica): void => this.refresh(replica.service)
+    registry.listen({ added: refresh, removed: refresh, stateChanged: refresh })
     this.timer = setInterval(() => this.dispatchWaiting(), DISPATCH_INTERVAL_MS)
     this.timer.unref()
   }
@@ -47,8 +49,8 @@
     }
   }
 
-  /** The state of a replica changed, such as that it is leaving. */
-  refresh(service: string): void {
+  /** Gives a service's pool the replicas that take work. */
+  private refresh(service: string): void {
     this.pools.get(service)?.setReplicas(this.registry.available(service))
   }
 
--- a/packages/gateway/src/stage/stage-worker.ts
+++ b/packages/gateway/src/stage/stage-worker.ts
@@ -7,7 +7,11 @@
 
 /** First pause after a failed call, in milliseconds; it doubles with each further one. */
 const FIRST_PAUSE_MS = 100
+/** Pause after a replica had no room, in milliseconds. */
+const ROOM_PAUSE_MS = 60
 const LONGEST_PAUSE_MS = 5000
+/** Part of the room that is planned with: sizes of results are told roughly. */
+const USABLE_ROOM_SHARE = 0.93
 const SPEED_WEIGHT = 0.4
 const SLOWEST_FACTOR = 20
 const FASTEST_FACTOR = 0.5
@@ -52,7 +56,7 @@
   }
 
   freeBytes(): number {
-    return this.limits.roomBytes - this.usedBytes
+    return this.limits.roomBytes * USABLE_ROOM_SHARE - this.usedBytes
   }
 
   /** Expected time of a call, in milliseconds. */
@@ -66,10 +70,12 @@
     this.busyUntil = now + this.callTime(pieces)
   }
 
-  /** A call ended with an answer. */
-  succeed(pieces: number, tookMs: number): void {
+  /** A call ended with an answer; one that made every piece tells the replica's speed. */
+  succeed(pieces: number, tookMs: number, madeAll: boolean): void {
     this.callsUnderWay--
     this.failures = 0
+    if (!madeAll)
+      return
     const measured = tookMs / (this.limits.callMs + this.limits.pieceMs * pieces)
     const bounded = Math.min(SLOWEST_FACTOR, Math.max(FASTEST_FACTOR, measured))
     this.slowness += (bounded - this.slowness) * SPEED_WEIGHT
@@ -84,6 +90,11 @@
     return pause
   }
 
+  /** The replica has no room that it was thought to have; it is left alone until some is free. */
+  pauseForRoom(now: number): void {
+    this.pausedUntil = now + ROOM_PAUSE_MS
+  }
+
   /** Room reserved for a piece that was not made. */
   returnRoom(bytes: number): void {
     this.usedBytes = Math.max(0, this.usedBytes - bytes)
--- /dev/null
+++ b/test/gateway/stage-scheduler.test.ts
@@ -0,0 +1,144 @@
+import type { PreparationRequest } from '@eidermast/gateway'
+import { AttainableFirstOrder, PieceFailure, PreparationFailureKind, ReplicaRegistry, RouteTable, StageCallEnd, StageScheduler } from '@eidermast/gateway'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createConfiguration, createLog, createRecord, createStageLimits, FakeStageService } from './support/fakes.js'
+
+const LIMITS = createStageLimits()
+
+function createScheduler(replicas: { id: string, zone?: string, service?: string }[]) {
+  const { log, lines } = createLog()
+  const registry = new ReplicaRegistry(log)
+  const service = new FakeStageService(LIMITS)
+  const repeats = { allowed: 10 }
+  const scheduler = new StageScheduler(registry, service, new AttainableFirstOrder(), { takeRepeats: () => repeats.allowed-- > 0 }, log)
+  scheduler.applyConfiguration(new RouteTable(createConfiguration({ services: [
+    { name: 'encode', maxConnections: 9, stage: LIMITS },
+    { name: 'rerank', maxConnections: 9, stage: LIMITS },
+  ] })))
+  for (const replica of replicas)
+    registry.upsert(createRecord({ service: 'encode', zone: 'zone-a', ...replica }))
+  return { scheduler, registry, service, lines, repeats }
+}
+
+function createRequest(overrides: Partial<PreparationRequest> = {}): PreparationRequest {
+  return {
+    requestId: 'request-1',
+    stages: [{ service: 'encode', dependsOn: [], resultBytes: 10, pieces: 2 }],
+    key: 'key',
+    priority: 1,
+    targetMs: 2000,
+    deadlineMs: 5000,
+    zone: 'zone-a',
+    ...overrides,
+  }
+}
+
+const TWO_STAGES = [
+  { service: 'encode', dependsOn: [], resultBytes: 10, pieces: 2 },
+  { service: 'rerank', dependsOn: [0], resultBytes: 10, pieces: 1 },
+]
+const NEVER = new AbortController().signal
+
+beforeEach(() => void vi.useFakeTimers())
+afterEach(() => void vi.useRealTimers())
+
+describe('the stage scheduler', () => {
+  test('makes every piece of every stage once and hands on the last stage\'s results', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }, { id: 'rerank-a', service: 'rerank' }])
+    const prepared = scheduler.prepare(createRequest({ stages: TWO_STAGES }), NEVER)
+    await vi.advanceTimersByTimeAsync(2000)
+    expect((await prepared).unwrap().handles).toEqual(['rerank-a/2'])
+    expect(service.calls.map(call => call.pieces.map(piece => `${piece.stage}.${piece.index}`))).toEqual([['0.0', '0.1'], ['1.0']])
+    expect(service.calls[1].pieces[0].inputs).toEqual(['encode-a/0', 'encode-a/1'])
+  })
+
+  test('gathers pieces of many requests into one call', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }])
+    const requests = ['first', 'second', 'third'].map(requestId => scheduler.prepare(createRequest({ requestId }), NEVER))
+    await vi.advanceTimersByTimeAsync(2000)
+    await Promise.all(requests)
+    expect(service.calls.map(call => call.pieces.length)).toEqual([2, 4])
+  })
+
+  test('frees results when their last reader has them, and all of a request that is released', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }, { id: 'rerank-a', service: 'rerank' }])
+    const prepared = scheduler.prepare(createRequest({ stages: TWO_STAGES }), NEVER)
+    await vi.advanceTimersByTimeAsync(2000)
+    await prepared
+    expect(service.freed).toEqual(['encode-a/0', 'encode-a/1'])
+    scheduler.release('request-1')
+    await vi.advanceTimersByTimeAsync(100)
+    expect(service.live.size).toBe(0)
+  })
+
+  test('frees what is made for a request whose client has left', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }])
+    const leaving = new AbortController()
+    const prepared = scheduler.prepare(createRequest(), leaving.signal)
+    await vi.advanceTimersByTimeAsync(20)
+    leaving.abort()
+    await vi.advanceTimersByTimeAsync(2000)
+    expect((await prepared).unwrapErr().kind).toBe(PreparationFailureKind.Cancelled)
+    expect(service.live.size).toBe(0)
+  })
+
+  test('sends nothing more to a replica that says it is leaving', async () => {
+    const { scheduler, registry, service } = createScheduler([{ id: 'encode-a' }, { id: 'encode-b', zone: 'zone-b' }])
+    registry.upsert(createRecord({ id: 'encode-a', draining: true }))
+    const prepared = scheduler.prepare(createRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(2000)
+    expect((await prepared).isOk()).toBe(true)
+    expect(service.calls.map(call => call.replicaId)).toEqual(['encode-b'])
+  })
+
+  test.each([
+    ['a piece that failed', () => (piece: { index: number }) => piece.index === 1 ? PieceFailure.Error : undefined],
+    ['a piece without room', () => (piece: { index: number }) => piece.index === 1 ? PieceFailure.NoRoom : undefined],
+    ['a call that was refused', () => StageCallEnd.Refused],
+    ['a call that broke off', () => StageCallEnd.Broken],
+    ['a call that reached nobody', () => StageCallEnd.NotSent],
+    ['a call that is never answered', () => 'silent' as const],
+  ])('makes up for %s', async (_name, behaviour) => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }, { id: 'encode-b' }])
+    service.behaviour = () => {
+      service.behaviour = () => StageCallEnd.Done
+      return behaviour()
+    }
+    const prepared = scheduler.prepare(createRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(4000)
+    expect((await prepared).unwrap().handles).toHaveLength(2)
+  })
+
+  test('begins a stage anew when its inputs died with their maker', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }, { id: 'rerank-a', service: 'rerank' }])
+    service.behaviour = (call) => {
+      if (call.replicaId === 'rerank-a' && service.calls.length === 2)
+        service.kill('encode-a')
+      return StageCallEnd.Done
+    }
+    const prepared = scheduler.prepare(createRequest({ stages: TWO_STAGES }), NEVER)
+    await vi.advanceTimersByTimeAsync(4000)
+    expect((await prepared).unwrap().handles).toHaveLength(1)
+    expect(service.calls.filter(call => call.replicaId === 'encode-a')).toHaveLength(2)
+  })
+
+  test('stops sending pieces again when the budget is used up', async () => {
+    const { scheduler, service, repeats } = createScheduler([{ id: 'encode-a' }])
+    repeats.allowed = 0
+    service.behaviour = () => StageCallEnd.Refused
+    const prepared = scheduler.prepare(createRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(4000)
+    expect((await prepared).isErr()).toBe(true)
+    expect(service.calls.length).toBeLessThanOrEqual(3)
+  })
+
+  test('does not take a replica that had no room for fast, nor ask it again at once', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }])
+    service.behaviour = () => service.calls.length <= 3 ? () => PieceFailure.NoRoom : StageCallEnd.Done
+    void scheduler.prepare(createRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(130)
+    expect(service.calls).toHaveLength(1)
+    await vi.advanceTimersByTimeAsync(100)
+    expect(service.calls.length).toBeLessThanOrEqual(2)
+  })
+})
--- /dev/null
+++ b/test/gateway/support/fakes.ts
@@ -0,0 +1,113 @@
+/**
+ * Fakes at the gateway's interfaces: a log that is kept, a stage service in
+ * memory, and makers of records.
+ */
+import type { Configuration, EventFields, PieceOutcome, Replica, ReplicaRecord, Route, StageCallResult, StageClient, StageLimits, StagePiece } from '@eidermast/gateway'
+import { EventLog, PieceFailure, StageCallEnd } from '@eidermast/gateway'
+
+/** A log whose lines are kept. */
+export function createLog(): { log: EventLog, lines: EventFields[] } {
+  const lines: EventFields[] = []
+  return { log: new EventLog({ write: line => lines.push(JSON.parse(line)) }, { process: 'test' }), lines }
+}
+
+export function createRecord(overrides: Partial<ReplicaRecord> = {}): ReplicaRecord {
+  return { id: 'replica-a', service: 'encode', address: '127.0.0.1:1', zone: 'zone-a', capacity: 1, draining: false, ...overrides }
+}
+
+export function createStageLimits(overrides: Partial<StageLimits> = {}): StageLimits {
+  return { concurrency: 1, batch: 4, callMs: 100, pieceMs: 10, roomBytes: 1000, resultLifetimeMs: 4000, bandwidthMbps: 10_000, ...overrides }
+}
+
+export function createRoute(overrides: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: 'host.example',
+    pathPrefix: '/a/',
+    streaming: false,
+    repeatable: true,
+    resumable: false,
+    timeoutMs: 1000,
+    targetLatencyMs: 200,
+    priority: 1,
+    services: [{ service: 'plain', weight: 1 }],
+    maxAttempts: 2,
+    stages: [],
+    public: true,
+    ...overrides,
+  }
+}
+
+export function createConfiguration(overrides: Partial<Configuration> = {}): Configuration {
+  return {
+    version: 1,
+    routes: [createRoute()],
+    services: [{ name: 'plain', maxConnections: 50 }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 5000 },
+    tenants: [],
+    ...overrides,
+  }
+}
+
+/** A call that a fake stage replica got. */
+export interface FakeStageCall {
+  replicaId: string
+  pieces: readonly StagePiece[]
+}
+
+/** What a fake stage replica does with a call. */
+export type StageBehaviour = (call: FakeStageCall) => StageCallEnd | ((piece: StagePiece) => PieceFailure | undefined) | 'silent'
+
+/** A stage service in memory: one slot a replica, results with handles that end when they are freed or their maker dies. */
+export class FakeStageService implements StageClient {
+  readonly calls: FakeStageCall[] = []
+  readonly freed: string[] = []
+  readonly live = new Map<string, string>()
+  behaviour: StageBehaviour = () => StageCallEnd.Done
+  private made = 0
+
+  constructor(private readonly limits: StageLimits) {}
+
+  async run(replica: Replica, pieces: readonly StagePiece[], signal: AbortSignal): Promise<StageCallResult> {
+    const call = { replicaId: replica.id, pieces }
+    this.calls.push(call)
+    const behaviour = this.behaviour(call)
+    if (behaviour === 'silent') {
+      await new Promise(resolve => signal.addEventListener('abort', resolve))
+      return { end: StageCallEnd.Broken, outcomes: [] }
+    }
+    if (typeof behaviour === 'string' && behaviour !== StageCallEnd.Done)
+      return { end: behaviour, outcomes: [] }
+    const failureOf = typeof behaviour === 'function' ? behaviour : () => undefined
+    const missing = pieces.map(piece => piece.inputs?.some(handle => !this.live.has(handle)) ?? false)
+    await new Promise(resolve => setTimeout(resolve, this.limits.callMs + this.limits.pieceMs * pieces.length))
+    return { end: StageCallEnd.Done, outcomes: pieces.map((piece, index) => missing[index] ? { failure: PieceFailure.InputGone } : this.make(replica, failureOf(piece))) }
+  }
+
+  async free(_replica: Replica, handles: readonly string[]): Promise<void> {
+    for (const handle of handles) {
+      this.freed.push(handle)
+      this.live.delete(handle)
+    }
+  }
+
+  async freeRoom(): Promise<number | undefined> {
+    return undefined
+  }
+
+  /** The replica dies with its results. */
+  kill(replicaId: string): void {
+    for (const [handle, maker] of this.live) {
+      if (maker === replicaId)
+        this.live.delete(handle)
+    }
+  }
+
+  private make(replica: Replica, failure: PieceFailure | undefined): PieceOutcome {
+    if (failure)
+      return { failure }
+    const handle = `${replica.id}/${this.made++}`
+    this.live.set(handle, replica.id)
+    return { handle }
+  }
+}
