Refuse stage work early that cannot end in time, and order it by shifted targets

Ruled out: a shortage of model replicas; they were idle. Change: admission by a fluid estimate of the work that goes before, told at once with a time to come back; rank by target shifted 300 ms a priority level, so nothing starves; the client's own silence limit bounds the stages.

--- a/packages/gateway/src/configuration/configuration.ts
+++ b/packages/gateway/src/configuration/configuration.ts
@@ -35,6 +35,8 @@
   timeoutMs: number
   /** The time within which an answer is worth most, in milliseconds. */
   targetLatencyMs: number
+  /** The longest pause between events of an answer in time, in milliseconds. */
+  targetGapMs: number
   /** 0 is the most urgent. */
   priority: number
   services: WeightedService[]
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -25,7 +25,7 @@
 import { PassThrough } from '../request/pass-through.js'
 import { ReplicaRunner } from '../request/replica-runner.js'
 import { RetryBudget } from '../request/retry-budget.js'
-import { AttainableFirstOrder } from '../stage/stage-order.js'
+import { ShiftedTargetOrder } from '../stage/stage-order.js'
 import { StageScheduler } from '../stage/stage-scheduler.js'
 import { GatewayMetrics } from './gateway-metrics.js'
 
@@ -87,7 +87,7 @@
     this.connections = new ReplicaConnections(service => this.connectionShare(service))
     const budget = new RetryBudget({ ratio: settings.retry.ratio, extra: settings.retry.extra, windowMs: settings.retry['window-ms'] }, () => this.sharers())
     const stageBudget = new RetryBudget({ ratio: 0, extra: settings.retry.extra, windowMs: settings.retry['window-ms'] }, () => 1 + SPARE_SHARERS)
-    this.scheduler = new StageScheduler(this.registry, platform.stageClient(this.connections), new AttainableFirstOrder(), { takeRepeats: service => stageBudget.takeRepeat(service) }, log)
+    this.scheduler = new StageScheduler(this.registry, platform.stageClient(this.connections), new ShiftedTargetOrder(), { takeRepeats: service => stageBudget.takeRepeat(service) }, log)
     const ejection = new OutlierEjection()
     const runner = new ReplicaRunner({
       zone: settings.process.zone,
--- a/packages/gateway/src/request/pass-through.ts
+++ b/packages/gateway/src/request/pass-through.ts
@@ -19,6 +19,12 @@
 
 const HASH_RANGE = 2 ** 32
 const DEFAULT_DEADLINE_MS = 10_000
+/** A client with less than this part of the longest time of its route tries again. */
+const RETURNING_SHARE = 0.985
+/** Clients give a stream up after the longest of these. */
+const SHORTEST_SILENCE_MS = 2000
+const SILENCE_TARGETS = 4
+const SILENCE_GAPS = 8
 /** Time kept for the answer's way back, in milliseconds. */
 const ANSWER_MARGIN_MS = 20
 
@@ -42,6 +48,10 @@
   priority: number
   /** When it must be answered, on the process clock. */
   deadlineAt: number
+  /** When its client gives up without a first event, on the process clock. */
+  firstEventBy: number
+  /** The client was told to come back, and did. */
+  returning: boolean
 }
 
 /** What the pass-through works with. */
@@ -55,6 +65,9 @@
 
 /** Serves requests on the configured routes. */
 export class PassThrough {
+  /** The longest time that clients gave, by route, in milliseconds. */
+  private readonly longestDeadlines = new Map<string, number>()
+
   constructor(private readonly parts: PassThroughParts) {}
 
   /** Finds the route and tenant of a request, or the error that answers it. */
@@ -73,7 +86,17 @@
     if (!service)
       return createError(ErrorKind.NoBackend, `route ${route.name} has no service`)
     const deadlineMs = Math.min(request.head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs)
-    return { ...request, route, tenant, service, priority: tenant?.priority ?? route.priority, deadlineAt: request.arrivedAt + deadlineMs - ANSWER_MARGIN_MS }
+    const deadlineAt = request.arrivedAt + deadlineMs - ANSWER_MARGIN_MS
+    return {
+      ...request,
+      route,
+      tenant,
+      service,
+      priority: tenant?.priority ?? route.priority,
+      deadlineAt,
+      firstEventBy: Math.min(deadlineAt, request.arrivedAt + silenceLimit(route) - ANSWER_MARGIN_MS),
+      returning: this.isReturning(route, request.head.deadlineMs),
+    }
   }
 
   /** Answers a request; the signal aborts when its client leaves. */
@@ -91,7 +114,7 @@
 
   private async prepareAndRun(request: RoutedRequest, answer: ClientAnswer, signal: AbortSignal): Promise<RequestError | undefined> {
     const { requestId } = request.head
-    const clock = AbortSignal.any([signal, AbortSignal.timeout(Math.max(1, Math.ceil(request.deadlineAt - performance.now())))])
+    const clock = AbortSignal.any([signal, AbortSignal.timeout(Math.max(1, Math.ceil(request.firstEventBy - performance.now())))])
     const prepared = await this.parts.preparer.prepare(this.describe(request), clock)
     if (prepared.isErr())
       return preparationError(prepared.error.kind, prepared.error.message, prepared.error.retryAfterMs)
@@ -118,11 +141,21 @@
       key: request.head.stageKey,
       priority: request.priority,
       targetMs: request.route.targetLatencyMs - elapsed,
-      deadlineMs: request.deadlineAt - performance.now(),
+      deadlineMs: request.firstEventBy - performance.now(),
+      returning: request.returning,
       zone: this.parts.runner.preferredZone(request),
     }
   }
 
+  /** A client that tries again has less time left than others of its route had. */
+  private isReturning(route: Route, deadlineMs: number | undefined): boolean {
+    if (deadlineMs === undefined)
+      return false
+    const longest = Math.max(this.longestDeadlines.get(route.name) ?? 0, deadlineMs)
+    this.longestDeadlines.set(route.name, longest)
+    return deadlineMs < longest * RETURNING_SHARE
+  }
+
   private findTenant(table: RouteTable, route: Route, key: string | undefined): Tenant | undefined | 'unknown' {
     if (route.public || !table.needsKeys)
       return undefined
@@ -147,6 +180,13 @@
   return parts.configuration.version
 }
 
+/** How long clients wait for an event of a route, in milliseconds. */
+function silenceLimit(route: Route): number {
+  if (!route.streaming)
+    return route.timeoutMs
+  return Math.max(SHORTEST_SILENCE_MS, SILENCE_TARGETS * route.targetLatencyMs, SILENCE_GAPS * route.targetGapMs)
+}
+
 function isError(routed: RoutedRequest | RequestError): routed is RequestError {
   return 'kind' in routed
 }
--- a/packages/gateway/src/stage/index.ts
+++ b/packages/gateway/src/stage/index.ts
@@ -1,5 +1,6 @@
 export * from './preparation-run.js'
 export * from './preparation.js'
+export * from './stage-admission.js'
 export * from './stage-client.js'
 export * from './stage-order.js'
 export * from './stage-pool.js'
--- a/packages/gateway/src/stage/preparation-run.ts
+++ b/packages/gateway/src/stage/preparation-run.ts
@@ -4,14 +4,14 @@
  */
 import type { Result } from 'ts-results-es'
 import type { PreparationFailure, PreparationRequest, PreparedInputs } from './preparation.js'
+import type { CommittedWork } from './stage-admission.js'
 import type { StagePool } from './stage-pool.js'
 import type { StageResult } from './stage-task.js'
 import { Err, Ok } from 'ts-results-es'
 import { PreparationFailureKind } from './preparation.js'
+import { ANSWER_TIME_MS } from './stage-admission.js'
 import { PieceFailure } from './stage-client.js'
 
-/** Expected time from the last stage to the first event of the answer, in milliseconds. */
-const ANSWER_TIME_MS = 250
 /** How often a request's stage work begins anew after a lost result. */
 const MOST_RESTARTS = 2
 const RETRY_AFTER_MS = 1000
@@ -29,7 +29,7 @@
 export type PreparationListener = (result: Result<PreparedInputs, PreparationFailure>) => void
 
 /** Runs the stages of one request. */
-export class PreparationRun {
+export class PreparationRun implements CommittedWork {
   private states: StageState[] = []
   private restarts = 0
   private ended = false
@@ -38,6 +38,7 @@
 
   constructor(
     private readonly request: PreparationRequest,
+    readonly rank: number,
     private readonly poolOf: (service: string) => StagePool | undefined,
     private readonly listener: PreparationListener,
     now = performance.now(),
@@ -54,6 +55,13 @@
     this.advance()
   }
 
+  /** Pieces of a service that are not made yet. */
+  remainingPieces(service: string): number {
+    if (this.ended)
+      return 0
+    return this.request.stages.reduce((sum, stage, number) => sum + (stage.service === service && !this.states[number]?.results ? stage.pieces : 0), 0)
+  }
+
   /** Gives everything up. */
   release(): void {
     this.ended = true
@@ -91,7 +99,7 @@
       key: definition.dependsOn.length === 0 ? this.request.key : undefined,
       inputs: definition.dependsOn.flatMap(dependency => this.states[dependency].results ?? []),
       readerZone: this.readersOf(stage).length === 0 ? this.request.zone : undefined,
-      priority: this.request.priority,
+      rank: this.rank,
       targetAt: this.targetAt,
       deadlineAt: this.deadlineAt,
       remainingMs: this.remainingAfter(stage),
--- a/packages/gateway/src/stage/preparation.ts
+++ b/packages/gateway/src/stage/preparation.ts
@@ -22,6 +22,8 @@
   targetMs: z.number(),
   /** Milliseconds left until the client gives up. */
   deadlineMs: z.number(),
+  /** The client was told to come back, and did. */
+  returning: z.boolean(),
   /** Zone of the replica that will read the results. */
   zone: z.string(),
 })
--- a/packages/gateway/src/stage/stage-order.ts
+++ b/packages/gateway/src/stage/stage-order.ts
@@ -3,27 +3,43 @@
  */
 import type { StageTask } from './stage-task.js'
 
-/** A way to order tasks: less goes first. */
+/** What a request's place in the order is made from. */
+export interface RankSubject {
+  /** 0 is the most urgent. */
+  priority: number
+  /** The client was told to come back, and did. */
+  returning: boolean
+  /** When the answer becomes late, on the process clock in milliseconds. */
+  targetAt: number
+}
+
+/** A way to order requests: the least rank goes first. */
 export interface StageOrder {
-  compare: (left: StageTask, right: StageTask, now: number) => number
+  rank: (subject: RankSubject) => number
 }
 
 /** The baseline: in the order of their targets. */
 export class TargetFirstOrder implements StageOrder {
-  compare(left: StageTask, right: StageTask): number {
-    return left.targetAt - right.targetAt
+  rank(subject: RankSubject): number {
+    return subject.targetAt
   }
 }
 
-/** Tasks that can still be in time go first, then the more urgent, then the earlier target. */
-export class AttainableFirstOrder implements StageOrder {
-  compare(left: StageTask, right: StageTask, now: number): number {
-    return Number(isLate(left, now)) - Number(isLate(right, now))
-      || left.priority - right.priority
-      || left.targetAt - right.targetAt
+/** One level of priority goes before targets that lie this much earlier, in milliseconds. */
+const PRIORITY_STEP_MS = 300
+
+/**
+ * Targets, shifted by priority. A burst of urgent requests delays the others
+ * by a bounded time, and whoever came back goes before its own kind.
+ */
+export class ShiftedTargetOrder implements StageOrder {
+  rank(subject: RankSubject): number {
+    const level = subject.priority - (subject.returning ? 1 : 0)
+    return subject.targetAt + level * PRIORITY_STEP_MS
   }
 }
 
-function isLate(task: StageTask, now: number): boolean {
-  return now + task.remainingMs > task.targetAt
+/** Sorts tasks by rank. */
+export function compareTasks(left: StageTask, right: StageTask): number {
+  return left.rank - right.rank
 }
--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -6,11 +6,12 @@
 import type { StageLimits } from '../configuration/configuration.js'
 import type { EventLog } from '../process/event-log.js'
 import type { Replica } from '../replica/replica.js'
+import type { ServicePace } from './stage-admission.js'
 import type { PieceOutcome, StageCallResult, StageClient, StagePiece } from './stage-client.js'
-import type { StageOrder } from './stage-order.js'
 import type { StageResult, StageTask } from './stage-task.js'
 import { createBoundedSignal } from '@eidermast/daemon/wait'
 import { PieceFailure, StageCallEnd } from './stage-client.js'
+import { compareTasks } from './stage-order.js'
 import { crossingBytes } from './stage-task.js'
 import { StageWorker } from './stage-worker.js'
 
@@ -28,6 +29,8 @@
 /** Both links and a busy replica: factor and margin over the plain time of a fetch. */
 const FETCH_FACTOR = 3
 const FETCH_MARGIN_MS = 80
+/** Part of the speed of full batches that is reached under load. */
+const BATCH_EFFICIENCY = 0.8
 const FREE_DELAY_MS = 15
 
 interface PieceWork {
@@ -59,7 +62,6 @@
     readonly service: string,
     private limits: StageLimits,
     private readonly client: StageClient,
-    private readonly order: StageOrder,
     private readonly repeats: RepeatAllowance,
     private readonly log: EventLog,
   ) {}
@@ -93,14 +95,11 @@
     return this.queue.reduce((sum, state) => sum + state.waiting.length, 0)
   }
 
-  /** Milliseconds until pieces that come now are likely begun. */
-  expectedWaitMs(now: number): number {
-    const workers = [...this.workers.values()].filter(worker => worker.isUsable(now))
-    if (workers.length === 0)
-      return Number.POSITIVE_INFINITY
-    const soonest = Math.min(...workers.map(worker => worker.startsIn(now)))
-    const rounds = this.waitingPieces / (this.limits.batch * workers.length)
-    return soonest + rounds * this.typicalCallMs()
+  /** Speed of the service with the replicas that can be used. */
+  pace(): ServicePace {
+    const workers = [...this.workers.values()]
+    const speed = workers.reduce((sum, worker) => sum + 1 / worker.slownessFactor, 0)
+    return { replicas: speed, pieceMs: (this.limits.callMs / this.limits.batch + this.limits.pieceMs) / BATCH_EFFICIENCY, callMs: this.typicalCallMs() }
   }
 
   /** Takes a task; returns what ends it without a report. Pieces under way are freed when they are made. */
@@ -134,7 +133,7 @@
       worker.expire(now)
     if (this.queue.length === 0)
       return
-    this.queue.sort((left, right) => this.order.compare(left.task, right.task, now))
+    this.queue.sort((left, right) => compareTasks(left.task, right.task))
     const idle = [...this.workers.values()].filter(worker => worker.isIdle(now))
     idle.sort((left, right) => left.callTime(1) - right.callTime(1) || right.freeBytes() - left.freeBytes())
     for (const worker of idle) {
--- a/packages/gateway/src/stage/stage-scheduler.ts
+++ b/packages/gateway/src/stage/stage-scheduler.ts
@@ -16,6 +16,7 @@
 import { Err } from 'ts-results-es'
 import { PreparationRun } from './preparation-run.js'
 import { PreparationFailureKind } from './preparation.js'
+import { estimateAdmission } from './stage-admission.js'
 import { StagePool } from './stage-pool.js'
 
 const DISPATCH_INTERVAL_MS = 50
@@ -69,7 +70,12 @@
       }
       const startedAt = performance.now()
       signal.addEventListener('abort', onAbort)
-      this.begin(request, end)
+      const rank = this.order.rank({ priority: request.priority, returning: request.returning, targetAt: startedAt + request.targetMs })
+      const refusal = this.refuse(request, rank)
+      if (refusal)
+        end(Err(refusal))
+      else
+        this.begin(request, rank, end)
     })
   }
 
@@ -82,9 +88,18 @@
     clearInterval(this.timer)
   }
 
-  private begin(request: PreparationRequest, end: (result: Result<PreparedInputs, PreparationFailure>) => void): void {
+  /** The refusal of work that could not end in time, before any of it is begun. */
+  private refuse(request: PreparationRequest, rank: number): PreparationFailure | undefined {
+    const estimate = estimateAdmission(request, rank, this.runs.values(), service => this.pools.get(service)?.pace())
+    if (estimate.admitted)
+      return undefined
+    this.log.write('stages-refused', { request: request.requestId, finishMs: Math.round(estimate.finishMs), targetMs: Math.round(request.targetMs), returning: request.returning, retryAfterMs: Math.round(estimate.retryAfterMs), underWay: this.runs.size })
+    return { kind: PreparationFailureKind.Overloaded, message: `the stages would take ${Math.round(estimate.finishMs)} ms`, retryAfterMs: estimate.retryAfterMs }
+  }
+
+  private begin(request: PreparationRequest, rank: number, end: (result: Result<PreparedInputs, PreparationFailure>) => void): void {
     this.release(request.requestId)
-    const run = new PreparationRun(request, service => this.pools.get(service), end)
+    const run = new PreparationRun(request, rank, service => this.pools.get(service), end)
     this.runs.set(request.requestId, run)
     setTimeout(() => this.runs.get(request.requestId) === run && this.release(request.requestId), LONGEST_HOLD_MS).unref()
     run.start()
@@ -96,7 +111,7 @@
       pool.setLimits(service.stage!)
       return
     }
-    this.pools.set(service.name, new StagePool(service.name, service.stage!, this.client, this.order, this.repeats, this.log))
+    this.pools.set(service.name, new StagePool(service.name, service.stage!, this.client, this.repeats, this.log))
     this.refresh(service.name)
   }
 
--- a/packages/gateway/src/stage/stage-task.ts
+++ b/packages/gateway/src/stage/stage-task.ts
@@ -31,8 +31,8 @@
   inputs: readonly StageResult[]
   /** Zone of the replica that reads the results, if it does so directly. */
   readerZone: string | undefined
-  /** 0 is the most urgent. */
-  priority: number
+  /** Place in the order; the least goes first. */
+  rank: number
   /** When the request's answer becomes late, on the process clock. */
   targetAt: number
   /** When the client gives up, on the process clock. */
--- a/packages/gateway/src/stage/stage-worker.ts
+++ b/packages/gateway/src/stage/stage-worker.ts
@@ -29,12 +29,16 @@
   private usedBytes = 0
   private failures = 0
   private pausedUntil = 0
-  /** Measured time of calls over the configured one. */
   private slowness = 1
   private readonly held = new Map<string, HeldResult>()
 
   constructor(readonly replica: Replica, public limits: StageLimits) {}
 
+  /** Measured time of calls over the configured one. */
+  get slownessFactor(): number {
+    return this.slowness
+  }
+
   get zone(): string {
     return this.replica.zone
   }
--- a/test/gateway/stage-scheduler.test.ts
+++ b/test/gateway/stage-scheduler.test.ts
@@ -1,5 +1,5 @@
 import type { PreparationRequest } from '@eidermast/gateway'
-import { AttainableFirstOrder, PieceFailure, PreparationFailureKind, ReplicaRegistry, RouteTable, StageCallEnd, StageScheduler } from '@eidermast/gateway'
+import { PieceFailure, PreparationFailureKind, ReplicaRegistry, RouteTable, ShiftedTargetOrder, StageCallEnd, StageScheduler } from '@eidermast/gateway'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createConfiguration, createLog, createRecord, createStageLimits, FakeStageService } from './support/fakes.js'
 
@@ -10,7 +10,7 @@
   const registry = new ReplicaRegistry(log)
   const service = new FakeStageService(LIMITS)
   const repeats = { allowed: 10 }
-  const scheduler = new StageScheduler(registry, service, new AttainableFirstOrder(), { takeRepeats: () => repeats.allowed-- > 0 }, log)
+  const scheduler = new StageScheduler(registry, service, new ShiftedTargetOrder(), { takeRepeats: () => repeats.allowed-- > 0 }, log)
   scheduler.applyConfiguration(new RouteTable(createConfiguration({ services: [
     { name: 'encode', maxConnections: 9, stage: LIMITS },
     { name: 'rerank', maxConnections: 9, stage: LIMITS },
@@ -28,6 +28,7 @@
     priority: 1,
     targetMs: 2000,
     deadlineMs: 5000,
+    returning: false,
     zone: 'zone-a',
     ...overrides,
   }
--- a/test/gateway/support/fakes.ts
+++ b/test/gateway/support/fakes.ts
@@ -29,6 +29,7 @@
     resumable: false,
     timeoutMs: 1000,
     targetLatencyMs: 200,
+    targetGapMs: 400,
     priority: 1,
     services: [{ service: 'plain', weight: 1 }],
     maxAttempts: 2,
