Let the longest-living gateway own the stage work and hand over when it stops

Ruled out: results that end after 4 s alone; the losses began with the second owner. Change: seniority is the place of the announcement in the store's topic; a stopping owner hands over what has no results; the follower is greeted as well, since one last heard at the start was taken for alive and then for lost; early freeing stops for 5 s at a sign of another owner; full batches go before zones where more waits than a call takes.

--- a/packages/gateway/src/membership/members.ts
+++ b/packages/gateway/src/membership/members.ts
@@ -1,21 +1,27 @@
 /**
  * Which gateways there are, which of them answer, and which one owns the
- * stage work. The list comes from the platform; that a member is alive is
- * learned by direct contact only.
+ * stage work: the one that was announced first of those alive, so that a
+ * gateway that comes back takes nothing from the one at work. The list comes
+ * from the platform; that a member is alive is learned by direct contact only.
  */
 import type { EventLog } from '../process/event-log.js'
-import { rankByRendezvous } from '../replica/rendezvous.js'
 
-/** A gateway as it announced itself. */
+/** A gateway and where its peers reach it. */
 export interface Member {
   name: string
   /** `IP:PORT` for its peers. */
   address: string
 }
 
+/** A gateway as the directory lists it. */
+export interface ListedMember extends Member {
+  /** Place of its announcement among all: a gateway that starts anew comes last. */
+  seniority: number
+}
+
 /** Takes what a directory tells. */
 export interface MemberSink {
-  upsert: (member: Member) => void
+  upsert: (member: ListedMember) => void
   remove: (name: string) => void
 }
 
@@ -43,14 +49,16 @@
 }
 
 const GREET_INTERVAL_MS = 150
+/** The owner and the one that would follow it are greeted. */
+const GREETED_USABLE = 2
 /** A member that has not answered for this long is taken for lost, in milliseconds. */
 const LOST_AFTER_MS = 600
 /** Lost members are greeted this often, in milliseconds. */
 const LOST_GREET_INTERVAL_MS = 500
-const OWNERSHIP_KEY = 'stages'
 
 interface MemberState {
   member: Member
+  seniority: number
   heardAt: number
   greetedAt: number
   greeting: boolean
@@ -83,7 +91,7 @@
     private readonly onVersion: VersionListener,
   ) {
     this.currentOwner = self
-    this.upsert(self)
+    this.upsert({ ...self, seniority: Number.POSITIVE_INFINITY })
   }
 
   /** Members listed, this one included. */
@@ -120,15 +128,25 @@
     clearInterval(this.timer)
   }
 
-  upsert(member: Member): void {
+  upsert(listed: ListedMember): void {
+    const { seniority, ...member } = listed
     const existing = this.states.get(member.name)
-    if (existing?.member.address === member.address)
+    if (existing?.member.address === member.address && existing.seniority === seniority)
       return
-    this.log.write('member-listed', { member: member.name, address: member.address })
-    this.states.set(member.name, { member, heardAt: Number.NEGATIVE_INFINITY, greetedAt: Number.NEGATIVE_INFINITY, greeting: false, stopping: false, alive: member.name === this.self.name })
+    this.log.write('member-listed', { member: member.name, address: member.address, seniority: Number.isFinite(seniority) ? seniority : undefined })
+    this.states.set(member.name, { member, seniority, heardAt: Number.NEGATIVE_INFINITY, greetedAt: Number.NEGATIVE_INFINITY, greeting: false, stopping: existing?.stopping === true && member.name === this.self.name, alive: member.name === this.self.name })
     this.rank()
   }
 
+  /** This gateway or another gives its ownership up. */
+  markStopping(member: Member): void {
+    const state = this.states.get(member.name)
+    if (!state)
+      return
+    state.stopping = true
+    this.tick()
+  }
+
   remove(name: string): void {
     if (name === this.self.name || !this.states.delete(name))
       return
@@ -147,21 +165,27 @@
   }
 
   private rank(): void {
-    this.ranked = rankByRendezvous(OWNERSHIP_KEY, [...this.states.values()], state => state.member.name)
+    this.ranked = [...this.states.values()].sort((left, right) => left.seniority - right.seniority || (left.member.name < right.member.name ? -1 : 1))
     this.chooseOwner()
   }
 
-  /** Greets every member that would own the stage work before the one that does. */
+  /** Greets every member that would own the stage work before the one that does, and the next one after it. */
   private tick(): void {
     const now = performance.now()
+    let usable = 0
     for (const state of this.ranked) {
-      if (state.member.name === this.self.name)
+      if (state.member.name === this.self.name) {
+        if (state.stopping)
+          continue
         break
+      }
       this.setAlive(state, now - state.heardAt < LOST_AFTER_MS)
       const interval = state.alive ? GREET_INTERVAL_MS : LOST_GREET_INTERVAL_MS
       if (!state.greeting && now - state.greetedAt >= interval * 0.9)
         void this.greet(state, now)
       if (state.alive && !state.stopping)
+        usable++
+      if (usable === GREETED_USABLE)
         break
     }
     this.chooseOwner()
@@ -201,7 +225,7 @@
   }
 
   private chooseOwner(): void {
-    const owner = this.ranked.find(state => state.member.name === this.self.name || (state.alive && !state.stopping))?.member ?? this.self
+    const owner = this.ranked.find(state => state.alive && !state.stopping)?.member ?? this.self
     if (owner.name === this.currentOwner.name && owner.address === this.currentOwner.address)
       return
     this.log.write('stage-owner', { owner: owner.name, previous: this.currentOwner.name, members: this.states.size })
--- a/packages/gateway/src/membership/shared-preparer.ts
+++ b/packages/gateway/src/membership/shared-preparer.ts
@@ -56,12 +56,16 @@
   /** The owner's word, or undefined where the owner was lost. */
   private async prepareAt(owner: Member, request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure> | undefined> {
     this.ownerOf.set(request.requestId, owner)
-    if (owner.name === this.members.self.name)
-      return this.local.prepare(request, signal)
+    if (owner.name === this.members.self.name) {
+      const result = await this.local.prepare(request, signal)
+      return result.isErr() ? this.readFailure(owner, result.error) : result
+    }
     const lost = this.members.watchLoss(owner)
     try {
       const reply = await this.peers.prepare(owner, request, AbortSignal.any([signal, lost.signal]))
-      return 'prepared' in reply ? Ok(reply.prepared) : Err(reply.failure)
+      if ('prepared' in reply)
+        return Ok(reply.prepared)
+      return this.readFailure(owner, reply.failure)
     }
     catch (error) {
       if (!signal.aborted)
@@ -73,6 +77,14 @@
     }
   }
 
+  /** A failure that stands, or undefined where the owner handed the work over. */
+  private readFailure(owner: Member, failure: PreparationFailure): Result<PreparedInputs, PreparationFailure> | undefined {
+    if (failure.kind !== PreparationFailureKind.HandedOver)
+      return Err(failure)
+    this.members.markStopping(owner)
+    return undefined
+  }
+
   private loseOwner(owner: Member, requestId: string, error: unknown): void {
     this.log.write('stage-owner-lost', { request: requestId, owner: owner.name, error: error instanceof Error ? error.message : String(error) })
     this.members.suspect(owner)
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -102,6 +102,7 @@
     })
     const preparer = new SharedPreparer(this.members, this.scheduler, this.peers, log)
     this.clients = new ClientServer(new PassThrough({ configuration: this.configuration, preparer, runner, metrics: this.metrics, log }), platform.clientCodec, this.configuration, log)
+    this.members.onOwnerChange(() => this.scheduler.expectOthers())
     this.configuration.onChange(table => this.scheduler.applyConfiguration(table))
     this.registry.listen({ removed: replica => this.connections.forget(replica.id) })
   }
@@ -139,6 +140,8 @@
     const latest = this.settings.process['grace-period-ms'] - END_MARGIN_MS
     this.log.write('stop', { active: this.clients.activeRequests, graceMs: latest })
     this.stopping = true
+    this.members.markStopping(this.self)
+    this.members.onOwnerChange(() => this.scheduler.handOver())
     this.clients.beginDrain()
     void this.platform.memberDirectory.withdraw(this.self)
     setTimeout(() => this.clients.refuseNew(), DRAIN_SERVE_MS)
--- a/packages/gateway/src/request/pass-through.ts
+++ b/packages/gateway/src/request/pass-through.ts
@@ -201,6 +201,7 @@
       return createError(ErrorKind.Overloaded, message, { retryAfterMs })
     case PreparationFailureKind.Cancelled:
       return createError(ErrorKind.DeadlineUnreachable, message, { ran: Ran.None, retryAfterMs })
+    case PreparationFailureKind.HandedOver:
     case PreparationFailureKind.Failed:
       return createError(ErrorKind.NoBackend, message, { ran: Ran.None, retryAfterMs })
   }
--- a/packages/gateway/src/request/replica-runner.ts
+++ b/packages/gateway/src/request/replica-runner.ts
@@ -105,6 +105,7 @@
   private lastEventId: string | undefined
   private handles: readonly string[] | undefined
   private inputsRead = false
+  private arrived = false
   private fallback: TryResult['fallback']
 
   constructor(
@@ -130,19 +131,30 @@
         return undefined
       failure = result.failure
       this.fallback = result.fallback ?? this.fallback
-      if (result.end !== TryEnd.NotRun)
-        this.ranAt++
+      this.takeFailure(replica, result)
       if (!this.mayGoOn(result.end))
         break
     }
     return this.conclude(failure)
   }
 
-  /** Whether a further try is within the budget and the time. */
+  private takeFailure(replica: Replica, result: TryResult): void {
+    if (result.end !== TryEnd.NotRun)
+      this.ranAt++
+    if (result.failure?.kind === CallFailureKind.InputGone) {
+      this.inputsRead = true
+      this.tried.delete(replica.id)
+    }
+    this.arrived = result.failure?.kind !== CallFailureKind.NotSent
+  }
+
+  /** Whether a further try is within the budget and the time. A call that reached nobody was no try. */
   private async mayTry(attempt: number): Promise<boolean> {
     if (attempt === 0)
       return true
-    if (this.remainingMs() < SHORTEST_USEFUL_MS || !this.parts.budget.takeRepeat(this.request.service))
+    if (this.remainingMs() < SHORTEST_USEFUL_MS)
+      return false
+    if (this.arrived && !this.parts.budget.takeRepeat(this.request.service))
       return false
     return !this.inputsRead || this.renewInputs()
   }
--- a/packages/gateway/src/stage/preparation-run.ts
+++ b/packages/gateway/src/stage/preparation-run.ts
@@ -55,6 +55,17 @@
     this.advance()
   }
 
+  /** Whether any piece was made. */
+  get hasResults(): boolean {
+    return this.states.some(state => state.results !== undefined && state.results.length > 0)
+  }
+
+  /** Ends work that has no results yet, so that another owner does it. */
+  handOver(): void {
+    if (!this.ended && !this.hasResults)
+      this.fail(PreparationFailureKind.HandedOver, 'the owner is stopping')
+  }
+
   /** Pieces of a service that are not made yet. */
   remainingPieces(service: string): number {
     if (this.ended)
--- a/packages/gateway/src/stage/preparation.ts
+++ b/packages/gateway/src/stage/preparation.ts
@@ -51,6 +51,8 @@
   NoReplica = 'no-replica',
   /** Pieces failed again and again. */
   Failed = 'failed',
+  /** The owner is stopping; the next one takes the work. */
+  HandedOver = 'handed-over',
   /** The request was given up. */
   Cancelled = 'cancelled',
 }
--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -19,7 +19,7 @@
 const TIMEOUT_FACTOR = 2.5
 const TIMEOUT_MARGIN_MS = 400
 /** Longest that a task waits for a replica of the better zone, in milliseconds. */
-const LONGEST_ZONE_WAIT_MS = 400
+const LONGEST_ZONE_WAIT_MS = 200
 /** Time kept before a target when a task waits for the better zone, in milliseconds. */
 const TARGET_MARGIN_MS = 150
 /** Bytes to another zone that weigh as much as one millisecond of waiting. */
@@ -31,6 +31,10 @@
 const FETCH_MARGIN_MS = 80
 /** Part of the speed of full batches that is reached under load. */
 const BATCH_EFFICIENCY = 0.8
+/** A call that takes this much longer than expected has waited behind another owner's. */
+const OTHERS_FACTOR = 1.3
+/** How long another owner's calls are reckoned with after a sign of it, in milliseconds. */
+const OTHERS_MS = 5000
 const RESULT_SIZE_WEIGHT = 0.05
 const FREE_DELAY_MS = 15
 
@@ -58,6 +62,7 @@
   private readonly workers = new Map<string, StageWorker>()
   private queue: TaskState[] = []
   private typicalResultBytes = 0
+  private othersUntil = 0
   private readonly toFree = new Map<StageWorker, string[]>()
 
   constructor(
@@ -105,6 +110,11 @@
     return this.queue.reduce((sum, state) => sum + state.waiting.length, 0)
   }
 
+  /** For a while nothing is taken for fetched before its call ends: calls of others may go before. */
+  expectOthers(): void {
+    this.othersUntil = performance.now() + OTHERS_MS
+  }
+
   /** Speed of the service with the replicas that can be used. */
   pace(): ServicePace {
     const workers = [...this.workers.values()]
@@ -169,25 +179,33 @@
       this.fail(state, PieceFailure.Late)
   }
 
-  /** Picks the pieces of the next call of an idle replica. */
+  /**
+   * Picks the pieces of the next call of an idle replica: first those that do
+   * best here; where more waits than one call takes, any others after them.
+   */
   private collect(worker: StageWorker, now: number): PieceWork[] {
     const batch: PieceWork[] = []
-    let room = worker.freeBytes()
+    const pressed = this.waitingPieces > this.limits.batch
+    this.fill(batch, worker, task => this.suits(task, worker, now))
+    if (pressed)
+      this.fill(batch, worker, () => true)
+    this.queue = this.queue.filter(state => state.waiting.length > 0)
+    return batch
+  }
+
+  /** Adds whole tasks to a batch while there are places and room; a task is split only where it alone fills a call. */
+  private fill(batch: PieceWork[], worker: StageWorker, accepts: (task: StageTask) => boolean): void {
     for (const state of this.queue) {
       const places = this.limits.batch - batch.length
       if (places <= 0)
-        break
-      const fitting = Math.min(places, Math.floor(room / state.task.resultBytes))
-      const whole = fitting >= state.waiting.length
-      const mustSplit = batch.length === 0 && state.waiting.length > this.limits.batch
-      if (fitting <= 0 || !(whole || mustSplit || batch.length === 0) || !this.suits(state.task, worker, now))
+        return
+      const room = worker.freeBytes() - batch.reduce((sum, work) => sum + work.task.task.resultBytes, 0)
+      const fitting = Math.min(places, Math.floor(room / state.task.resultBytes), state.waiting.length)
+      const whole = fitting === state.waiting.length
+      if (fitting <= 0 || !(whole || batch.length === 0) || !accepts(state.task))
         continue
-      const taken = state.waiting.splice(0, fitting)
-      batch.push(...taken)
-      room -= taken.length * state.task.resultBytes
+      batch.push(...state.waiting.splice(0, fitting))
     }
-    this.queue = this.queue.filter(state => state.waiting.length > 0)
-    return batch
   }
 
   /** Whether a task should run here now rather than wait for a replica in a better zone. */
@@ -210,7 +228,7 @@
     const bytes = batch.reduce((sum, work) => sum + work.task.task.resultBytes, 0)
     worker.begin(batch.length, bytes, startedAt)
     const timeoutMs = worker.callTime(batch.length) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS
-    const fetchMs = this.fetchTime(batch)
+    const fetchMs = startedAt < this.othersUntil ? undefined : this.fetchTime(batch)
     const fetchTimer = fetchMs === undefined ? undefined : setTimeout(() => this.reportFetched(batch), fetchMs)
     const timeout = createBoundedSignal(timeoutMs)
     const result = await this.client.run(worker.replica, batch.map(work => describePiece(work, startedAt)), timeout.signal)
@@ -244,6 +262,8 @@
 
   private take(worker: StageWorker, batch: readonly PieceWork[], result: StageCallResult, tookMs: number): void {
     const now = performance.now()
+    if (tookMs > worker.callTime(batch.length) * OTHERS_FACTOR + FETCH_MARGIN_MS)
+      this.expectOthers()
     worker.succeed(batch.length, tookMs, result.outcomes.every(outcome => 'handle' in outcome))
     if (result.outcomes.some(outcome => 'failure' in outcome && outcome.failure === PieceFailure.NoRoom))
       worker.pauseForRoom(now)
@@ -271,6 +291,8 @@
   private takePieceFailure(work: PieceWork, failure: PieceFailure): void {
     if (work.task.ended)
       return
+    if (failure === PieceFailure.InputGone)
+      this.expectOthers()
     if (failure === PieceFailure.Late || failure === PieceFailure.InputGone)
       this.fail(work.task, failure)
     else
--- a/packages/gateway/src/stage/stage-scheduler.ts
+++ b/packages/gateway/src/stage/stage-scheduler.ts
@@ -29,6 +29,7 @@
   private readonly pools = new Map<string, StagePool>()
   private readonly runs = new Map<string, PreparationRun>()
   private readonly timer: NodeJS.Timeout
+  private handingOver = false
 
   constructor(
     private readonly registry: ReplicaRegistry,
@@ -75,6 +76,19 @@
     })
   }
 
+  /** Gives the ownership up: work without results goes to the next owner, the rest is ended here. */
+  handOver(): void {
+    this.handingOver = true
+    for (const run of [...this.runs.values()])
+      run.handOver()
+  }
+
+  /** Another owner may be at work at the same replicas. */
+  expectOthers(): void {
+    for (const pool of this.pools.values())
+      pool.expectOthers()
+  }
+
   release(requestId: string): void {
     this.runs.get(requestId)?.release()
     this.runs.delete(requestId)
@@ -86,6 +100,10 @@
 
   /** Begins work that can end in time, and refuses other work before any of it is begun. */
   private admit(request: PreparationRequest, now: number, end: (result: Result<PreparedInputs, PreparationFailure>) => void): void {
+    if (this.handingOver) {
+      end(Err({ kind: PreparationFailureKind.HandedOver, message: 'the owner is stopping', retryAfterMs: 0 }))
+      return
+    }
     const rank = this.order.rank({ priority: request.priority, returning: request.returning, targetAt: now + request.targetMs })
     const estimate = estimateAdmission(request, rank, this.runs.values(), service => this.pools.get(service)?.pace())
     this.log.write('stages-admission', { request: request.requestId, decision: estimate.decision, finishMs: Math.round(estimate.finishMs), targetMs: Math.round(request.targetMs), priority: request.priority, returning: request.returning, underWay: this.runs.size })
--- a/packages/gateway/src/stage/stage-worker.ts
+++ b/packages/gateway/src/stage/stage-worker.ts
@@ -8,7 +8,7 @@
 /** First pause after a failed call, in milliseconds; it doubles with each further one. */
 const FIRST_PAUSE_MS = 100
 /** Pause after a replica had no room, in milliseconds. */
-const ROOM_PAUSE_MS = 60
+const ROOM_PAUSE_MS = 200
 const LONGEST_PAUSE_MS = 5000
 /** Part of the room that is planned with: sizes of results are told roughly. */
 const USABLE_ROOM_SHARE = 0.97
--- /dev/null
+++ b/test/gateway/members.test.ts
@@ -0,0 +1,115 @@
+import type { GreetingReply, Member } from '@eidermast/gateway'
+import { Members } from '@eidermast/gateway'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createLog } from './support/fakes.js'
+
+/** Peers whose answers a test decides. */
+class FakePeers {
+  readonly replies = new Map<string, GreetingReply | 'silent' | 'refused'>()
+  greetings = 0
+
+  async greet(member: Member): Promise<GreetingReply> {
+    this.greetings++
+    const reply = this.replies.get(member.name) ?? 'refused'
+    if (reply === 'refused')
+      throw new Error('refused')
+    if (reply === 'silent')
+      return new Promise((_, reject) => setTimeout(() => reject(new Error('no answer')), 450))
+    return reply
+  }
+}
+
+const ALIVE: GreetingReply = { version: 1, stopping: false }
+
+function createMembers(self = 'gateway-c') {
+  const peers = new FakePeers()
+  const versions: number[] = []
+  const members = new Members({ name: self, address: self }, peers, createLog().log, (_, version) => versions.push(version))
+  const names = ['gateway-a', 'gateway-b', 'gateway-c', 'gateway-d']
+  names.forEach((name, seniority) => members.upsert({ name, address: name, seniority }))
+  members.start()
+  return { members, peers, versions }
+}
+
+beforeEach(() => void vi.useFakeTimers())
+afterEach(() => void vi.useRealTimers())
+
+describe('who owns the stage work', () => {
+  test.each([
+    ['the member announced first, if it answers', { 'gateway-a': ALIVE, 'gateway-b': ALIVE }, 'gateway-a'],
+    ['the next one, if the first is silent', { 'gateway-a': 'silent', 'gateway-b': ALIVE }, 'gateway-b'],
+    ['the next one, if the first refuses', { 'gateway-a': 'refused', 'gateway-b': ALIVE }, 'gateway-b'],
+    ['the next one, if the first is stopping', { 'gateway-a': { version: 1, stopping: true }, 'gateway-b': ALIVE }, 'gateway-b'],
+    ['this gateway, if nobody before it answers', {}, 'gateway-c'],
+  ] as const)('is %s', async (_name, replies, owner) => {
+    const { members, peers } = createMembers()
+    for (const [name, reply] of Object.entries(replies))
+      peers.replies.set(name, reply)
+    await vi.advanceTimersByTimeAsync(1500)
+    expect(members.owner.name).toBe(owner)
+  })
+
+  test('stays when a gateway that was gone is announced anew', async () => {
+    const { members, peers } = createMembers()
+    peers.replies.set('gateway-b', ALIVE)
+    await vi.advanceTimersByTimeAsync(1500)
+    peers.replies.set('gateway-a', ALIVE)
+    members.upsert({ name: 'gateway-a', address: 'gateway-a', seniority: 9 })
+    await vi.advanceTimersByTimeAsync(1500)
+    expect(members.owner.name).toBe('gateway-b')
+  })
+
+  test('passes on within half a second of the loss being noticed, and those who wait for it are told', async () => {
+    const { members, peers } = createMembers()
+    peers.replies.set('gateway-a', ALIVE)
+    peers.replies.set('gateway-b', ALIVE)
+    await vi.advanceTimersByTimeAsync(1000)
+    const loss = members.watchLoss(members.owner)
+    peers.replies.set('gateway-a', 'silent')
+    await vi.advanceTimersByTimeAsync(1100)
+    expect(members.owner.name).toBe('gateway-b')
+    expect(loss.signal.aborted).toBe(true)
+  })
+
+  test('passes from a gateway that stops to one that answers', async () => {
+    const { members, peers } = createMembers('gateway-a')
+    peers.replies.set('gateway-b', ALIVE)
+    await vi.advanceTimersByTimeAsync(500)
+    expect(members.ownsStages).toBe(true)
+    members.markStopping(members.self)
+    await vi.advanceTimersByTimeAsync(500)
+    expect(members.owner.name).toBe('gateway-b')
+  })
+
+  test('costs greetings to the owner and the one that would follow it, however many there are', async () => {
+    const { members, peers } = createMembers('gateway-z')
+    for (let index = 0; index < 20; index++)
+      members.upsert({ name: `gateway-${index}`, address: `gateway-${index}`, seniority: 10 + index })
+    members.upsert({ name: 'gateway-z', address: 'gateway-z', seniority: 100 })
+    for (const name of ['gateway-a', 'gateway-b', 'gateway-c', ...Array.from({ length: 20 }, (_, index) => `gateway-${index}`)])
+      peers.replies.set(name, ALIVE)
+    await vi.advanceTimersByTimeAsync(1000)
+    peers.greetings = 0
+    await vi.advanceTimersByTimeAsync(1500)
+    expect(members.owner.name).toBe('gateway-a')
+    expect(peers.greetings).toBeLessThanOrEqual(22)
+  })
+
+  test('passes on at once to a follower that was heard lately, never to one that was last heard long ago', async () => {
+    const { members, peers } = createMembers()
+    peers.replies.set('gateway-a', ALIVE)
+    peers.replies.set('gateway-b', ALIVE)
+    await vi.advanceTimersByTimeAsync(1000)
+    peers.replies.set('gateway-b', 'silent')
+    await vi.advanceTimersByTimeAsync(2000)
+    members.suspect(members.owner)
+    expect(members.owner.name).toBe('gateway-c')
+  })
+
+  test('tells the versions that peers hold', async () => {
+    const { peers, versions } = createMembers()
+    peers.replies.set('gateway-a', { version: 7, stopping: false })
+    await vi.advanceTimersByTimeAsync(500)
+    expect(versions).toContain(7)
+  })
+})
--- a/test/gateway/stage-scheduler.test.ts
+++ b/test/gateway/stage-scheduler.test.ts
@@ -142,4 +142,44 @@
     await vi.advanceTimersByTimeAsync(100)
     expect(service.calls.length).toBeLessThanOrEqual(2)
   })
+
+  test('hands work without results over when the owner stops, and takes no new work', async () => {
+    const { scheduler } = createScheduler([{ id: 'encode-a' }])
+    const running = scheduler.prepare(createRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(10)
+    scheduler.handOver()
+    expect((await running).unwrapErr().kind).toBe(PreparationFailureKind.HandedOver)
+    expect((await scheduler.prepare(createRequest({ requestId: 'later' }), NEVER)).unwrapErr().kind).toBe(PreparationFailureKind.HandedOver)
+  })
+
+  test('keeps inputs until their reader is done while another owner may be at work', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }, { id: 'rerank-a', service: 'rerank' }])
+    scheduler.expectOthers()
+    const prepared = scheduler.prepare(createRequest({ stages: TWO_STAGES }), NEVER)
+    await vi.advanceTimersByTimeAsync(120 + 100)
+    expect(service.calls).toHaveLength(2)
+    expect(service.freed).toEqual([])
+    await vi.advanceTimersByTimeAsync(500)
+    await prepared
+    expect(service.freed).toHaveLength(2)
+  })
+
+  test.each([
+    ['refuses at once what cannot be in time', false, 2000, PreparationFailureKind.Overloaded],
+    ['tells nobody to come back twice where there is time', true, 60_000, undefined],
+  ])('%s', async (_name, returning, deadlineMs, failure) => {
+    const { scheduler } = createScheduler([{ id: 'encode-a' }])
+    for (let index = 0; index < 30; index++)
+      void scheduler.prepare(createRequest({ requestId: `busy ${index}`, targetMs: 60_000, deadlineMs: 60_000, priority: 0 }), NEVER)
+    const prepared = scheduler.prepare(createRequest({ requestId: 'late', targetMs: 500, deadlineMs, returning, priority: 200 }), NEVER)
+    await vi.advanceTimersByTimeAsync(10)
+    if (failure) {
+      const refusal = (await prepared).unwrapErr()
+      expect(refusal.kind).toBe(failure)
+      expect(refusal.retryAfterMs).toBeGreaterThan(0)
+      return
+    }
+    await vi.advanceTimersByTimeAsync(20_000)
+    expect((await prepared).isOk()).toBe(true)
+  })
 })
