Go back to the earlier zone rule of stage work; free early but for 1.5 s after an ownership change

With early freeing off after every lost input or slow call, results of legacy-intake took nearly all the room (0.5 of 3.9 MB left) and calls ran 8 of 37 pieces.

--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -19,7 +19,7 @@
 const TIMEOUT_FACTOR = 2.5
 const TIMEOUT_MARGIN_MS = 400
 /** Longest that a task waits for a replica of the better zone, in milliseconds. */
-const LONGEST_ZONE_WAIT_MS = 200
+const LONGEST_ZONE_WAIT_MS = 400
 /** Time kept before a target when a task waits for the better zone, in milliseconds. */
 const TARGET_MARGIN_MS = 150
 /** Bytes to another zone that weigh as much as one millisecond of waiting. */
@@ -31,10 +31,8 @@
 const FETCH_MARGIN_MS = 80
 /** Part of the speed of full batches that is reached under load. */
 const BATCH_EFFICIENCY = 0.8
-/** A call that takes this much longer than expected has waited behind another owner's. */
-const OTHERS_FACTOR = 1.3
-/** How long another owner's calls are reckoned with after a sign of it, in milliseconds. */
-const OTHERS_MS = 5000
+/** How long the calls of the owner before are reckoned with, in milliseconds. */
+const OTHERS_MS = 1500
 const RESULT_SIZE_WEIGHT = 0.05
 const FREE_DELAY_MS = 15
 
@@ -179,33 +177,25 @@
       this.fail(state, PieceFailure.Late)
   }
 
-  /**
-   * Picks the pieces of the next call of an idle replica: first those that do
-   * best here; where more waits than one call takes, any others after them.
-   */
+  /** Picks the pieces of the next call of an idle replica. */
   private collect(worker: StageWorker, now: number): PieceWork[] {
     const batch: PieceWork[] = []
-    const pressed = this.waitingPieces > this.limits.batch
-    this.fill(batch, worker, task => this.suits(task, worker, now))
-    if (pressed)
-      this.fill(batch, worker, () => true)
-    this.queue = this.queue.filter(state => state.waiting.length > 0)
-    return batch
-  }
-
-  /** Adds whole tasks to a batch while there are places and room; a task is split only where it alone fills a call. */
-  private fill(batch: PieceWork[], worker: StageWorker, accepts: (task: StageTask) => boolean): void {
+    let room = worker.freeBytes()
     for (const state of this.queue) {
       const places = this.limits.batch - batch.length
       if (places <= 0)
-        return
-      const room = worker.freeBytes() - batch.reduce((sum, work) => sum + work.task.task.resultBytes, 0)
-      const fitting = Math.min(places, Math.floor(room / state.task.resultBytes), state.waiting.length)
-      const whole = fitting === state.waiting.length
-      if (fitting <= 0 || !(whole || batch.length === 0) || !accepts(state.task))
+        break
+      const fitting = Math.min(places, Math.floor(room / state.task.resultBytes))
+      const whole = fitting >= state.waiting.length
+      const mustSplit = batch.length === 0 && state.waiting.length > this.limits.batch
+      if (fitting <= 0 || !(whole || mustSplit || batch.length === 0) || !this.suits(state.task, worker, now))
         continue
-      batch.push(...state.waiting.splice(0, fitting))
+      const taken = state.waiting.splice(0, fitting)
+      batch.push(...taken)
+      room -= taken.length * state.task.resultBytes
     }
+    this.queue = this.queue.filter(state => state.waiting.length > 0)
+    return batch
   }
 
   /** Whether a task should run here now rather than wait for a replica in a better zone. */
@@ -262,8 +252,6 @@
 
   private take(worker: StageWorker, batch: readonly PieceWork[], result: StageCallResult, tookMs: number): void {
     const now = performance.now()
-    if (tookMs > worker.callTime(batch.length) * OTHERS_FACTOR + FETCH_MARGIN_MS)
-      this.expectOthers()
     worker.succeed(batch.length, tookMs, result.outcomes.every(outcome => 'handle' in outcome))
     if (result.outcomes.some(outcome => 'failure' in outcome && outcome.failure === PieceFailure.NoRoom))
       worker.pauseForRoom(now)
@@ -291,8 +279,6 @@
   private takePieceFailure(work: PieceWork, failure: PieceFailure): void {
     if (work.task.ended)
       return
-    if (failure === PieceFailure.InputGone)
-      this.expectOthers()
     if (failure === PieceFailure.Late || failure === PieceFailure.InputGone)
       this.fail(work.task, failure)
     else
