Free the room of another owner's results when they end by themselves

Cause: a replica's report at the start of a process counted the results of the owner before against its room for ever. After every loss of all processes the pools ran with what was left: calls of 8 of 37 pieces, split tasks, 2 s for the stages at a load that took 0.8 s before. Change: such room is held like a result, with the end of a result's life; calls are filled whatever the zone where more than half a batch waits; store, codec and boundary tests. The test fails without the mend (the pieces are never begun).

--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -24,6 +24,8 @@
 const TARGET_MARGIN_MS = 150
 /** Bytes to another zone that weigh as much as one millisecond of waiting. */
 const CROSSING_BYTES_PER_MS = 4000
+/** More than this part of a batch waiting fills calls whatever the zone. */
+const PRESSED_SHARE = 0.5
 const MOST_PIECE_FAILURES = 3
 const BITS_PER_BYTE = 8
 /** Both links and a busy replica: factor and margin over the plain time of a fetch. */
@@ -167,7 +169,7 @@
     this.workers.set(replica.id, worker)
     void this.client.freeRoom(replica).then((bytes) => {
       if (bytes !== undefined)
-        worker.learnRoom(bytes)
+        worker.learnRoom(bytes, performance.now())
     })
   }
 
@@ -177,25 +179,33 @@
       this.fail(state, PieceFailure.Late)
   }
 
-  /** Picks the pieces of the next call of an idle replica. */
+  /**
+   * Picks the pieces of the next call of an idle replica: first the tasks that
+   * do best here; where much waits, others after them, since a full batch
+   * costs less than the bytes between zones.
+   */
   private collect(worker: StageWorker, now: number): PieceWork[] {
     const batch: PieceWork[] = []
-    let room = worker.freeBytes()
+    this.fill(batch, worker, task => this.suits(task, worker, now))
+    if (this.waitingPieces > this.limits.batch * PRESSED_SHARE)
+      this.fill(batch, worker, () => true)
+    this.queue = this.queue.filter(state => state.waiting.length > 0)
+    return batch
+  }
+
+  /** Adds whole tasks to a batch while there are places and room; a task is split only where it begins a call. */
+  private fill(batch: PieceWork[], worker: StageWorker, accepts: (task: StageTask) => boolean): void {
     for (const state of this.queue) {
       const places = this.limits.batch - batch.length
       if (places <= 0)
-        break
-      const fitting = Math.min(places, Math.floor(room / state.task.resultBytes))
-      const whole = fitting >= state.waiting.length
-      const mustSplit = batch.length === 0 && state.waiting.length > this.limits.batch
-      if (fitting <= 0 || !(whole || mustSplit || batch.length === 0) || !this.suits(state.task, worker, now))
+        return
+      const room = worker.freeBytes() - batch.reduce((sum, work) => sum + work.task.task.resultBytes, 0)
+      const fitting = Math.min(places, Math.floor(room / state.task.resultBytes), state.waiting.length)
+      const whole = fitting === state.waiting.length
+      if (fitting <= 0 || !(whole || batch.length === 0) || !accepts(state.task))
         continue
-      const taken = state.waiting.splice(0, fitting)
-      batch.push(...taken)
-      room -= taken.length * state.task.resultBytes
+      batch.push(...state.waiting.splice(0, fitting))
     }
-    this.queue = this.queue.filter(state => state.waiting.length > 0)
-    return batch
   }
 
   /** Whether a task should run here now rather than wait for a replica in a better zone. */
--- a/packages/gateway/src/stage/stage-worker.ts
+++ b/packages/gateway/src/stage/stage-worker.ts
@@ -8,7 +8,7 @@
 /** First pause after a failed call, in milliseconds; it doubles with each further one. */
 const FIRST_PAUSE_MS = 100
 /** Pause after a replica had no room, in milliseconds. */
-const ROOM_PAUSE_MS = 200
+const ROOM_PAUSE_MS = 60
 const LONGEST_PAUSE_MS = 5000
 /** Part of the room that is planned with: sizes of results are told roughly. */
 const USABLE_ROOM_SHARE = 0.97
@@ -16,6 +16,9 @@
 const SLOWEST_FACTOR = 20
 const FASTEST_FACTOR = 0.5
 
+/** Stands for all results that this process did not ask for. */
+const RESULTS_OF_OTHERS = 'results of others'
+
 interface HeldResult {
   bytes: number
   expiresAt: number
@@ -131,9 +134,12 @@
     }
   }
 
-  /** Room that results of others take there, as the replica told it. */
-  learnRoom(freeBytes: number): void {
-    const own = [...this.held.values()].reduce((sum, result) => sum + result.bytes, 0)
-    this.usedBytes = Math.max(own, this.limits.roomBytes - freeBytes)
+  /** Room that results of others take there, as the replica told it; it is free again when they end by themselves. */
+  learnRoom(freeBytes: number, now: number): void {
+    const bytes = this.limits.roomBytes - freeBytes - this.usedBytes
+    if (bytes <= 0)
+      return
+    this.usedBytes += bytes
+    this.hold(RESULTS_OF_OTHERS, bytes, now)
   }
 }
--- a/test/gateway/stage-scheduler.test.ts
+++ b/test/gateway/stage-scheduler.test.ts
@@ -182,4 +182,16 @@
     await vi.advanceTimersByTimeAsync(20_000)
     expect((await prepared).isOk()).toBe(true)
   })
+
+  test('counts results of another owner against the room only until they end by themselves', async () => {
+    const { scheduler, registry, service } = createScheduler([])
+    service.toldFreeRoom = 0
+    registry.upsert(createRecord({ id: 'encode-a' }))
+    await vi.advanceTimersByTimeAsync(1)
+    const prepared = scheduler.prepare(createRequest({ targetMs: 8000, deadlineMs: 9000 }), NEVER)
+    await vi.advanceTimersByTimeAsync(3900)
+    expect(service.calls).toHaveLength(0)
+    await vi.advanceTimersByTimeAsync(1000)
+    expect((await prepared).isOk()).toBe(true)
+  })
 })
--- a/test/gateway/support/fakes.ts
+++ b/test/gateway/support/fakes.ts
@@ -65,6 +65,8 @@
   readonly freed: string[] = []
   readonly live = new Map<string, string>()
   behaviour: StageBehaviour = () => StageCallEnd.Done
+  /** What replicas tell of their room. */
+  toldFreeRoom: number | undefined
   private made = 0
 
   constructor(private readonly limits: StageLimits) {}
@@ -93,7 +95,7 @@
   }
 
   async freeRoom(): Promise<number | undefined> {
-    return undefined
+    return this.toldFreeRoom
   }
 
   /** The replica dies with its results. */
--- /dev/null
+++ b/test/platform/boundary.test.ts
@@ -0,0 +1,27 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { expect, test } from 'vitest'
+
+const ROOT = join(import.meta.dirname, '../..')
+const MOST_LINES = 1500
+/** Names of the platform's wire, settings and store; the product's words for them are its own. */
+const PLATFORM_NAMES = /Attempt-Id|Server-Signature|Prompt-Prefix|Expected-Replica|Not-Executed|Input-Count|Chunk-Count|Chunk-Key|Deadline-Ms|Api-Key|Request-Priority|log-newest|log-read|log-append|stage-run(?!ner)|stage-free|'keyed\.(op|servers|status)|EIDERMAST_SETTINGS|HeadroomMb|WatchRevision|TlsKey|PromptHandle|GracePeriodS/i
+
+/** The product's own header and its own key of a template. */
+const OWN_DEADLINE = /(?:eidermast-|')deadline-ms/gi
+
+function sourceFiles(folder: string): string[] {
+  return readdirSync(join(ROOT, folder), { recursive: true, encoding: 'utf8' }).filter(file => file.endsWith('.ts') && !file.endsWith('.d.ts')).map(file => join(folder, file))
+}
+
+test('nothing outside the platform folder knows a platform name', () => {
+  const packages = readdirSync(join(ROOT, 'packages')).flatMap(name => sourceFiles(`packages/${name}/src`))
+  expect(packages.length).toBeGreaterThan(50)
+  const leaks = packages.filter(file => PLATFORM_NAMES.test(readFileSync(join(ROOT, file), 'utf8').replaceAll(OWN_DEADLINE, '')))
+  expect(leaks).toEqual([])
+})
+
+test('the platform folder only translates, and stays small', () => {
+  const lines = sourceFiles('platform/src').reduce((sum, file) => sum + readFileSync(join(ROOT, file), 'utf8').split('\n').length, 0)
+  expect(lines).toBeLessThan(MOST_LINES)
+})
--- /dev/null
+++ b/test/platform/codecs.test.ts
@@ -0,0 +1,117 @@
+import type { ReplicaCall } from '@eidermast/gateway'
+import { createError, ErrorKind, Ran } from '@eidermast/daemon/errors'
+import { CallFailureKind, PieceFailure, Replica, StageCallEnd } from '@eidermast/gateway'
+import { decodeConfiguration, PlatformClientCodec, PlatformReplicaCodec, readOutcomes } from '@eidermast/platform'
+import { describe, expect, test } from 'vitest'
+import { createRecord } from '../gateway/support/fakes.js'
+
+const clientCodec = new PlatformClientCodec()
+const replicaCodec = new PlatformReplicaCodec()
+
+const ROUTE = { Name: 'r', Host: 'h', PathPrefix: '/a/', Type: 'streaming', TimeoutMs: 9, TargetLatencyMs: 5, Service: 's' }
+const CONFIGURATION = { Version: 4, Routes: [ROUTE], Services: [{ Name: 's' }], Limits: { MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeoutMs: 3, IdleTimeoutMs: 4 } }
+
+describe('the configuration', () => {
+  test('is read with its defaults', () => {
+    const configuration = decodeConfiguration(JSON.stringify(CONFIGURATION))
+    expect(configuration.version).toBe(4)
+    expect(configuration.routes[0]).toMatchObject({ streaming: true, repeatable: false, resumable: false, maxAttempts: 1, stages: [], services: [{ service: 's', weight: 1 }] })
+  })
+
+  test('gives every weighted service of a route', () => {
+    const text = JSON.stringify({ ...CONFIGURATION, Routes: [{ ...ROUTE, Service: undefined, Backends: [{ Service: 'x', Weight: 90 }, { Service: 'y', Weight: 10 }] }] })
+    expect(decodeConfiguration(text).routes[0].services).toEqual([{ service: 'x', weight: 90 }, { service: 'y', weight: 10 }])
+  })
+
+  test.each([
+    ['is cut', '{"Version":'],
+    ['has no version', JSON.stringify({ ...CONFIGURATION, Version: undefined })],
+    ['has a route of an unknown type', JSON.stringify({ ...CONFIGURATION, Routes: [{ ...ROUTE, Type: 'other' }] })],
+    ['is null', 'null'],
+  ])('is an error where it %s', (_name, text) => {
+    expect(() => decodeConfiguration(text)).toThrow()
+  })
+})
+
+describe('a client\'s head', () => {
+  test('passes on everything but what concerns one connection or is the system\'s own', () => {
+    const head = clientCodec.readHead(['Host', 'h', 'Attempt-Id', 'id', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1', 'X-Other', '2', 'Tenant', 'forged', 'Expected-Replica', 'forged', 'Api-Key', 'secret', 'Deadline-Ms', '700']).unwrap()
+    expect(head.headers).toEqual([['Host', 'h'], ['Attempt-Id', 'id'], ['X-Other', '2']])
+    expect(head).toMatchObject({ requestId: 'id', key: 'secret', deadlineMs: 700 })
+  })
+
+  test('tells the parts of the prompt and the pieces of each stage', () => {
+    const head = clientCodec.readHead(['Attempt-Id', 'id', 'Prompt-Prefix', 'aa:800,bb:41', 'Chunk-Count', '2,0,6']).unwrap()
+    expect(head.promptParts).toEqual([{ id: 'aa', tokens: 800 }, { id: 'bb', tokens: 41 }])
+    expect(head.stagePieces).toEqual([2, 0, 6])
+  })
+
+  test.each([
+    ['without an id', ['Host', 'h']],
+    ['with a deadline that is no number', ['Attempt-Id', 'id', 'Deadline-Ms', 'soon']],
+    ['with a deadline that is too long to be one', ['Attempt-Id', 'id', 'Deadline-Ms', '9'.repeat(30)]],
+    ['with pieces that are no numbers', ['Attempt-Id', 'id', 'Chunk-Count', '1,x']],
+  ])('%s is refused', (_name, raw) => {
+    expect(clientCodec.readHead(raw).isErr()).toBe(true)
+  })
+})
+
+describe('an error\'s status', () => {
+  test.each([
+    ['promises "not run" where nothing ran', createError(ErrorKind.Overloaded, '', { retryAfterMs: 1500 }), 429, '1.500'],
+    ['promises nothing where something may have run', createError(ErrorKind.NoBackend, '', { ran: Ran.Unknown }), 502, undefined],
+    ['is 502 for an unknown outcome', createError(ErrorKind.OutcomeUnknown, ''), 502, undefined],
+    ['is 503 while no configuration is known', createError(ErrorKind.NotReady, ''), 503, '1.000'],
+  ])('%s', (_name, error, status, retryAfter) => {
+    const head = clientCodec.errorHead(error, 'id')
+    expect(head.status).toBe(status)
+    expect(new Map(head.headers).get('Retry-After')).toBe(retryAfter)
+  })
+})
+
+describe('a call to a replica', () => {
+  const call: ReplicaCall = { requestId: 'id', method: 'POST', path: '/a/', headers: [['Attempt-Id', 'id'], ['Host', 'h']], body: undefined, remainingMs: 640 }
+
+  test('names the replica that is meant and the time left', () => {
+    const headers = new Map(replicaCodec.encode(new Replica(createRecord({ id: 'i-1' })), call))
+    expect(headers.get('Expected-Replica')).toBe('i-1')
+    expect(headers.get('Deadline-Ms')).toBe('640')
+    expect(headers.has('Tenant')).toBe(false)
+  })
+
+  test('carries tenant, priority, inputs and the last event where they are given', () => {
+    const headers = new Map(replicaCodec.encode(new Replica(createRecord()), { ...call, tenant: 't', priority: 12, inputs: ['a/1', 'b/2'], lastEventId: '7' }))
+    expect([...headers].slice(-4)).toEqual([['Tenant', 't'], ['Request-Priority', '9'], ['Input-Count', 'a/1,b/2'], ['Last-Event-Id', '7']])
+  })
+
+  test.each([
+    ['a whole answer', 200, {}, undefined],
+    ['a failure of the replica\'s own', 503, {}, undefined],
+    ['a refusal', 503, { 'not-executed': '1' }, CallFailureKind.Refused],
+    ['a lost input', 409, { 'not-executed': '1' }, CallFailureKind.InputGone],
+    ['another replica at the address', 421, {}, CallFailureKind.Misdirected],
+  ])('tells %s', (_name, status, headers, failure) => {
+    expect(replicaCodec.decode(status, { 'attempt-id': 'id', ...headers }).failure).toBe(failure)
+  })
+
+  test('reads the load, and passes over one that is none', () => {
+    expect(replicaCodec.decode(200, { 'replica-load': '3,1,8' }).load).toEqual({ running: 3, waiting: 1, capacity: 8 })
+    expect(replicaCodec.decode(200, { 'replica-load': 'x' }).load).toBeUndefined()
+  })
+})
+
+describe('the answer of a stage call', () => {
+  test('gives an outcome for each piece in order', () => {
+    const text = JSON.stringify({ Items: [{ PromptHandle: 'a/1' }, { Reason: 'gone' }, { Reason: 'late' }, { Reason: 'room' }, { Reason: 'other' }] })
+    expect(readOutcomes(text, 5)).toEqual({ end: StageCallEnd.Done, outcomes: [{ handle: 'a/1' }, { failure: PieceFailure.InputGone }, { failure: PieceFailure.Late }, { failure: PieceFailure.NoRoom }, { failure: PieceFailure.Error }] })
+  })
+
+  test.each([
+    ['for fewer pieces', '{"Items":[{"PromptHandle":"a/1"}]}'],
+    ['for more pieces', '{"Items":[{"PromptHandle":"a"},{"PromptHandle":"b"},{"PromptHandle":"c"}]}'],
+    ['that is cut', '{"Items":[{"Prompt'],
+    ['of another shape', '[]'],
+  ])('%s is no answer', (_name, text) => {
+    expect(readOutcomes(text, 2).end).toBe(StageCallEnd.Broken)
+  })
+})
--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,90 @@
+import type { KeyedRecord } from '@eidermast/platform'
+import { encodeRecord, followTopic, readRecords, StoreClient } from '@eidermast/platform'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createLog } from '../gateway/support/fakes.js'
+import { StandInStore, StoreFault } from './support/stand-in-store.js'
+
+const TOPIC = 'keyed.op'
+let store: StandInStore
+let client: StoreClient
+let ending: AbortController
+let seen: string[]
+let following: Promise<void>
+
+function follow(): void {
+  const take = (record: KeyedRecord): void => void seen.push(`${record.key}=${record.value.toString()}`)
+  following = followTopic(client, TOPIC, { snapshot: records => records.forEach(take), record: take }, createLog().log, ending.signal)
+}
+
+beforeEach(async () => {
+  store = new StandInStore()
+  client = new StoreClient(await store.start())
+  ending = new AbortController()
+  seen = []
+})
+
+afterEach(async () => {
+  ending.abort()
+  await store.stop()
+  await following
+})
+
+describe('following a topic', () => {
+  test('begins with the newest of each key and goes on with each record', async () => {
+    store.put(TOPIC, 'config', 'one')
+    store.put(TOPIC, 'config', 'two')
+    follow()
+    await vi.waitFor(() => expect(seen).toEqual(['config=two']))
+    store.put(TOPIC, 'config', 'three')
+    await vi.waitFor(() => expect(seen).toEqual(['config=two', 'config=three']))
+  })
+
+  test.each([StoreFault.Busy, StoreFault.Reset, StoreFault.Cut])('goes on after a store that is %s, without a loss or a repeat', async (fault) => {
+    store.put(TOPIC, 'config', 'one')
+    follow()
+    await vi.waitFor(() => expect(seen).toEqual(['config=one']))
+    store.fault = fault
+    store.put(TOPIC, 'config', 'two')
+    await new Promise(resolve => setTimeout(resolve, 300))
+    store.fault = StoreFault.None
+    store.put(TOPIC, 'config', 'three')
+    await vi.waitFor(() => expect(seen).toEqual(['config=one', 'config=two', 'config=three']), { timeout: 5000 })
+  })
+
+  test('begins anew with the newest when the history is gone', async () => {
+    store.put(TOPIC, 'config', 'one')
+    follow()
+    await vi.waitFor(() => expect(seen).toEqual(['config=one']))
+    store.fault = StoreFault.Busy
+    await new Promise(resolve => setTimeout(resolve, 250))
+    store.put(TOPIC, 'config', 'two')
+    store.put(TOPIC, 'config', 'three')
+    store.dropHistory(TOPIC)
+    store.fault = StoreFault.None
+    await vi.waitFor(() => expect(seen.at(-1)).toBe('config=three'), { timeout: 5000 })
+  })
+
+  test('calls a store that refuses seldom', async () => {
+    store.fault = StoreFault.Busy
+    follow()
+    await new Promise(resolve => setTimeout(resolve, 1500))
+    expect(store.calls).toBeLessThanOrEqual(12)
+    expect(store.calls).toBeGreaterThan(1)
+  })
+})
+
+describe('records', () => {
+  test.each([
+    ['an empty value', 'key', ''],
+    ['a value of many bytes', 'key', 'x'.repeat(70_000)],
+    ['a key that is not ASCII', 'schlüssel', 'value'],
+  ])('are read as they were written, with %s', (_name, key, value) => {
+    const bytes = Buffer.concat([Buffer.alloc(16), encodeRecord({ key, value: Buffer.from(value) })])
+    expect(readRecords(bytes).map(record => [record.key, record.value.toString()])).toEqual([[key, value]])
+  })
+
+  test.each([1, 3, 6])('that are cut by %i bytes are an error, not a shorter record', (missing) => {
+    const bytes = Buffer.concat([Buffer.alloc(16), encodeRecord({ key: 'key', value: Buffer.from('value') })])
+    expect(() => readRecords(bytes.subarray(0, bytes.length - missing))).toThrow('cut')
+  })
+})
--- /dev/null
+++ b/test/platform/support/stand-in-store.ts
@@ -0,0 +1,121 @@
+/**
+ * A small stand-in for the platform's store: keyed topics over HTTP, with
+ * faults that a test switches on.
+ */
+import type { Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { Buffer } from 'node:buffer'
+import { createServer } from 'node:http'
+
+interface StoredRecord {
+  key: string
+  value: Buffer
+}
+
+/** Ways in which the store fails. */
+export enum StoreFault {
+  None = 'none',
+  Busy = 'busy',
+  Reset = 'reset',
+  Cut = 'cut',
+}
+
+const HOLD_MS = 200
+
+/** Keyed topics in memory. */
+export class StandInStore {
+  fault = StoreFault.None
+  calls = 0
+  private readonly topics = new Map<string, StoredRecord[]>()
+  private readonly dropped = new Map<string, number>()
+  private readonly server: Server
+
+  constructor() {
+    this.server = createServer((request, response) => {
+      const chunks: Buffer[] = []
+      request.on('data', chunk => chunks.push(chunk))
+      request.on('end', () => void this.handle(new URL(request.url!, 'http://store'), Buffer.concat(chunks), response))
+    })
+  }
+
+  async start(): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', () => resolve()))
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections()
+    await new Promise(resolve => this.server.close(resolve))
+  }
+
+  put(topic: string, key: string, value: unknown): void {
+    this.records(topic).push({ key, value: value === undefined ? Buffer.alloc(0) : Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)) })
+  }
+
+  /** Forgets the records so far; the newest of each key stay. */
+  dropHistory(topic: string): void {
+    this.dropped.set(topic, this.records(topic).length)
+  }
+
+  newestOf(topic: string): Map<string, string> {
+    return new Map(this.records(topic).filter((record, index, all) => all.findLastIndex(other => other.key === record.key) === index && record.value.length > 0).map(record => [record.key, record.value.toString()]))
+  }
+
+  private async handle(url: URL, body: Buffer, response: ServerResponse): Promise<void> {
+    this.calls++
+    if (this.fault === StoreFault.Busy)
+      return void response.writeHead(503).end()
+    if (this.fault === StoreFault.Reset)
+      return void response.destroy()
+    const topic = url.searchParams.get('topic') ?? ''
+    if (url.pathname === '/-/log-append')
+      return this.append(topic, body, response)
+    if (url.pathname === '/-/log-newest')
+      return this.newest(topic, response)
+    await this.read(topic, Number(url.searchParams.get('Source')), response)
+  }
+
+  private append(topic: string, body: Buffer, response: ServerResponse): void {
+    const keyLength = body[4]
+    this.records(topic).push({ key: body.subarray(5, 5 + keyLength).toString(), value: body.subarray(5 + keyLength) })
+    const end = this.records(topic).length
+    response.end(JSON.stringify({ offset: end - 1, end }))
+  }
+
+  private newest(topic: string, response: ServerResponse): void {
+    const records = this.records(topic)
+    const items = [...new Set(records.map(record => record.key))].flatMap((key) => {
+      const offset = records.findLastIndex(record => record.key === key)
+      return records[offset].value.length === 0 ? [] : [{ TlsKey: key, Value: records[offset].value.toString('base64'), offset }]
+    })
+    response.end(JSON.stringify({ Items: items, more: false, end: records.length }))
+  }
+
+  private async read(topic: string, offset: number, response: ServerResponse): Promise<void> {
+    if (offset < (this.dropped.get(topic) ?? 0))
+      return void response.writeHead(410).end(JSON.stringify({ first: this.dropped.get(topic) }))
+    for (let waited = 0; waited < HOLD_MS && this.records(topic).length <= offset; waited += 10)
+      await new Promise(resolve => setTimeout(resolve, 10))
+    const header = Buffer.alloc(16)
+    const records = this.records(topic).slice(offset).map(encode)
+    const bytes = Buffer.concat([header, ...records])
+    response.end(this.fault === StoreFault.Cut && records.length > 0 ? bytes.subarray(0, bytes.length - 2) : bytes)
+  }
+
+  private records(topic: string): StoredRecord[] {
+    const existing = this.topics.get(topic)
+    if (existing)
+      return existing
+    const created: StoredRecord[] = []
+    this.topics.set(topic, created)
+    return created
+  }
+}
+
+function encode(record: StoredRecord): Buffer {
+  const key = Buffer.from(record.key)
+  const length = Buffer.alloc(5)
+  length.writeUInt32BE(1 + key.length + record.value.length)
+  length[4] = key.length
+  return Buffer.concat([length, key, record.value])
+}
