--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -5,7 +5,7 @@
 const ROOT = join(import.meta.dirname, '../..')
 const MOST_LINES = 1500
 /** Names of the platform's wire, settings and store; the product's words for them are its own. */
-const PLATFORM_NAMES = /Attempt-Id|Server-Signature|Prompt-Prefix|Expected-Replica|Not-Executed|Input-Count|Chunk-Count|Chunk-Key|Deadline-Ms|Api-Key|Request-Priority|log-newest|log-read|log-append|stage-run(?!ner)|stage-free|'keyed\.(op|servers|status)|EIDERMAST_SETTINGS|HeadroomMb|WatchRevision|TlsKey|PromptHandle|GracePeriodS/i
+const PLATFORM_NAMES = /Attempt-Id|Server-Signature|Prompt-Prefix|Expected-Replica|Not-Executed|Input-Count|Chunk-Count|Chunk-Key|Deadline-Ms|Api-Key|Request-Priority|log-newest|log-read|log-append|stage-run(?!ner)|stage-free|'keyed\.(?:op|servers|status)|EIDERMAST_SETTINGS|HeadroomMb|WatchRevision|TlsKey|PromptHandle|GracePeriodS/i
 
 /** The product's own header and its own key of a template. */
 const OWN_DEADLINE = /(?:eidermast-|')deadline-ms/gi
--- /dev/null
+++ b/test/platform/replica-client.test.ts
@@ -0,0 +1,128 @@
+import type { ReplicaCall } from '@eidermast/gateway'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { createServer } from 'node:net'
+import { CallFailureKind, HttpReplicaClient, Replica, ReplicaConnections } from '@eidermast/gateway'
+import { PlatformReplicaCodec } from '@eidermast/platform'
+import { afterEach, describe, expect, test } from 'vitest'
+import { createRecord } from '../gateway/support/fakes.js'
+
+const CALL: ReplicaCall = { requestId: 'id-1', method: 'POST', path: '/a/', headers: [['Attempt-Id', 'id-1']], body: Buffer.from('body'), remainingMs: 1000 }
+const NEVER = new AbortController().signal
+
+let server: Server | undefined
+let connections: ReplicaConnections | undefined
+
+/** A replica that writes raw bytes for each request that it gets. */
+async function startReplica(respond: (socket: Socket, request: number) => void): Promise<Replica> {
+  let requests = 0
+  server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.on('data', () => respond(socket, ++requests))
+  })
+  await new Promise<void>(resolve => server!.listen(0, '127.0.0.1', () => resolve()))
+  return new Replica(createRecord({ address: `127.0.0.1:${(server.address() as AddressInfo).port}` }))
+}
+
+function createClient(): HttpReplicaClient {
+  connections = new ReplicaConnections(() => 4)
+  return new HttpReplicaClient(connections, new PlatformReplicaCodec())
+}
+
+function answer(status: string, headers: Record<string, string>, body = ''): string {
+  const lines = Object.entries({ 'Attempt-Id': 'id-1', 'Content-Length': String(body.length), ...headers }).map(([name, value]) => `${name}: ${value}\r\n`)
+  return `HTTP/1.1 ${status}\r\n${lines.join('')}\r\n${body}`
+}
+
+async function readAll(body: AsyncIterable<Buffer>): Promise<string> {
+  const chunks: Buffer[] = []
+  for await (const chunk of body)
+    chunks.push(chunk)
+  return Buffer.concat(chunks).toString()
+}
+
+afterEach(async () => {
+  await connections?.close()
+  server?.close()
+})
+
+describe('an answer of a replica', () => {
+  test('is handed on with its head and body', async () => {
+    const replica = await startReplica(socket => socket.write(answer('200 OK', { 'Server-Signature': 's', 'Replica-Load': '2,1,6' }, 'whole')))
+    const result = (await createClient().run(replica, CALL, NEVER)).unwrap()
+    expect(result.status).toBe(200)
+    expect(new Map(result.headers).get('server-signature')).toBe('s')
+    expect(await readAll(result.body)).toBe('whole')
+    expect(replica.load).toEqual({ running: 2, waiting: 1, capacity: 6 })
+  })
+
+  test.each([
+    ['echoes another id', answer('200 OK', { 'Attempt-Id': 'id-0' }, 'x'), CallFailureKind.Broken],
+    ['echoes no id', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx', CallFailureKind.Broken],
+    ['is no answer', 'nonsense\r\n\r\n', CallFailureKind.Broken],
+    ['is a refusal', answer('503 Full', { 'Not-Executed': '1' }), CallFailureKind.Refused],
+    ['is of another replica', answer('421 Misdirected', {}), CallFailureKind.Misdirected],
+    ['says that an input is gone', answer('409 Conflict', { 'Not-Executed': '1' }), CallFailureKind.InputGone],
+  ])('that %s is told as that', async (_name, bytes, kind) => {
+    const replica = await startReplica(socket => socket.write(bytes))
+    expect((await createClient().run(replica, CALL, NEVER)).unwrapErr().kind).toBe(kind)
+  })
+
+  test.each([
+    ['with a length', answer('200 OK', { 'Content-Length': '10' }).replace('\r\n\r\n', '\r\n\r\nhalf')],
+    ['in chunks', 'HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n'],
+  ])('%s that breaks off never looks whole', async (_name, bytes) => {
+    const replica = await startReplica((socket) => {
+      socket.write(bytes)
+      setTimeout(() => socket.destroy(), 30)
+    })
+    const result = (await createClient().run(replica, CALL, NEVER)).unwrap()
+    await expect(readAll(result.body)).rejects.toThrow()
+  })
+
+  test('without a length ends with its connection', async () => {
+    const replica = await startReplica(socket => socket.end('HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\n\r\nwhole'))
+    const result = (await createClient().run(replica, CALL, NEVER)).unwrap()
+    expect(await readAll(result.body)).toBe('whole')
+  })
+
+  test('that comes twice spoils its own connection alone', async () => {
+    const replica = await startReplica((socket, request) => {
+      const own = answer('200 OK', { 'Attempt-Id': `id-${request}` }, `body-${request}`)
+      socket.write(request === 1 ? own + answer('200 OK', { 'Attempt-Id': 'id-1' }, 'surplus') : own)
+    })
+    const client = createClient()
+    const first = (await client.run(replica, CALL, NEVER)).unwrap()
+    expect(await readAll(first.body)).toBe('body-1')
+    const second = (await client.run(replica, { ...CALL, requestId: 'id-2' }, NEVER)).unwrap()
+    expect(await readAll(second.body)).toBe('body-2')
+  })
+
+  test('that comes late, in the place of the next one, is not taken for it', async () => {
+    const replica = await startReplica((socket, request) => {
+      socket.write(answer('200 OK', { 'Attempt-Id': 'id-1' }, `body-${request}`))
+    })
+    const client = createClient()
+    await readAll((await client.run(replica, CALL, NEVER)).unwrap().body)
+    expect((await client.run(replica, { ...CALL, requestId: 'id-2' }, NEVER)).unwrapErr().kind).toBe(CallFailureKind.Broken)
+  })
+})
+
+describe('a call that gets no answer', () => {
+  test('may have run where its bytes were sent', async () => {
+    const replica = await startReplica(socket => socket.destroy())
+    expect((await createClient().run(replica, CALL, NEVER)).unwrapErr().kind).toBe(CallFailureKind.Broken)
+  })
+
+  test('has not run where nobody listens', async () => {
+    const replica = await startReplica(() => {})
+    await new Promise(resolve => server!.close(resolve))
+    expect((await createClient().run(replica, CALL, NEVER)).unwrapErr().kind).toBe(CallFailureKind.NotSent)
+  })
+
+  test('may have run where this process gave it up', async () => {
+    const replica = await startReplica(() => {})
+    const ending = new AbortController()
+    setTimeout(() => ending.abort(), 50)
+    expect((await createClient().run(replica, CALL, ending.signal)).unwrapErr().kind).toBe(CallFailureKind.Aborted)
+  })
+})
