Test a whole gateway against stand-ins of the store and the replicas

What: not ready without a configuration; headers passed, set and withheld; bad input reaches nobody; at most once; a client that leaves; streams resumed without a missing, doubled or half event; a planned stop. Conclusion: the gateway can be closed at once, which the tests needed.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -152,6 +152,19 @@
     this.log.write('stopped', { active: this.clients.activeRequests, tookMs: Math.round(elapsed()) })
   }
 
+  /** Ends at once: closes every listener and connection. */
+  async close(): Promise<void> {
+    this.ending.abort()
+    this.members.stop()
+    this.scheduler.stop()
+    this.clients.close()
+    for (const server of this.servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+    await Promise.all([this.peers.close(), this.connections.close()])
+  }
+
   private isReady(): boolean {
     const ready = !this.stopping && this.configuration.table !== undefined && this.registry.size > 0
     if (ready !== this.ready)
--- /dev/null
+++ b/test/platform/gateway.test.ts
@@ -0,0 +1,199 @@
+import type { AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
+import { Gateway, parseGatewaySettings } from '@eidermast/gateway'
+import { createAdapter } from '@eidermast/platform'
+import { request } from 'undici'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createLog } from '../gateway/support/fakes.js'
+import { answerWhole, hang, StandInReplica, streamEvents } from './support/stand-in-replica.js'
+import { StandInStore } from './support/stand-in-store.js'
+
+const ROUTE = { Host: 'host.example', TimeoutMs: 4000, TargetLatencyMs: 1000, MaxAttempts: 2 }
+const CONFIGURATION = {
+  Version: 3,
+  Routes: [
+    { ...ROUTE, Name: 'plain', PathPrefix: '/plain/', Type: 'idempotent', Service: 'plain' },
+    { ...ROUTE, Name: 'once', PathPrefix: '/once/', Type: 'non_idempotent', Service: 'plain', MaxAttempts: 1 },
+    { ...ROUTE, Name: 'resumed', PathPrefix: '/resumed/', Type: 'streaming', Service: 'model', StreamResume: true },
+    { ...ROUTE, Name: 'stream', PathPrefix: '/stream/', Type: 'streaming', Service: 'model', MaxAttempts: 1 },
+  ],
+  Services: [{ Name: 'plain', MaxConnections: 40 }, { Name: 'model', MaxConnections: 40, Engine: { Capacity: 8, KvCapacityTokens: 1000 } }],
+  Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
+  Tenants: [{ Name: 'tenant', ApiKeys: ['key'] }],
+}
+
+let store: StandInStore
+let gateway: Gateway
+let address: string
+let readiness: string
+let replicas: StandInReplica[]
+
+async function freePort(): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
+beforeEach(async () => {
+  store = new StandInStore()
+  const [clients, ready, peers, metrics] = await Promise.all([freePort(), freePort(), freePort(), freePort()])
+  const settings = parseGatewaySettings([
+    '[process]',
+    'name = gateway-a',
+    'zone = zone-a',
+    'host = 127.0.0.1',
+    'grace-period-ms = 8000',
+    '[listen]',
+    `clients = 127.0.0.1:${clients}`,
+    `readiness = 127.0.0.1:${ready}`,
+    `peer-port = ${peers}`,
+    `metrics-port = ${metrics}`,
+    '[platform]',
+    `store = ${await store.start()}`,
+  ].join('\n')).unwrap()
+  const { log } = createLog()
+  gateway = new Gateway(settings, createAdapter(settings.platform, log).unwrap(), log)
+  await gateway.start()
+  address = `http://127.0.0.1:${clients}`
+  readiness = `http://127.0.0.1:${ready}`
+  replicas = [new StandInReplica('plain-a', 'plain'), new StandInReplica('model-a', 'model'), new StandInReplica('model-b', 'model')]
+  await Promise.all(replicas.map(replica => replica.start()))
+})
+
+afterEach(async () => {
+  await gateway.close()
+  await Promise.all([store.stop(), ...replicas.map(replica => replica.stop())])
+})
+
+async function publish(): Promise<void> {
+  store.put('keyed.op', 'config', CONFIGURATION)
+  for (const replica of replicas)
+    store.put('keyed.servers', replica.id, replica.entry())
+  await vi.waitFor(async () => {
+    expect(gateway.registry.size).toBe(replicas.length)
+    expect((await request(readiness)).statusCode).toBe(200)
+  })
+}
+
+function send(path: string, headers: Record<string, string> = {}, body = 'body') {
+  return request(`${address}${path}`, { method: 'POST', headers: { 'host': 'host.example', 'attempt-id': 'id-1', 'api-key': 'key', 'deadline-ms': '3000', ...headers }, body })
+}
+
+describe('a gateway without a configuration', () => {
+  test('is not ready, and tells clients to come back', async () => {
+    expect((await request(readiness)).statusCode).toBe(503)
+    const response = await send('/plain/x')
+    expect(response.statusCode).toBe(503)
+    expect(response.headers['retry-after']).toBe('1.000')
+  })
+})
+
+describe('a request', () => {
+  beforeEach(publish)
+
+  test('reaches a replica unchanged but for the system\'s own headers', async () => {
+    const response = await send('/plain/x?query=1', { 'x-own': 'kept', 'tenant': 'forged' })
+    expect(await response.body.text()).toBe('answer to /plain/x?query=1')
+    expect(response.headers['server-signature']).toBe('signed')
+    const [seen] = replicas[0].seen
+    expect(seen).toMatchObject({ method: 'POST', path: '/plain/x?query=1', body: 'body' })
+    expect(seen.headers).toMatchObject({ 'attempt-id': 'id-1', 'tenant': 'tenant', 'x-own': 'kept', 'expected-replica': 'plain-a', 'host': 'host.example' })
+    expect(seen.headers['api-key']).toBeUndefined()
+    expect(Number(seen.headers['deadline-ms'])).toBeLessThanOrEqual(3000)
+  })
+
+  test.each([
+    ['without a route', '/none/', {}, 404],
+    ['with an unknown key', '/plain/', { 'api-key': 'other' }, 401],
+    ['with a deadline that is no number', '/plain/', { 'deadline-ms': 'soon' }, 400],
+    ['with too many bytes of headers', '/plain/', { 'x-long': 'x'.repeat(9000) }, 431],
+  ])('%s reaches nobody', async (_name, path, headers, status) => {
+    expect((await send(path, headers)).statusCode).toBe(status)
+    expect(replicas.flatMap(replica => replica.seen)).toEqual([])
+  })
+
+  test('with too large a body reaches nobody', async () => {
+    expect((await send('/plain/', {}, 'x'.repeat(2000))).statusCode).toBe(413)
+    expect(replicas.flatMap(replica => replica.seen)).toEqual([])
+  })
+
+  test('that may run once runs once, and is promised nothing when its answer is lost', async () => {
+    replicas[0].respond = (_, response) => void response.destroy()
+    expect((await send('/once/x')).statusCode).toBe(502)
+    expect(replicas[0].seen).toHaveLength(1)
+  })
+
+  test('that may be repeated gets the replica\'s own failure where no other replica is', async () => {
+    replicas[0].respond = answerWhole(500)
+    const response = await send('/plain/x')
+    expect(response.statusCode).toBe(500)
+    expect(response.headers['server-signature']).toBe('signed')
+  })
+
+  test('whose client leaves stops its replica', async () => {
+    const left = vi.fn()
+    replicas[0].respond = hang(left)
+    const leaving = new AbortController()
+    const sent = request(`${address}/plain/x`, { method: 'POST', headers: { 'host': 'host.example', 'attempt-id': 'id-1', 'api-key': 'key' }, signal: leaving.signal })
+    await vi.waitFor(() => expect(replicas[0].seen).toHaveLength(1))
+    leaving.abort()
+    await expect(sent).rejects.toThrow()
+    await vi.waitFor(() => expect(left).toHaveBeenCalled())
+  })
+})
+
+describe('a stream', () => {
+  const WHOLE = [1, 2, 3, 4, 5, 6].map(id => `id: ${id}\ndata: ${id}\n\n`).join('')
+
+  beforeEach(publish)
+
+  test('is passed on whole', async () => {
+    replicas.slice(1).forEach(replica => replica.respond = streamEvents(6))
+    const response = await send('/stream/x')
+    expect(await response.body.text()).toBe(WHOLE)
+  })
+
+  test('that may be resumed goes on at another replica, without a missing, doubled or half event', async () => {
+    let broken = false
+    for (const replica of replicas.slice(1)) {
+      replica.respond = (seen, response) => {
+        const respond = broken ? streamEvents(6) : streamEvents(6, 3)
+        broken = true
+        return respond(seen, response)
+      }
+    }
+    const response = await send('/resumed/x')
+    expect(await response.body.text()).toBe(WHOLE)
+    const seen = replicas.slice(1).flatMap(replica => replica.seen)
+    expect(seen.map(entry => entry.headers['last-event-id'])).toEqual(expect.arrayContaining([undefined, '3']))
+  })
+
+  test('that may not be resumed ends as broken, never as whole', async () => {
+    replicas.slice(1).forEach(replica => replica.respond = streamEvents(6, 3))
+    const response = await send('/stream/x')
+    await expect(response.body.text()).rejects.toThrow()
+    expect(replicas.slice(1).flatMap(replica => replica.seen)).toHaveLength(1)
+  })
+})
+
+describe('a planned stop', () => {
+  test('answers what is under way and what still comes, and is not ready at once', async () => {
+    await publish()
+    replicas[0].respond = async (seen, response) => {
+      await new Promise(resolve => setTimeout(resolve, 300))
+      await answerWhole()(seen, response)
+    }
+    const underWay = send('/plain/x')
+    await vi.waitFor(() => expect(replicas[0].seen).toHaveLength(1))
+    const drained = gateway.drain()
+    expect((await request(readiness)).statusCode).toBe(503)
+    const later = send('/plain/y', { 'attempt-id': 'id-2' })
+    expect((await underWay).statusCode).toBe(200)
+    expect((await later).statusCode).toBe(200)
+    expect((await later).headers.connection).toBe('close')
+    await drained
+    expect(gateway.clients.activeRequests).toBe(0)
+  })
+})
--- /dev/null
+++ b/test/platform/support/stand-in-replica.ts
@@ -0,0 +1,84 @@
+/**
+ * A small stand-in for a replica behind the platform's wire: plain answers
+ * and streams of events, with faults that a test decides.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { Buffer } from 'node:buffer'
+import { createServer } from 'node:http'
+
+/** One request as the replica got it. */
+export interface SeenRequest {
+  method: string
+  path: string
+  headers: IncomingMessage['headers']
+  body: string
+}
+
+/** Answers one request. */
+export type Respond = (request: SeenRequest, response: ServerResponse) => void | Promise<void>
+
+/** Answers whole with the replica's name. */
+export function answerWhole(status = 200): Respond {
+  return (request, response) => {
+    response.writeHead(status, { 'Attempt-Id': request.headers['attempt-id'], 'Server-Signature': 'signed' })
+    response.end(`answer to ${request.path}`)
+  }
+}
+
+/** Streams events after the one that the request names, and breaks off after some. */
+export function streamEvents(count: number, breakAfter = Number.POSITIVE_INFINITY): Respond {
+  return async (request, response) => {
+    const from = Number(request.headers['last-event-id'] ?? 0)
+    response.writeHead(200, { 'Attempt-Id': request.headers['attempt-id'], 'Server-Signature': 'signed', 'Content-Type': 'text/event-stream' })
+    for (let id = from + 1; id <= count; id++) {
+      if (id > breakAfter) {
+        response.write(`id: ${id}\nda`)
+        await new Promise(resolve => setTimeout(resolve, 20))
+        return void response.destroy()
+      }
+      response.write(`id: ${id}\ndata: ${id}\n\n`)
+      await new Promise(resolve => setTimeout(resolve, 5))
+    }
+    response.end()
+  }
+}
+
+/** Never answers; resolves when its caller has left. */
+export function hang(left: () => void): Respond {
+  return (_, response) => void response.on('close', left)
+}
+
+/** A replica on a port of its own. */
+export class StandInReplica {
+  readonly seen: SeenRequest[] = []
+  respond: Respond = answerWhole()
+  private readonly server: Server
+
+  constructor(readonly id: string, readonly service: string) {
+    this.server = createServer((request, response) => {
+      const chunks: Buffer[] = []
+      request.on('error', () => {})
+      request.on('data', chunk => chunks.push(chunk))
+      request.on('end', () => {
+        const seen = { method: request.method!, path: request.url!, headers: request.headers, body: Buffer.concat(chunks).toString() }
+        this.seen.push(seen)
+        void this.respond(seen, response)
+      })
+    })
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', () => resolve()))
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections()
+    await new Promise(resolve => this.server.close(resolve))
+  }
+
+  /** Its entry in the store. */
+  entry(state = 'ready'): object {
+    return { Service: this.service, Address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`, Zone: 'zone-a', Capacity: 4, State: state }
+  }
+}
