Never take an answer without a length that is reset for a whole one

Ruled out: our own relay; whole answers are read to their end before a byte is passed on. Change: the code of such an error is replaced before undici sees it, so that the answer under way fails. Figures: the test fails without and passes with the change.

--- a/packages/gateway/src/replica/replica-connections.ts
+++ b/packages/gateway/src/replica/replica-connections.ts
@@ -2,7 +2,7 @@
  * Connections to replicas, a pool for each, within what a replica takes.
  */
 import type { Replica } from './replica.js'
-import { Pool } from 'undici'
+import { buildConnector, Pool } from 'undici'
 
 /** How long a connection may take to come up, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 400
@@ -12,6 +12,22 @@
 const IDLE_MARGIN_MS = 700
 const FEWEST_CONNECTIONS = 2
 
+const connectPlainly = buildConnector({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false })
+/** Replaces `ECONNRESET`, which undici takes for the end of an answer that has no length. */
+const RESET_CODE = 'ERR_REPLICA_RESET'
+
+/** Connects; a reset later fails the answer under way whatever its framing. */
+const connectWatchingResets: buildConnector.connector = (options, callback) => {
+  connectPlainly(options, (...args) => {
+    const [, socket] = args
+    socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNRESET')
+        error.code = RESET_CODE
+    })
+    callback(...args)
+  })
+}
+
 /** Says how many connections to one replica of a service this process may hold. */
 export type ConnectionShare = (service: string) => number
 
@@ -29,7 +45,7 @@
     const pool = new Pool(`http://${replica.address}`, {
       connections: Math.max(FEWEST_CONNECTIONS, this.share(replica.service)),
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false },
+      connect: connectWatchingResets,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       headersTimeout: 0,
--- a/test/platform/replica-client.test.ts
+++ b/test/platform/replica-client.test.ts
@@ -85,6 +85,15 @@
     expect(await readAll(result.body)).toBe('whole')
   })
 
+  test('without a length that is reset never looks whole', async () => {
+    const replica = await startReplica((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nConnection: close\r\n\r\nhalf')
+      setTimeout(() => socket.resetAndDestroy(), 30)
+    })
+    const result = (await createClient().run(replica, CALL, NEVER)).unwrap()
+    await expect(readAll(result.body)).rejects.toThrow()
+  })
+
   test('that comes twice spoils its own connection alone', async () => {
     const replica = await startReplica((socket, request) => {
       const own = answer('200 OK', { 'Attempt-Id': `id-${request}` }, `body-${request}`)
