--- a/packages/gateway/src/replica/replica-registry.ts
+++ b/packages/gateway/src/replica/replica-registry.ts
@@ -47,7 +47,7 @@
     const replica = new Replica(record)
     this.byId.set(record.id, replica)
     this.membersOf(record.service).add(replica)
-    this.log.write('replica-added', { replica: record.id, service: record.service, zone: record.zone, address: record.address, draining: record.draining })
+    this.log.write('replica-added', { replica: record.id, service: record.service, replicaZone: record.zone, address: record.address, draining: record.draining })
     for (const listener of this.listeners)
       listener.added?.(replica)
   }
--- a/packages/gateway/src/request/client-server.ts
+++ b/packages/gateway/src/request/client-server.ts
@@ -4,12 +4,13 @@
  */
 import type { RequestError } from '@eidermast/daemon/errors'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Result } from 'ts-results-es'
 import type { ConfigurationHolder } from '../configuration/configuration-holder.js'
 import type { ClientLimits } from '../configuration/configuration.js'
 import type { EventLog } from '../process/event-log.js'
 import type { HeaderList } from '../replica/replica-client.js'
 import type { ClientAnswer } from './client-answer.js'
-import type { ClientCodec } from './client-codec.js'
+import type { ClientCodec, ClientRequestHead } from './client-codec.js'
 import type { PassThrough } from './pass-through.js'
 import { createServer } from 'node:http'
 import { createError, ErrorKind } from '@eidermast/daemon/errors'
@@ -95,9 +96,11 @@
         leaving.abort()
     })
     response.on('error', () => leaving.abort())
-    const answer = new ResponseAnswer(response, this.codec, requestIdOf(this.codec, request), () => this.draining)
+    const head = this.codec.readHead(request.rawHeaders)
+    const requestId = head.isOk() ? head.value.requestId : undefined
+    const answer = new ResponseAnswer(response, this.codec, requestId, () => this.draining)
     try {
-      await this.serve(request, answer, arrivedAt, leaving.signal)
+      await this.serve(request, head, answer, arrivedAt, leaving.signal)
     }
     catch (error) {
       this.log.write('internal-error', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
@@ -111,8 +114,7 @@
     }
   }
 
-  private async serve(request: IncomingMessage, answer: ResponseAnswer, arrivedAt: number, signal: AbortSignal): Promise<void> {
-    const head = this.codec.readHead(request.rawHeaders)
+  private async serve(request: IncomingMessage, head: Result<ClientRequestHead, string>, answer: ResponseAnswer, arrivedAt: number, signal: AbortSignal): Promise<void> {
     if (head.isErr())
       return answer.reject(createError(ErrorKind.InvalidRequest, head.error))
     if (headerBytes(request) > this.limits.maxHeaderBytes)
@@ -211,11 +213,6 @@
   }
 }
 
-function requestIdOf(codec: ClientCodec, request: IncomingMessage): string | undefined {
-  const head = codec.readHead(request.rawHeaders)
-  return head.isOk() ? head.value.requestId : undefined
-}
-
 function headerBytes(request: IncomingMessage): number {
   const separators = 4
   return request.rawHeaders.reduce((sum, text) => sum + text.length, 0) + request.rawHeaders.length / 2 * separators + (request.url?.length ?? 0)
--- a/packages/gateway/src/request/replica-runner.ts
+++ b/packages/gateway/src/request/replica-runner.ts
@@ -175,7 +175,7 @@
 
   private async tryReplica(replica: Replica, attempt: number): Promise<TryResult> {
     this.tried.add(replica.id)
-    this.parts.log.write('route', { request: this.request.head.requestId, service: this.request.service, replica: replica.id, zone: replica.zone, attempt, outstanding: replica.outstanding, running: replica.load?.running, loadAgeMs: replica.load ? Math.round(performance.now() - replica.loadAt) : undefined, remainingMs: Math.round(this.remainingMs()) })
+    this.parts.log.write('route', { request: this.request.head.requestId, service: this.request.service, replica: replica.id, replicaZone: replica.zone, attempt, outstanding: replica.outstanding, running: replica.load?.running, loadAgeMs: replica.load ? Math.round(performance.now() - replica.loadAt) : undefined, remainingMs: Math.round(this.remainingMs()) })
     const controller = new AbortController()
     const abort = (): void => controller.abort()
     this.signal.addEventListener('abort', abort)
--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -235,7 +235,7 @@
     timeout.dispose()
     clearTimeout(fetchTimer)
     const tookMs = performance.now() - startedAt
-    this.log.write('stage-call', { service: this.service, replica: worker.replica.id, zone: worker.zone, pieces: batch.length, tookMs: Math.round(tookMs), expectedMs: Math.round(worker.callTime(batch.length)), end: result.end, failed: result.outcomes.filter(outcome => 'failure' in outcome).length, roomBytes: worker.freeBytes(), requests: [...new Set(batch.map(work => work.task.task.requestId))].join(',') })
+    this.log.write('stage-call', { service: this.service, replica: worker.replica.id, replicaZone: worker.zone, pieces: batch.length, tookMs: Math.round(tookMs), expectedMs: Math.round(worker.callTime(batch.length)), end: result.end, failed: result.outcomes.filter(outcome => 'failure' in outcome).length, roomBytes: worker.freeBytes(), requests: [...new Set(batch.map(work => work.task.task.requestId))].join(',') })
     if (result.end === StageCallEnd.Done)
       this.take(worker, batch, result, tookMs)
     else
