--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,10 +1,7 @@
-import type { AddressInfo } from 'node:net'
-import { createServer } from 'node:net'
-import { Gateway, parseGatewaySettings } from '@eidermast/gateway'
-import { createAdapter } from '@eidermast/platform'
+import type { Gateway } from '@eidermast/gateway'
 import { request } from 'undici'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
-import { createLog } from '../gateway/support/fakes.js'
+import { startGateway } from './support/gateway-process.js'
 import { answerWhole, hang, StandInReplica, streamEvents } from './support/stand-in-replica.js'
 import { StandInStore } from './support/stand-in-store.js'
 
@@ -28,36 +25,12 @@
 let readiness: string
 let replicas: StandInReplica[]
 
-async function freePort(): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 beforeEach(async () => {
   store = new StandInStore()
-  const [clients, ready, peers, metrics] = await Promise.all([freePort(), freePort(), freePort(), freePort()])
-  const settings = parseGatewaySettings([
-    '[process]',
-    'name = gateway-a',
-    'zone = zone-a',
-    'host = 127.0.0.1',
-    'grace-period-ms = 8000',
-    '[listen]',
-    `clients = 127.0.0.1:${clients}`,
-    `readiness = 127.0.0.1:${ready}`,
-    `peer-port = ${peers}`,
-    `metrics-port = ${metrics}`,
-    '[platform]',
-    `store = ${await store.start()}`,
-  ].join('\n')).unwrap()
-  const { log } = createLog()
-  gateway = new Gateway(settings, createAdapter(settings.platform, log).unwrap(), log)
-  await gateway.start()
-  address = `http://127.0.0.1:${clients}`
-  readiness = `http://127.0.0.1:${ready}`
+  const started = await startGateway('gateway-a', await store.start())
+  gateway = started.gateway
+  address = started.address
+  readiness = started.readiness
   replicas = [new StandInReplica('plain-a', 'plain'), new StandInReplica('model-a', 'model'), new StandInReplica('model-b', 'model')]
   await Promise.all(replicas.map(replica => replica.start()))
 })
--- /dev/null
+++ b/test/platform/gateways.test.ts
@@ -0,0 +1,121 @@
+import type { ServerResponse } from 'node:http'
+import type { StartedGateway } from './support/gateway-process.js'
+import type { SeenRequest } from './support/stand-in-replica.js'
+import { request } from 'undici'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { startGateway } from './support/gateway-process.js'
+import { StandInReplica, streamEvents } from './support/stand-in-replica.js'
+import { StandInStore, StoreFault } from './support/stand-in-store.js'
+
+const LIMITS = { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 }
+const STAGE = { Capacity: 1, Queue: 2, Batch: 6, CallMs: 40, ItemMs: 5, HeadroomMb: 5, HandleTtlS: 4, BandwidthMbps: 10_000 }
+const ROUTE = { Name: 'staged', Host: 'host.example', PathPrefix: '/staged/', Type: 'streaming', Service: 'model', TimeoutMs: 8000, TargetLatencyMs: 4000, MaxAttempts: 1, Phases: [{ Service: 'encode', WatchRevision: [], SizeBytes: 1000 }] }
+
+function createConfiguration(version: number, routes: object[] = [ROUTE]) {
+  return {
+    Version: version,
+    Routes: routes,
+    Services: [{ Name: 'model', MaxConnections: 40, Engine: { Capacity: 8, KvCapacityTokens: 1000 } }, { Name: 'encode', MaxConnections: 40, Segments: STAGE }],
+    Limits: LIMITS,
+  }
+}
+
+let store: StandInStore
+let gateways: StartedGateway[]
+let model: StandInReplica
+let encoder: StandInReplica
+let made: number
+
+/** Makes a result for each piece, after a while. */
+async function makeResults(seen: SeenRequest, response: ServerResponse): Promise<void> {
+  if (seen.path !== '/-/stage-run')
+    return void response.end(JSON.stringify({ FreeMb: 5 }))
+  await new Promise(resolve => setTimeout(resolve, 60))
+  const items = (JSON.parse(seen.body) as { Items: unknown[] }).Items
+  response.end(JSON.stringify({ Items: items.map(() => ({ PromptHandle: `encoder/${made++}` })) }))
+}
+
+beforeEach(async () => {
+  made = 0
+  store = new StandInStore()
+  const address = await store.start()
+  model = new StandInReplica('model-a', 'model')
+  encoder = new StandInReplica('encode-a', 'encode')
+  model.respond = streamEvents(3)
+  encoder.respond = makeResults
+  await Promise.all([model.start(), encoder.start()])
+  store.put('keyed.op', 'config', createConfiguration(1))
+  store.put('keyed.servers', model.id, model.entry())
+  store.put('keyed.servers', encoder.id, encoder.entry())
+  gateways = [await startGateway('gateway-a', address)]
+  await vi.waitFor(() => expect(store.newestOf('keyed.eidermast-gateways').has('gateway-a')).toBe(true))
+  gateways.push(await startGateway('gateway-b', address))
+  await vi.waitFor(() => {
+    for (const { gateway } of gateways) {
+      expect(gateway.registry.size).toBe(2)
+      expect(gateway.members.count).toBe(2)
+      expect(gateway.members.owner.name).toBe('gateway-a')
+    }
+  })
+})
+
+afterEach(async () => {
+  await Promise.all(gateways.map(({ gateway }) => gateway.close()))
+  await Promise.all([store.stop(), model.stop(), encoder.stop()])
+})
+
+function send(gateway: StartedGateway, id: string) {
+  return request(`${gateway.address}/staged/x`, { method: 'POST', headers: { 'host': 'host.example', 'attempt-id': id, 'deadline-ms': '7000', 'chunk-count': '2', 'chunk-key': 'key' }, body: 'body' })
+}
+
+function stageCalls(): SeenRequest[] {
+  return encoder.seen.filter(seen => seen.path === '/-/stage-run')
+}
+
+describe('two gateways', () => {
+  test('have the stages of all requests made by the owner, and hand each request its own results', async () => {
+    const answers = await Promise.all([send(gateways[1], 'id-1'), send(gateways[0], 'id-2')])
+    for (const answer of answers)
+      expect(await answer.body.text()).toContain('data: 3')
+    const pieces = stageCalls().flatMap(seen => (JSON.parse(seen.body) as { Items: { Id: string, Segment: number }[] }).Items)
+    expect(pieces.map(piece => `${piece.Id}.${piece.Segment}`).sort()).toEqual(['id-1.0', 'id-1.1', 'id-2.0', 'id-2.1'])
+    const inputs = model.seen.map(seen => String(seen.headers['input-count']).split(','))
+    expect(inputs.map(handles => handles.length)).toEqual([2, 2])
+    expect(new Set(inputs.flat()).size).toBe(4)
+  })
+
+  test('serve a request whose owner dies while its stages are made', async () => {
+    const answer = send(gateways[1], 'id-1')
+    await vi.waitFor(() => expect(stageCalls().length).toBeGreaterThan(0))
+    await gateways[0].gateway.close()
+    expect(await (await answer).body.text()).toContain('data: 3')
+    expect(model.seen).toHaveLength(1)
+    expect(gateways[1].gateway.members.ownsStages).toBe(true)
+  })
+
+  test('serve a request whose owner stops while its stages are made', async () => {
+    const answer = send(gateways[1], 'id-1')
+    await vi.waitFor(() => expect(stageCalls().length).toBeGreaterThan(0))
+    const drained = gateways[0].gateway.drain()
+    expect(await (await answer).body.text()).toContain('data: 3')
+    expect(model.seen).toHaveLength(1)
+    await vi.waitFor(() => expect(gateways[1].gateway.members.ownsStages).toBe(true), { timeout: 3000 })
+    await drained
+  })
+
+  test.each([[0, 1], [1, 0]])('pass a newer configuration on while the store answers nobody (from %i to %i)', async (from, to) => {
+    store.fault = StoreFault.Busy
+    gateways[from].gateway.configuration.offer(JSON.stringify(createConfiguration(9, [])), 'test')
+    await vi.waitFor(() => expect(gateways[to].gateway.configuration.version).toBe(9), { timeout: 3000 })
+    expect((await send(gateways[to], 'id-1')).statusCode).toBe(404)
+  })
+
+  test('never take an older configuration from a peer', async () => {
+    store.fault = StoreFault.Busy
+    gateways[0].gateway.configuration.offer(JSON.stringify(createConfiguration(9)), 'test')
+    await vi.waitFor(() => expect(gateways[1].gateway.configuration.version).toBe(9), { timeout: 3000 })
+    gateways[0].gateway.configuration.offer(JSON.stringify(createConfiguration(4)), 'test')
+    await new Promise(resolve => setTimeout(resolve, 400))
+    expect(gateways.map(({ gateway }) => gateway.configuration.version)).toEqual([9, 9])
+  })
+})
