Pass an answer without a length on without one; forget refused stage work and routes that are gone

Two maps grew: the owner of refused stage work, and the longest time of routes that are gone. Ruled out: the reset trap (the crash showed none).

--- a/packages/gateway/src/membership/shared-preparer.ts
+++ b/packages/gateway/src/membership/shared-preparer.ts
@@ -8,6 +8,7 @@
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../stage/preparation.js'
 import type { Member, Members } from './members.js'
 import type { PeerClients } from './peer-clients.js'
+import { formatError } from '@eidermast/daemon/logger'
 import { Err, Ok } from 'ts-results-es'
 import { PreparationFailureKind } from '../stage/preparation.js'
 
@@ -28,6 +29,24 @@
   ) {}
 
   async prepare(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
+    const result = await this.prepareAtOwners(request, signal)
+    if (result.isErr())
+      this.ownerOf.delete(request.requestId)
+    return result
+  }
+
+  release(requestId: string): void {
+    const owner = this.ownerOf.get(requestId)
+    this.ownerOf.delete(requestId)
+    if (!owner)
+      return
+    if (owner.name === this.members.self.name)
+      this.local.release(requestId)
+    else
+      this.releaseAt(owner, requestId)
+  }
+
+  private async prepareAtOwners(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
     const startedAt = performance.now()
     for (let tried = 0; tried < MOST_OWNERS && !signal.aborted; tried++) {
       const elapsed = performance.now() - startedAt
@@ -42,17 +61,6 @@
     return Err({ kind, message: 'no owner of the stage work answered', retryAfterMs: RETRY_AFTER_MS })
   }
 
-  release(requestId: string): void {
-    const owner = this.ownerOf.get(requestId)
-    this.ownerOf.delete(requestId)
-    if (!owner)
-      return
-    if (owner.name === this.members.self.name)
-      this.local.release(requestId)
-    else
-      this.releaseAt(owner, requestId)
-  }
-
   /** The owner's word, or undefined where the owner was lost. */
   private async prepareAt(owner: Member, request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure> | undefined> {
     this.ownerOf.set(request.requestId, owner)
@@ -86,7 +94,7 @@
   }
 
   private loseOwner(owner: Member, requestId: string, error: unknown): void {
-    this.log.write('stage-owner-lost', { request: requestId, owner: owner.name, error: error instanceof Error ? error.message : String(error) })
+    this.log.write('stage-owner-lost', { request: requestId, owner: owner.name, error: formatError(error) })
     this.members.suspect(owner)
   }
 
--- a/packages/gateway/src/replica/http-replica-client.ts
+++ b/packages/gateway/src/replica/http-replica-client.ts
@@ -7,6 +7,7 @@
 import type { CallFailure, ReplicaAnswer, ReplicaCall, ReplicaClient, ReplicaCodec } from './replica-client.js'
 import type { ReplicaConnections } from './replica-connections.js'
 import type { Replica } from './replica.js'
+import { formatError } from '@eidermast/daemon/logger'
 import { Err, Ok } from 'ts-results-es'
 import { CallFailureKind } from './replica-client.js'
 import { isNotSent } from './replica-connections.js'
@@ -62,12 +63,20 @@
       void response.body.dump().catch(() => {})
       return Err({ kind: facts.failure, message: `status ${response.statusCode}` })
     }
-    return Ok({ status: response.statusCode, headers: facts.headers, body: response.body as AsyncIterable<Buffer>, destroy })
+    return Ok({ status: response.statusCode, headers: facts.headers, framed: isFramed(response), body: response.body as AsyncIterable<Buffer>, destroy })
   }
 }
 
+const NO_CONTENT = 204
+const NOT_MODIFIED = 304
+
+/** RFC 9112, section 6.3: neither a length nor chunks, and a status that has a body. */
+function isFramed({ statusCode, headers }: Dispatcher.ResponseData): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED
+}
+
 function describeFailure(error: unknown, signal: AbortSignal): CallFailure {
-  const message = error instanceof Error ? `${error.name}: ${error.message}` : String(error)
+  const message = formatError(error)
   if (signal.aborted)
     return { kind: CallFailureKind.Aborted, message }
   return { kind: isNotSent(error) ? CallFailureKind.NotSent : CallFailureKind.Broken, message }
--- a/packages/gateway/src/replica/replica-client.ts
+++ b/packages/gateway/src/replica/replica-client.ts
@@ -32,6 +32,8 @@
   status: number
   /** Headers for the client. */
   headers: HeaderList
+  /** Whether its head says where the body ends; one that does not ends with its connection. */
+  framed: boolean
   /** Throws where the answer breaks off. */
   body: AsyncIterable<Buffer>
   /** Closes the connection of this answer. */
--- a/packages/gateway/src/request/client-answer.ts
+++ b/packages/gateway/src/request/client-answer.ts
@@ -12,6 +12,8 @@
   sendWhole: (status: number, headers: HeaderList, body: Buffer) => void
   /** Begins an answer whose body comes in parts. */
   begin: (status: number, headers: HeaderList) => void
+  /** Begins an answer that ends with its connection, whose end nobody can tell from a cut. */
+  beginUnframed: (status: number, headers: HeaderList) => void
   /** Sends a part; waits while the client does not read. */
   send: (bytes: Buffer) => Promise<void>
   end: () => void
--- a/packages/gateway/src/request/client-server.ts
+++ b/packages/gateway/src/request/client-server.ts
@@ -173,6 +173,13 @@
     this.response.flushHeaders()
   }
 
+  beginUnframed(status: number, headers: HeaderList): void {
+    this.response.removeHeader('content-length')
+    this.response.removeHeader('transfer-encoding')
+    this.response.setHeader('connection', 'close')
+    this.begin(status, headers)
+  }
+
   async send(bytes: Buffer): Promise<void> {
     if (this.response.destroyed)
       throw new Error('the client left')
--- a/packages/gateway/src/request/pass-through.ts
+++ b/packages/gateway/src/request/pass-through.ts
@@ -16,6 +16,7 @@
 import { pickService } from '../configuration/route-table.js'
 import { hashText } from '../replica/rendezvous.js'
 import { PreparationFailureKind } from '../stage/preparation.js'
+import { NO_INPUTS } from './replica-runner.js'
 
 const HASH_RANGE = 2 ** 32
 const DEFAULT_DEADLINE_MS = 10_000
@@ -68,7 +69,9 @@
   /** The longest time that clients gave, by route, in milliseconds. */
   private readonly longestDeadlines = new Map<string, number>()
 
-  constructor(private readonly parts: PassThroughParts) {}
+  constructor(private readonly parts: PassThroughParts) {
+    parts.configuration.onChange(table => this.forgetRoutes(table))
+  }
 
   /** Finds the route and tenant of a request, or the error that answers it. */
   route(request: ClientRequest): RoutedRequest | RequestError {
@@ -108,7 +111,7 @@
     }
     const error = routed.route.stages.length > 0
       ? await this.prepareAndRun(routed, answer, signal)
-      : await this.parts.runner.run(routed, { handles: undefined, zone: undefined, bytes: 0 }, answer, signal)
+      : await this.parts.runner.run(routed, NO_INPUTS, answer, signal)
     this.finish(routed, answer, error, version(this.parts))
   }
 
@@ -156,6 +159,14 @@
     return deadlineMs < longest * RETURNING_SHARE
   }
 
+  private forgetRoutes(table: RouteTable): void {
+    const names = new Set(table.configuration.routes.map(route => route.name))
+    for (const name of this.longestDeadlines.keys()) {
+      if (!names.has(name))
+        this.longestDeadlines.delete(name)
+    }
+  }
+
   private findTenant(table: RouteTable, route: Route, key: string | undefined): Tenant | undefined | 'unknown' {
     if (route.public || !table.needsKeys)
       return undefined
--- /dev/null
+++ b/test/gateway/pass-through.test.ts
@@ -0,0 +1,22 @@
+import type { ClientRequest, PassThroughParts, RoutedRequest } from '@eidermast/gateway'
+import { ConfigurationHolder, PassThrough } from '@eidermast/gateway'
+import { expect, test } from 'vitest'
+import { createConfiguration, createLog, createRoute } from './support/fakes.js'
+
+function createRequest(deadlineMs: number): ClientRequest {
+  const head = { requestId: 'id-1', host: 'host.example', key: undefined, deadlineMs, promptParts: [], stagePieces: [], stageKey: '', lastEventId: undefined, headers: [] }
+  return { method: 'GET', path: '/a/', head, body: undefined, arrivedAt: 0 }
+}
+
+test('the time that clients of a route give is forgotten with the route', () => {
+  const { log } = createLog()
+  const configuration = new ConfigurationHolder(text => createConfiguration(JSON.parse(text)), log)
+  const passThrough = new PassThrough({ configuration, log } as PassThroughParts)
+  const isReturning = (deadlineMs: number): boolean => (passThrough.route(createRequest(deadlineMs)) as RoutedRequest).returning
+  configuration.offer('{"version":1}', 'test')
+  expect(isReturning(1000)).toBe(false)
+  expect(isReturning(500)).toBe(true)
+  configuration.offer(JSON.stringify({ version: 2, routes: [createRoute({ name: 'other', host: 'other.example' })] }), 'test')
+  configuration.offer('{"version":3}', 'test')
+  expect(isReturning(500)).toBe(false)
+})
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -2,7 +2,7 @@
 import { request } from 'undici'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { startGateway } from './support/gateway-process.js'
-import { answerWhole, hang, StandInReplica, streamEvents } from './support/stand-in-replica.js'
+import { answerUnframed, answerWhole, hang, StandInReplica, streamEvents } from './support/stand-in-replica.js'
 import { StandInStore } from './support/stand-in-store.js'
 
 const ROUTE = { Host: 'host.example', TimeoutMs: 4000, TargetLatencyMs: 1000, MaxAttempts: 2 }
@@ -105,6 +105,19 @@
     expect(response.headers['server-signature']).toBe('signed')
   })
 
+  test.each([
+    ['a whole answer', '/plain/x', 0, 'answer'],
+    ['a stream', '/stream/x', 1, 'id: 1\ndata: 1\n\n'],
+  ])('whose replica sends %s without a length gets it without one, so that nothing cut short is framed as complete', async (_name, path, first, body) => {
+    replicas.slice(first).forEach(replica => replica.respond = answerUnframed(body))
+    const response = await send(path)
+    expect(response.statusCode).toBe(200)
+    expect(response.headers).toMatchObject({ 'server-signature': 'signed', 'connection': 'close' })
+    expect(response.headers['content-length']).toBeUndefined()
+    expect(response.headers['transfer-encoding']).toBeUndefined()
+    expect(await response.body.text()).toBe(body)
+  })
+
   test('whose client leaves stops its replica', async () => {
     const left = vi.fn()
     replicas[0].respond = hang(left)
@@ -143,6 +156,19 @@
     expect(seen.map(entry => entry.headers['last-event-id'])).toEqual(expect.arrayContaining([undefined, '3']))
   })
 
+  test('that goes on with an answer without a length ends as broken: its end cannot be told from a cut', async () => {
+    let broken = false
+    for (const replica of replicas.slice(1)) {
+      replica.respond = (seen, response) => {
+        const respond = broken ? answerUnframed('id: 4\ndata: 4\n\n') : streamEvents(6, 3)
+        broken = true
+        return respond(seen, response)
+      }
+    }
+    const response = await send('/resumed/x')
+    await expect(response.body.text()).rejects.toThrow()
+  })
+
   test('that may not be resumed ends as broken, never as whole', async () => {
     replicas.slice(1).forEach(replica => replica.respond = streamEvents(6, 3))
     const response = await send('/stream/x')
--- a/test/platform/support/stand-in-replica.ts
+++ b/test/platform/support/stand-in-replica.ts
@@ -44,6 +44,13 @@
   }
 }
 
+/** Answers without a length; the end of the connection ends the answer. */
+export function answerUnframed(body: string): Respond {
+  return (request, response) => {
+    response.socket!.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${request.headers['attempt-id']}\r\nServer-Signature: signed\r\n\r\n${body}`)
+  }
+}
+
 /** Never answers; resolves when its caller has left. */
 export function hang(left: () => void): Respond {
   return (_, response) => void response.on('close', left)
