Let the route's priority decide among client accounts of one level

Ruled out: the shift of 300 ms a level, which never saw two levels. Change: priorities are compared tenant first, then route; a call's log line names the failures of its pieces by kind.

--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -3,11 +3,15 @@
  */
 import type { Configuration, Route, Service, Tenant } from './configuration.js'
 
+/** Levels of routes within one level of tenants. */
+const ROUTE_LEVELS = 10
+
 /** One version of the configuration, indexed for requests. */
 export class RouteTable {
   private readonly routesByHost = new Map<string, Route[]>()
   private readonly tenantsByKey = new Map<string, Tenant>()
   private readonly servicesByName = new Map<string, Service>()
+  private readonly mostUrgentTenant: number
 
   constructor(readonly configuration: Configuration) {
     for (const route of configuration.routes)
@@ -20,6 +24,7 @@
     }
     for (const service of configuration.services)
       this.servicesByName.set(service.name, service)
+    this.mostUrgentTenant = Math.min(...configuration.tenants.map(tenant => tenant.priority ?? 0))
   }
 
   get version(): number {
@@ -41,6 +46,12 @@
     return this.tenantsByKey.get(key)
   }
 
+  /** Priority of a request, 0 the most urgent: its tenant's goes before its route's, which decides among tenants alike. */
+  priorityOf(route: Route, tenant: Tenant | undefined): number {
+    const tenantLevel = tenant ? (tenant.priority ?? 0) - this.mostUrgentTenant : 0
+    return tenantLevel * ROUTE_LEVELS + route.priority
+  }
+
   findService(name: string): Service | undefined {
     return this.servicesByName.get(name)
   }
--- a/packages/gateway/src/request/pass-through.ts
+++ b/packages/gateway/src/request/pass-through.ts
@@ -95,7 +95,7 @@
       route,
       tenant,
       service,
-      priority: tenant?.priority ?? route.priority,
+      priority: table.priorityOf(route, tenant),
       deadlineAt,
       firstEventBy: Math.min(deadlineAt, request.arrivedAt + silenceLimit(route) - ANSWER_MARGIN_MS),
       returning: this.isReturning(route, request.head.deadlineMs),
--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -235,7 +235,7 @@
     timeout.dispose()
     clearTimeout(fetchTimer)
     const tookMs = performance.now() - startedAt
-    this.log.write('stage-call', { service: this.service, replica: worker.replica.id, replicaZone: worker.zone, pieces: batch.length, tookMs: Math.round(tookMs), expectedMs: Math.round(worker.callTime(batch.length)), end: result.end, failed: result.outcomes.filter(outcome => 'failure' in outcome).length, roomBytes: worker.freeBytes(), requests: [...new Set(batch.map(work => work.task.task.requestId))].join(',') })
+    this.log.write('stage-call', { service: this.service, replica: worker.replica.id, replicaZone: worker.zone, pieces: batch.length, tookMs: Math.round(tookMs), expectedMs: Math.round(worker.callTime(batch.length)), end: result.end, failures: describeFailures(result), roomBytes: worker.freeBytes(), requests: [...new Set(batch.map(work => work.task.task.requestId))].join(',') })
     if (result.end === StageCallEnd.Done)
       this.take(worker, batch, result, tookMs)
     else
@@ -373,3 +373,13 @@
     inputs: task.inputs.length > 0 ? task.inputs.map(input => input.handle) : undefined,
   }
 }
+
+/** Failures of a call's pieces by kind, such as `no-room:2`; undefined where there were none. */
+function describeFailures(result: StageCallResult): string | undefined {
+  const counts = new Map<PieceFailure, number>()
+  for (const outcome of result.outcomes) {
+    if ('failure' in outcome)
+      counts.set(outcome.failure, (counts.get(outcome.failure) ?? 0) + 1)
+  }
+  return counts.size === 0 ? undefined : [...counts].map(([kind, count]) => `${kind}:${count}`).join(',')
+}
--- a/test/gateway/request-parts.test.ts
+++ b/test/gateway/request-parts.test.ts
@@ -33,6 +33,26 @@
   })
 })
 
+describe('the priority of a request', () => {
+  const URGENT = createRoute({ name: 'urgent', priority: 0 })
+  const OTHER = createRoute({ name: 'other', priority: 2 })
+  const FIRST = { name: 'first', keys: ['key-1'], priority: 1 }
+  const SECOND = { name: 'second', keys: ['key-2'], priority: 2 }
+  const table = new RouteTable(createConfiguration({ routes: [URGENT, OTHER], tenants: [FIRST, SECOND] }))
+
+  test.each([
+    ['of a more urgent route among requests of one tenant', [URGENT, FIRST], [OTHER, FIRST]],
+    ['of a more urgent tenant whatever the routes', [OTHER, FIRST], [URGENT, SECOND]],
+    ['of a route without a tenant by its route', [URGENT, undefined], [OTHER, undefined]],
+  ] as const)('goes first %s', (_name, [route, tenant], [otherRoute, otherTenant]) => {
+    expect(table.priorityOf(route, tenant)).toBeLessThan(table.priorityOf(otherRoute, otherTenant))
+  })
+
+  test('is the route\'s own where all tenants are alike', () => {
+    expect(table.priorityOf(OTHER, FIRST)).toBe(OTHER.priority)
+  })
+})
+
 describe('the retry budget', () => {
   test('never allows more than its share in any window', () => {
     const step = fc.record({ waitMs: fc.integer({ min: 0, max: 2000 }), requests: fc.nat(20), repeats: fc.nat(40) })
