Take room for free when the replica says so, and send no piece whose inputs have ended

Ruled out: sizes of results (told within their bounds in calls with room). Change: room is returned at the answer of the free; lost calls keep theirs until its end; tasks whose inputs are given up or near their end begin anew without a call. Three tests fail before and pass after.

--- a/packages/gateway/src/stage/stage-client.ts
+++ b/packages/gateway/src/stage/stage-client.ts
@@ -54,8 +54,8 @@
 /** Runs batches of pieces and frees results. */
 export interface StageClient {
   run: (replica: Replica, pieces: readonly StagePiece[], signal: AbortSignal) => Promise<StageCallResult>
-  /** Gives results up; failures are passed over, since results end by themselves. */
-  free: (replica: Replica, handles: readonly string[]) => Promise<void>
+  /** Gives results up; false where the replica did not say that they are gone: they end by themselves. */
+  free: (replica: Replica, handles: readonly string[]) => Promise<boolean>
   /** Room left for results, in bytes; undefined where the replica does not tell. */
   freeRoom: (replica: Replica) => Promise<number | undefined>
 }
--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -36,7 +36,7 @@
 /** How long the calls of the owner before are reckoned with, in milliseconds. */
 const OTHERS_MS = 1500
 const RESULT_SIZE_WEIGHT = 0.05
-const FREE_DELAY_MS = 15
+const FREE_DELAY_MS = 5
 
 interface PieceWork {
   task: TaskState
@@ -135,7 +135,7 @@
 
   /** Gives a result up. */
   free(result: StageResult): void {
-    if (!result.worker.drop(result.handle))
+    if (!result.worker.giveUp(result.handle))
       return
     const handles = this.toFree.get(result.worker)
     if (handles) {
@@ -150,6 +150,7 @@
   dispatch(): void {
     const now = performance.now()
     this.endLateTasks(now)
+    this.endTasksWithoutInputs(now)
     for (const worker of this.workers.values())
       worker.expire(now)
     if (this.queue.length === 0)
@@ -179,6 +180,13 @@
       this.fail(state, PieceFailure.Late)
   }
 
+  /** A call for pieces whose inputs have ended would cost its time and bring nothing. */
+  private endTasksWithoutInputs(now: number): void {
+    const lacking = this.queue.filter(state => state.waiting.length > 0 && state.task.inputs.some(input => !input.worker.isReadable(input.handle, now)))
+    for (const state of lacking)
+      this.fail(state, PieceFailure.InputGone)
+  }
+
   /**
    * Picks the pieces of the next call of an idle replica: first the tasks that
    * do best here; where much waits, others after them, since a full batch
@@ -199,7 +207,7 @@
       const places = this.limits.batch - batch.length
       if (places <= 0)
         return
-      const room = worker.freeBytes() - batch.reduce((sum, work) => sum + work.task.task.resultBytes, 0)
+      const room = worker.freeBytes() - batchBytes(batch)
       const fitting = Math.min(places, Math.floor(room / state.task.resultBytes), state.waiting.length)
       const whole = fitting === state.waiting.length
       if (fitting <= 0 || !(whole || batch.length === 0) || !accepts(state.task))
@@ -225,8 +233,7 @@
   }
 
   private async run(worker: StageWorker, batch: PieceWork[], startedAt: number): Promise<void> {
-    const bytes = batch.reduce((sum, work) => sum + work.task.task.resultBytes, 0)
-    worker.begin(batch.length, bytes, startedAt)
+    worker.begin(batch.length, batchBytes(batch), startedAt)
     const timeoutMs = worker.callTime(batch.length) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS
     const fetchMs = startedAt < this.othersUntil ? undefined : this.fetchTime(batch)
     const fetchTimer = fetchMs === undefined ? undefined : setTimeout(() => this.reportFetched(batch), fetchMs)
@@ -297,8 +304,11 @@
 
   private takeFailure(worker: StageWorker, batch: readonly PieceWork[], end: StageCallEnd): void {
     const pauseMs = worker.fail(performance.now())
-    for (const work of batch)
-      worker.returnRoom(work.task.task.resultBytes)
+    const bytes = batchBytes(batch)
+    if (end === StageCallEnd.Broken)
+      worker.holdLostCall(bytes, performance.now())
+    else
+      worker.returnRoom(bytes)
     this.log.write('stage-replica-paused', { service: this.service, replica: worker.replica.id, reason: end, milliseconds: pauseMs })
     setTimeout(() => this.dispatch(), pauseMs)
     if (end === StageCallEnd.NotSent)
@@ -358,10 +368,20 @@
   private flushFrees(worker: StageWorker): void {
     const handles = this.toFree.get(worker) ?? []
     this.toFree.delete(worker)
-    void this.client.free(worker.replica, handles).then(() => this.dispatch())
+    void this.client.free(worker.replica, handles).then((freed) => {
+      if (!freed)
+        return
+      handles.forEach(handle => worker.drop(handle))
+      this.dispatch()
+    })
   }
 }
 
+/** Room that the results of a batch take, in bytes. */
+function batchBytes(batch: readonly PieceWork[]): number {
+  return batch.reduce((sum, work) => sum + work.task.task.resultBytes, 0)
+}
+
 function describePiece(work: PieceWork, now: number): StagePiece {
   const { task } = work.task
   return {
--- a/packages/gateway/src/stage/stage-worker.ts
+++ b/packages/gateway/src/stage/stage-worker.ts
@@ -19,9 +19,14 @@
 /** Stands for all results that this process did not ask for. */
 const RESULTS_OF_OTHERS = 'results of others'
 
+/** Results this near to their end are not sent to a reader any more, in milliseconds. */
+const EXPIRY_MARGIN_MS = 100
+
 interface HeldResult {
   bytes: number
   expiresAt: number
+  /** Given up; its room is free when the replica has said so. */
+  freeing: boolean
 }
 
 /** Accounts for one replica; times are on the process clock, in milliseconds. */
@@ -34,6 +39,7 @@
   private pausedUntil = 0
   private slowness = 1
   private readonly held = new Map<string, HeldResult>()
+  private lostCalls = 0
 
   constructor(readonly replica: Replica, public limits: StageLimits) {}
 
@@ -109,21 +115,36 @@
 
   /** A result now takes its reserved room until it is freed or ends by itself. */
   hold(handle: string, bytes: number, now: number): void {
-    this.held.set(handle, { bytes, expiresAt: now + this.limits.resultLifetimeMs })
+    this.held.set(handle, { bytes, expiresAt: now + this.limits.resultLifetimeMs, freeing: false })
+  }
+
+  /** What a call that broke off may have made keeps its room until it ends by itself. */
+  holdLostCall(bytes: number, now: number): void {
+    this.hold(`lost call ${this.lostCalls++}`, bytes, now)
+  }
+
+  /** Gives a result up; false where that was done before. Its room is taken until it is dropped. */
+  giveUp(handle: string): boolean {
+    const result = this.held.get(handle)
+    if (!result || result.freeing)
+      return false
+    result.freeing = true
+    return true
   }
 
   /** The result's room is free again. */
-  drop(handle: string): boolean {
+  drop(handle: string): void {
     const result = this.held.get(handle)
     if (!result)
-      return false
+      return
     this.held.delete(handle)
     this.returnRoom(result.bytes)
-    return true
   }
 
-  holds(handle: string): boolean {
-    return this.held.has(handle)
+  /** Whether a reader can still fetch a result. */
+  isReadable(handle: string, now: number): boolean {
+    const result = this.held.get(handle)
+    return result !== undefined && !result.freeing && now < result.expiresAt - EXPIRY_MARGIN_MS
   }
 
   /** Forgets results that ended by themselves. */
--- a/test/gateway/stage-scheduler.test.ts
+++ b/test/gateway/stage-scheduler.test.ts
@@ -194,4 +194,44 @@
     await vi.advanceTimersByTimeAsync(1000)
     expect((await prepared).isOk()).toBe(true)
   })
+
+  test('takes room for free only when the replica has said that the results are gone', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }])
+    service.freeTakesMs = 300
+    const large = [{ service: 'encode', dependsOn: [], resultBytes: 400, pieces: 2 }]
+    const first = scheduler.prepare(createRequest({ stages: large }), NEVER)
+    await vi.advanceTimersByTimeAsync(200)
+    await first
+    void scheduler.prepare(createRequest({ requestId: 'request-2', stages: large }), NEVER)
+    scheduler.release('request-1')
+    await vi.advanceTimersByTimeAsync(250)
+    expect(service.calls).toHaveLength(1)
+    await vi.advanceTimersByTimeAsync(150)
+    expect(service.calls).toHaveLength(2)
+  })
+
+  test('keeps the room of a call that broke off until what it may have made ends by itself', async () => {
+    const { scheduler, service } = createScheduler([{ id: 'encode-a' }])
+    const large = [{ service: 'encode', dependsOn: [], resultBytes: 400, pieces: 2 }]
+    service.behaviour = () => {
+      service.behaviour = () => StageCallEnd.Done
+      return StageCallEnd.Broken
+    }
+    void scheduler.prepare(createRequest({ stages: large, targetMs: 9000, deadlineMs: 9000 }), NEVER)
+    await vi.advanceTimersByTimeAsync(3900)
+    expect(service.calls).toHaveLength(1)
+    await vi.advanceTimersByTimeAsync(300)
+    expect(service.calls).toHaveLength(2)
+  })
+
+  test('makes inputs that ended while their reader waited anew, without a call for the reader', async () => {
+    const { scheduler, registry, service } = createScheduler([{ id: 'encode-a' }, { id: 'rerank-a', service: 'rerank' }])
+    const prepared = scheduler.prepare(createRequest({ stages: TWO_STAGES, targetMs: 20_000, deadlineMs: 20_000 }), NEVER)
+    registry.upsert(createRecord({ id: 'rerank-a', service: 'rerank', draining: true }))
+    await vi.advanceTimersByTimeAsync(4200)
+    registry.upsert(createRecord({ id: 'rerank-a', service: 'rerank' }))
+    await vi.advanceTimersByTimeAsync(1000)
+    expect((await prepared).isOk()).toBe(true)
+    expect(service.calls.map(call => call.replicaId)).toEqual(['encode-a', 'encode-a', 'rerank-a'])
+  })
 })
--- a/test/gateway/support/fakes.ts
+++ b/test/gateway/support/fakes.ts
@@ -65,6 +65,8 @@
   readonly freed: string[] = []
   readonly live = new Map<string, string>()
   behaviour: StageBehaviour = () => StageCallEnd.Done
+  /** How long the freeing of results takes, in milliseconds. */
+  freeTakesMs = 0
   /** What replicas tell of their room. */
   toldFreeRoom: number | undefined
   private made = 0
@@ -87,11 +89,14 @@
     return { end: StageCallEnd.Done, outcomes: pieces.map((piece, index) => missing[index] ? { failure: PieceFailure.InputGone } : this.make(replica, failureOf(piece))) }
   }
 
-  async free(_replica: Replica, handles: readonly string[]): Promise<void> {
+  async free(_replica: Replica, handles: readonly string[]): Promise<boolean> {
+    if (this.freeTakesMs > 0)
+      await new Promise(resolve => setTimeout(resolve, this.freeTakesMs))
     for (const handle of handles) {
       this.freed.push(handle)
       this.live.delete(handle)
     }
+    return true
   }
 
   async freeRoom(): Promise<number | undefined> {
