Hand stage results over to the next owner; let no single greeting decide on a loss

Ruled out: a standstill of the owner (no gap over 0.25 s in its lines); the owner's processor time (0.17 of a core). Change: the stopping owner ends what waits at once and what is under way when it is made, and hands the results to the next owner through the requester; a stage whose results are freed counts as done only if all its readers are. The new owner asks the backend servers for their room. Greetings do not wait for one another, and time in which this process stood still is not held against others.

--- a/packages/gateway/src/membership/members.ts
+++ b/packages/gateway/src/membership/members.ts
@@ -53,6 +53,10 @@
 const GREETED_USABLE = 2
 /** A member that has not answered for this long is taken for lost, in milliseconds. */
 const LOST_AFTER_MS = 600
+/** Greetings of one member that may wait for a reply at once: a single one that is lost says nothing. */
+const MOST_PENDING_GREETINGS = 4
+/** A tick this late shows that this process itself stood still, in milliseconds. */
+const LATE_TICK_MS = 2 * GREET_INTERVAL_MS
 /** Lost members are greeted this often, in milliseconds. */
 const LOST_GREET_INTERVAL_MS = 500
 
@@ -61,7 +65,7 @@
   seniority: number
   heardAt: number
   greetedAt: number
-  greeting: boolean
+  pendingGreetings: number
   stopping: boolean
   alive: boolean
 }
@@ -83,6 +87,7 @@
   private readonly ownerListeners: ((owner: Member) => void)[] = []
   private readonly lossWatchers = new Map<string, Set<() => void>>()
   private timer: NodeJS.Timeout | undefined
+  private tickedAt = performance.now()
 
   constructor(
     readonly self: Member,
@@ -134,7 +139,7 @@
     if (existing?.member.address === member.address && existing.seniority === seniority)
       return
     this.log.write('member-listed', { member: member.name, address: member.address, seniority: Number.isFinite(seniority) ? seniority : undefined })
-    this.states.set(member.name, { member, seniority, heardAt: Number.NEGATIVE_INFINITY, greetedAt: Number.NEGATIVE_INFINITY, greeting: false, stopping: existing?.stopping === true && member.name === this.self.name, alive: member.name === this.self.name })
+    this.states.set(member.name, { member, seniority, heardAt: Number.NEGATIVE_INFINITY, greetedAt: Number.NEGATIVE_INFINITY, pendingGreetings: 0, stopping: existing?.stopping === true && member.name === this.self.name, alive: member.name === this.self.name })
     this.rank()
   }
 
@@ -172,6 +177,7 @@
   /** Greets every member that would own the stage work before the one that does, and the next one after it. */
   private tick(): void {
     const now = performance.now()
+    this.forgiveOwnPause(now)
     let usable = 0
     for (const state of this.ranked) {
       if (state.member.name === this.self.name) {
@@ -181,7 +187,7 @@
       }
       this.setAlive(state, now - state.heardAt < LOST_AFTER_MS)
       const interval = state.alive ? GREET_INTERVAL_MS : LOST_GREET_INTERVAL_MS
-      if (!state.greeting && now - state.greetedAt >= interval * 0.9)
+      if (state.pendingGreetings < MOST_PENDING_GREETINGS && now - state.greetedAt >= interval * 0.9)
         void this.greet(state, now)
       if (state.alive && !state.stopping)
         usable++
@@ -191,8 +197,18 @@
     this.chooseOwner()
   }
 
+  /** While this process stood still it heard nobody: that time says nothing of the others. */
+  private forgiveOwnPause(now: number): void {
+    const pausedMs = now - this.tickedAt
+    this.tickedAt = now
+    if (pausedMs < LATE_TICK_MS)
+      return
+    for (const state of this.states.values())
+      state.heardAt += pausedMs
+  }
+
   private async greet(state: MemberState, now: number): Promise<void> {
-    state.greeting = true
+    state.pendingGreetings++
     state.greetedAt = now
     try {
       const reply = await this.contact.greet(state.member)
@@ -204,7 +220,7 @@
     catch {
       // Whether it is lost is decided by when it was last heard.
     }
-    state.greeting = false
+    state.pendingGreetings--
     this.chooseOwner()
   }
 
--- a/packages/gateway/src/membership/shared-preparer.ts
+++ b/packages/gateway/src/membership/shared-preparer.ts
@@ -48,32 +48,33 @@
 
   private async prepareAtOwners(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
     const startedAt = performance.now()
+    let { progress } = request
     for (let tried = 0; tried < MOST_OWNERS && !signal.aborted; tried++) {
       const elapsed = performance.now() - startedAt
-      const rest = { ...request, targetMs: request.targetMs - elapsed, deadlineMs: request.deadlineMs - elapsed }
+      const rest = { ...request, targetMs: request.targetMs - elapsed, deadlineMs: request.deadlineMs - elapsed, progress }
       if (rest.deadlineMs <= 0)
         break
-      const result = await this.prepareAt(this.members.owner, rest, signal)
-      if (result)
+      const { owner } = this.members
+      const result = await this.prepareAt(owner, rest, signal)
+      if (result && !isHandedOver(result))
         return result
+      if (result)
+        this.members.markStopping(owner)
+      progress = result?.unwrapErr().progress
     }
     const kind = signal.aborted ? PreparationFailureKind.Cancelled : PreparationFailureKind.Failed
     return Err({ kind, message: 'no owner of the stage work answered', retryAfterMs: RETRY_AFTER_MS })
   }
 
-  /** The owner's word, or undefined where the owner was lost. */
+  /** The owner's word; undefined where the owner was lost, and its results with it. */
   private async prepareAt(owner: Member, request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure> | undefined> {
     this.ownerOf.set(request.requestId, owner)
-    if (owner.name === this.members.self.name) {
-      const result = await this.local.prepare(request, signal)
-      return result.isErr() ? this.readFailure(owner, result.error) : result
-    }
+    if (owner.name === this.members.self.name)
+      return this.local.prepare(request, signal)
     const lost = this.members.watchLoss(owner)
     try {
       const reply = await this.peers.prepare(owner, request, AbortSignal.any([signal, lost.signal]))
-      if ('prepared' in reply)
-        return Ok(reply.prepared)
-      return this.readFailure(owner, reply.failure)
+      return 'prepared' in reply ? Ok(reply.prepared) : Err(reply.failure)
     }
     catch (error) {
       if (!signal.aborted)
@@ -85,14 +86,6 @@
     }
   }
 
-  /** A failure that stands, or undefined where the owner handed the work over. */
-  private readFailure(owner: Member, failure: PreparationFailure): Result<PreparedInputs, PreparationFailure> | undefined {
-    if (failure.kind !== PreparationFailureKind.HandedOver)
-      return Err(failure)
-    this.members.markStopping(owner)
-    return undefined
-  }
-
   private loseOwner(owner: Member, requestId: string, error: unknown): void {
     this.log.write('stage-owner-lost', { request: requestId, owner: owner.name, error: formatError(error) })
     this.members.suspect(owner)
@@ -113,3 +106,7 @@
     }, RELEASE_DELAY_MS)
   }
 }
+
+function isHandedOver(result: Result<PreparedInputs, PreparationFailure>): boolean {
+  return result.isErr() && result.error.kind === PreparationFailureKind.HandedOver
+}
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -102,7 +102,7 @@
     })
     const preparer = new SharedPreparer(this.members, this.scheduler, this.peers, log)
     this.clients = new ClientServer(new PassThrough({ configuration: this.configuration, preparer, runner, metrics: this.metrics, log }), platform.clientCodec, this.configuration, log)
-    this.members.onOwnerChange(() => this.scheduler.expectOthers())
+    this.members.onOwnerChange(() => this.takeOwnerChange())
     this.configuration.onChange(table => this.scheduler.applyConfiguration(table))
     this.registry.listen({ removed: replica => this.connections.forget(replica.id) })
   }
@@ -141,7 +141,6 @@
     this.log.write('stop', { active: this.clients.activeRequests, graceMs: latest })
     this.stopping = true
     this.members.markStopping(this.self)
-    this.members.onOwnerChange(() => this.scheduler.handOver())
     this.clients.beginDrain()
     void this.platform.memberDirectory.withdraw(this.self)
     setTimeout(() => this.clients.refuseNew(), DRAIN_SERVE_MS)
@@ -165,6 +164,14 @@
     await Promise.all([this.peers.close(), this.connections.close()])
   }
 
+  private takeOwnerChange(): void {
+    this.scheduler.expectOthers()
+    if (this.members.ownsStages)
+      this.scheduler.takeOver()
+    else if (this.stopping)
+      this.scheduler.handOver()
+  }
+
   private isReady(): boolean {
     const ready = !this.stopping && this.configuration.table !== undefined && this.registry.size > 0
     if (ready !== this.ready)
--- a/packages/gateway/src/stage/preparation.ts
+++ b/packages/gateway/src/stage/preparation.ts
@@ -11,6 +11,22 @@
   pieces: z.number().int(),
 })
 
+/** A stage that an earlier owner has done; its results are empty where all their readers have them. */
+export const stageProgressSchema = z.object({
+  stage: z.number().int(),
+  results: z.array(z.object({
+    handle: z.string(),
+    /** Id of the backend server that holds it. */
+    replica: z.string(),
+    bytes: z.number(),
+    /** Milliseconds until it ends by itself. */
+    remainingMs: z.number(),
+  })),
+})
+
+/** A stage that an earlier owner has done. */
+export type StageProgress = z.infer<typeof stageProgressSchema>
+
 export const preparationRequestSchema = z.object({
   requestId: z.string(),
   stages: z.array(preparationStageSchema),
@@ -26,6 +42,8 @@
   returning: z.boolean(),
   /** Zone of the replica that will read the results. */
   zone: z.string(),
+  /** What an earlier owner has done and handed over. */
+  progress: z.array(stageProgressSchema).optional(),
 })
 
 /** The stage work of one request. */
@@ -63,6 +81,8 @@
   message: string
   /** When to come back, in milliseconds. */
   retryAfterMs: number
+  /** What is done, where the work is handed over. */
+  progress?: StageProgress[]
 }
 
 /** Does the stage work of requests. */
--- a/packages/gateway/src/stage/stage-pool.ts
+++ b/packages/gateway/src/stage/stage-pool.ts
@@ -6,6 +6,7 @@
 import type { StageLimits } from '../configuration/configuration.js'
 import type { EventLog } from '../process/event-log.js'
 import type { Replica } from '../replica/replica.js'
+import type { StageProgress } from './preparation.js'
 import type { ServicePace } from './stage-admission.js'
 import type { PieceOutcome, StageCallResult, StageClient, StagePiece } from './stage-client.js'
 import type { StageResult, StageTask } from './stage-task.js'
@@ -52,6 +53,14 @@
   ended: boolean
 }
 
+/** A task that a pool has taken. */
+export interface SubmittedTask {
+  /** Ends it without a report; pieces under way are freed when they are made. */
+  cancel: () => void
+  /** Whether every piece that is not made is at a backend server. */
+  isUnderWay: () => boolean
+}
+
 /** Says whether pieces may be sent once more, and counts them. */
 export interface RepeatAllowance {
   takeRepeats: (service: string, count: number) => boolean
@@ -122,15 +131,34 @@
     return { replicas: speed, pieceMs: (this.limits.callMs / this.sustainedBatch() + this.limits.pieceMs) / BATCH_EFFICIENCY, callMs: this.typicalCallMs() }
   }
 
-  /** Takes a task; returns what ends it without a report. Pieces under way are freed when they are made. */
-  submit(task: StageTask): () => void {
+  /** Takes a task and begins it as soon as a backend server suits. */
+  submit(task: StageTask): SubmittedTask {
     const state: TaskState = { task, waiting: [], results: Array.from({ length: task.pieces }), fetched: 0, ended: false }
     for (let index = 0; index < task.pieces; index++)
       state.waiting.push({ task: state, index, attempts: 0 })
     this.queue.push(state)
     this.typicalResultBytes += (task.resultBytes - this.typicalResultBytes) * RESULT_SIZE_WEIGHT
     this.dispatch()
-    return () => this.cancel(state)
+    return { cancel: () => this.cancel(state), isUnderWay: () => state.waiting.length === 0 && !state.ended }
+  }
+
+  /** Takes results of an earlier owner over; undefined where one of them cannot be used. */
+  adopt(progress: StageProgress): StageResult[] | undefined {
+    const now = performance.now()
+    const workers = progress.results.map(result => this.workers.get(result.replica))
+    if (workers.includes(undefined))
+      return undefined
+    return progress.results.map(({ handle, bytes, remainingMs }, index) => {
+      const worker = workers[index]!
+      worker.adopt(handle, bytes, remainingMs, now)
+      return { handle, worker, bytes }
+    })
+  }
+
+  /** Asks every backend server for the room that it has left. */
+  learnRooms(): void {
+    for (const worker of this.workers.values())
+      this.learnRoom(worker)
   }
 
   /** Gives a result up. */
@@ -168,7 +196,11 @@
   private addWorker(replica: Replica): void {
     const worker = new StageWorker(replica, this.limits)
     this.workers.set(replica.id, worker)
-    void this.client.freeRoom(replica).then((bytes) => {
+    this.learnRoom(worker)
+  }
+
+  private learnRoom(worker: StageWorker): void {
+    void this.client.freeRoom(worker.replica).then((bytes) => {
       if (bytes !== undefined)
         worker.learnRoom(bytes, performance.now())
     })
--- a/packages/gateway/src/stage/stage-scheduler.ts
+++ b/packages/gateway/src/stage/stage-scheduler.ts
@@ -76,7 +76,13 @@
     })
   }
 
-  /** Gives the ownership up: work without results goes to the next owner, the rest is ended here. */
+  /** This process owns the stage work from now on: results of the owner before may take room. */
+  takeOver(): void {
+    for (const pool of this.pools.values())
+      pool.learnRooms()
+  }
+
+  /** Gives the ownership up: the next owner goes on with the work and the results that there are. */
   handOver(): void {
     this.handingOver = true
     for (const run of [...this.runs.values()])
@@ -105,6 +111,8 @@
       return
     }
     const rank = this.order.rank({ priority: request.priority, returning: request.returning, targetAt: now + request.targetMs })
+    if (request.progress !== undefined)
+      return this.begin(request, rank, end)
     const estimate = estimateAdmission(request, rank, this.runs.values(), service => this.pools.get(service)?.pace())
     this.log.write('stages-admission', { request: request.requestId, decision: estimate.decision, finishMs: Math.round(estimate.finishMs), targetMs: Math.round(request.targetMs), priority: request.priority, returning: request.returning, underWay: this.runs.size })
     if (estimate.decision === AdmissionDecision.Refused)
--- a/packages/gateway/src/stage/stage-worker.ts
+++ b/packages/gateway/src/stage/stage-worker.ts
@@ -155,8 +155,24 @@
     }
   }
 
+  /** A result of an earlier owner is this one's now. */
+  adopt(handle: string, bytes: number, remainingMs: number, now: number): void {
+    const others = this.held.get(RESULTS_OF_OTHERS)
+    const known = Math.min(bytes, others?.bytes ?? 0)
+    if (others)
+      others.bytes -= known
+    this.usedBytes += bytes - known
+    this.held.set(handle, { bytes, expiresAt: now + remainingMs, freeing: false })
+  }
+
+  /** Milliseconds until a result ends by itself. */
+  remainingLife(handle: string, now: number): number {
+    return Math.max(0, (this.held.get(handle)?.expiresAt ?? now) - now)
+  }
+
   /** Room that results of others take there, as the replica told it; it is free again when they end by themselves. */
   learnRoom(freeBytes: number, now: number): void {
+    this.drop(RESULTS_OF_OTHERS)
     const bytes = this.limits.roomBytes - freeBytes - this.usedBytes
     if (bytes <= 0)
       return
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -49,6 +49,34 @@
     expect(members.owner.name).toBe(owner)
   })
 
+  test('stays when a single greeting of the owner gets no answer', async () => {
+    const { members, peers } = createMembers()
+    peers.replies.set('gateway-a', ALIVE)
+    peers.replies.set('gateway-b', ALIVE)
+    await vi.advanceTimersByTimeAsync(1500)
+    const owners = new Set<string>()
+    members.onOwnerChange(owner => owners.add(owner.name))
+    peers.replies.set('gateway-a', 'silent')
+    await vi.advanceTimersByTimeAsync(150)
+    peers.replies.set('gateway-a', ALIVE)
+    await vi.advanceTimersByTimeAsync(1500)
+    expect([...owners]).toEqual([])
+  })
+
+  test('stays when this process itself stood still and heard nobody', async () => {
+    const { members, peers } = createMembers()
+    peers.replies.set('gateway-a', ALIVE)
+    peers.replies.set('gateway-b', ALIVE)
+    await vi.advanceTimersByTimeAsync(1500)
+    const owners = new Set<string>()
+    members.onOwnerChange(owner => owners.add(owner.name))
+    const now = performance.now.bind(performance)
+    const standStill = vi.spyOn(performance, 'now').mockImplementation(() => now() + 5000)
+    await vi.advanceTimersByTimeAsync(1500)
+    standStill.mockRestore()
+    expect([...owners]).toEqual([])
+  })
+
   test('stays when a gateway that was gone is announced anew', async () => {
     const { members, peers } = createMembers()
     peers.replies.set('gateway-b', ALIVE)
