Refuse what cannot be in time, also who comes back: no background work

Change: one decision less. A level of client accounts weighs three levels of routes, since replicas know ten levels only: with ten, all requests were told as 9 after a change that added an account.

--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -3,8 +3,8 @@
  */
 import type { Configuration, Route, Service, Tenant } from './configuration.js'
 
-/** Levels of routes within one level of tenants. */
-const ROUTE_LEVELS = 10
+/** One level of tenants weighs as much as this many of routes; more would leave replicas, which know ten, no room for routes. */
+const ROUTE_LEVELS = 3
 
 /** One version of the configuration, indexed for requests. */
 export class RouteTable {
--- a/packages/gateway/src/stage/stage-admission.ts
+++ b/packages/gateway/src/stage/stage-admission.ts
@@ -26,8 +26,6 @@
 export enum AdmissionDecision {
   /** It can be in time. */
   InTime = 'in-time',
-  /** It is done behind everything that can be in time. */
-  Background = 'background',
   Refused = 'refused',
 }
 
@@ -45,8 +43,6 @@
 const TARGET_SHARE = 1.1
 /** Waiting that no target forbids, in milliseconds: some targets are below the time of the stages themselves. */
 const ALWAYS_ALLOWED_WAIT_MS = 300
-/** Work in the background is taken up to this part of the client's time. */
-const BACKGROUND_SHARE = 0.7
 const SHORTEST_RETRY_MS = 300
 const NO_REPLICA_RETRY_MS = 800
 
@@ -57,11 +53,8 @@
   const finishMs = estimateFinish(request, rank, works, paceOf)
   const targetMs = Math.max(request.targetMs * TARGET_SHARE, baseMs + ALWAYS_ALLOWED_WAIT_MS)
   const retryAfterMs = Number.isFinite(finishMs) ? Math.max(SHORTEST_RETRY_MS, finishMs - request.targetMs * 0.8) : NO_REPLICA_RETRY_MS
-  if (finishMs <= Math.min(targetMs, request.deadlineMs))
-    return { decision: AdmissionDecision.InTime, finishMs, retryAfterMs }
-  const behindAllMs = estimateFinish(request, Number.POSITIVE_INFINITY, works, paceOf)
-  const inBackground = request.returning && behindAllMs <= request.deadlineMs * BACKGROUND_SHARE
-  return { decision: inBackground ? AdmissionDecision.Background : AdmissionDecision.Refused, finishMs, retryAfterMs }
+  const isInTime = finishMs <= Math.min(targetMs, request.deadlineMs)
+  return { decision: isInTime ? AdmissionDecision.InTime : AdmissionDecision.Refused, finishMs, retryAfterMs }
 }
 
 function estimateFinish(request: PreparationRequest, rank: number, committed: CommittedWork[], paceOf: (service: string) => ServicePace | undefined): number {
--- a/packages/gateway/src/stage/stage-order.ts
+++ b/packages/gateway/src/stage/stage-order.ts
@@ -28,9 +28,6 @@
 /** One level of priority goes before targets that lie this much earlier, in milliseconds. */
 const PRIORITY_STEP_MS = 300
 
-/** What cannot be in time goes behind everything that can, in milliseconds. */
-export const BACKGROUND_SHIFT_MS = 20_000
-
 /**
  * Targets, shifted by priority. A burst of urgent requests delays the others
  * by a bounded time, and whoever came back goes before its own kind.
--- a/packages/gateway/src/stage/stage-scheduler.ts
+++ b/packages/gateway/src/stage/stage-scheduler.ts
@@ -17,7 +17,6 @@
 import { PreparationRun } from './preparation-run.js'
 import { PreparationFailureKind } from './preparation.js'
 import { AdmissionDecision, estimateAdmission } from './stage-admission.js'
-import { BACKGROUND_SHIFT_MS } from './stage-order.js'
 import { StagePool } from './stage-pool.js'
 
 const DISPATCH_INTERVAL_MS = 50
@@ -118,7 +117,7 @@
     if (estimate.decision === AdmissionDecision.Refused)
       end(Err({ kind: PreparationFailureKind.Overloaded, message: `the stages would take ${Math.round(estimate.finishMs)} ms`, retryAfterMs: estimate.retryAfterMs }))
     else
-      this.begin(request, estimate.decision === AdmissionDecision.Background ? rank + BACKGROUND_SHIFT_MS : rank, end)
+      this.begin(request, rank, end)
   }
 
   private begin(request: PreparationRequest, rank: number, end: (result: Result<PreparedInputs, PreparationFailure>) => void): void {
