--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -51,6 +51,17 @@
     await vi.waitFor(() => expect(seen).toEqual(['config=one', 'config=two', 'config=three']), { timeout: 5000 })
   })
 
+  test('notices within some seconds that a read was lost by a store that was silent', async () => {
+    store.put(TOPIC, 'config', 'one')
+    follow()
+    await vi.waitFor(() => expect(seen).toEqual(['config=one']))
+    store.fault = StoreFault.Silent
+    await new Promise(resolve => setTimeout(resolve, 300))
+    store.fault = StoreFault.None
+    store.put(TOPIC, 'config', 'two')
+    await vi.waitFor(() => expect(seen).toEqual(['config=one', 'config=two']), { timeout: 4500 })
+  })
+
   test('begins anew with the newest when the history is gone', async () => {
     store.put(TOPIC, 'config', 'one')
     follow()
--- a/test/platform/support/stand-in-store.ts
+++ b/test/platform/support/stand-in-store.ts
@@ -18,6 +18,8 @@
   Busy = 'busy',
   Reset = 'reset',
   Cut = 'cut',
+  /** Takes calls and never answers them, also after the fault is over. */
+  Silent = 'silent',
 }
 
 const HOLD_MS = 200
@@ -67,6 +69,8 @@
       return void response.writeHead(503).end()
     if (this.fault === StoreFault.Reset)
       return void response.destroy()
+    if (this.fault === StoreFault.Silent)
+      return
     const topic = url.searchParams.get('topic') ?? ''
     if (url.pathname === '/-/log-append')
       return this.append(topic, body, response)
@@ -96,6 +100,8 @@
       return void response.writeHead(410).end(JSON.stringify({ first: this.dropped.get(topic) }))
     for (let waited = 0; waited < HOLD_MS && this.records(topic).length <= offset; waited += 10)
       await new Promise(resolve => setTimeout(resolve, 10))
+    if (this.fault === StoreFault.Silent)
+      return
     const header = Buffer.alloc(16)
     const records = this.records(topic).slice(offset).map(encode)
     const bytes = Buffer.concat([header, ...records])
