Explain a request from the logs of gateways; take stage work back from one that is lost

Cause: operators had grep alone. The new command's first story showed a fault: a stopping gateway that had handed its stage work over refused its own requests when the next owner was killed. Ruled out: nothing; the log lines show it.

--- a/packages/command-line/src/system-commands.ts
+++ b/packages/command-line/src/system-commands.ts
@@ -3,14 +3,20 @@
  */
 import type { Decision } from '@eidermast/daemon'
 import type { Command } from 'commander'
-import { formatLine } from '@eidermast/daemon'
+import type { RequestStory } from './request-story.js'
+import { formatError, formatLine } from '@eidermast/daemon'
 import { InvalidArgumentError } from 'commander'
 import { CommandFailure, failUnreachable, failWithFaults, globalOptions, withOperator } from './context.js'
 import { ExitCode } from './exit-codes.js'
 import { createLoadKinds, formatReport, runLoad } from './load/index.js'
 import { formatTable, print } from './output.js'
+import { formatStory, readLines, readStory } from './request-story.js'
 import { loadCommandLineSettings } from './settings.js'
 
+interface ExplainCommandOptions {
+  logs?: string[]
+}
+
 interface LoadCommandOptions {
   rate: number
   seconds: number
@@ -30,8 +36,9 @@
     .description('show every process, its configuration offset and what it sees')
     .action((_options: object, command: Command) => status(command))
   program.command('explain <request-id>')
-    .description('show the decisions about a request, as far as processes still keep them')
-    .action((requestId: string, _options: object, command: Command) => explain(requestId, command))
+    .description('show the decisions about a request, as far as processes still keep them, or from their logs')
+    .option('--logs <files...>', 'log files of gateways, or - for standard input')
+    .action((requestId: string, { logs }: ExplainCommandOptions, command: Command) => logs ? explainFromLogs(requestId, logs, command) : explain(requestId, command))
   program.command('load')
     .description('send an open-loop load to the entries of the settings and report what came of it')
     .option('--rate <n>', 'requests a second', parsePositive, 50)
@@ -61,6 +68,22 @@
   })
 }
 
+async function explainFromLogs(requestId: string, files: string[], command: Command): Promise<void> {
+  const story = await readFiles(requestId, files)
+  if (story.lines.length === 0)
+    throw new CommandFailure(ExitCode.NotFound, `none of the ${story.read} lines speaks of ${requestId} (${story.skipped} are no log lines of a gateway); give the logs of all gateways`)
+  print(globalOptions(command), story, formatStory(story))
+}
+
+async function readFiles(requestId: string, files: string[]): Promise<RequestStory> {
+  try {
+    return await readStory(requestId, readLines(files))
+  }
+  catch (error) {
+    throw new CommandFailure(ExitCode.BadInput, `the logs cannot be read: ${formatError(error)}`)
+  }
+}
+
 function formatDecision({ at, by, event, fields }: Decision): string {
   return `${new Date(at).toISOString()} ${by} ${formatLine(event, fields)}`
 }
--- a/packages/gateway/src/stage/stage-scheduler.ts
+++ b/packages/gateway/src/stage/stage-scheduler.ts
@@ -75,8 +75,12 @@
     })
   }
 
-  /** This process owns the stage work from now on: results of the owner before may take room. */
+  /**
+   * This process owns the stage work from now on: results of the owner before
+   * may take room. It may have handed the work over before, to one that is lost.
+   */
   takeOver(): void {
+    this.handingOver = false
     for (const pool of this.pools.values())
       pool.learnRooms()
   }
--- a/test/gateway/stage-scheduler.test.ts
+++ b/test/gateway/stage-scheduler.test.ts
@@ -156,6 +156,15 @@
     expect(service.calls).toHaveLength(1)
   })
 
+  test('takes work again when the one that it handed over to is lost', async () => {
+    const { scheduler } = createScheduler([{ id: 'encode-a' }])
+    scheduler.handOver()
+    scheduler.takeOver()
+    const prepared = scheduler.prepare(createRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(500)
+    expect((await prepared).isOk()).toBe(true)
+  })
+
   test('hands results over when the owner stops, and the next owner goes on with them', async () => {
     const first = createScheduler([{ id: 'encode-a' }, { id: 'rerank-a', service: 'rerank' }])
     const request = createRequest({ stages: TWO_STAGES })
