--- a/packages/gateway/src/membership/shared-preparer.ts
+++ b/packages/gateway/src/membership/shared-preparer.ts
@@ -24,7 +24,7 @@
   constructor(
     private readonly members: Members,
     private readonly local: Preparer,
-    private readonly peers: PeerClients,
+    private readonly peers: Pick<PeerClients, 'prepare' | 'release'>,
     private readonly log: EventLog,
   ) {}
 
@@ -49,13 +49,14 @@
   private async prepareAtOwners(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
     const startedAt = performance.now()
     let { progress } = request
+    const failedAt = new Set<string>()
     for (let tried = 0; tried < MOST_OWNERS && !signal.aborted; tried++) {
       const elapsed = performance.now() - startedAt
       const rest = { ...request, targetMs: request.targetMs - elapsed, deadlineMs: request.deadlineMs - elapsed, progress }
       if (rest.deadlineMs <= 0)
         break
       const { owner } = this.members
-      const result = await this.prepareAt(owner, rest, signal)
+      const result = await this.prepareAt(owner, rest, signal, failedAt)
       if (result && !isHandedOver(result))
         return result
       if (result)
@@ -67,7 +68,7 @@
   }
 
   /** The owner's word; undefined where the owner was lost, and its results with it. */
-  private async prepareAt(owner: Member, request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure> | undefined> {
+  private async prepareAt(owner: Member, request: PreparationRequest, signal: AbortSignal, failedAt: Set<string>): Promise<Result<PreparedInputs, PreparationFailure> | undefined> {
     this.ownerOf.set(request.requestId, owner)
     if (owner.name === this.members.self.name)
       return this.local.prepare(request, signal)
@@ -78,7 +79,7 @@
     }
     catch (error) {
       if (!signal.aborted)
-        this.loseOwner(owner, request.requestId, error)
+        this.takeFailure(owner, request.requestId, error, failedAt)
       return undefined
     }
     finally {
@@ -86,9 +87,13 @@
     }
   }
 
-  private loseOwner(owner: Member, requestId: string, error: unknown): void {
-    this.log.write('stage-owner-lost', { request: requestId, owner: owner.name, error: formatError(error) })
-    this.members.suspect(owner)
+  /** One connection that breaks says little: the owner is lost where nobody listens any more, or where a second call fails. */
+  private takeFailure(owner: Member, requestId: string, error: unknown, failedAt: Set<string>): void {
+    const isLost = isRefusedConnection(error) || failedAt.has(owner.name)
+    failedAt.add(owner.name)
+    this.log.write(isLost ? 'stage-owner-lost' : 'stage-owner-call-failed', { request: requestId, owner: owner.name, error: formatError(error) })
+    if (isLost)
+      this.members.suspect(owner)
   }
 
   private releaseAt(owner: Member, requestId: string): void {
@@ -107,6 +112,15 @@
   }
 }
 
+/** Whether nobody listens at the address; the code stands in one of the error's causes. */
+function isRefusedConnection(error: unknown): boolean {
+  for (let cause = error; cause instanceof Error; cause = cause.cause) {
+    if ('code' in cause && cause.code === 'ECONNREFUSED')
+      return true
+  }
+  return false
+}
+
 function isHandedOver(result: Result<PreparedInputs, PreparationFailure>): boolean {
   return result.isErr() && result.error.kind === PreparationFailureKind.HandedOver
 }
--- a/test/gateway/shared-preparer.test.ts
+++ b/test/gateway/shared-preparer.test.ts
@@ -1,7 +1,7 @@
 import type { PreparationRequest, Preparer } from '@eidermast/gateway'
 import { Members, PeerClients, PreparationFailureKind, SharedPreparer } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
-import { describe, expect, test, vi } from 'vitest'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createLog } from './support/fakes.js'
 
 const SELF = { name: 'gateway-a', address: '127.0.0.1:1' }
@@ -32,3 +32,48 @@
     expect(local.release).not.toHaveBeenCalled()
   })
 })
+
+describe('stage work at another gateway', () => {
+  const OWNER = { name: 'gateway-b', address: '127.0.0.1:2' }
+
+  /** An error as undici's fetch and tRPC wrap it. */
+  function createError(code: string): Error {
+    return new Error('call failed', { cause: new TypeError('fetch failed', { cause: Object.assign(new Error(code), { code }) }) })
+  }
+
+  async function createShared(failures: Error[]) {
+    const { log } = createLog()
+    const members = new Members(SELF, { greet: async () => ({ version: 1, stopping: false }) }, log, () => {})
+    members.upsert({ ...OWNER, seniority: 0 })
+    members.start()
+    await vi.advanceTimersByTimeAsync(500)
+    const askedAt: string[] = []
+    const peers = { prepare: async () => {
+      askedAt.push(OWNER.name)
+      const failure = failures.shift()
+      if (failure)
+        throw failure
+      return { prepared: PREPARED.value }
+    }, release: async () => {} }
+    const local = { prepare: async () => {
+      askedAt.push(SELF.name)
+      return PREPARED
+    }, release: () => {} }
+    return { shared: new SharedPreparer(members, local, peers, log), members, askedAt }
+  }
+
+  beforeEach(() => void vi.useFakeTimers())
+  afterEach(() => void vi.useRealTimers())
+
+  test.each([
+    ['asks it again after one connection that was reset', [createError('ECONNRESET')], [OWNER.name, OWNER.name]],
+    ['goes on here where nobody listens there any more', [createError('ECONNREFUSED')], [OWNER.name, SELF.name]],
+    ['goes on here after a second failure', [createError('ECONNRESET'), createError('ECONNRESET')], [OWNER.name, OWNER.name, SELF.name]],
+  ])('%s', async (_name, failures, asked) => {
+    const { shared, members, askedAt } = await createShared([...failures])
+    expect((await shared.prepare(REQUEST, NEVER)).isOk()).toBe(true)
+    expect(askedAt).toEqual(asked)
+    expect(members.owner.name).toBe(asked.at(-1))
+    members.stop()
+  })
+})
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,5 +1,5 @@
 import type { KeyedRecord } from '@eidermast/platform'
-import { encodeRecord, followTopic, readRecords, StoreClient } from '@eidermast/platform'
+import { encodeRecord, followTopic, longestReadWait, READ_MARGIN_MS, readRecords, StoreClient } from '@eidermast/platform'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createLog } from '../gateway/support/fakes.js'
 import { StandInStore, StoreFault } from './support/stand-in-store.js'
@@ -62,6 +62,21 @@
     await vi.waitFor(() => expect(seen).toEqual(['config=one', 'config=two']), { timeout: 4500 })
   })
 
+  test('rests after a read that brought records where it is told to, and misses none', async () => {
+    const take = (record: KeyedRecord): void => void seen.push(`${record.key}=${record.value.toString()}`)
+    following = followTopic(client, TOPIC, { snapshot: records => records.forEach(take), record: take, restMs: 400 }, createLog().log, ending.signal)
+    await vi.waitFor(() => expect(store.calls).toBeGreaterThan(1))
+    store.put(TOPIC, 'first', '1')
+    await vi.waitFor(() => expect(seen).toEqual(['first=1']))
+    const calls = store.calls
+    for (const key of ['second', 'third', 'fourth']) {
+      store.put(TOPIC, key, '1')
+      await new Promise(resolve => setTimeout(resolve, 20))
+    }
+    await vi.waitFor(() => expect(seen).toHaveLength(4))
+    expect(store.calls - calls).toBeLessThanOrEqual(2)
+  })
+
   test('begins anew with the newest when the history is gone', async () => {
     store.put(TOPIC, 'config', 'one')
     follow()
@@ -84,6 +99,18 @@
   })
 })
 
+describe('how long reads wait', () => {
+  test.each([
+    ['small sites', 3000, 2000, 2000],
+    ['grown sites', 4000, 3000, 3000],
+    ['a bound that is shorter', 3000, 2000, 500],
+  ])('lets what a lost read hid be in force in time on %s', (_name, contact, configuration, drain) => {
+    const waitMs = longestReadWait({ 'contact-ms': contact, 'configuration-ms': configuration, 'drain-ms': drain })
+    expect(waitMs).toBeGreaterThanOrEqual(1000)
+    expect(waitMs + READ_MARGIN_MS + 300).toBeLessThan(contact + Math.min(configuration, drain))
+  })
+})
+
 describe('records', () => {
   test.each([
     ['an empty value', 'key', ''],
