Admit stage work that is expected within its target, not a tenth beyond

Cause: what was taken up to a tenth beyond its target was mostly late, and made others late. Change: the factor 1.1 is gone.

--- a/packages/gateway/src/stage/stage-admission.ts
+++ b/packages/gateway/src/stage/stage-admission.ts
@@ -39,8 +39,6 @@
 
 /** Expected time from the last stage to the first event of the answer, in milliseconds. */
 export const ANSWER_TIME_MS = 250
-/** Work is taken for in time up to this part of its target. */
-const TARGET_SHARE = 1.1
 /** Waiting that no target forbids, in milliseconds: some targets are below the time of the stages themselves. */
 const ALWAYS_ALLOWED_WAIT_MS = 300
 const SHORTEST_RETRY_MS = 300
@@ -51,7 +49,7 @@
   const works = [...committed]
   const baseMs = estimateFinish(request, rank, [], paceOf)
   const finishMs = estimateFinish(request, rank, works, paceOf)
-  const targetMs = Math.max(request.targetMs * TARGET_SHARE, baseMs + ALWAYS_ALLOWED_WAIT_MS)
+  const targetMs = Math.max(request.targetMs, baseMs + ALWAYS_ALLOWED_WAIT_MS)
   const retryAfterMs = Number.isFinite(finishMs) ? Math.max(SHORTEST_RETRY_MS, finishMs - request.targetMs * 0.8) : NO_REPLICA_RETRY_MS
   const isInTime = finishMs <= Math.min(targetMs, request.deadlineMs)
   return { decision: isInTime ? AdmissionDecision.InTime : AdmissionDecision.Refused, finishMs, retryAfterMs }
