--- a/test/platform/support/stand-in-replica.ts
+++ b/test/platform/support/stand-in-replica.ts
@@ -18,10 +18,16 @@
 /** Answers one request. */
 export type Respond = (request: SeenRequest, response: ServerResponse) => void | Promise<void>
 
+/** The id that an answer echoes; probes carry none. */
+function echoedId(request: SeenRequest): Record<string, string> {
+  const id = request.headers['attempt-id']
+  return typeof id === 'string' ? { 'Attempt-Id': id } : {}
+}
+
 /** Answers whole with the replica's name. */
 export function answerWhole(status = 200): Respond {
   return (request, response) => {
-    response.writeHead(status, { 'Attempt-Id': request.headers['attempt-id'], 'Server-Signature': 'signed' })
+    response.writeHead(status, { ...echoedId(request), 'Server-Signature': 'signed' })
     response.end(`answer to ${request.path}`)
   }
 }
@@ -30,7 +36,7 @@
 export function streamEvents(count: number, breakAfter = Number.POSITIVE_INFINITY): Respond {
   return async (request, response) => {
     const from = Number(request.headers['last-event-id'] ?? 0)
-    response.writeHead(200, { 'Attempt-Id': request.headers['attempt-id'], 'Server-Signature': 'signed', 'Content-Type': 'text/event-stream' })
+    response.writeHead(200, { ...echoedId(request), 'Server-Signature': 'signed', 'Content-Type': 'text/event-stream' })
     for (let id = from + 1; id <= count; id++) {
       if (id > breakAfter) {
         response.write(`id: ${id}\nda`)
--- /dev/null
+++ b/test/soak/support/gateway-child.ts
@@ -0,0 +1,95 @@
+/**
+ * A gateway as a process of its own, from the bundle that is deployed; it can
+ * be stopped, killed, paused and started again.
+ */
+import type { ChildProcess } from 'node:child_process'
+import type { AddressInfo } from 'node:net'
+import { spawn } from 'node:child_process'
+import { createWriteStream, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import path from 'node:path'
+import { request } from 'undici'
+
+const BUNDLE = path.resolve('target/eidermast-gateway.mjs')
+
+async function freePort(): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
+/** One gateway; every start has ports of its own. */
+export class GatewayChild {
+  /** URL for clients. */
+  address = ''
+  private readiness = ''
+  private child: ChildProcess | undefined
+  private exited: Promise<void> = Promise.resolve()
+  /** Replacements that overlap come one after the other. */
+  private replaced: Promise<void> = Promise.resolve()
+
+  constructor(private readonly name: string, private readonly storeAddress: string, private readonly directory: string) {}
+
+  async start(): Promise<void> {
+    const [clients, ready, peers, metrics] = await Promise.all([freePort(), freePort(), freePort(), freePort()])
+    const settings = path.join(this.directory, `${this.name}.ini`)
+    writeFileSync(settings, [
+      '[process]',
+      `name = ${this.name}`,
+      'zone = zone-a',
+      'host = 127.0.0.1',
+      '[listen]',
+      `clients = 127.0.0.1:${clients}`,
+      `readiness = 127.0.0.1:${ready}`,
+      `peer-port = ${peers}`,
+      `metrics-port = ${metrics}`,
+      '[platform]',
+      `store = ${this.storeAddress}`,
+    ].join('\n'))
+    const child = spawn(process.execPath, [BUNDLE], { env: { ...process.env, EIDERMAST_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const log = createWriteStream(path.join(this.directory, `${this.name}.log`), { flags: 'a' })
+    child.stdout.pipe(log)
+    child.stderr.pipe(log)
+    this.exited = new Promise(resolve => child.once('exit', () => resolve()))
+    this.child = child
+    this.address = `http://127.0.0.1:${clients}`
+    this.readiness = `http://127.0.0.1:${ready}`
+  }
+
+  /** Sends a signal to the process that this object started. */
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal)
+  }
+
+  /** Ends the process and starts another one in its place. */
+  replace(signal: NodeJS.Signals): Promise<void> {
+    this.replaced = this.replaced.then(() => this.replaceNow(signal))
+    return this.replaced
+  }
+
+  private async replaceNow(signal: NodeJS.Signals): Promise<void> {
+    this.signal('SIGCONT')
+    this.signal(signal)
+    await this.exited
+    await this.start()
+  }
+
+  async end(): Promise<void> {
+    await this.replaced
+    this.signal('SIGKILL')
+    await this.exited
+  }
+
+  async isReady(): Promise<boolean> {
+    try {
+      const response = await request(this.readiness, { signal: AbortSignal.timeout(500) })
+      await response.body.dump()
+      return response.statusCode === 200
+    }
+    catch {
+      return false
+    }
+  }
+}
--- /dev/null
+++ b/test/soak/support/soak-deployment.ts
@@ -0,0 +1,96 @@
+/**
+ * What a soak plays with: a stand-in store, stand-in replicas, and gateways
+ * as processes of their own.
+ */
+import type { ServerResponse } from 'node:http'
+import type { Respond, SeenRequest } from '../../platform/support/stand-in-replica.js'
+import { mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import { answerWhole, StandInReplica, streamEvents } from '../../platform/support/stand-in-replica.js'
+import { StandInStore } from '../../platform/support/stand-in-store.js'
+import { GatewayChild } from './gateway-child.js'
+import { RequestKind } from './soak-clients.js'
+
+/** Events of a whole stream. */
+export const STREAM_EVENTS = 4
+const GATEWAYS = 3
+const REPLICAS_EACH = 2
+const ANSWER_MS = 20
+const STAGE_MS = 60
+const STAGE = { Capacity: 1, Queue: 2, Batch: 6, CallMs: 40, ItemMs: 5, HeadroomMb: 5, HandleTtlS: 4, BandwidthMbps: 10_000 }
+const ROUTE = { Host: 'host.example', TimeoutMs: 4000, TargetLatencyMs: 3000, Service: 'plain' }
+const ROUTES = [
+  { ...ROUTE, Name: 'once', PathPrefix: `/${RequestKind.Once}/`, Type: 'non_idempotent', MaxAttempts: 1 },
+  { ...ROUTE, Name: 'plain', PathPrefix: `/${RequestKind.Plain}/`, Type: 'idempotent', MaxAttempts: 2 },
+  { ...ROUTE, Name: 'stream', PathPrefix: `/${RequestKind.Stream}/`, Type: 'streaming', Service: 'model', MaxAttempts: 2, StreamResume: true, Phases: [{ Service: 'encode', WatchRevision: [], SizeBytes: 1000 }] },
+]
+
+const delayed: Respond = async (seen, response) => {
+  await new Promise(resolve => setTimeout(resolve, ANSWER_MS))
+  await answerWhole()(seen, response)
+}
+
+/** A deployment with nothing broken. */
+export class SoakDeployment {
+  readonly store = new StandInStore()
+  readonly directory = mkdtempSync(path.join(tmpdir(), 'eidermast-soak-'))
+  readonly replicas: StandInReplica[] = []
+  gateways: GatewayChild[] = []
+  private version = 0
+  private made = 0
+
+  async start(): Promise<void> {
+    const address = await this.store.start()
+    const responds: Record<string, Respond> = { plain: delayed, model: streamEvents(STREAM_EVENTS), encode: (seen, response) => this.makeResults(seen, response) }
+    for (const [service, respond] of Object.entries(responds)) {
+      for (let number = 0; number < REPLICAS_EACH; number++)
+        await this.addReplica(service, number, respond)
+    }
+    this.publish()
+    this.gateways = Array.from({ length: GATEWAYS }, (_, number) => new GatewayChild(`gateway-${number}`, address, this.directory))
+    await Promise.all(this.gateways.map(gateway => gateway.start()))
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map(gateway => gateway.end()))
+    await Promise.all(this.replicas.map(replica => replica.stop()))
+    await this.store.stop()
+  }
+
+  /** Publishes the same routes under a newer version. */
+  publish(): void {
+    this.store.put('keyed.op', 'config', {
+      Version: ++this.version,
+      Routes: ROUTES,
+      Services: [{ Name: 'plain', MaxConnections: 60 }, { Name: 'model', MaxConnections: 60, Engine: { Capacity: 8, KvCapacityTokens: 1000 } }, { Name: 'encode', MaxConnections: 60, Segments: STAGE }],
+      Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
+    })
+  }
+
+  /** Lists a replica as ready or as leaving. */
+  list(replica: StandInReplica, state: 'ready' | 'draining'): void {
+    this.store.put('keyed.servers', replica.id, replica.entry(state))
+  }
+
+  /** Runs of a request that replicas began. */
+  runsOf(id: string): number {
+    return this.replicas.filter(replica => replica.service !== 'encode').flatMap(replica => replica.seen).filter(seen => seen.headers['attempt-id'] === id).length
+  }
+
+  private async addReplica(service: string, number: number, respond: Respond): Promise<void> {
+    const replica = new StandInReplica(`${service}-${number}`, service)
+    replica.respond = respond
+    await replica.start()
+    this.replicas.push(replica)
+    this.list(replica, 'ready')
+  }
+
+  private async makeResults(seen: SeenRequest, response: ServerResponse): Promise<void> {
+    if (seen.path !== '/-/stage-run')
+      return void response.end(JSON.stringify({ FreeMb: 5 }))
+    await new Promise(resolve => setTimeout(resolve, STAGE_MS))
+    const items = (JSON.parse(seen.body) as { Items: unknown[] }).Items
+    response.end(JSON.stringify({ Items: items.map(() => ({ PromptHandle: `encoder/${this.made++}` })) }))
+  }
+}
