Make settings of gateways under test in one place

Cause: ports and settings stood twice, in the support of the platform's tests and of the soak, as reading the whole change showed. Change: test support only; no source changed, no assertion touched.

--- a/test/soak/support/gateway-child.ts
+++ b/test/soak/support/gateway-child.ts
@@ -3,23 +3,14 @@
  * be stopped, killed, paused and started again.
  */
 import type { ChildProcess } from 'node:child_process'
-import type { AddressInfo } from 'node:net'
 import { spawn } from 'node:child_process'
 import { createWriteStream, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import path from 'node:path'
 import { request } from 'undici'
+import { createSettings, freePorts } from '../../platform/support/gateway-settings.js'
 
 const BUNDLE = path.resolve('target/eidermast-gateway.mjs')
 
-async function freePort(): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 /** One gateway; every start has ports of its own. */
 export class GatewayChild {
   /** URL for clients. */
@@ -33,29 +24,17 @@
   constructor(private readonly name: string, private readonly storeAddress: string, private readonly directory: string) {}
 
   async start(): Promise<void> {
-    const [clients, ready, peers, metrics] = await Promise.all([freePort(), freePort(), freePort(), freePort()])
+    const ports = await freePorts()
     const settings = path.join(this.directory, `${this.name}.ini`)
-    writeFileSync(settings, [
-      '[process]',
-      `name = ${this.name}`,
-      'zone = zone-a',
-      'host = 127.0.0.1',
-      '[listen]',
-      `clients = 127.0.0.1:${clients}`,
-      `readiness = 127.0.0.1:${ready}`,
-      `peer-port = ${peers}`,
-      `metrics-port = ${metrics}`,
-      '[platform]',
-      `store = ${this.storeAddress}`,
-    ].join('\n'))
+    writeFileSync(settings, createSettings(this.name, ports, this.storeAddress))
     const child = spawn(process.execPath, [BUNDLE], { env: { ...process.env, EIDERMAST_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(path.join(this.directory, `${this.name}.log`), { flags: 'a' })
     child.stdout.pipe(log)
     child.stderr.pipe(log)
     this.exited = new Promise(resolve => child.once('exit', () => resolve()))
     this.child = child
-    this.address = `http://127.0.0.1:${clients}`
-    this.readiness = `http://127.0.0.1:${ready}`
+    this.address = `http://127.0.0.1:${ports.clients}`
+    this.readiness = `http://127.0.0.1:${ports.readiness}`
   }
 
   /** Sends a signal to the process that this object started. */
