--- a/test/support/known-red/reporter.ts
+++ b/test/support/known-red/reporter.ts
@@ -11,7 +11,11 @@
 
 const LIST = 'KNOWN-RED.txt'
 
-// Vitest loads a reporter by its default export.
+/**
+ * Judges each run at its end. Vitest loads a reporter by its default export.
+ *
+ * @public
+ */
 export default class KnownRedReporter implements Reporter {
   onTestRunEnd(modules: readonly TestModule[], unhandledErrors: readonly SerializedError[]): void {
     const { verdict, lines } = judge(readRun(modules, unhandledErrors))
