--- a/packages/gateway/src/connection/backends/backend-connections.ts
+++ b/packages/gateway/src/connection/backends/backend-connections.ts
@@ -3,9 +3,12 @@
  * takes. A pool lives from the first call to the removal of its backend server
  * from the registry; all pools end with the process, and calls under way break.
  */
+import type { Dispatcher } from 'undici'
 import type { Backend } from './backend.js'
+import type { CallWatch } from './work-call.js'
 import { buildConnector, Pool } from 'undici'
 import { isConnectionReset } from '../error-codes.js'
+import { WorkCall } from './work-call.js'
 
 /**
  * Milliseconds until a connection is up. Not measured: half fails while a
@@ -52,9 +55,14 @@
 export class BackendConnections {
   private readonly pools = new Map<string, Pool>()
 
-  constructor(private readonly share: ConnectionShare) {}
+  constructor(private readonly share: ConnectionShare, private readonly watch: CallWatch) {}
 
-  /** The pool of a backend server, opened at first use. */
+  /** Sends a call that brings work to a backend server. Rejects as undici's `request` does. */
+  sendWork(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+    return new WorkCall(backend, this.watch).send(this.of(backend), options)
+  }
+
+  /** The pool of a backend server, opened at first use; for calls that bring no work. */
   of(backend: Backend): Pool {
     const existing = this.pools.get(backend.id)
     if (existing)
--- a/packages/gateway/src/connection/backends/http-backend-client.ts
+++ b/packages/gateway/src/connection/backends/http-backend-client.ts
@@ -22,7 +22,7 @@
 
   async run(backend: Backend, call: BackendCall, signal: AbortSignal): Promise<Result<BackendAnswer, CallFailure>> {
     try {
-      const response = await this.connections.of(backend).request({
+      const response = await this.connections.sendWork(backend, {
         method: call.method as Dispatcher.HttpMethod,
         path: call.path,
         headers: this.codec.encode(backend, call).flat(),
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -6,7 +6,7 @@
  */
 import type { EventLog } from '@eidermast/common'
 import type { BackendRecord } from '../connection/backends/backend.js'
-import type { BackendSink } from './platform-adapter.js'
+import type { BackendSink, SourceOutage } from './platform-adapter.js'
 import { Backend } from '../connection/backends/backend.js'
 import { GatewayLog } from './gateway-log.js'
 import { LapseGrace } from './lapse-grace.js'
@@ -27,6 +27,8 @@
   private readonly grace = new LapseGrace()
   /** Timers that remove backend servers whose entries have gone, by id. */
   private readonly lapsed = new Map<string, NodeJS.Timeout>()
+  /** Why entries may have lapsed; absent before the first outage. */
+  private lastOutage: SourceOutage | undefined
   private readonly log: GatewayLog
 
   constructor(log: EventLog) {
@@ -52,7 +54,8 @@
   }
 
   /** The source answers again after failures: entries may have lapsed meanwhile. */
-  noteSourceReturned(): void {
+  noteSourceReturned(outage: SourceOutage): void {
+    this.lastOutage = outage
     this.grace.noteSourceReturned()
   }
 
@@ -73,7 +76,7 @@
       return this.remove(id, 'its entry is gone')
     if (this.lapsed.has(id))
       return
-    this.log.backendLapsed(id, remainingMs)
+    this.log.backendLapsed(id, remainingMs, this.lastOutage)
     const removal = setTimeout(() => this.remove(id, 'its entry lapsed and did not come back'), remainingMs)
     this.lapsed.set(id, removal.unref())
   }
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -4,7 +4,9 @@
  */
 import type { EventLog } from '@eidermast/common'
 import type { BackendRecord } from '../connection/backends/backend.js'
+import type { CallStart } from '../connection/backends/work-call.js'
 import type { Member } from '../connection/peers/member.js'
+import type { SourceOutage } from './platform-adapter.js'
 import process from 'node:process'
 import { formatError } from '@eidermast/common'
 
@@ -70,9 +72,20 @@
     this.log.write('backend-state', { backend: id, service, draining })
   }
 
-  /** Its entry is gone, and it is used on for this long, in milliseconds. */
-  backendLapsed(backend: string, usedForMs: number): void {
-    this.log.write('backend-lapsed', { backend, usedForMs: Math.round(usedForMs) })
+  /** Its entry is gone, and it is used on for this long, in milliseconds, since the list was away before. */
+  backendLapsed(backend: string, usedForMs: number, outage: SourceOutage | undefined): void {
+    this.log.write('backend-lapsed', {
+      backend,
+      usedForMs: Math.round(usedForMs),
+      sourceAwayMs: outage && Math.round(outage.awayMs),
+      sourceError: outage?.error,
+    })
+  }
+
+  /** Work was sent to a backend server that is leaving or gone, or waited long for its connection. */
+  workSentLate({ backend, waitedMs }: CallStart, isListed: boolean): void {
+    const { id, service, record } = backend
+    this.log.write('work-sent-late', { backend: id, service, waitedMs: Math.round(waitedMs), draining: record.draining, listed: isListed })
   }
 
   backendRemoved({ id, service }: BackendRecord, reason: string): void {
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -40,6 +40,29 @@
     registers: [this.registry],
   })
 
+  private readonly callWait = new Histogram({
+    name: 'eidermast_gateway_call_wait_seconds',
+    help: 'Time from a call to a backend server to its first byte',
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  })
+
+  private readonly waitingCalls = new Gauge({
+    name: 'eidermast_gateway_waiting_calls',
+    help: 'Calls to backend servers that wait for a connection',
+    registers: [this.registry],
+  })
+
+  /** Counts a call whose first byte is sent after this time in milliseconds. */
+  countCallStart(waitedMs: number): void {
+    this.callWait.observe(waitedMs / MILLISECONDS_PER_SECOND)
+  }
+
+  /** One more call waits for a connection, or one less. */
+  countWaitingCalls(difference: 1 | -1): void {
+    this.waitingCalls.inc(difference)
+  }
+
   /** Counts a request that has ended, with its time in milliseconds. */
   countRequest(route: string, outcome: string, milliseconds: number): void {
     this.requests.inc({ route, outcome })
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -5,6 +5,7 @@
  * configuration, backend servers and members from the platform again.
  */
 import type { EventLog } from '@eidermast/common'
+import type { CallStart } from '../connection/backends/work-call.js'
 import type { Member } from '../connection/peers/member.js'
 import type { RetryBudgetSettings } from '../request/attempts/retry-budget.js'
 import type { GatewaySettings } from './gateway-settings.js'
@@ -35,6 +36,12 @@
 import { SharedPreparer } from './stages/shared-preparer.js'
 import { StageCoordinator } from './stages/stage-coordinator.js'
 
+/**
+ * Milliseconds; a call that waits longer for its first byte is logged. Not
+ * measured: well above a new connection's time, well below the two seconds
+ * after which a leaving backend server may get nothing more.
+ */
+const LATE_CALL_MS = 300
 /** Gateways that coordinate stage work at a time. */
 const COORDINATORS = 1
 
@@ -64,7 +71,7 @@
     this.configuration = new ConfigurationHolder(platform.decodeConfiguration, log)
     this.registry = new BackendRegistry(log)
     this.members = this.createMembers()
-    this.connections = new BackendConnections(service => this.connectionShare(service))
+    this.connections = this.createConnections()
     this.stageCoordinator = this.createStageCoordinator()
     this.peerService = this.createPeerService()
     this.clients = this.createClientServer()
@@ -117,6 +124,21 @@
     return new Members(this.self, contact, this.log, (member, version) => void this.peerService.learnVersion(member, version))
   }
 
+  private createConnections(): BackendConnections {
+    return new BackendConnections(service => this.connectionShare(service), {
+      waitingChanged: difference => this.metrics.countWaitingCalls(difference),
+      started: start => this.takeCallStart(start),
+    })
+  }
+
+  private takeCallStart(start: CallStart): void {
+    const { backend, waitedMs } = start
+    const isListed = this.registry.find(backend.id) === backend
+    this.metrics.countCallStart(waitedMs)
+    if (waitedMs >= LATE_CALL_MS || backend.record.draining || !isListed)
+      this.gatewayLog.workSentLate(start, isListed)
+  }
+
   private createStageCoordinator(): StageCoordinator {
     const client = this.platform.stageClient(this.connections)
     const budget = new RetryBudget({ ...this.retryAllowance(), ratio: 0 }, () => countSharingGateways(COORDINATORS))
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -18,10 +18,18 @@
   follow: (offer: (text: string) => void, signal: AbortSignal) => Promise<void>
 }
 
+/** A time without answers of a source. */
+export interface SourceOutage {
+  /** Milliseconds since the last answer before it. */
+  awayMs: number
+  /** The last failure. */
+  error: string
+}
+
 /** Takes the changes of the platform's list of backend servers. */
 export interface BackendSink {
   /** The source answers again after failures: entries may have lapsed meanwhile. */
-  noteSourceReturned: () => void
+  noteSourceReturned: (outage: SourceOutage) => void
   /** The whole list. */
   replaceAll: (records: readonly BackendRecord[]) => void
   /** One entry that is new or has changed. */
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -68,11 +68,12 @@
     const { request, inputs, signal } = this.subject
     let decision = signal.aborted ? RetryDecision.Cancelled : RetryDecision.Proceed
     while (decision === RetryDecision.Proceed) {
+      const chosenAt = performance.now()
       const backend = this.choose(request, inputs, this.tried)
       decision = await this.prepareAttempt(backend)
       if (!backend || decision !== RetryDecision.Proceed)
         break
-      const result = await this.attempt(backend)
+      const result = await this.attempt(backend, performance.now() - chosenAt)
       if (result.end === AttemptEnd.Answered)
         return {}
       this.takeFailure(backend, result)
@@ -100,10 +101,10 @@
     return this.handles !== undefined
   }
 
-  private async attempt(backend: Backend): Promise<AttemptResult> {
+  private async attempt(backend: Backend, choiceAgeMs: number): Promise<AttemptResult> {
     const { request, answer, signal } = this.subject
     this.tried.add(backend.id)
-    this.parts.log.attemptStarted({ request, backend, attempt: this.history.attempts, remainingMs: this.remainingMs() })
+    this.parts.log.attemptStarted({ request, backend, attempt: this.history.attempts, remainingMs: this.remainingMs(), choiceAgeMs })
     const attempt = new BackendAttempt({ client: this.parts.client, backend, request, answer, onEvent: id => this.takeEvent(id) })
     const startedAt = performance.now()
     const result = await attempt.run(this.describe(), this.attemptTime(), signal)
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -3,6 +3,7 @@
 import { createLog, createRecord } from './support/fakes.js'
 
 const RECORD = createRecord({ id: 'encode-a' })
+const OUTAGE = { awayMs: 3000, error: 'no answer' }
 let registry: BackendRegistry
 
 beforeEach(() => {
@@ -24,7 +25,7 @@
     ['removed by itself', () => registry.unlist('encode-a')],
     ['missing in a whole list', () => registry.replaceAll([])],
   ])('%s right after the source was unreachable, is used for less than two seconds more', (_name, removeEntry) => {
-    registry.noteSourceReturned()
+    registry.noteSourceReturned(OUTAGE)
     removeEntry()
     vi.advanceTimersByTime(1800)
     expect(isUsed()).toBe(true)
@@ -34,7 +35,7 @@
 
   test('stays, with what was learned of it, if the entry is listed again in that time', () => {
     const backend = registry.find('encode-a')
-    registry.noteSourceReturned()
+    registry.noteSourceReturned(OUTAGE)
     registry.unlist('encode-a')
     vi.advanceTimersByTime(1000)
     registry.upsert(RECORD)
@@ -44,14 +45,14 @@
   })
 
   test('gets nothing more, at once, if another backend server has its address', () => {
-    registry.noteSourceReturned()
+    registry.noteSourceReturned(OUTAGE)
     registry.unlist('encode-a')
     registry.remove('encode-a', 'another backend server has its address')
     expect(isUsed()).toBe(false)
   })
 
   test('gets nothing more, at once, if it says that it is leaving', () => {
-    registry.noteSourceReturned()
+    registry.noteSourceReturned(OUTAGE)
     registry.upsert({ ...RECORD, draining: true })
     expect(isUsed()).toBe(false)
   })
--- a/test/platform/backend-client.test.ts
+++ b/test/platform/backend-client.test.ts
@@ -31,7 +31,7 @@
 }
 
 function createClient(): HttpBackendClient {
-  connections = new BackendConnections(() => 4)
+  connections = new BackendConnections(() => 4, { waitingChanged: () => {}, started: () => {} })
   return new HttpBackendClient(connections, new PlatformBackendCodec())
 }
 
