--- a/test/platform/support/stand-in-store.ts
+++ b/test/platform/support/stand-in-store.ts
@@ -99,12 +99,12 @@
   }
 
   private async read(topic: string, offset: number, response: ServerResponse): Promise<void> {
-    if (offset < (this.dropped.get(topic) ?? 0))
-      return void response.writeHead(410).end(JSON.stringify({ first: this.dropped.get(topic) }))
     for (let waited = 0; waited < HOLD_MS && this.records(topic).length <= offset; waited += 10)
       await wait(10)
     if (this.fault === StoreFault.Silent)
       return
+    if (offset < (this.dropped.get(topic) ?? 0))
+      return void response.writeHead(410).end(JSON.stringify({ first: this.dropped.get(topic) }))
     const header = Buffer.alloc(16)
     const records = this.records(topic).slice(offset).map(encode)
     const bytes = Buffer.concat([header, ...records])
