Look at a backend server's state again just before work is sent to it

A server was chosen before stage results were made again, which takes seconds; a call that waited for a connection was sent by undici whatever the server had become, and its own abort was noticed only when a connection was free. Change: all work (requests, resumed streams, stage calls) goes through BackendConnections.sendWork. A call whose server is leaving or removed is turned away just before its first byte, and at once while it waits; an abandoned one ends at once. Both are known not to have run. The server is chosen, and a retry taken from the budget, after stage results were made again. The pool of a removed server closes a minute later instead of being opened anew, unclosed, by probes and frees. Ruled out: a queue of our own before undici's: the guard at the first byte is needed in any case, since connecting takes time too.

--- a/packages/gateway/src/connection/backends/backend-client.ts
+++ b/packages/gateway/src/connection/backends/backend-client.ts
@@ -45,6 +45,8 @@
 export enum CallFailureKind {
   /** No byte reached the backend server. */
   NotSent = 'not-sent',
+  /** The backend server began to leave before the first byte. */
+  Leaving = 'leaving',
   /** The backend server says that it did not run the request. */
   Refused = 'refused',
   /** Another backend server has the address; the request was not run. */
--- a/packages/gateway/src/connection/backends/backend-connections.ts
+++ b/packages/gateway/src/connection/backends/backend-connections.ts
@@ -1,14 +1,16 @@
 /**
  * Connections to backend servers, a pool for each, within what a backend server
- * takes. A pool lives from the first call to the removal of its backend server
- * from the registry; all pools end with the process, and calls under way break.
+ * takes. A pool lives from the first call until CLOSE_DELAY_MS after the
+ * removal of its backend server from the registry: until then, streams under
+ * way there are still probed. All pools end with the process, and calls under
+ * way break.
  */
 import type { Dispatcher } from 'undici'
 import type { Backend } from './backend.js'
-import type { CallWatch } from './work-call.js'
+import type { CallWatch, WorkOptions } from './work-call.js'
 import { buildConnector, Pool } from 'undici'
 import { isConnectionReset } from '../error-codes.js'
-import { WorkCall } from './work-call.js'
+import { CallNotSentError, WorkCall } from './work-call.js'
 
 /**
  * Milliseconds until a connection is up. Not measured: half fails while a
@@ -31,6 +33,12 @@
  * isn't known yet. Not measured: with one, a probe waits behind a silent call.
  */
 const MIN_CONNECTIONS = 2
+/**
+ * Milliseconds from the removal of a backend server until its pool closes. Not
+ * measured: well above the longest deadline of a request, so that no answer is
+ * under way then; its idle connections have closed by themselves long before.
+ */
+const CLOSE_DELAY_MS = 60_000
 /** Replaces `ECONNRESET`, which undici takes for the end of an answer that has no length (commit 5ec8c88). */
 const RESET_CODE = 'ERR_BACKEND_RESET'
 
@@ -54,37 +62,72 @@
 /** Pools by backend server id; a pool ends with its backend server. */
 export class BackendConnections {
   private readonly pools = new Map<string, Pool>()
+  /** Calls that wait for a connection, by backend server id. */
+  private readonly waiting = new Map<string, Set<WorkCall>>()
+  /** Timers that close the pools of removed backend servers, by id. */
+  private readonly closing = new Map<string, NodeJS.Timeout>()
 
   constructor(private readonly share: ConnectionShare, private readonly watch: CallWatch) {}
 
-  /** Sends a call that brings work to a backend server. Rejects as undici's `request` does. */
-  sendWork(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
-    return new WorkCall(backend, this.watch).send(this.of(backend), options)
+  /**
+   * Sends a call that brings work to a backend server. Rejects as undici's
+   * `request` does, or with a `CallNotSentError` where the backend server takes
+   * no more work.
+   */
+  async sendWork(backend: Backend, options: WorkOptions): Promise<Dispatcher.ResponseData> {
+    if (!backend.takesWork || options.signal.aborted)
+      throw new CallNotSentError(`${backend.id} takes no more work, or the call was abandoned`)
+    const calls = this.waiting.get(backend.id) ?? new Set()
+    this.waiting.set(backend.id, calls)
+    const call = new WorkCall(backend, this.watch, ended => void calls.delete(ended))
+    calls.add(call)
+    return call.send(this.of(backend), options)
+  }
+
+  /** The backend server takes no more work: calls that wait for it are turned away. */
+  turnAwayWaiting(backend: Backend): void {
+    for (const call of this.waiting.get(backend.id) ?? [])
+      call.turnAway()
   }
 
-  /** The pool of a backend server, opened at first use; for calls that bring no work. */
+  /**
+   * The pool of a backend server, opened at first use; for calls that bring no
+   * work. Throws where a removed backend server has none any more.
+   */
   of(backend: Backend): Pool {
     const existing = this.pools.get(backend.id)
     if (existing)
       return existing
+    if (backend.removed)
+      throw new CallNotSentError(`${backend.id} was removed`)
     const pool = createPool(backend.address, Math.max(MIN_CONNECTIONS, this.share(backend.service)))
     this.pools.set(backend.id, pool)
     return pool
   }
 
-  /** Lets calls under way end, then closes. */
-  forget(backendId: string): void {
-    const pool = this.pools.get(backendId)
-    this.pools.delete(backendId)
-    // A pool that cannot close in order was destroyed already; nothing refers to it any more.
-    void pool?.close().catch(() => {})
+  /** The backend server was removed: calls that wait are turned away, those under way end. */
+  forget(backend: Backend): void {
+    this.turnAwayWaiting(backend)
+    this.waiting.delete(backend.id)
+    if (this.pools.has(backend.id))
+      this.closing.set(backend.id, setTimeout(() => this.closePool(backend.id), CLOSE_DELAY_MS).unref())
   }
 
   /** Breaks calls under way and closes at once. */
   async close(): Promise<void> {
+    for (const timer of this.closing.values())
+      clearTimeout(timer)
     // As above: only a pool that is closed already fails to be destroyed.
     await Promise.all([...this.pools.values()].map(pool => pool.destroy().catch(() => {})))
   }
+
+  private closePool(backendId: string): void {
+    const pool = this.pools.get(backendId)
+    this.pools.delete(backendId)
+    this.closing.delete(backendId)
+    // A pool that cannot close in order was destroyed already; nothing refers to it any more.
+    void pool?.close().catch(() => {})
+  }
 }
 
 /** A pool without time limits of its own: each call brings its signal. */
--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -37,8 +37,16 @@
   /** When it reported that: milliseconds of the process clock. */
   loadAt = 0
 
+  /** It was removed from the registry and gets no more work, ever: a restart has another id. */
+  removed = false
+
   constructor(public record: BackendRecord) {}
 
+  /** Whether new work may be sent there now. */
+  get takesWork(): boolean {
+    return !this.removed && !this.record.draining
+  }
+
   get id(): string {
     return this.record.id
   }
--- a/packages/gateway/src/connection/backends/http-backend-client.ts
+++ b/packages/gateway/src/connection/backends/http-backend-client.ts
@@ -12,6 +12,7 @@
 import { Err, Ok } from 'ts-results-es'
 import { isNotSent } from '../error-codes.js'
 import { CallFailureKind } from './backend-client.js'
+import { CallNotSentError } from './work-call.js'
 
 /** Statuses whose answers end with their head (RFC 9112, section 6.3). */
 const BODYLESS_STATUSES = new Set([204, 304])
@@ -32,7 +33,7 @@
       return this.readHead(backend, call, response)
     }
     catch (error) {
-      return Err(describeFailure(error, signal))
+      return Err(describeFailure(error, backend, signal))
     }
   }
 
@@ -90,8 +91,10 @@
   return hasFraming || BODYLESS_STATUSES.has(statusCode)
 }
 
-function describeFailure(error: unknown, signal: AbortSignal): CallFailure {
+function describeFailure(error: unknown, backend: Backend, signal: AbortSignal): CallFailure {
   const message = formatError(error)
+  if (error instanceof CallNotSentError)
+    return { kind: backend.takesWork ? CallFailureKind.NotSent : CallFailureKind.Leaving, message }
   if (signal.aborted)
     return { kind: CallFailureKind.Aborted, message }
   return { kind: isNotSent(error) ? CallFailureKind.NotSent : CallFailureKind.Broken, message }
--- a/packages/gateway/src/connection/error-codes.ts
+++ b/packages/gateway/src/connection/error-codes.ts
@@ -3,6 +3,9 @@
  * client, in one place.
  */
 
+/** Code of a call that this process turned away before its first byte. */
+export const CALL_NOT_SENT_CODE = 'ERR_CALL_NOT_SENT'
+
 /** Codes of errors that come before a request's first byte is sent: no connection, or none that may be used. */
 const NOT_SENT_CODES = new Set([
   'ECONNREFUSED',
@@ -13,6 +16,7 @@
   'UND_ERR_CONNECT_TIMEOUT',
   'UND_ERR_DESTROYED',
   'UND_ERR_CLOSED',
+  CALL_NOT_SENT_CODE,
 ])
 
 /** The code of an error; undefined where it has none. */
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -50,7 +50,7 @@
 
   /** Backend servers of a service that take new work. */
   available(service: string): Backend[] {
-    return [...this.byService.get(service) ?? []].filter(backend => !backend.record.draining)
+    return [...this.byService.get(service) ?? []].filter(backend => backend.takesWork)
   }
 
   /** The source answers again after failures: entries may have lapsed meanwhile. */
@@ -87,6 +87,7 @@
     const backend = this.byId.get(id)
     if (!backend)
       return
+    backend.removed = true
     this.byId.delete(id)
     this.backendsOf(backend.service).delete(backend)
     this.log.backendRemoved(backend.record, reason)
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -82,10 +82,15 @@
     })
   }
 
-  /** Work was sent to a backend server that is leaving or gone, or waited long for its connection. */
-  workSentLate({ backend, waitedMs }: CallStart, isListed: boolean): void {
-    const { id, service, record } = backend
-    this.log.write('work-sent-late', { backend: id, service, waitedMs: Math.round(waitedMs), draining: record.draining, listed: isListed })
+  /** Work waited long for its connection. */
+  workSentLate({ backend, waitedMs }: CallStart): void {
+    this.log.write('work-sent-late', { backend: backend.id, service: backend.service, waitedMs: Math.round(waitedMs) })
+  }
+
+  /** Work that waited for its connection was not sent, since its backend server is leaving or removed. */
+  workTurnedAway({ backend, waitedMs }: CallStart): void {
+    const { id, service, record, removed } = backend
+    this.log.write('work-turned-away', { backend: id, service, waitedMs: Math.round(waitedMs), draining: record.draining, removed })
   }
 
   backendRemoved({ id, service }: BackendRecord, reason: string): void {
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -53,6 +53,17 @@
     registers: [this.registry],
   })
 
+  private readonly turnedAway = new Counter({
+    name: 'eidermast_gateway_calls_turned_away_total',
+    help: 'Calls that waited for a connection when their backend server began to leave',
+    registers: [this.registry],
+  })
+
+  /** Counts a call that was turned away before its first byte. */
+  countTurnedAway(): void {
+    this.turnedAway.inc()
+  }
+
   /** Counts a call whose first byte is sent after this time in milliseconds. */
   countCallStart(waitedMs: number): void {
     this.callWait.observe(waitedMs / MILLISECONDS_PER_SECOND)
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -5,6 +5,7 @@
  * configuration, backend servers and members from the platform again.
  */
 import type { EventLog } from '@eidermast/common'
+import type { Backend } from '../connection/backends/backend.js'
 import type { CallStart } from '../connection/backends/work-call.js'
 import type { Member } from '../connection/peers/member.js'
 import type { RetryBudgetSettings } from '../request/attempts/retry-budget.js'
@@ -78,7 +79,7 @@
     this.readiness = new Readiness(this.gatewayLog)
     this.members.onCoordinatorChange(() => this.takeCoordinatorChange())
     this.configuration.onChange(table => this.stageCoordinator.applyConfiguration(table))
-    this.registry.listen({ removed: backend => this.connections.forget(backend.id) })
+    this.registry.listen({ removed: backend => this.connections.forget(backend), stateChanged: backend => this.takeStateChange(backend) })
   }
 
   /**
@@ -128,15 +129,24 @@
     return new BackendConnections(service => this.connectionShare(service), {
       waitingChanged: difference => this.metrics.countWaitingCalls(difference),
       started: start => this.takeCallStart(start),
+      turnedAway: start => this.takeTurnedAway(start),
     })
   }
 
+  private takeStateChange(backend: Backend): void {
+    if (!backend.takesWork)
+      this.connections.turnAwayWaiting(backend)
+  }
+
   private takeCallStart(start: CallStart): void {
-    const { backend, waitedMs } = start
-    const isListed = this.registry.find(backend.id) === backend
-    this.metrics.countCallStart(waitedMs)
-    if (waitedMs >= LATE_CALL_MS || backend.record.draining || !isListed)
-      this.gatewayLog.workSentLate(start, isListed)
+    this.metrics.countCallStart(start.waitedMs)
+    if (start.waitedMs >= LATE_CALL_MS)
+      this.gatewayLog.workSentLate(start)
+  }
+
+  private takeTurnedAway(start: CallStart): void {
+    this.metrics.countTurnedAway()
+    this.gatewayLog.workTurnedAway(start)
   }
 
   private createStageCoordinator(): StageCoordinator {
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -5,6 +5,7 @@
  * ends; nothing of it outlives the process.
  */
 import type { EjectionPolicy } from '@eidermast/common'
+import type { Result } from 'ts-results-es'
 import type { BackendCall, BackendClient, CallFailure } from '../../connection/backends/backend-client.js'
 import type { Backend } from '../../connection/backends/backend.js'
 import type { WholeAnswer } from '../answers/answer-relay.js'
@@ -14,6 +15,7 @@
 import type { RetryBudget } from './retry-budget.js'
 import type { AttemptHistory } from './retry-rule.js'
 import type { RunEnd, RunInputs, RunSubject } from './run-subject.js'
+import { Err, Ok } from 'ts-results-es'
 import { CallFailureKind } from '../../connection/backends/backend-client.js'
 import { passWhole } from '../answers/answer-relay.js'
 import { atLeastOne, decideAttemptTime } from '../deadlines.js'
@@ -65,46 +67,63 @@
 
   /** Answers the request, or says why there is no answer. */
   async run(): Promise<RunEnd> {
-    const { request, inputs, signal } = this.subject
+    const { request, signal } = this.subject
     let decision = signal.aborted ? RetryDecision.Cancelled : RetryDecision.Proceed
     while (decision === RetryDecision.Proceed) {
-      const chosenAt = performance.now()
-      const backend = this.choose(request, inputs, this.tried)
-      decision = await this.prepareAttempt(backend)
-      if (!backend || decision !== RetryDecision.Proceed)
-        break
-      const result = await this.attempt(backend, performance.now() - chosenAt)
+      const next = await this.prepareAttempt()
+      if (next.isErr())
+        return this.end(next.error)
+      const result = await this.attempt(next.value)
       if (result.end === AttemptEnd.Answered)
         return {}
-      this.takeFailure(backend, result)
+      this.takeFailure(next.value, result)
       decision = decideAfterAttempt(this.history, request.route, signal.aborted)
     }
     return this.end(decision)
   }
 
-  /** Decides whether the next attempt is made, and provides what it needs. */
-  private async prepareAttempt(backend: Backend | undefined): Promise<RetryDecision> {
+  /**
+   * Provides what the next attempt needs and chooses its backend server, or
+   * says why there is none. Making stage results again takes seconds, so the
+   * server is chosen and a retry is taken from the budget after that.
+   */
+  private async prepareAttempt(): Promise<Result<Backend, RetryDecision>> {
+    let choice = this.chooseForAttempt()
+    if (choice.isOk() && this.inputsRead) {
+      if (!await this.renewInputs())
+        return Err(this.subject.signal.aborted ? RetryDecision.Cancelled : RetryDecision.InputsGone)
+      choice = this.chooseForAttempt()
+    }
+    return choice.andThen(backend => this.takeBudget(backend))
+  }
+
+  /** The backend server for the next attempt, or why none is made. */
+  private chooseForAttempt(): Result<Backend, RetryDecision> {
+    const { request, inputs } = this.subject
+    const backend = this.choose(request, inputs, this.tried)
     const decision = decideBeforeAttempt({ history: this.history, hasBackend: backend !== undefined, remainingMs: this.remainingMs() })
-    if (decision !== RetryDecision.Proceed)
-      return decision
-    if (needsBudget(this.history) && !this.parts.budget.takeRetry(this.subject.request.service))
-      return RetryDecision.BudgetUsed
-    return await this.hasInputs() ? RetryDecision.Proceed : RetryDecision.InputsGone
+    if (!backend || decision !== RetryDecision.Proceed)
+      return Err(decision)
+    const isAllowed = !needsBudget(this.history) || this.parts.budget.hasRetry(request.service)
+    return isAllowed ? Ok(backend) : Err(RetryDecision.BudgetUsed)
+  }
+
+  private takeBudget(backend: Backend): Result<Backend, RetryDecision> {
+    const isAllowed = !needsBudget(this.history) || this.parts.budget.takeRetry(this.subject.request.service)
+    return isAllowed ? Ok(backend) : Err(RetryDecision.BudgetUsed)
   }
 
-  /** Makes the stage results again where an earlier attempt read or lost them. */
-  private async hasInputs(): Promise<boolean> {
-    if (!this.inputsRead)
-      return true
+  /** Makes the stage results again, which an earlier attempt read or lost. */
+  private async renewInputs(): Promise<boolean> {
     this.handles = await this.subject.inputs.renew?.()
     this.inputsRead = false
     return this.handles !== undefined
   }
 
-  private async attempt(backend: Backend, choiceAgeMs: number): Promise<AttemptResult> {
+  private async attempt(backend: Backend): Promise<AttemptResult> {
     const { request, answer, signal } = this.subject
     this.tried.add(backend.id)
-    this.parts.log.attemptStarted({ request, backend, attempt: this.history.attempts, remainingMs: this.remainingMs(), choiceAgeMs })
+    this.parts.log.attemptStarted({ request, backend, attempt: this.history.attempts, remainingMs: this.remainingMs() })
     const attempt = new BackendAttempt({ client: this.parts.client, backend, request, answer, onEvent: id => this.takeEvent(id) })
     const startedAt = performance.now()
     const result = await attempt.run(this.describe(), this.attemptTime(), signal)
@@ -167,7 +186,7 @@
     this.history.lastEnd = end
     if (end !== AttemptEnd.NotRun)
       this.history.runs++
-    this.history.reachedBackend = failure?.kind !== CallFailureKind.NotSent
+    this.history.reachedBackend = failure?.kind !== CallFailureKind.NotSent && failure?.kind !== CallFailureKind.Leaving
     this.lastFailure = failure
     this.fallback = fallback ?? this.fallback
     if (failure?.kind === CallFailureKind.InputGone) {
--- a/packages/gateway/src/request/attempts/ejection-feed.ts
+++ b/packages/gateway/src/request/attempts/ejection-feed.ts
@@ -5,8 +5,8 @@
  * or the client abandoned it. All are of the attempt that just ended.
  * Rule: a broken or unreachable call counts as a failure; one that this gateway
  * abandoned counts as slow; whole answers count as successes with their time.
- * Refusals say nothing of a backend server's health, nor does a client that
- * leaves, nor the time of a stream, which its length sets.
+ * Refusals say nothing of a backend server's health, nor does its leaving, nor
+ * a client that leaves, nor the time of a stream, which its length sets.
  * Why: counting refusals would eject a pool's servers because they are busy.
  * Set by: not measured; ejection's own constants are in @eidermast/common.
  * Log events: `call-failed` (`kind`); ejection logs its part itself.
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -16,6 +16,7 @@
 import type { CallFailure } from '../connection/backends/backend-client.js'
 import type { PreparationFailure } from '../connection/peers/preparation.js'
 import { createError, ErrorKind, Ran } from '@eidermast/common'
+import { CallFailureKind } from '../connection/backends/backend-client.js'
 import { PreparationFailureKind } from '../connection/peers/preparation.js'
 
 /**
@@ -42,7 +43,7 @@
     return createError(ErrorKind.Cancelled, 'the client left', { ran: runs > 0 ? Ran.Unknown : Ran.None })
   if (runs > 0)
     return createError(ErrorKind.OutcomeUnknown, lastFailure?.message ?? 'no answer came', { ran: Ran.Unknown })
-  if (lastFailure)
+  if (lastFailure && lastFailure.kind !== CallFailureKind.Leaving)
     return createError(ErrorKind.Overloaded, `no backend server took it: ${lastFailure.message}`, { retryAfterMs: REFUSED_RETRY_MS })
   return createError(ErrorKind.NoBackend, `no backend server of ${service} can be used`, { ran: Ran.None })
 }
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -16,8 +16,6 @@
   attempt: number
   /** Milliseconds until the request's deadline. */
   remainingMs: number
-  /** Milliseconds since the backend server was chosen. */
-  choiceAgeMs: number
 }
 
 /** One attempt that brought no answer. */
@@ -51,7 +49,7 @@
   constructor(private readonly log: EventLog) {}
 
   /** A backend server was chosen: what was known of it, and how old that was. */
-  attemptStarted({ request, backend, attempt, remainingMs, choiceAgeMs }: AttemptStart): void {
+  attemptStarted({ request, backend, attempt, remainingMs }: AttemptStart): void {
     this.log.write('route', {
       request: request.head.requestId,
       service: request.service,
@@ -62,8 +60,6 @@
       running: backend.load?.running,
       loadAgeMs: backend.load ? Math.round(performance.now() - backend.loadAt) : undefined,
       remainingMs: Math.round(remainingMs),
-      choiceAgeMs: Math.round(choiceAgeMs),
-      draining: backend.record.draining,
     })
   }
 
--- a/test/platform/backend-client.test.ts
+++ b/test/platform/backend-client.test.ts
@@ -1,10 +1,11 @@
 import type { BackendCall } from '@eidermast/gateway'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { createServer } from 'node:net'
-import { Backend, BackendConnections, CallFailureKind, HttpBackendClient } from '@eidermast/gateway'
-import { PlatformBackendCodec } from '@eidermast/platform'
-import { afterEach, describe, expect, test } from 'vitest'
-import { createRecord } from '../gateway/support/fakes.js'
+import { wait } from '@eidermast/common'
+import { Backend, BackendConnections, CallFailureKind, HttpBackendClient, StageCallEnd } from '@eidermast/gateway'
+import { HttpStageClient, PlatformBackendCodec, PlatformLog } from '@eidermast/platform'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createLog, createRecord } from '../gateway/support/fakes.js'
 
 const CALL: BackendCall = {
   requestId: 'id-1',
@@ -31,7 +32,7 @@
 }
 
 function createClient(): HttpBackendClient {
-  connections = new BackendConnections(() => 4, { waitingChanged: () => {}, started: () => {} })
+  connections = new BackendConnections(() => 4, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} })
   return new HttpBackendClient(connections, new PlatformBackendCodec())
 }
 
@@ -144,3 +145,72 @@
     expect((await createClient().run(backend, CALL, ending.signal)).unwrapErr().kind).toBe(CallFailureKind.Aborted)
   })
 })
+
+describe('a call that waits for a connection', () => {
+  const CONNECTIONS = 4
+  let received: number
+  let backend: Backend
+  let client: HttpBackendClient
+  let ending: AbortController
+
+  /** A backend server whose connections are all taken by calls that it never answers. */
+  beforeEach(async () => {
+    received = 0
+    backend = await startBackend((_, request) => void (received = request))
+    client = createClient()
+    ending = new AbortController()
+    for (let call = 0; call < CONNECTIONS; call++)
+      void client.run(backend, CALL, ending.signal)
+    await vi.waitFor(() => expect(received).toBe(CONNECTIONS))
+  })
+
+  /** Frees the connections and shows that nothing more was sent through them. */
+  async function expectNothingMore(): Promise<void> {
+    ending.abort()
+    await wait(100)
+    expect(received).toBe(CONNECTIONS)
+  }
+
+  test('ends at once, as not sent, when it is abandoned', async () => {
+    const abandoning = new AbortController()
+    const waiting = client.run(backend, CALL, abandoning.signal)
+    abandoning.abort()
+    expect((await waiting).unwrapErr().kind).toBe(CallFailureKind.NotSent)
+    await expectNothingMore()
+  })
+
+  test.each([
+    ['begins to leave', () => {
+      backend.record.draining = true
+      connections!.turnAwayWaiting(backend)
+    }],
+    ['is removed', () => {
+      backend.removed = true
+      connections!.forget(backend)
+    }],
+  ])('is turned away when its backend server %s, requests and stage work alike', async (_name, leave) => {
+    const stages = new HttpStageClient(connections!, new PlatformLog(createLog().log))
+    const waiting = client.run(backend, CALL, NEVER)
+    const stageCall = stages.run(backend, [{ requestId: 'id-1', stage: 0, index: 0, remainingMs: 1000 }], NEVER)
+    leave()
+    expect((await waiting).unwrapErr().kind).toBe(CallFailureKind.Leaving)
+    expect((await stageCall).end).toBe(StageCallEnd.NotSent)
+    await expectNothingMore()
+  })
+
+  test('is not written where its backend server began to leave and nothing has turned it away yet', async () => {
+    const waiting = client.run(backend, CALL, NEVER)
+    backend.record.draining = true
+    ending.abort()
+    expect((await waiting).unwrapErr().kind).toBe(CallFailureKind.Leaving)
+    expect(received).toBe(CONNECTIONS)
+  })
+
+  test('is not begun at a backend server that is leaving, while probes still reach it', async () => {
+    ending.abort()
+    backend.record.draining = true
+    expect((await client.run(backend, CALL, NEVER)).unwrapErr().kind).toBe(CallFailureKind.Leaving)
+    void client.probe(backend, 200)
+    await vi.waitFor(() => expect(received).toBe(CONNECTIONS + 1))
+  })
+})
--- a/test/platform/leaving-backends.test.ts
+++ b/test/platform/leaving-backends.test.ts
@@ -53,7 +53,10 @@
 }
 
 describe('a request that waits for a connection', () => {
-  test('is turned away at once when its backend server says that it is leaving', async () => {
+  test.each([
+    ['says that it is leaving', () => backend.entry('draining')],
+    ['is gone', () => undefined],
+  ])('is turned away at once when its backend server %s', async (_name, entry) => {
     backend.respond = async (seen, response) => {
       await wait(ANSWER_MS)
       await answerWhole()(seen, response)
@@ -62,7 +65,7 @@
     await vi.waitFor(() => expect(backend.seen).toHaveLength(CONNECTIONS))
     const waiting = send('waiting')
     await wait(100)
-    store.put(SERVER_TOPIC, backend.id, backend.entry('draining'))
+    store.put(SERVER_TOPIC, backend.id, entry())
     expect(await waiting).toMatchObject({ status: 503 })
     expect((await waiting).tookMs).toBeLessThan(ANSWER_MS / 2)
     expect((await Promise.all(underWay)).map(({ status }) => status)).toEqual(underWay.map(() => 200))
