--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -9,7 +9,7 @@
 import type { BackendSink, SourceOutage } from './platform-adapter.js'
 import { Backend } from '../connection/backends/backend.js'
 import { GatewayLog } from './gateway-log.js'
-import { LapseGrace } from './lapse-grace.js'
+import { decideLapseGrace } from './lapse-grace.js'
 
 /** What follows changes of the registry. */
 export interface BackendListener {
@@ -24,7 +24,8 @@
   private readonly byId = new Map<string, Backend>()
   private readonly byService = new Map<string, Set<Backend>>()
   private readonly listeners: BackendListener[] = []
-  private readonly grace = new LapseGrace()
+  /** Until when entries that go are used on: milliseconds of the process clock. */
+  private graceUntil = 0
   /** Timers that remove backend servers whose entries have gone, by id. */
   private readonly lapsed = new Map<string, NodeJS.Timeout>()
   /** Why entries may have lapsed; absent before the first outage. */
@@ -56,7 +57,7 @@
   /** The source answers again after failures: entries may have lapsed meanwhile. */
   noteSourceReturned(outage: SourceOutage): void {
     this.lastOutage = outage
-    this.grace.noteSourceReturned()
+    this.graceUntil = performance.now() + decideLapseGrace(outage)
   }
 
   /** Lists a backend server, or changes what is listed of it. */
@@ -71,8 +72,8 @@
 
   /** Its entry has gone: it is removed, at once or after the time of grace. */
   unlist(id: string): void {
-    const remainingMs = this.grace.remainingMs()
-    if (remainingMs === 0 || !this.byId.has(id))
+    const remainingMs = this.graceUntil - performance.now()
+    if (remainingMs <= 0 || !this.byId.has(id))
       return this.remove(id, 'its entry is gone')
     if (this.lapsed.has(id))
       return
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -77,7 +77,8 @@
     this.log.write('backend-lapsed', {
       backend,
       usedForMs: Math.round(usedForMs),
-      sourceAwayMs: outage && Math.round(outage.awayMs),
+      sourceAwayMs: outage && Math.round(outage.lastedMs),
+      mayHaveReturnedMs: outage && Math.round(outage.mayHaveReturnedMs),
       sourceError: outage?.error,
     })
   }
--- a/packages/gateway/src/process/lapse-grace.ts
+++ b/packages/gateway/src/process/lapse-grace.ts
@@ -2,17 +2,23 @@
  * Decides how long a backend server is used on after its entry has gone from
  * the platform's list.
  *
- * Inputs: when the source of the list last answered again after failures
- * (process clock, ms).
- * Rule: not at all while the source was reachable; until LAPSE_GRACE_MS after
- * its return otherwise.
+ * Inputs: the last outage of the list's source: how long it lasted, when the
+ * source may have returned, for how long after that a backend server that has
+ * left may still get work (ms, known when the source answers again).
+ * Rule: not at all after an outage in which no entry can have lapsed. Else
+ * until LAPSE_GRACE_MS after the source answered again, but no longer than the
+ * platform allows, counted from the earliest moment at which the source may
+ * have returned.
  * Why: backend servers renew their entries, and cannot while the list is away:
  * an entry that is gone then need not mean that its backend server is. Without
  * this rule all 22 of a day of our own were dropped at once (commit a03d214).
- * Waiting always would send requests to backend servers that have left.
- * Set by: LAPSE_GRACE_MS.
+ * Waiting after every failure, or from the moment at which the return is
+ * noticed, sends work to backend servers that have left
+ * (docs/incidents/2026-12-02-requests-to-leaving-backend-servers.md).
+ * Set by: the constants.
  * Log events: `backend-lapsed`, `backend-removed`.
  */
+import type { SourceOutage } from './platform-adapter.js'
 
 /**
  * Milliseconds. Entries are renewed within two seconds of the list's return,
@@ -21,17 +27,16 @@
  */
 const LAPSE_GRACE_MS = 1900
 
-/** Follows the source's returns; the time is lost with the process, which then starts from a whole list. */
-export class LapseGrace {
-  private until = 0
-
-  /** The source answers again after failures. */
-  noteSourceReturned(): void {
-    this.until = performance.now() + LAPSE_GRACE_MS
-  }
+/**
+ * Milliseconds. An outage that was shorter cannot have hidden the renewal of an
+ * entry, which comes about every second and may miss twice. Not measured; twice
+ * as much drops backend servers whose entries lapsed in a short outage.
+ */
+const MIN_LAPSE_OUTAGE_MS = 500
 
-  /** For how long a backend server whose entry has gone now is used on, in milliseconds; 0 for not at all. */
-  remainingMs(): number {
-    return Math.max(0, this.until - performance.now())
-  }
+/** For how long entries that go are used on after an outage, in milliseconds from its end; 0 for not at all. */
+export function decideLapseGrace(outage: SourceOutage): number {
+  if (outage.lastedMs < MIN_LAPSE_OUTAGE_MS)
+    return 0
+  return Math.max(0, Math.min(LAPSE_GRACE_MS, outage.usableAfterReturnMs - outage.mayHaveReturnedMs))
 }
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -18,10 +18,14 @@
   follow: (offer: (text: string) => void, signal: AbortSignal) => Promise<void>
 }
 
-/** A time without answers of a source. */
+/** A time in which a source did not answer, and has just ended. */
 export interface SourceOutage {
-  /** Milliseconds since the last answer before it. */
-  awayMs: number
+  /** Milliseconds for which it is known not to have answered. */
+  lastedMs: number
+  /** Milliseconds since it may have returned: since the last call that failed was sent. */
+  mayHaveReturnedMs: number
+  /** Milliseconds after a return for which a backend server that left in the outage may still get work (the platform's bounds). */
+  usableAfterReturnMs: number
   /** The last failure. */
   error: string
 }
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -1,9 +1,10 @@
+import type { SourceOutage } from '@eidermast/gateway'
 import { BackendRegistry } from '@eidermast/gateway'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createLog, createRecord } from './support/fakes.js'
 
 const RECORD = createRecord({ id: 'encode-a' })
-const OUTAGE = { awayMs: 3000, error: 'no answer' }
+const OUTAGE: SourceOutage = { lastedMs: 3000, mayHaveReturnedMs: 100, usableAfterReturnMs: 4800, error: 'no answer' }
 let registry: BackendRegistry
 
 beforeEach(() => {
@@ -33,6 +34,19 @@
     expect(isUsed()).toBe(false)
   })
 
+  test.each<[string, Partial<SourceOutage>, number]>([
+    ['too short for an entry to lapse', { lastedMs: 300 }, 0],
+    ['whose end was noticed late', { mayHaveReturnedMs: 4000 }, 800],
+    ['whose end was noticed too late', { mayHaveReturnedMs: 5000 }, 0],
+  ])('after an outage %s, is used only as long as its leaving may stay unnoticed', (_name, outage, usedForMs) => {
+    registry.noteSourceReturned({ ...OUTAGE, ...outage })
+    registry.unlist('encode-a')
+    vi.advanceTimersByTime(Math.max(0, usedForMs - 50))
+    expect(isUsed()).toBe(usedForMs > 0)
+    vi.advanceTimersByTime(100)
+    expect(isUsed()).toBe(false)
+  })
+
   test('stays, with what was learned of it, if the entry is listed again in that time', () => {
     const backend = registry.find('encode-a')
     registry.noteSourceReturned(OUTAGE)
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -92,6 +92,36 @@
     await vi.waitFor(() => expect(seen.at(-1)).toBe('config=three'), { timeout: 5000 })
   })
 
+  test('misses nothing that changes between two pages of the newest records, and takes nothing older after newer', async () => {
+    store.pageSize = 1
+    store.put(TOPIC, 'first', 'one')
+    store.put(TOPIC, 'second', 'one')
+    store.put(TOPIC, 'second', 'two')
+    let isFirstPage = true
+    store.onPage = () => {
+      if (isFirstPage) {
+        store.put(TOPIC, 'first', 'two')
+        store.put(TOPIC, 'second', 'three')
+      }
+      isFirstPage = false
+    }
+    follow()
+    await vi.waitFor(() => expect(seen).toContain('first=two'))
+    await wait(100)
+    expect(seen).toEqual(['first=one', 'second=three', 'first=two'])
+  })
+
+  test('notices the return of a store that was silent for more than one read within a margin and a pause', async () => {
+    await followFromFirstRecord()
+    store.fault = StoreFault.Silent
+    await wait(3200)
+    store.fault = StoreFault.None
+    store.put(TOPIC, 'config', 'two')
+    const returnedAt = performance.now()
+    await vi.waitFor(() => expect(seen).toEqual(['config=one', 'config=two']), { timeout: 6000 })
+    expect(performance.now() - returnedAt).toBeLessThan(READ_MARGIN_MS + 800)
+  })
+
   test('seldom calls a store that refuses', async () => {
     store.fault = StoreFault.Busy
     follow()
--- a/test/platform/support/stand-in-store.ts
+++ b/test/platform/support/stand-in-store.ts
@@ -30,6 +30,10 @@
 export class StandInStore {
   fault = StoreFault.None
   calls = 0
+  /** Items of one page of the newest records. */
+  pageSize = 500
+  /** Called after each page. */
+  onPage: (topic: string) => void = () => {}
   private readonly topics = new Map<string, StoredRecord[]>()
   private readonly dropped = new Map<string, number>()
   private readonly server: Server
@@ -78,8 +82,8 @@
     if (url.pathname === '/-/log-append')
       return this.append(topic, body, response)
     if (url.pathname === '/-/log-newest')
-      return this.newest(topic, response)
-    await this.read(topic, Number(url.searchParams.get('Source')), response)
+      return this.newest(topic, url.searchParams.get('WatchRevision') ?? '', response)
+    await this.read(topic, Number(url.searchParams.get('Source')), Math.min(HOLD_MS, Number(url.searchParams.get('WaitMs'))), response)
   }
 
   private append(topic: string, body: Buffer, response: ServerResponse): void {
@@ -89,17 +93,20 @@
     response.end(JSON.stringify({ offset: end - 1, end }))
   }
 
-  private newest(topic: string, response: ServerResponse): void {
+  private newest(topic: string, after: string, response: ServerResponse): void {
     const records = this.records(topic)
-    const items = [...new Set(records.map(record => record.key))].flatMap((key) => {
+    const keys = [...new Set(records.map(record => record.key))].filter(key => key > after).sort()
+    const items = keys.flatMap((key) => {
       const offset = records.findLastIndex(record => record.key === key)
       return records[offset].value.length === 0 ? [] : [{ TlsKey: key, Value: records[offset].value.toString('base64'), offset }]
     })
-    response.end(JSON.stringify({ Items: items, more: false, end: records.length }))
+    const page = items.slice(0, this.pageSize)
+    response.end(JSON.stringify({ Items: page, more: page.length < items.length, end: records.length }))
+    this.onPage(topic)
   }
 
-  private async read(topic: string, offset: number, response: ServerResponse): Promise<void> {
-    for (let waited = 0; waited < HOLD_MS && this.records(topic).length <= offset; waited += 10)
+  private async read(topic: string, offset: number, holdMs: number, response: ServerResponse): Promise<void> {
+    for (let waited = 0; waited < holdMs && this.records(topic).length <= offset; waited += 10)
       await wait(10)
     if (this.fault === StoreFault.Silent)
       return
