Take a retry from the budget before stage results are made again, and give it back if none is made

A call abandoned while it waited for a connection also counted as a failure of its server, even when its client had left, and was retried free of the budget. Change: the retry is taken first and given back where the results or a server are missing; such a call has a kind of its own, is abandoned for ejection and takes a retry. Tests of platform, gateway, pages pass.

--- a/packages/gateway/src/connection/backends/backend-client.ts
+++ b/packages/gateway/src/connection/backends/backend-client.ts
@@ -47,6 +47,8 @@
   NotSent = 'not-sent',
   /** The backend server began to leave before the first byte. */
   Leaving = 'leaving',
+  /** Abandoned by this process before the first byte, while it waited for a connection. */
+  AbandonedUnsent = 'abandoned-unsent',
   /** The backend server says that it did not run the request. */
   Refused = 'refused',
   /** Another backend server has the address; the request was not run. */
--- a/packages/gateway/src/connection/backends/http-backend-client.ts
+++ b/packages/gateway/src/connection/backends/http-backend-client.ts
@@ -94,7 +94,7 @@
 function describeFailure(error: unknown, backend: Backend, signal: AbortSignal): CallFailure {
   const message = formatError(error)
   if (error instanceof CallNotSentError)
-    return { kind: backend.takesWork ? CallFailureKind.NotSent : CallFailureKind.Leaving, message }
+    return { kind: backend.takesWork ? CallFailureKind.AbandonedUnsent : CallFailureKind.Leaving, message }
   if (signal.aborted)
     return { kind: CallFailureKind.Aborted, message }
   return { kind: isNotSent(error) ? CallFailureKind.NotSent : CallFailureKind.Broken, message }
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -22,7 +22,7 @@
 import { errorOfUnanswered } from '../request-errors.js'
 import { BackendAttempt } from './backend-attempt.js'
 import { decideHealthSign, recordHealthSign } from './ejection-feed.js'
-import { AttemptEnd, decideAfterAttempt, decideBeforeAttempt, mayRunAfterNext, needsBudget, RetryDecision } from './retry-rule.js'
+import { AttemptEnd, decideAfterAttempt, decideBeforeAttempt, isFreeToRetry, mayRunAfterNext, needsBudget, RetryDecision } from './retry-rule.js'
 
 /** The backend servers that are known; implemented by the process's registry. */
 export interface KnownBackends {
@@ -84,17 +84,24 @@
 
   /**
    * Provides what the next attempt needs and chooses its backend server, or
-   * says why there is none. Making stage results again takes seconds, so the
-   * server is chosen and a retry is taken from the budget after that.
+   * says why there is none. A retry is taken from the budget before stage
+   * results are made again, so that none are made for nothing. That takes
+   * seconds, and so the server is chosen after it.
    */
   private async prepareAttempt(): Promise<Result<Backend, RetryDecision>> {
-    let choice = this.chooseForAttempt()
-    if (choice.isOk() && this.inputsRead) {
-      if (!await this.renewInputs())
-        return Err(this.subject.signal.aborted ? RetryDecision.Cancelled : RetryDecision.InputsGone)
-      choice = this.chooseForAttempt()
-    }
-    return choice.andThen(backend => this.takeBudget(backend))
+    const { budget } = this.parts
+    const { service } = this.subject.request
+    const isRetry = needsBudget(this.history)
+    const early = this.chooseForAttempt()
+    if (early.isOk() && isRetry && !budget.takeRetry(service))
+      return Err(RetryDecision.BudgetUsed)
+    if (early.isErr() || !this.inputsRead)
+      return early
+    const isRenewed = await this.renewInputs()
+    const choice = isRenewed ? this.chooseForAttempt() : Err(RetryDecision.InputsGone)
+    if (choice.isErr() && isRetry)
+      budget.returnRetry(service)
+    return choice
   }
 
   /** The backend server for the next attempt, or why none is made. */
@@ -102,15 +109,7 @@
     const { request, inputs } = this.subject
     const backend = this.choose(request, inputs, this.tried)
     const decision = decideBeforeAttempt({ history: this.history, hasBackend: backend !== undefined, remainingMs: this.remainingMs() })
-    if (!backend || decision !== RetryDecision.Proceed)
-      return Err(decision)
-    const isAllowed = !needsBudget(this.history) || this.parts.budget.hasRetry(request.service)
-    return isAllowed ? Ok(backend) : Err(RetryDecision.BudgetUsed)
-  }
-
-  private takeBudget(backend: Backend): Result<Backend, RetryDecision> {
-    const isAllowed = !needsBudget(this.history) || this.parts.budget.takeRetry(this.subject.request.service)
-    return isAllowed ? Ok(backend) : Err(RetryDecision.BudgetUsed)
+    return backend && decision === RetryDecision.Proceed ? Ok(backend) : Err(decision)
   }
 
   /** Makes the stage results again, which an earlier attempt read or lost. */
@@ -186,7 +185,7 @@
     this.history.lastEnd = end
     if (end !== AttemptEnd.NotRun)
       this.history.runs++
-    this.history.reachedBackend = failure?.kind !== CallFailureKind.NotSent && failure?.kind !== CallFailureKind.Leaving
+    this.history.reachedBackend = failure === undefined || !isFreeToRetry(failure)
     this.lastFailure = failure
     this.fallback = fallback ?? this.fallback
     if (failure?.kind === CallFailureKind.InputGone) {
--- a/packages/gateway/src/request/attempts/ejection-feed.ts
+++ b/packages/gateway/src/request/attempts/ejection-feed.ts
@@ -41,11 +41,15 @@
     return BackendHealthSign.Success
   if (evidence.failureKind === CallFailureKind.Broken || evidence.failureKind === CallFailureKind.NotSent)
     return BackendHealthSign.Failure
-  if (evidence.failureKind === CallFailureKind.Aborted && evidence.abandonedHere)
+  if (isAbandoned(evidence.failureKind) && evidence.abandonedHere)
     return BackendHealthSign.Abandoned
   return BackendHealthSign.None
 }
 
+function isAbandoned(kind: CallFailureKind | undefined): boolean {
+  return kind === CallFailureKind.Aborted || kind === CallFailureKind.AbandonedUnsent
+}
+
 /** Hands a sign to ejection; the time is that of the whole attempt, in milliseconds. */
 export function recordHealthSign(ejection: EjectionPolicy, backend: Backend, sign: BackendHealthSign, tookMs: number): void {
   switch (sign) {
--- a/packages/gateway/src/request/attempts/retry-budget.ts
+++ b/packages/gateway/src/request/attempts/retry-budget.ts
@@ -60,22 +60,24 @@
     this.bucket(service).requests++
   }
 
-  /** Whether the allowance has a retry left. */
-  hasRetry(service: string): boolean {
+  /** Takes one retry from the allowance; false where there is none. */
+  takeRetry(service: string): boolean {
     const buckets = this.recent(service)
     const requests = buckets.reduce((sum, bucket) => sum + bucket.requests, 0)
     const retries = buckets.reduce((sum, bucket) => sum + bucket.retries, 0)
-    return retries + 1 <= this.allowedRetries(requests)
-  }
-
-  /** Takes one retry from the allowance; false where there is none. */
-  takeRetry(service: string): boolean {
-    if (!this.hasRetry(service))
+    if (retries + 1 > this.allowedRetries(requests))
       return false
     this.bucket(service).retries++
     return true
   }
 
+  /** Gives a retry back that was taken and not made. The oldest count is lowered, so that later windows never count too few. */
+  returnRetry(service: string): void {
+    const taken = this.recent(service).find(bucket => bucket.retries > 0)
+    if (taken)
+      taken.retries--
+  }
+
   private allowedRetries(requests: number): number {
     const fixedPart = this.settings.extra / Math.max(1, this.gatewayCount())
     return USED_SHARE * (this.settings.ratio * requests + fixedPart)
--- a/packages/gateway/src/request/attempts/retry-rule.ts
+++ b/packages/gateway/src/request/attempts/retry-rule.ts
@@ -8,7 +8,8 @@
  * Rule: a request that provably did not run is sent again. One that ran, or may
  * have, is sent again only where the route allows that, and to no more backend
  * servers than the route says. Both need time for an answer and, if the call
- * reached a backend server, a retry from the budget (retry-budget.ts).
+ * reached a backend server or was abandoned while it waited for one, a retry
+ * from the budget (retry-budget.ts).
  * Why: a request that runs twice without leave is a wrong answer, which is worse
  * than none. A call that reached nobody costs the pool nothing, so it is free;
  * every other retry adds load where calls fail already.
@@ -78,6 +79,11 @@
   return mayHaveRun ? AttemptEnd.MayHaveRun : AttemptEnd.NotRun
 }
 
+/** Whether a call cost its backend server nothing, so that another one needs no retry from the budget. */
+export function isFreeToRetry(failure: CallFailure): boolean {
+  return failure.kind === CallFailureKind.NotSent || failure.kind === CallFailureKind.Leaving
+}
+
 /** Whether the request may run once more if the attempt that begins now brings no answer. */
 export function mayRunAfterNext(history: AttemptHistory, route: Route): boolean {
   return !route.streaming && route.repeatable && history.runs + 1 < route.maxAttempts
--- a/test/gateway/attempt-ends.test.ts
+++ b/test/gateway/attempt-ends.test.ts
@@ -13,6 +13,9 @@
     ['a failed connection', { end: AttemptEnd.NotRun, failureKind: CallFailureKind.NotSent }, BackendHealthSign.Failure],
     ['a refusal', { end: AttemptEnd.NotRun, failureKind: CallFailureKind.Refused }, BackendHealthSign.None],
     ['a call that this gateway abandoned', { failureKind: CallFailureKind.Aborted, abandonedHere: true }, BackendHealthSign.Abandoned],
+    ['a call that this gateway abandoned while it waited for a connection', { end: AttemptEnd.NotRun, failureKind: CallFailureKind.AbandonedUnsent, abandonedHere: true }, BackendHealthSign.Abandoned],
+    ['a call whose client left while it waited for a connection', { end: AttemptEnd.NotRun, failureKind: CallFailureKind.AbandonedUnsent }, BackendHealthSign.None],
+    ['a call that was turned away since its backend server is leaving', { end: AttemptEnd.NotRun, failureKind: CallFailureKind.Leaving }, BackendHealthSign.None],
     ['a call whose client left', { failureKind: CallFailureKind.Aborted }, BackendHealthSign.None],
     ['a failure of its own', { end: AttemptEnd.ServerError }, BackendHealthSign.None],
   ])('%s', (_name, evidence, sign) => {
--- a/test/gateway/backend-run.test.ts
+++ b/test/gateway/backend-run.test.ts
@@ -1,9 +1,9 @@
 import type { BackendCall, BackendClient, ClientAnswer, RoutedRequest, RunInputs } from '@eidermast/gateway'
 import { Buffer } from 'node:buffer'
 import { OutlierEjection } from '@eidermast/common'
-import { BackendRegistry, BackendRunner, CallFailureKind, LeastLoadChoice, RetryBudget } from '@eidermast/gateway'
+import { BackendRegistry, BackendRunner, CallFailureKind, LeastLoadChoice, RetryBudget, RetryDecision } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
-import { expect, test } from 'vitest'
+import { describe, expect, test, vi } from 'vitest'
 import { createLog, createRecord, createRoute } from './support/fakes.js'
 
 const SERVICE = 'plain'
@@ -39,28 +39,46 @@
   }
 }
 
-test('a request whose stage results are made again goes to a backend server that takes work when they are ready', async () => {
+/** A request whose first attempt, at the server `first`, finds its input gone; `renew` makes its stage results again. */
+function createRun({ budgetExtra = 10, renew }: { budgetExtra?: number, renew: (registry: BackendRegistry) => readonly string[] | undefined }) {
   const { log } = createLog()
   const registry = new BackendRegistry(log)
-  const records = ['first', 'second'].map(id => createRecord({ id, service: SERVICE }))
-  records.forEach(record => registry.upsert(record))
+  for (const id of ['first', 'second'])
+    registry.upsert(createRecord({ id, service: SERVICE }))
+  // The choice is by load.
+  registry.find('second')!.outstanding = 5
   const client = new InputGoneOnce()
   const ejection = new OutlierEjection()
   const choice = new LeastLoadChoice(ejection)
-  const budget = new RetryBudget({ ratio: 1, extra: 10, windowMs: 10_000 }, () => 1)
+  const budget = new RetryBudget({ ratio: 0, extra: budgetExtra, windowMs: 10_000 }, () => 1)
   const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainChoice: choice, engineChoice: choice, budget, log, isEngine: () => false })
-  const inputs: RunInputs = {
-    handles: ['lost'],
-    failureDomain: undefined,
-    bytes: 0,
-    renew: async () => {
-      registry.upsert({ ...records[0], draining: true })
+  const renewals = vi.fn(async () => renew(registry))
+  const inputs: RunInputs = { handles: ['lost'], failureDomain: undefined, bytes: 0, renew: renewals }
+  const run = () => runner.run({ request: createRequest(), inputs, answer: createAnswer(), signal: new AbortController().signal })
+  return { run, client, budget, renewals }
+}
+
+describe('a request whose stage results are made again', () => {
+  test('goes to a backend server that takes work when they are ready', async () => {
+    const { run, client } = createRun({ renew: (registry) => {
+      registry.upsert(createRecord({ id: 'first', service: SERVICE, draining: true }))
       return ['made-again']
-    },
-  }
-  // The choice is by load, so that the other one is called first.
-  registry.find('second')!.outstanding = 5
-  const end = await runner.run({ request: createRequest(), inputs, answer: createAnswer(), signal: new AbortController().signal })
-  expect(end.error).toBeUndefined()
-  expect(client.called).toEqual(['first', 'second'])
+    } })
+    expect((await run()).error).toBeUndefined()
+    expect(client.called).toEqual(['first', 'second'])
+  })
+
+  test('has none made where the retry budget is used up', async () => {
+    const { run, client, renewals } = createRun({ budgetExtra: 0, renew: () => ['made-again'] })
+    expect(await run()).toMatchObject({ retry: RetryDecision.BudgetUsed })
+    expect(renewals).not.toHaveBeenCalled()
+    expect(client.called).toEqual(['first'])
+  })
+
+  test('gives its retry back where they cannot be made', async () => {
+    const { run, budget } = createRun({ budgetExtra: 2, renew: () => undefined })
+    expect(await run()).toMatchObject({ retry: RetryDecision.InputsGone })
+    expect(budget.takeRetry(SERVICE)).toBe(true)
+    expect(budget.takeRetry(SERVICE)).toBe(false)
+  })
 })
--- a/test/platform/backend-client.test.ts
+++ b/test/platform/backend-client.test.ts
@@ -175,7 +175,7 @@
     const abandoning = new AbortController()
     const waiting = client.run(backend, CALL, abandoning.signal)
     abandoning.abort()
-    expect((await waiting).unwrapErr().kind).toBe(CallFailureKind.NotSent)
+    expect((await waiting).unwrapErr().kind).toBe(CallFailureKind.AbandonedUnsent)
     await expectNothingMore()
   })
 
