Refuse calls that wait at a side when its backend server begins to leave

Change: such calls are refused as draining at the next load reading, and at their turn at the latest; nothing of them ran, so their entries call another backend server. A side that stops itself still runs what it queued.

--- a/packages/daemon/src/process/side/draining.ts
+++ b/packages/daemon/src/process/side/draining.ts
@@ -6,7 +6,8 @@
  * order that took effect (all as of now), and what the backend server last
  * reported (at most `load-interval-ms` old).
  * Rule: any one reason is enough; the first in the order of the enum is named.
- * Calls that are queued or run go on.
+ * Calls that run go on; queued ones go on too, unless the backend server itself
+ * leaves (`stage-runner.ts`).
  * Why one reason is enough: a call that is refused before it starts runs
  * elsewhere at once, while one that starts at a backend server that leaves may
  * be lost.
--- a/packages/daemon/src/process/side/side-state.ts
+++ b/packages/daemon/src/process/side/side-state.ts
@@ -6,7 +6,7 @@
 import type { SideState } from '../../request/side/stage-runner.js'
 import type { Configuration } from '../../version/configuration.js'
 import type { BackendWatch } from './backend-watch.js'
-import type { DrainReason } from './draining.js'
+import type { DrainReason, DrainSigns } from './draining.js'
 import type { OrderKeeper } from './order-keeper.js'
 import type { SideConfiguration } from './side-configuration.js'
 import { createLogger } from '@eidermast/common'
@@ -47,6 +47,11 @@
     return this.drainReason !== undefined
   }
 
+  get backendLeaving(): boolean {
+    const { orderedIn, configurationKnown, backendDraining } = this.drainSigns()
+    return backendDraining || (configurationKnown && !orderedIn)
+  }
+
   /** Why new work is refused, or undefined while it is taken. */
   refusal(call: StageCall): RefusalReason | undefined {
     const { backendName, configuration, orders } = this.options
@@ -69,8 +74,12 @@
   }
 
   private get drainReason(): DrainReason | undefined {
+    return findDrainReason(this.drainSigns())
+  }
+
+  private drainSigns(): DrainSigns {
     const { backendName, configuration, newest, watch, orders } = this.options
-    return findDrainReason({
+    return {
       stopping: this.stopping,
       configurationKnown: newest.isKnown,
       orderedIn: isOrderedIn(configuration, backendName),
@@ -78,6 +87,6 @@
       backendDown: watch.down,
       wantsModel: resolvePlacement(configuration, backendName)?.model !== undefined,
       holdsPlacement: orders.placement !== undefined,
-    })
+    }
   }
 }
--- a/packages/daemon/src/process/side/side.ts
+++ b/packages/daemon/src/process/side/side.ts
@@ -126,7 +126,10 @@
       backendName: this.settings.process.name,
       backend: this.backend,
       intervalMs,
-      onReading: () => this.state.logDraining(),
+      onReading: () => {
+        this.state.logDraining()
+        this.runner.refuseWaitingIfLeaving()
+      },
       onRestart: () => {
         this.orders.forget()
         void this.orders.applyNewest()
--- a/packages/daemon/src/request/side/stage-runner.ts
+++ b/packages/daemon/src/request/side/stage-runner.ts
@@ -7,6 +7,8 @@
  * one is joined or replayed; one whose key is spent never runs again; then the
  * side's and the queue's refusals hold. A refused call's key is spent, so that a
  * copy that is still on its way cannot run after its entry went elsewhere.
+ * A call that still waits when the backend server begins to leave is refused:
+ * it was taken on a state that holds no longer.
  * Why: the entry calls again after a refusal, and nothing else keeps a copy in
  * an old connection from running beside that call.
  * Log events: `join`, `refuse`.
@@ -35,6 +37,8 @@
   readonly incarnation: string
   readonly offset: number
   readonly draining: boolean
+  /** Its backend server leaves: calls that wait must not start there any more. */
+  readonly backendLeaving: boolean
   /** Why new work is refused, or undefined while it is taken. */
   refusal: (call: StageCall) => RefusalReason | undefined
 }
@@ -113,6 +117,14 @@
     return { started: false }
   }
 
+  /** Refuses the calls that wait, where the backend server leaves; their entries call another one. */
+  refuseWaitingIfLeaving(): void {
+    if (!this.options.side.backendLeaving)
+      return
+    for (const run of [...this.pending.values()])
+      this.refuseWaiting(run, RefusalReason.Draining)
+  }
+
   private join(run: BackendRun, onToken?: LinkTokenListener): Promise<StageReply> {
     const { requestId, stage, attempt } = run.call.identity
     this.options.decisions.record('join', requestId, { stage, attempt, finished: run.finished !== undefined })
@@ -137,6 +149,7 @@
 
   /** Starts waiting calls while slots are free. */
   private startNext(): void {
+    this.refuseWaitingIfLeaving()
     while (this.running < this.options.slots) {
       const { next, late } = this.options.queue.take(performance.now())
       for (const waiting of late)
--- a/test/request/side/stage-runner.test.ts
+++ b/test/request/side/stage-runner.test.ts
@@ -23,13 +23,18 @@
   readonly table = new StageTable({ entries: 1000, bytes: 1_000_000, lifetimeMs: 600_000 })
   readonly runner: StageRunner
   draining = false
+  backendLeaving = false
 
   constructor(slots = 1, queue: StageQueue = new DeadlineQueue({ limit: 4, bytes: 10_000 })) {
+    const isLeaving = (): boolean => this.backendLeaving
     this.runner = new StageRunner({
       side: {
         incarnation: SIDE_INCARNATION,
         offset: 0,
         draining: false,
+        get backendLeaving() {
+          return isLeaving()
+        },
         refusal: () => this.draining ? RefusalReason.Draining : undefined,
       },
       backend: this.backend,
@@ -123,6 +128,21 @@
     expect(bench.backend.started).toHaveLength(0)
   })
 
+  test.each([
+    ['at once', (bench: SideBench) => bench.runner.refuseWaitingIfLeaving()],
+    ['at their turn at the latest', (bench: SideBench) => bench.endOldest(BackendOutcome.Done)],
+  ])('that wait are refused %s when the backend server begins to leave, and the running one ends', async (_name, next) => {
+    const bench = new SideBench()
+    const running = bench.run(createStageCall())
+    const waiting = bench.run(createStageCall())
+    bench.backendLeaving = true
+    next(bench)
+    expect(await waiting).toMatchObject({ kind: StageReplyKind.Refused, reason: RefusalReason.Draining })
+    bench.endOldest(BackendOutcome.Done)
+    expect(await running).toMatchObject({ kind: StageReplyKind.Done })
+    expect(bench.backend.started).toHaveLength(1)
+  })
+
   test('stop at the backend server when they are cancelled while they run', async () => {
     const bench = new SideBench()
     const call = createStageCall()
