Read the log to its end before saying that an unrepeatable request did not run

An entry took its copy of the claims for current for 2.5 s after its last read. A frozen entry that woke, or one whose reads lagged, shed a repeat as 'nothing ran' though another entry had claimed and run the request meanwhile. Change: a shed request that needs a claim is answered only after a read of the claim stream that began after it came; requests that wait together share one read. Where the log does not answer, every listed entry must deny a run, as before. Two reads may be under way, and what one brought is applied once. The whole failure was not reproduced.

--- a/packages/daemon/src/request/authority/claims.ts
+++ b/packages/daemon/src/request/authority/claims.ts
@@ -93,6 +93,10 @@
   private readonly abandoned = new Set<string>()
   private readonly appender: ClaimAppender
   private nextOffset = 0
+  /** A read of the stream that `catchUp` has begun. */
+  private catchUpUnderWay: Promise<boolean> | undefined
+  /** A read that begins when that one has ended; all who ask meanwhile share it. */
+  private nextCatchUp: Promise<boolean> | undefined
   private lastReadAt: number | undefined
 
   constructor(
@@ -143,6 +147,21 @@
     }
   }
 
+  /**
+   * Reads the stream to its end, beginning now; false where the log does not
+   * answer. Unlike `current`, it knows every claim that the log had taken when
+   * it was called: a process that was frozen has read nothing meanwhile.
+   */
+  catchUp(): Promise<boolean> {
+    if (!this.catchUpUnderWay)
+      return this.beginCatchUp()
+    this.nextCatchUp ??= this.catchUpUnderWay.then(() => {
+      this.nextCatchUp = undefined
+      return this.beginCatchUp()
+    })
+    return this.nextCatchUp
+  }
+
   /** Claims a request; the result comes once the log's order says who holds it. */
   claim(account: string, requestId: string): ClaimAttempt {
     const { incarnation, address } = this.options
@@ -165,6 +184,9 @@
   /** Applies records in the log's order. */
   apply(page: LogPage): void {
     for (const { offset, value } of page.records) {
+      // Two reads may be under way; what one of them brought is not applied again.
+      if (offset < this.nextOffset)
+        continue
       const parsed = claimRecordSchema.safeParse(value)
       if (parsed.success)
         this.applyRecord(offset, parsed.data)
@@ -178,6 +200,24 @@
     this.expire()
   }
 
+  private beginCatchUp(): Promise<boolean> {
+    this.catchUpUnderWay = this.readToEnd().finally(() => {
+      this.catchUpUnderWay = undefined
+    })
+    return this.catchUpUnderWay
+  }
+
+  private async readToEnd(): Promise<boolean> {
+    for (;;) {
+      const page = await this.client.read({ stream: CLAIM_STREAM, from: this.nextOffset, limit: READ_LIMIT, waitMs: 0 })
+      if (page.isErr())
+        return false
+      this.apply(page.value)
+      if (this.nextOffset >= page.value.nextOffset)
+        return true
+    }
+  }
+
   private applyRecord(offset: number, record: ClaimRecord): void {
     const key = createRequestKey(record.account, record.requestId)
     const holder = this.claims.get(key)
--- a/packages/daemon/src/request/authority/run-authority.ts
+++ b/packages/daemon/src/request/authority/run-authority.ts
@@ -8,8 +8,9 @@
  * Rule: an id older than what is remembered of claims, or from the future, is
  * refused. A request that another process life claimed is answered by asking
  * that one. Otherwise this entry claims it and runs it only if the claim is won
- * before the deadline. `ran: none` is said only if the log or every listed entry
- * vouches that nothing ran; else `unknown`.
+ * before the deadline. `ran: none` is said only if the log, read to its end
+ * after the request came, or every listed entry vouches that nothing ran; else
+ * `unknown`.
  * Why: a wrong "nothing ran" makes a caller send the request a second time,
  * which costs more than an answer that the caller must look into.
  * Set by: the clock allowance was not measured; commit a3b81da found that with
@@ -97,19 +98,28 @@
   /** Says that a request did not run, where that can be proved. */
   async answerNotRun(incoming: IncomingRequest, requestId: string, error: RequestError): Promise<RequestAnswer> {
     const { claims, proof, finder } = this.options
-    const logVouches = claims.current && error.kind !== ErrorKind.LogUnavailable
-    if (!needsClaim(incoming) || logVouches)
+    if (!needsClaim(incoming))
       return Err(error)
     const key = createRequestKey(incoming.account, requestId)
-    if (await proof.holds(incoming.account, requestId, key))
-      return Err(error)
+    const logVouches = error.kind !== ErrorKind.LogUnavailable && await this.logIsRead(incoming)
     const holder = claims.find(key)
     if (holder)
       return finder.askHolder(incoming, requestId, holder)
+    if (logVouches || await proof.holds(incoming.account, requestId, key))
+      return Err(error)
+    const holderSince = claims.find(key)
+    if (holderSince)
+      return finder.askHolder(incoming, requestId, holderSince)
     const message = 'The log does not answer and another entry may have run this request; ask for its outcome with GET /v1/requests/{id}.'
     return Err(createError(ErrorKind.LogUnavailable, message, { ran: Ran.Unknown }))
   }
 
+  /** Whether the log was read to its end after now, within the request's deadline. */
+  private async logIsRead(incoming: IncomingRequest): Promise<boolean> {
+    const { claims } = this.options
+    return claims.current && await settleWithin(claims.catchUp(), remainingMs(incoming), incoming.callerGone) === true
+  }
+
   /** Nothing was dispatched and nothing will be: a claim that is won later is released. */
   private releaseIfWon(incoming: IncomingRequest, requestId: string, attempt: ClaimAttempt): void {
     void attempt.result.then((late) => {
