--- a/packages/daemon/src/connection/entry-peers.ts
+++ b/packages/daemon/src/connection/entry-peers.ts
@@ -35,11 +35,13 @@
  */
 const HEARTBEAT_TIMEOUT_MS = 500
 /**
- * Milliseconds to answer a question for an outcome. Not measured: half may
- * leave a known outcome unknown, twice delays the callers who ask while an
- * entry is frozen.
+ * Milliseconds. With 250 an entry that was busy or paused for that long made
+ * callers hear that the outcome is unknown, which they have to look into,
+ * where it could say that nothing ran (test/promises/unrepeatable, one entry
+ * frozen for 600 ms). Twice as much keeps callers waiting for an entry that is
+ * gone.
  */
-const OUTCOME_TIMEOUT_MS = 250
+const OUTCOME_TIMEOUT_MS = 1000
 /**
  * Milliseconds to send a difference of the configuration. Not measured: half
  * may be short for all objects over a slow link, twice keeps this entry from
--- a/packages/stand-ins/src/process-group.ts
+++ b/packages/stand-ins/src/process-group.ts
@@ -127,9 +127,3 @@
     throw new Error(`${name} ended before it listened`)
   return line
 }
-
-/** Waits for a child's end, if it has not come. */
-export async function untilEnded(child: ChildProcess): Promise<void> {
-  if (isRunning(child))
-    await once(child, 'exit')
-}
--- a/packages/stand-ins/src/running-system.ts
+++ b/packages/stand-ins/src/running-system.ts
@@ -13,18 +13,28 @@
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
+import { wait } from '@eidermast/common'
 import { HttpLogClient, ObjectKind, publishChange, PublishOutcome, readConfiguration, VirtualMachineRole } from '@eidermast/daemon'
 import { request } from 'undici'
 import { DaemonStatus } from './daemon-status.js'
 import { failureDomain } from './deployment.js'
 import { launchProcesses } from './launcher.js'
-import { isRunning, ProcessGroup, ProcessKind, untilEnded } from './process-group.js'
+import { isRunning, ProcessGroup, ProcessKind } from './process-group.js'
 import { countRuns, runTimes } from './run-counts.js'
 import { commandLineSettingsFile } from './settings-files.js'
 
 /** Bytes of the random key that a deployment's processes share. */
 const KEY_BYTES = 24
 
+/**
+ * Milliseconds that the log has for an operator's call. On a machine with six
+ * times more to do than processors (load average 59 on 10) it answered after
+ * more than the clients' default of a second.
+ */
+export const OPERATOR_TIMEOUT_MS = 10_000
+/** Milliseconds before a backend server that did not answer is asked again. Not measured; it only has to be short beside a recovery. */
+const ANSWER_RETRY_MS = 50
+
 /** A running deployment. */
 export class RunningSystem extends ProcessGroup {
   /** Shared key of the system's processes. */
@@ -85,7 +95,7 @@
 
   /** Publishes the new addresses of restarted sides, as operators do for replaced VMs. */
   async publishNewAddresses(): Promise<void> {
-    const client = new HttpLogClient({ url: this.platform.log })
+    const client = new HttpLogClient({ url: this.platform.log, timeoutMs: OPERATOR_TIMEOUT_MS })
     const configuration = await readConfiguration(client)
     for (const { name, offset, value } of configuration?.list(ObjectKind.Backend) ?? []) {
       const address = this.processes.get(name)?.peer
@@ -170,9 +180,9 @@
   private async revive({ name, kind, url, child, pid }: LaunchedProcess): Promise<void> {
     if (isRunning(child))
       process.kill(pid, 'SIGCONT')
-    // A backend server may have died so shortly before that its end is not known yet.
-    if (kind === ProcessKind.Backend && isRunning(child) && !await answers(url!))
-      await untilEnded(child)
+    // A backend server may have died so shortly before that its end is not known yet; one that is busy answers later.
+    while (kind === ProcessKind.Backend && isRunning(child) && !await answers(url!))
+      await wait(ANSWER_RETRY_MS)
     if (!isRunning(child))
       await this.restart(name)
   }
