--- a/test/platform/support/stand-in-backend.ts
+++ b/test/platform/support/stand-in-backend.ts
@@ -14,6 +14,8 @@
   path: string
   headers: IncomingMessage['headers']
   body: string
+  /** When it came: milliseconds of the test's clock. */
+  at: number
 }
 
 /** Answers one request. */
@@ -75,7 +77,7 @@
       request.on('error', () => {})
       request.on('data', chunk => chunks.push(chunk))
       request.on('end', () => {
-        const seen = { method: request.method!, path: request.url!, headers: request.headers, body: Buffer.concat(chunks).toString() }
+        const seen = { method: request.method!, path: request.url!, headers: request.headers, body: Buffer.concat(chunks).toString(), at: performance.now() }
         this.seen.push(seen)
         void this.respond(seen, response)
       })
--- a/test/soak/gateway-soak.test.ts
+++ b/test/soak/gateway-soak.test.ts
@@ -1,13 +1,11 @@
 import type { Draw, SentRequest } from './support/soak-clients.js'
 import { wait } from '@eidermast/common'
-import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
 import { beforeAll, describe, expect, test, vi } from 'vitest'
 import { StoreFault } from '../platform/support/stand-in-store.js'
 import { RequestKind, SoakClients } from './support/soak-clients.js'
 import { SoakDeployment, STREAM_EVENTS } from './support/soak-deployment.js'
+import { createDraw, readSeeds } from './support/soak-seeds.js'
 
-/** Seeds that CI plays; `SOAK_SEEDS=100-149` plays others by hand. */
-const DEFAULT_SEEDS = [1, 2]
 const STEPS = 10
 /** Milliseconds between the beginnings of two faults. */
 const STEP_MS = 400
@@ -17,16 +15,6 @@
 const PROMISES = new Set([408, 421, 429, 503])
 const WHOLE_STREAM = Array.from({ length: STREAM_EVENTS }, (_, index) => `id: ${index + 1}\ndata: ${index + 1}\n\n`).join('')
 
-function readSeeds(): number[] {
-  const [first, last] = (process.env.SOAK_SEEDS ?? '').split('-').map(Number)
-  return first > 0 ? Array.from({ length: (last || first) - first + 1 }, (_, index) => first + index) : DEFAULT_SEEDS
-}
-
-function createDraw(seed: number): Draw {
-  const generator = xoroshiro128plus(seed)
-  return bound => unsafeUniformIntDistribution(0, bound - 1, generator)
-}
-
 /** Faults, each of which ends by itself; they overlap. */
 const FAULTS: ((deployment: SoakDeployment, draw: Draw) => Promise<void> | void)[] = [
   ({ gateways }, draw) => gateways[draw(gateways.length)].replace('SIGKILL'),
--- /dev/null
+++ b/test/soak/leaving-soak.test.ts
@@ -0,0 +1,146 @@
+import type { Respond, StandInBackend } from '../platform/support/stand-in-backend.js'
+import type { Draw } from './support/soak-clients.js'
+import { wait } from '@eidermast/common'
+import { beforeAll, describe, expect, test, vi } from 'vitest'
+import { answerWhole } from '../platform/support/stand-in-backend.js'
+import { StoreFault } from '../platform/support/stand-in-store.js'
+import { SoakClients } from './support/soak-clients.js'
+import { SoakDeployment } from './support/soak-deployment.js'
+import { createDraw, readSeeds } from './support/soak-seeds.js'
+
+const STEPS = 12
+/** Milliseconds between the beginnings of two steps. */
+const STEP_MS = 600
+/** Milliseconds for which a backend server that leaves still serves, as some do. */
+const SERVES_ON_MS = 7000
+/** Milliseconds after which nothing may reach it: the drain bound of gateways in touch (settings, `drain-ms`). */
+const DRAIN_MS = 2000
+/** Milliseconds after the end of trouble in the store after which gateways are in touch (settings, `contact-ms`). */
+const CONTACT_MS = 3000
+/** Milliseconds for the way of a request on a machine that has other work. */
+const SLACK_MS = 150
+/** One answer in so many takes longer than the drain bound. */
+const SLOW_ONE_IN = 3
+const SLOW_ANSWER_MS = 2500
+/** With three gateways each gets two connections to a backend server of the plain service, so that calls wait. */
+const PLAIN_CONNECTIONS = 8
+const BACKENDS_EACH = 4
+
+/** A time in which the store was in trouble, in milliseconds of the test's clock. */
+interface Trouble {
+  from: number
+  to: number
+}
+
+/** A backend server that left. */
+interface Leave {
+  backend: StandInBackend
+  at: number
+}
+
+class LeavingRun {
+  readonly deployment: SoakDeployment
+  readonly leaves: Leave[] = []
+  private readonly troubles: Trouble[] = []
+  private fault: Promise<void> = Promise.resolve()
+
+  constructor(private readonly draw: Draw) {
+    let answers = 0
+    const plainAnswer: Respond = async (seen, response) => {
+      await wait(answers++ % SLOW_ONE_IN === 0 ? SLOW_ANSWER_MS : 20)
+      await answerWhole()(seen, response)
+    }
+    this.deployment = new SoakDeployment({ plainConnections: PLAIN_CONNECTIONS, plainAnswer, backendsEach: BACKENDS_EACH })
+  }
+
+  /** Lets a backend server leave, with or without a word, or brings trouble to the store. */
+  step(): void {
+    if (this.draw(2) === 0)
+      this.leave()
+    else
+      this.fault = this.fault.then(() => this.troubleStore())
+  }
+
+  /** Work that reached a backend server later than gateways in touch may send it. */
+  lateArrivals(): string[] {
+    return this.leaves.flatMap(({ backend, at }) => {
+      const latest = this.boundFrom(at)
+      return backend.seen
+        .filter(({ at: arrivedAt, path }) => path !== '/-/stage-free' && path !== '/-/report' && arrivedAt > latest)
+        .map(({ at: arrivedAt, path }) => `${path} reached ${backend.id} ${Math.round(arrivedAt - at)} ms after it had left, ${Math.round(arrivedAt - latest)} ms late`)
+    })
+  }
+
+  async settle(): Promise<void> {
+    await this.fault
+    const last = this.leaves.at(-1)
+    if (last)
+      await wait(Math.max(0, last.at + SERVES_ON_MS - performance.now()))
+  }
+
+  private leave(): void {
+    const left = new Set(this.leaves.map(({ backend }) => backend))
+    const services = ['plain', 'model', 'encode']
+    const service = services[this.draw(services.length)]
+    const staying = this.deployment.backends.filter(backend => backend.service === service && !left.has(backend))
+    if (staying.length < 2)
+      return
+    const backend = staying[this.draw(staying.length)]
+    if (this.draw(2) === 0)
+      this.deployment.list(backend, 'draining')
+    else
+      this.deployment.unlist(backend)
+    this.leaves.push({ backend, at: performance.now() })
+  }
+
+  private async troubleStore(): Promise<void> {
+    const { store } = this.deployment
+    const kind = this.draw(5)
+    if (kind === 4)
+      return store.dropHistory('keyed.servers')
+    const from = performance.now()
+    store.fault = [StoreFault.Busy, StoreFault.Reset, StoreFault.Silent, StoreFault.Silent][kind]
+    await wait(300 + this.draw(1200))
+    store.fault = StoreFault.None
+    this.troubles.push({ from, to: performance.now() })
+  }
+
+  /** When the last request may reach a backend server that left: the drain bound, from when gateways were in touch. */
+  private boundFrom(leftAt: number): number {
+    let from = leftAt
+    for (const { from: troubleFrom, to } of this.troubles) {
+      if (troubleFrom <= from + DRAIN_MS && to + CONTACT_MS > from)
+        from = to + CONTACT_MS
+    }
+    return from + DRAIN_MS + SLACK_MS
+  }
+}
+
+describe('backend servers that leave and serve on', () => {
+  beforeAll(async () => {
+    await import('../../platform/build.mjs' as string)
+  })
+
+  test.each(readSeeds())('get no work from gateways in touch after the drain bound, beside a store in trouble and slow answers (seed %i)', async (seed) => {
+    const draw = createDraw(seed)
+    const run = new LeavingRun(draw)
+    await run.deployment.start()
+    const clients = new SoakClients(run.deployment.gateways, draw)
+    try {
+      await vi.waitFor(async () => expect(await Promise.all(run.deployment.gateways.map(gateway => gateway.isReady()))).not.toContain(false), { timeout: 30_000, interval: 100 })
+      clients.start()
+      for (let step = 0; step < STEPS; step++) {
+        run.step()
+        await wait(STEP_MS)
+      }
+      await run.settle()
+      await clients.stop()
+      expect(run.leaves.length).toBeGreaterThan(0)
+      expect(run.lateArrivals()).toEqual([])
+    }
+    finally {
+      await clients.stop()
+      await run.deployment.stop()
+    }
+  })
+})
--- a/test/soak/support/soak-deployment.ts
+++ b/test/soak/support/soak-deployment.ts
@@ -27,10 +27,10 @@
   { ...ROUTE, Name: 'stream', PathPrefix: `/${RequestKind.Stream}/`, Type: 'streaming', Service: 'model', MaxAttempts: 2, StreamResume: true, Phases: [{ Service: 'encode', WatchRevision: [], SizeBytes: 1000 }] },
 ]
 
-const SERVICES = [
-  { Name: 'plain', MaxConnections: 60 },
-  { Name: 'model', MaxConnections: 60, Engine: { Capacity: 8, KvCapacityTokens: 1000 } },
-  { Name: 'encode', MaxConnections: 60, Segments: STAGE_LIMITS },
+const MAX_CONNECTIONS = 60
+const STAGED_SERVICES = [
+  { Name: 'model', MaxConnections: MAX_CONNECTIONS, Engine: { Capacity: 8, KvCapacityTokens: 1000 } },
+  { Name: 'encode', MaxConnections: MAX_CONNECTIONS, Segments: STAGE_LIMITS },
 ]
 
 const delayed: Respond = async (seen, response) => {
@@ -38,6 +38,16 @@
   await answerWhole()(seen, response)
 }
 
+/** What differs between soaks. */
+export interface SoakOptions {
+  /** Connections that a backend server of the plain service accepts from all gateways. @default 60 */
+  plainConnections?: number
+  /** How backend servers of the plain service answer. @default after ANSWER_MS */
+  plainAnswer?: Respond
+  /** Backend servers of each service. @default BACKENDS_EACH */
+  backendsEach?: number
+}
+
 /** A deployment with nothing broken. */
 export class SoakDeployment {
   readonly store = new StandInStore()
@@ -46,11 +56,13 @@
   gateways: GatewayChild[] = []
   private version = 0
 
+  constructor(private readonly options: SoakOptions = {}) {}
+
   async start(): Promise<void> {
     const address = await this.store.start()
-    const services: Record<string, Respond> = { plain: delayed, model: streamEvents(STREAM_EVENTS), encode: makeStageResults() }
+    const services: Record<string, Respond> = { plain: this.options.plainAnswer ?? delayed, model: streamEvents(STREAM_EVENTS), encode: makeStageResults() }
     for (const [service, respond] of Object.entries(services)) {
-      for (let number = 0; number < BACKENDS_EACH; number++)
+      for (let number = 0; number < (this.options.backendsEach ?? BACKENDS_EACH); number++)
         await this.addBackend(service, number, respond)
     }
     this.publish()
@@ -69,7 +81,7 @@
     this.store.put('keyed.op', 'config', {
       Version: ++this.version,
       Routes: ROUTES,
-      Services: SERVICES,
+      Services: [{ Name: 'plain', MaxConnections: this.options.plainConnections ?? MAX_CONNECTIONS }, ...STAGED_SERVICES],
       Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
     })
   }
@@ -79,6 +91,11 @@
     this.store.put('keyed.servers', backend.id, backend.entry(state))
   }
 
+  /** Takes a backend server off the list without a word. */
+  unlist(backend: StandInBackend): void {
+    this.store.put('keyed.servers', backend.id, undefined)
+  }
+
   /** Runs of a request that backend servers began. */
   runsOf(id: string): number {
     const seen = this.backends.filter(backend => backend.service !== 'encode').flatMap(backend => backend.seen)
