--- a/test/gateway/drain-plan.test.ts
+++ b/test/gateway/drain-plan.test.ts
@@ -2,6 +2,8 @@
 import { describe, expect, test } from 'vitest'
 
 const GRACE_PERIOD_MS = 8000
+/** Milliseconds after SIGTERM after which a request that is taken must be answered whole (the platform's rules, on planned work). */
+const UNCONDITIONAL_AFTER_MS = 3000
 
 describe('a gateway that stops', () => {
   test.each([
@@ -17,6 +19,10 @@
     expect(isDrained(1000, 1, 1000)).toBe(true)
   })
 
+  test('takes no request that it must answer whole and may have to cut off', () => {
+    expect(DRAIN_SERVE_MS).toBeLessThanOrEqual(UNCONDITIONAL_AFTER_MS)
+  })
+
   test('refuses requests for a while before its listener closes', () => {
     expect(DRAIN_SERVE_MS).toBeLessThan(DRAIN_CLOSE_MS)
   })
