--- a/packages/gateway/src/connection/backends/work-call.ts
+++ b/packages/gateway/src/connection/backends/work-call.ts
@@ -63,7 +63,12 @@
     watch.waitingChanged(1)
   }
 
-  /** Sends the call through a pool; rejects as undici's `request` does, or with a `CallNotSentError`. */
+  /**
+   * Sends the call through a pool; rejects as undici's `request` does, or with
+   * a `CallNotSentError`. What loses the race is settled later and has a
+   * handler here: a call that was turned away rejects in the pool too, when its
+   * turn comes.
+   */
   async send(pool: Dispatcher, options: WorkOptions): Promise<Dispatcher.ResponseData> {
     const abandon = (): void => this.endUnsent('abandoned before a connection was free')
     const turnedAway = new Promise<never>((_, reject) => {
