--- a/packages/gateway/src/process/lapse-grace.ts
+++ b/packages/gateway/src/process/lapse-grace.ts
@@ -14,7 +14,7 @@
  * this rule all 22 of a day of our own were dropped at once (commit a03d214).
  * Waiting after every failure, or from the moment at which the return is
  * noticed, sends work to backend servers that have left
- * (docs/incidents/2026-12-02-requests-to-leaving-backend-servers.md).
+ * (docs/incidents/2026-12-02-drain-requests-to-leaving-backend-servers.md).
  * Set by: the constants.
  * Log events: `backend-lapsed`, `backend-removed`.
  */
