Pass the stage work on when the coordinator is short of processor time

Its process answers heartbeats, so nobody counts it as failed, while all stage work waits for it; bytes leave it up to 0.9 s after they were decided on (log time against the time of the line). A backend server that left beside such a backlog may get what was decided before. Ruled out: a stale view of the backend server: all gateways noticed within 20 ms.

--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -26,6 +26,8 @@
   version: number
   /** It is stopping: the coordinator's role passes to another gateway. */
   stopping: boolean
+  /** It is short of processor time: the role passes to a gateway that is not, where there is one. */
+  slow: boolean
 }
 
 const progressSchema = z.object({
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -58,6 +58,11 @@
     this.log.write('member-recovered', { member: member.name })
   }
 
+  /** This process is short of processor time, or no longer. */
+  slownessChanged(slow: boolean, meanLatenessMs: number): void {
+    this.log.write(slow ? 'slow' : 'no-longer-slow', { meanLatenessMs: Math.round(meanLatenessMs) })
+  }
+
   /** `members` counts the gateways listed, this one included. */
   coordinatorChanged(coordinator: Member, previous: Member, members: number): void {
     this.log.write('stage-coordinator', { coordinator: coordinator.name, previous: previous.name, members })
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -187,6 +187,7 @@
       peers: this.peers,
       stageCoordinator: this.stageCoordinator,
       isStopping: () => this.stopping,
+      isSlow: () => this.members.isSelfSlow,
       log: this.gatewayLog,
     })
   }
@@ -219,7 +220,7 @@
     this.stageCoordinator.expectOtherCoordinator()
     if (this.members.isCoordinator)
       this.stageCoordinator.takeOver()
-    else if (this.stopping)
+    else if (this.stopping || this.members.isSelfSlow)
       this.stageCoordinator.handOver()
   }
 
--- a/packages/gateway/src/process/membership/heartbeat-targets.ts
+++ b/packages/gateway/src/process/membership/heartbeat-targets.ts
@@ -39,12 +39,12 @@
   const watched: MemberState[] = []
   let usable = 0
   for (const state of ranked) {
-    if (state.isSelf && !state.stopping)
+    if (state.isSelf && !state.stopping && !state.slow)
       break
     if (state.isSelf)
       continue
     watched.push(state)
-    if (!hasFailed(now - state.lastReplyAt) && !state.stopping)
+    if (!hasFailed(now - state.lastReplyAt) && !state.stopping && !state.slow)
       usable++
     if (usable === WATCHED_CANDIDATES)
       break
--- a/packages/gateway/src/process/membership/member-state.ts
+++ b/packages/gateway/src/process/membership/member-state.ts
@@ -20,6 +20,8 @@
   pendingHeartbeats: number
   /** It is leaving and coordinates nothing from now on. */
   stopping: boolean
+  /** It is short of processor time and coordinates only where nobody else can. */
+  slow: boolean
   /** It has not failed; what the last tick that looked at it found. */
   alive: boolean
 }
@@ -35,6 +37,7 @@
     heartbeatSentAt: Number.NEGATIVE_INFINITY,
     pendingHeartbeats: 0,
     stopping: false,
+    slow: false,
     alive: isSelf,
   }
 }
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -20,6 +20,7 @@
 import { FailureWatches } from './failure-watches.js'
 import { isHeartbeatDue, selectWatched } from './heartbeat-targets.js'
 import { createMemberState } from './member-state.js'
+import { SlownessWatch } from './slowness.js'
 
 /** Follows members and keeps the coordinator. */
 export class Members implements MemberSink {
@@ -29,6 +30,7 @@
   private currentCoordinator: Member
   private readonly coordinatorListeners: ((coordinator: Member) => void)[] = []
   private readonly failureWatches = new FailureWatches()
+  private readonly slowness = new SlownessWatch()
   private readonly log: GatewayLog
   private timer: NodeJS.Timeout | undefined
   private tickedAt = performance.now()
@@ -68,6 +70,11 @@
     return this.currentCoordinator.name === this.self.name
   }
 
+  /** Whether this process is short of processor time and coordinates only where nobody else can. */
+  get isSelfSlow(): boolean {
+    return this.states.get(this.self.name)?.slow ?? false
+  }
+
   onCoordinatorChange(listener: (coordinator: Member) => void): void {
     this.coordinatorListeners.push(listener)
   }
@@ -84,6 +91,7 @@
       return
     const state = createMemberState(listed, listed.name === this.self.name)
     state.stopping = state.isSelf && existing?.stopping === true
+    state.slow = state.isSelf && existing?.slow === true
     this.log.memberListed(state.member, state.announcementOrder)
     this.states.set(listed.name, state)
     this.rank()
@@ -117,7 +125,7 @@
 
   private tick(): void {
     const now = performance.now()
-    this.forgiveOwnPause(now)
+    this.takeOwnTick(now)
     for (const state of selectWatched(this.ranked, now)) {
       this.setAlive(state, !hasFailed(now - state.lastReplyAt))
       if (isHeartbeatDue(state, now))
@@ -126,14 +134,24 @@
     this.updateCoordinator()
   }
 
-  /** While this process stood still it heard nobody: that time says nothing about the others. */
-  private forgiveOwnPause(now: number): void {
-    const pausedMs = ownPauseMs(now - this.tickedAt)
+  /** While this process stood still it heard nobody: that time says nothing about the others, but something about this process. */
+  private takeOwnTick(now: number): void {
+    const sinceLastMs = now - this.tickedAt
     this.tickedAt = now
+    this.setSelfSlow(this.slowness.takeTick(sinceLastMs - HEARTBEAT_INTERVAL_MS, now))
+    const pausedMs = ownPauseMs(sinceLastMs)
     for (const state of this.states.values())
       state.lastReplyAt += pausedMs
   }
 
+  private setSelfSlow(slow: boolean): void {
+    const state = this.states.get(this.self.name)
+    if (!state || state.slow === slow)
+      return
+    state.slow = slow
+    this.log.slownessChanged(slow, this.slowness.meanLatenessMs)
+  }
+
   private async sendHeartbeat(state: MemberState, now: number): Promise<void> {
     state.pendingHeartbeats++
     state.heartbeatSentAt = now
@@ -150,6 +168,7 @@
   private takeReply(state: MemberState, reply: HeartbeatReply): void {
     state.lastReplyAt = performance.now()
     state.stopping = reply.stopping
+    state.slow = reply.slow
     this.setAlive(state, true)
     this.onVersion(state.member, reply.version)
   }
@@ -171,7 +190,7 @@
 
   private updateCoordinator(): void {
     const previous = this.currentCoordinator
-    const coordinator = chooseCoordinator(this.ranked, this.self)
+    const coordinator = chooseCoordinator(this.ranked, this.self, previous)
     if (coordinator.name === previous.name && coordinator.address === previous.address)
       return
     this.log.coordinatorChanged(coordinator, previous, this.states.size)
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -22,6 +22,8 @@
   stageCoordinator: Preparer
   /** Whether this process was asked to stop. */
   isStopping: () => boolean
+  /** Whether this process is too slow to coordinate. */
+  isSlow: () => boolean
   log: GatewayLog
 }
 
@@ -32,9 +34,9 @@
   constructor(private readonly parts: PeerServiceParts) {}
 
   heartbeat(heartbeat: Heartbeat): HeartbeatReply {
-    const { holder, isStopping } = this.parts
+    const { holder, isStopping, isSlow } = this.parts
     void this.learnVersion(heartbeat, heartbeat.version)
-    return { version: holder.version, stopping: isStopping() }
+    return { version: holder.version, stopping: isStopping(), slow: isSlow() }
   }
 
   configuration(): ConfigurationRecord | undefined {
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -22,7 +22,8 @@
   }
 }
 
-const ALIVE: HeartbeatReply = { version: 1, stopping: false }
+const ALIVE: HeartbeatReply = { version: 1, stopping: false, slow: false }
+const SLOW: HeartbeatReply = { ...ALIVE, slow: true }
 
 const BOTH_ALIVE = { 'gateway-a': ALIVE, 'gateway-b': ALIVE }
 
@@ -60,7 +61,9 @@
     ['the member announced first, if it answers', { 'gateway-a': ALIVE, 'gateway-b': ALIVE }, 'gateway-a'],
     ['the next one, if the first is silent', { 'gateway-a': 'silent', 'gateway-b': ALIVE }, 'gateway-b'],
     ['the next one, if the first refuses', { 'gateway-a': 'refused', 'gateway-b': ALIVE }, 'gateway-b'],
-    ['the next one, if the first is stopping', { 'gateway-a': { version: 1, stopping: true }, 'gateway-b': ALIVE }, 'gateway-b'],
+    ['the next one, if the first is stopping', { 'gateway-a': { ...ALIVE, stopping: true }, 'gateway-b': ALIVE }, 'gateway-b'],
+    ['the next one, if the first is slow', { 'gateway-a': SLOW, 'gateway-b': ALIVE }, 'gateway-b'],
+    ['this gateway, if all before it are slow', { 'gateway-a': SLOW, 'gateway-b': SLOW }, 'gateway-c'],
     ['this gateway, if nobody before it answers', {}, 'gateway-c'],
   ] as const)('is %s', async (_name, replies, coordinator) => {
     const { members } = await createSettledMembers(replies)
@@ -112,6 +115,47 @@
     expect(members.coordinator.name).toBe('gateway-b')
   })
 
+  describe('when this process has it and is short of processor time', () => {
+    /** Makes every tick 60 ms late for a while. */
+    async function beSlowFor(milliseconds: number): Promise<void> {
+      const now = performance.now.bind(performance)
+      const startedAt = now()
+      const slowed = vi.spyOn(performance, 'now').mockImplementation(() => now() + 0.4 * (now() - startedAt))
+      await vi.advanceTimersByTimeAsync(milliseconds)
+      slowed.mockRestore()
+    }
+
+    test('passes within a second to one that answers, and does not come back when the process has recovered', async () => {
+      const { members } = await createSettledMembers({ 'gateway-b': ALIVE, 'gateway-c': ALIVE }, 'gateway-a', 500)
+      const coordinators = collectCoordinators(members)
+      await beSlowFor(1000)
+      expect(members.isSelfSlow).toBe(true)
+      await vi.advanceTimersByTimeAsync(10_000)
+      expect(coordinators).toEqual(['gateway-b'])
+    })
+
+    test('passes over followers that are slow themselves', async () => {
+      const { members } = await createSettledMembers({ 'gateway-b': SLOW, 'gateway-c': ALIVE }, 'gateway-a', 500)
+      await beSlowFor(1500)
+      expect(members.coordinator.name).toBe('gateway-c')
+    })
+
+    test('stays where nobody else answers', async () => {
+      const { members } = await createSettledMembers({}, 'gateway-a', 500)
+      await beSlowFor(1500)
+      expect(members.isCoordinator).toBe(true)
+    })
+
+    test('stays after a single long pause', async () => {
+      const { members } = await createSettledMembers({ 'gateway-b': ALIVE }, 'gateway-a', 500)
+      const now = performance.now.bind(performance)
+      vi.spyOn(performance, 'now').mockImplementation(() => now() + 4000)
+      await vi.advanceTimersByTimeAsync(1500)
+      expect(members.isCoordinator).toBe(true)
+      vi.restoreAllMocks()
+    })
+  })
+
   test('costs heartbeats to the coordinator and the one that would follow it, however many there are', async () => {
     const { members, peers } = createMembers('gateway-z')
     for (let index = 0; index < 20; index++)
@@ -135,7 +179,7 @@
   })
 
   test('reports the configuration versions that peers hold', async () => {
-    const { versions } = await createSettledMembers({ 'gateway-a': { version: 7, stopping: false } }, 'gateway-c', 500)
+    const { versions } = await createSettledMembers({ 'gateway-a': { ...ALIVE, version: 7 } }, 'gateway-c', 500)
     expect(versions).toContain(7)
   })
 })
--- a/test/gateway/shared-preparer.test.ts
+++ b/test/gateway/shared-preparer.test.ts
@@ -43,7 +43,7 @@
 
   async function createShared(failures: Error[]) {
     const { log } = createLog()
-    const members = new Members(SELF, { heartbeat: async () => ({ version: 1, stopping: false }) }, log, () => {})
+    const members = new Members(SELF, { heartbeat: async () => ({ version: 1, stopping: false, slow: false }) }, log, () => {})
     members.upsert({ ...COORDINATOR, announcementOrder: 0 })
     members.start()
     await vi.advanceTimersByTimeAsync(500)
