Refuse earlier in a stop, end as soon as requests do, and stay open when alone

Cause: new requests were served until 3.2 s after SIGTERM, so that one taken after 3 s could be cut off at the end of the grace period (LOST, the listed test); stops took 6 to 8 s, so that gateways stopped in turn were all away, with closed ports, while the balancer still sent them clients. Change: serve for 2.3 s, close after 2.7 s; with no other gateway alive serve for 2.8 s and keep the listener until the end. One plan decides each step.

--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -75,8 +75,9 @@
     this.server.closeIdleConnections()
   }
 
-  /** Closes the listener; answers under way go on. */
+  /** Closes the listener and idle connections; answers under way go on. */
   close(): void {
+    this.refusing = true
     this.server.close()
     this.server.closeIdleConnections()
   }
--- a/packages/gateway/src/process/drain/drain-clients.ts
+++ b/packages/gateway/src/process/drain/drain-clients.ts
@@ -1,21 +1,27 @@
 /**
- * Carries out the orderly end of a gateway by the times of `drain-plan.ts`.
+ * Carries out the orderly end of a gateway by the steps of `drain-plan.ts`.
  * It holds no state beyond the run; a process that is killed meanwhile breaks
  * the connections that it still has.
  */
 import type { ClientServer } from '../../connection/clients/client-server.js'
 import { wait } from '@eidermast/common'
-import { DRAIN_CLOSE_MS, DRAIN_SERVE_MS, isDrained } from './drain-plan.js'
+import { decideDrainStep, DrainStep } from './drain-plan.js'
 
 /** Milliseconds between looks at the requests under way. Not measured; the process ends at most this much later than it could. */
 const DRAIN_CHECK_MS = 50
 
 /** Serves clients on until the drain's plan lets the process end. */
-export async function drainClients(clients: ClientServer, gracePeriodMs: number): Promise<void> {
+export async function drainClients(clients: ClientServer, gracePeriodMs: number, othersServe: () => boolean): Promise<void> {
   const startedAt = performance.now()
   clients.beginDrain()
-  setTimeout(() => clients.refuseNew(), DRAIN_SERVE_MS)
-  setTimeout(() => clients.close(), DRAIN_CLOSE_MS)
-  while (!isDrained(performance.now() - startedAt, clients.activeRequests, gracePeriodMs))
+  let step = DrainStep.Serve
+  while (step !== DrainStep.End) {
+    const elapsedMs = performance.now() - startedAt
+    step = decideDrainStep({ elapsedMs, activeRequests: clients.activeRequests, gracePeriodMs, othersServe: othersServe() })
+    if (step === DrainStep.Refuse)
+      clients.refuseNew()
+    if (step === DrainStep.Close)
+      clients.close()
     await wait(DRAIN_CHECK_MS)
+  }
 }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -103,7 +103,7 @@
     this.stopping = true
     this.members.markStopping(this.self)
     void this.platform.memberDirectory.withdraw(this.self)
-    await drainClients(this.clients, gracePeriodMs)
+    await drainClients(this.clients, gracePeriodMs, () => this.members.othersServe)
     this.ending.abort()
     this.gatewayLog.stopped(this.clients.activeRequests, performance.now() - startedAt)
   }
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -75,6 +75,11 @@
     return this.states.get(this.self.name)?.slow ?? false
   }
 
+  /** Whether another gateway answers heartbeats and is not stopping; known of all while this one is stopping. */
+  get othersServe(): boolean {
+    return this.ranked.some(state => !state.isSelf && state.alive && !state.stopping)
+  }
+
   onCoordinatorChange(listener: (coordinator: Member) => void): void {
     this.coordinatorListeners.push(listener)
   }
