Rank a restarted gateway by the place that it tells, so that one coordinates

Cause: after the loss of all processes the directory lists their earlier ones at the same addresses. Change: heartbeats tell the place that a process knows of itself; a member that is listed gets its first heartbeat at once, not at the next tick. Tests: three, of which one fails before.

--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -28,6 +28,8 @@
   stopping: boolean
   /** It is short of processor time: the role passes to a gateway that is not, where there is one. */
   slow: boolean
+  /** Place of its announcement in the directory; absent while it does not know it. */
+  announcementOrder?: number
 }
 
 const progressSchema = z.object({
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -186,8 +186,7 @@
       holder: this.configuration,
       peers: this.peers,
       stageCoordinator: this.stageCoordinator,
-      isStopping: () => this.stopping,
-      isSlow: () => this.members.isSelfSlow,
+      describeSelf: () => ({ stopping: this.stopping, slow: this.members.isSelfSlow, announcementOrder: this.members.selfOrder }),
       log: this.gatewayLog,
     })
   }
--- a/packages/gateway/src/process/membership/member-state.ts
+++ b/packages/gateway/src/process/membership/member-state.ts
@@ -9,7 +9,8 @@
 /** One gateway, with its place in the ranking and its contact. Times are of the process clock, in milliseconds. */
 export interface MemberState {
   readonly member: Member
-  readonly announcementOrder: number
+  /** Place of its announcement, as listed or as it told itself; infinite for this process before it is listed. */
+  announcementOrder: number
   /** It is this process. */
   readonly isSelf: boolean
   /** When it last answered a heartbeat; minus infinity before the first answer and after a failed call. */
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -75,6 +75,12 @@
     return this.states.get(this.self.name)?.slow ?? false
   }
 
+  /** Place of this process's announcement; undefined before the directory lists it. */
+  get selfOrder(): number | undefined {
+    const order = this.states.get(this.self.name)?.announcementOrder
+    return Number.isFinite(order) ? order : undefined
+  }
+
   /** Whether another gateway answers heartbeats and is not stopping; known of all while this one is stopping. */
   get othersServe(): boolean {
     return this.ranked.some(state => !state.isSelf && state.alive && !state.stopping)
@@ -100,6 +106,8 @@
     this.log.memberListed(state.member, state.announcementOrder)
     this.states.set(listed.name, state)
     this.rank()
+    if (this.timer)
+      this.tick()
   }
 
   remove(name: string): void {
@@ -174,10 +182,24 @@
     state.lastReplyAt = performance.now()
     state.stopping = reply.stopping
     state.slow = reply.slow
+    this.setOrder(state, reply.announcementOrder ?? state.announcementOrder)
     this.setAlive(state, true)
     this.onVersion(state.member, reply.version)
   }
 
+  /**
+   * A process knows its own place best: by the record of an earlier process at
+   * its address, each of two gateways that restarted together would leave the
+   * stage work to the other, and both would coordinate.
+   */
+  private setOrder(state: MemberState, announcementOrder: number): void {
+    if (state.announcementOrder === announcementOrder)
+      return
+    state.announcementOrder = announcementOrder
+    this.log.memberListed(state.member, announcementOrder)
+    this.rank()
+  }
+
   private setAlive(state: MemberState, alive: boolean): void {
     if (state.alive === alive)
       return
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -20,10 +20,8 @@
   holder: ConfigurationHolder
   peers: PeerClients
   stageCoordinator: Preparer
-  /** Whether this process was asked to stop. */
-  isStopping: () => boolean
-  /** Whether this process is too slow to coordinate. */
-  isSlow: () => boolean
+  /** What this process tells of itself in answer to a heartbeat, without the configuration version. */
+  describeSelf: () => Omit<HeartbeatReply, 'version'>
   log: GatewayLog
 }
 
@@ -34,9 +32,9 @@
   constructor(private readonly parts: PeerServiceParts) {}
 
   heartbeat(heartbeat: Heartbeat): HeartbeatReply {
-    const { holder, isStopping, isSlow } = this.parts
+    const { holder, describeSelf } = this.parts
     void this.learnVersion(heartbeat, heartbeat.version)
-    return { version: holder.version, stopping: isStopping(), slow: isSlow() }
+    return { version: holder.version, ...describeSelf() }
   }
 
   configuration(): ConfigurationRecord | undefined {
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -90,6 +90,31 @@
     expect(coordinators).toEqual([])
   })
 
+  test('is the same for gateways that restarted together, though the directory lists their earlier processes', async () => {
+    const { members, peers } = createMembers('gateway-a')
+    members.upsert({ name: 'gateway-a', address: 'gateway-a', announcementOrder: 10 })
+    const coordinators = collectCoordinators(members)
+    peers.replies.set('gateway-b', { ...ALIVE, announcementOrder: 11 })
+    peers.replies.set('gateway-c', { ...ALIVE, announcementOrder: 12 })
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(members.isCoordinator).toBe(true)
+    expect(coordinators).toEqual([])
+  })
+
+  test('goes by the directory where a process does not know its place', async () => {
+    const { members } = await createSettledMembers({ 'gateway-a': { ...ALIVE, announcementOrder: undefined }, 'gateway-b': ALIVE })
+    expect(members.coordinator.name).toBe('gateway-a')
+  })
+
+  test('is known within a heartbeat of its being listed', async () => {
+    const { members, peers } = createMembers('gateway-z')
+    await vi.advanceTimersByTimeAsync(1000)
+    peers.replies.set('gateway-0', ALIVE)
+    members.upsert({ name: 'gateway-0', address: 'gateway-0', announcementOrder: -1 })
+    await vi.advanceTimersByTimeAsync(1)
+    expect(members.coordinator.name).toBe('gateway-0')
+  })
+
   test('stays when a gateway that had failed restarts and is announced again', async () => {
     const { members, peers } = await createSettledMembers({ 'gateway-b': ALIVE })
     peers.replies.set('gateway-a', ALIVE)
