Put waiting stage work that will miss its target back in the order

Cause: by target alone, what is late already has the earliest target and goes first; in a burst each request makes the next one late. Change: a waiting task that cannot meet its target runs 1.5 s later in the order.

--- a/packages/gateway/src/process/stages/pool/stage-pool.ts
+++ b/packages/gateway/src/process/stages/pool/stage-pool.ts
@@ -129,7 +129,7 @@
       backend.memory.expire(now)
     if (!this.hasWaitingTasks)
       return
-    this.queue.sort()
+    this.queue.sort(this.typicalCallMs(), now)
     for (const backend of this.idleBackends(now)) {
       const items = this.takeBatch(backend, now)
       if (items.length > 0)
--- a/packages/gateway/src/process/stages/pool/task-queue.ts
+++ b/packages/gateway/src/process/stages/pool/task-queue.ts
@@ -1,6 +1,6 @@
 /**
  * The tasks of one stage service that have items waiting, in the order of
- * their ranks, and the one place where a task ends. Owns them until they end;
+ * `stage-order.ts`, and the one place where a task ends. Owns them until they end;
  * tasks whose items are all in calls are held by those calls. Gone with the
  * process.
  */
@@ -8,6 +8,7 @@
 import type { StageResult, StageTask } from '../../../request/stages/stage-task.js'
 import type { PoolItem, PoolTask } from './pool-task.js'
 import type { BatchPart } from './stage-batch.js'
+import { placeInOrder } from '../stage-order.js'
 import { createPoolTask } from './pool-task.js'
 
 /** Waiting tasks of one service. */
@@ -28,8 +29,10 @@
     return added
   }
 
-  sort(): void {
-    this.queued.sort((left, right) => left.stageTask.rank - right.stageTask.rank)
+  /** Puts the tasks in their order for calls that take some milliseconds. */
+  sort(callMs: number, now: number): void {
+    const placed = this.queued.map(task => ({ task, place: placeInOrder(task.stageTask, callMs, now) }))
+    this.queued = placed.sort((left, right) => left.place - right.place).map(({ task }) => task)
   }
 
   /** Takes the chosen items out. */
--- a/packages/gateway/src/process/stages/stage-order.ts
+++ b/packages/gateway/src/process/stages/stage-order.ts
@@ -4,13 +4,16 @@
  * Inputs: priority (0 is the most urgent), target (milliseconds on the process
  * clock), whether the client retries; all known when the request arrives.
  * Rule: by target, each level of priority shifted by PRIORITY_STEP_MS; a retry
- * counts as one level more urgent.
+ * counts as one level more urgent. A waiting task that will miss its target is
+ * put back by LATE_STEP_MS.
  * Why: strict priority starved the least urgent kinds (commit 5c1a649); a
- * shifted target delays them by a bounded time.
+ * shifted target delays them by a bounded time. By target alone, what is late
+ * already goes first, and makes the next late too.
  * Set by: see the constant.
  * Log event: `stages-admission` (priority, targetMs, isRetry).
  */
 import type { PreparationRequest } from '../../connection/peers/preparation.js'
+import type { StageTask } from '../../request/stages/stage-task.js'
 
 /**
  * Milliseconds that one level of priority is worth. Not measured apart: it came
@@ -19,8 +22,20 @@
  */
 const PRIORITY_STEP_MS = 300
 
+/**
+ * Milliseconds by which a task that will miss its target runs later. Against
+ * none, nine of ten paired days answer more in time (share of worth +0.007 +-
+ * 0.006). Not measured apart; without a bound a late request waits for its deadline.
+ */
+const LATE_STEP_MS = 1500
+
 /** Place in the order of a request that arrives now, on the process clock in milliseconds; the least goes first. */
 export function rankRequest({ priority, isRetry, targetMs }: PreparationRequest, now: number): number {
   const level = priority - (isRetry ? 1 : 0)
   return now + targetMs + level * PRIORITY_STEP_MS
 }
+
+/** Place in the order of a task that waits now for a call of some milliseconds; the least goes first. */
+export function placeInOrder({ rank, targetAt, remainingMs }: StageTask, callMs: number, now: number): number {
+  return now + callMs + remainingMs > targetAt ? rank + LATE_STEP_MS : rank
+}
--- a/test/gateway/stage-rules.test.ts
+++ b/test/gateway/stage-rules.test.ts
@@ -8,6 +8,7 @@
   findBetterDomain,
   inputsFetchedAfter,
   ItemFailure,
+  placeInOrder,
   StageCallEnd,
   StageFailureDecision,
 } from '@eidermast/gateway'
@@ -104,6 +105,19 @@
   })
 })
 
+describe('the order of waiting tasks', () => {
+  const CALL_MS = 300
+  const inTime = createTask({ rank: 1300, targetAt: 1000, remainingMs: 250 })
+
+  test.each([
+    ['go by their rank while they can meet their targets', createTask({ rank: 1000, targetAt: 1000, remainingMs: 250 }), true],
+    ['let those go first that can meet their target', createTask({ rank: 1000, targetAt: 1000, remainingMs: 701 }), false],
+    ['do not let one that is late wait for ever', createTask({ rank: -300, targetAt: 1000, remainingMs: 701 }), true],
+  ])('%s', (_name, task, goesFirst) => {
+    expect(placeInOrder(task, CALL_MS, 0) < placeInOrder(inTime, CALL_MS, 0)).toBe(goesFirst)
+  })
+})
+
 describe('the retry of an item', () => {
   test.each<[string, ItemFailureCause, number, ItemRetryDecision]>([
     ['is retried after an error', ItemFailure.Error, 1, { isRetried: true }],
