--- a/packages/gateway/src/process/membership/coordinator-choice.ts
+++ b/packages/gateway/src/process/membership/coordinator-choice.ts
@@ -11,8 +11,8 @@
  * and not stopping; else this process.
  * Why: a gateway that restarts is announced last, so it never takes the role
  * from the one at work. A choice by hash did: during a rolling restart two
- * gateways coordinated at a time, and 4,056 inputs were gone (docs/FINDINGS.md,
- * run of firmasur trouble-2; commit c31d827).
+ * gateways coordinated at a time, and 4,056 inputs were gone (docs/FINDINGS.md;
+ * commit c31d827).
  * Set by: no constant.
  * Log event: `stage-coordinator`.
  */
--- a/packages/gateway/src/process/membership/failure-detection.ts
+++ b/packages/gateway/src/process/membership/failure-detection.ts
@@ -9,7 +9,7 @@
  * Why: several heartbeats may be lost within that time, so that no single one
  * decides. When a single one without an answer (450 ms) used up most of it, a
  * healthy coordinator counted as failed and two of them worked
- * (docs/FINDINGS.md, runs of firmasur quiet-1; commit 3ddaec6).
+ * (docs/FINDINGS.md; commit 3ddaec6).
  * Set by: the constants below.
  * Log events: `member-failed`, `member-recovered`.
  */
--- a/packages/gateway/src/process/membership/heartbeat-targets.ts
+++ b/packages/gateway/src/process/membership/heartbeat-targets.ts
@@ -11,7 +11,7 @@
  * Why: only the coordinator and its successor matter to a gateway, so the cost
  * does not grow with the number of gateways. The successor is watched before
  * it is needed: one that was last heard at the start counted as failed just as
- * it became coordinator (docs/FINDINGS.md, trial d of firmasur trouble-3).
+ * it became coordinator (docs/FINDINGS.md).
  * Set by: the constants below.
  * Log event: none of its own; its effects are `member-failed` and `member-recovered`.
  */
--- a/packages/gateway/src/process/stages/backend/backend-pause.ts
+++ b/packages/gateway/src/process/stages/backend/backend-pause.ts
@@ -31,8 +31,8 @@
 export const MEMORY_PAUSE_MS = 60
 /**
  * How long memory that a backend server turned out not to have counts as used,
- * in milliseconds: commit 9a957cf (worth of firmasur scale-1 0.343 to 0.393,
- * trouble-3 0.386 to 0.421).
+ * in milliseconds: commit 9a957cf (worth of two days of overload 0.343 to
+ * 0.393 and 0.386 to 0.421).
  */
 export const MEMORY_DISTRUST_MS = 400
 
--- a/packages/gateway/src/process/stages/engine-assignment.ts
+++ b/packages/gateway/src/process/stages/engine-assignment.ts
@@ -69,12 +69,31 @@
 class EngineState {
   tokensToRead = 0
   tokenMs = FIRST_TOKEN_MS
-  /** When each shared part was last assigned here, on the process clock in milliseconds. */
-  readonly parts = new Map<string, number>()
+  /** When each shared part was last assigned here, on the process clock in milliseconds; the longest ago comes first. */
+  private readonly parts = new Map<string, number>()
+
+  /** A shared part is assigned. */
+  keep(part: string, now: number): void {
+    this.parts.delete(part)
+    this.parts.set(part, now)
+  }
+
+  keeps(part: string, now: number): boolean {
+    return now - (this.parts.get(part) ?? Number.NEGATIVE_INFINITY) <= PART_LIFETIME_MS
+  }
+
+  /** Forgets parts that are no longer kept. */
+  expire(now: number): void {
+    for (const part of this.parts.keys()) {
+      if (this.keeps(part, now))
+        return
+      this.parts.delete(part)
+    }
+  }
 
   /** A request's first event came after a time in milliseconds. */
   measure(tookMs: number, tokens: number): void {
-    const measured = Math.max(0, tookMs - FIXED_MS) / tokens
+    const measured = Math.max(0, tookMs - FIXED_MS) / Math.max(1, tokens)
     const bounded = Math.min(MAX_SLOWNESS * FIRST_TOKEN_MS, Math.max(MIN_SLOWNESS * FIRST_TOKEN_MS, measured))
     this.tokenMs += (bounded - this.tokenMs) * SPEED_WEIGHT
   }
@@ -110,11 +129,17 @@
     const tokens = ownTokens(request.prompt) + this.missingTokens(request.prompt, engine, engine === findHome(request.prompt, engines), now)
     this.assignments.set(request.requestId, { engine: state, tokens, tokensAhead: state.tokensToRead, assignedAt: now })
     state.tokensToRead += tokens
-    for (const part of request.prompt.slice(0, -1))
-      state.parts.set(part.id, now)
+    state.expire(now)
+    for (const part of sharedParts(request.prompt))
+      state.keep(part.id, now)
     return engine
   }
 
+  /** Forgets an engine that was removed. */
+  forget(engineId: string): void {
+    this.engines.delete(engineId)
+  }
+
   /** The engine of a request has read its results, or will not. */
   release(requestId: string, now: number): void {
     const assignment = this.take(requestId)
@@ -142,10 +167,10 @@
   private missingTokens(prompt: readonly PromptPart[], engine: Backend, isHome: boolean, now: number): number {
     if (isHome)
       return 0
-    const { parts } = this.stateOf(engine)
-    const shared = prompt.slice(0, -1)
-    const kept = shared.findIndex(part => now - (parts.get(part.id) ?? Number.NEGATIVE_INFINITY) > PART_LIFETIME_MS)
-    return kept === -1 ? 0 : shared.slice(kept).reduce((sum, part) => sum + part.tokens, 0)
+    const state = this.stateOf(engine)
+    const shared = sharedParts(prompt)
+    const firstMissing = shared.findIndex(part => !state.keeps(part.id, now))
+    return firstMissing === -1 ? 0 : shared.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0)
   }
 
   private stateOf(engine: Backend): EngineState {
@@ -167,8 +192,13 @@
   return prompt.at(-1)?.tokens ?? 0
 }
 
+/** The parts that other requests may begin with too. */
+function sharedParts(prompt: readonly PromptPart[]): readonly PromptPart[] {
+  return prompt.slice(0, -1)
+}
+
 /** The engine that all coordinators prefer for the shared parts. */
 function findHome(prompt: readonly PromptPart[], engines: readonly Backend[]): Backend | undefined {
-  const last = prompt.slice(0, -1).at(-1)
+  const last = sharedParts(prompt).at(-1)
   return last && rankByRendezvous(last.id, engines, engine => engine.id)[0]
 }
--- a/packages/gateway/src/process/stages/pool/domain-wait.ts
+++ b/packages/gateway/src/process/stages/pool/domain-wait.ts
@@ -11,8 +11,7 @@
  * never longer than MAX_DOMAIN_WAIT_MS and never into TARGET_MARGIN_MS before
  * the target.
  * Why: crossing bytes are paid by everybody, a delay by one request. A least
- * cost of waiting and bytes (trials g, i, l) and a shorter wait of 120 ms
- * (trial f) gained nothing.
+ * cost of waiting and bytes and a shorter wait of 120 ms gained nothing.
  * Set by: commits 9668bfa and cb069cb, see the constants.
  * Log event: `stage-call` (failureDomain of the backend server that ran it).
  */
@@ -20,7 +19,7 @@
 
 /**
  * Longest wait for a better failure domain, in milliseconds. 200 ms (commit
- * c31d827) and 120 ms (trial f) were taken back in cb069cb: within the spread.
+ * c31d827) and 120 ms were taken back in cb069cb: within the spread.
  */
 const MAX_DOMAIN_WAIT_MS = 400
 /**
--- a/packages/gateway/src/process/stages/pool/early-free.ts
+++ b/packages/gateway/src/process/stages/pool/early-free.ts
@@ -16,7 +16,8 @@
 
 /**
  * Milliseconds after a change of coordinator in which calls of the one before
- * may run first: commit cb069cb; 5 s cost firmasur trouble-3 (trials d to g).
+ * may run first: commit cb069cb; 5 s cost a day on which the coordinator is killed
+ * nearly all of its worth.
  */
 export const OTHER_COORDINATOR_MS = 1500
 /**
--- a/packages/gateway/src/process/stages/stage-admission.ts
+++ b/packages/gateway/src/process/stages/stage-admission.ts
@@ -22,8 +22,8 @@
 
 /**
  * Wait that no target forbids, in milliseconds: some targets are below the time
- * of the stages alone. Measured with other changes in commit 1e05cb6 (worth of
- * wlj trouble-3 0.81 to 1.00). Half of it refuses routes with short targets
+ * of the stages alone. Measured with other changes in commit 1e05cb6 (score of
+ * one day of overload 0.81 to 1.00). Half of it refuses routes with short targets
  * under little load; twice as much admits what is late.
  */
 const ALWAYS_ALLOWED_WAIT_MS = 300
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -60,6 +60,7 @@
   ) {
     const refresh = (backend: Backend): void => this.refresh(backend.service)
     registry.listen({ added: refresh, removed: refresh, stateChanged: refresh })
+    registry.listen({ removed: backend => this.engines.forget(backend.id) })
     this.timer = setInterval(() => this.dispatchWaiting(), DISPATCH_INTERVAL_MS)
     this.timer.unref()
   }
--- a/test/gateway/engine-assignment.test.ts
+++ b/test/gateway/engine-assignment.test.ts
@@ -76,6 +76,33 @@
     expect(engines.at(-1)).not.toBe('a')
   })
 
+  test('is chosen anew where it was removed, and by nothing that an earlier life left', () => {
+    const assignments = new EngineAssignments()
+    const long = createRequest({ prompt: [{ id: 'long', tokens: 40_000 }] })
+    const busy = assignments.assign(long, ENGINES, 0)!
+    assignments.forget(busy.id)
+    assignments.release(long.requestId, 100)
+    expect(assignments.assign(createRequest({ failureDomain: busy.failureDomain, bytes: 8_000_000 }), ENGINES, 100)).toBe(busy)
+  })
+
+  test('is chosen for prompts without tokens too', () => {
+    const assignments = new EngineAssignments()
+    const empty = createRequest({ prompt: [{ id: 'own', tokens: 0 }] })
+    assignments.assign(empty, ENGINES, 0)
+    assignments.release(empty.requestId, 0)
+    expect(assignments.assign(createRequest(), ENGINES, 0)).toBeDefined()
+  })
+
+  test('no longer keeps a shared part that nobody asked for lately', () => {
+    const assignments = new EngineAssignments()
+    const first = assignments.assign(sharing('part'), ENGINES, 0)!
+    const others = ENGINES.filter(engine => engine !== first)
+    const second = assignments.assign(sharing('part'), others, 0)!
+    expect(assignments.choose(sharing('part'), [second, ...others], 1000)).toBe(second)
+    const home = new EngineAssignments().choose(sharing('part'), others, 0)
+    expect(assignments.choose(sharing('part'), others, LONG_MS)).toBe(home)
+  })
+
   test('is none where none takes work', () => {
     expect(new EngineAssignments().assign(createRequest(), [], 0)).toBeUndefined()
   })
