Choose among slow gateways by their order alone, and know the follower beforehand

Cause: where all gateways are slow, each stayed with the coordinator that it had, at a start itself, so that several could coordinate for 30 s (found by the new soak on a busy machine, where starting processes count as slow). A coordinator that became slow took 0.5 s to find out who else is alive. Change: among slow ones the first in order coordinates, for all alike; each gateway watches the first two that can coordinate, itself counted, so that a coordinator knows its follower. Found and left: pauses that keep step with the 150 ms ticks (150 of 180 ms) show a lateness of 30 ms only and are not noticed.

--- a/packages/gateway/src/process/membership/coordinator-choice.ts
+++ b/packages/gateway/src/process/membership/coordinator-choice.ts
@@ -7,8 +7,7 @@
  * (this process's own contact, see `failure-detection.ts`), stopping or slow
  * (its own answer to a heartbeat, see `slowness.ts`).
  * Rule: the member announced first of those that are alive and neither stopping
- * nor slow; else the coordinator so far, else the first, of those that are alive
- * and not stopping; else this process.
+ * nor slow; else the first that is alive and not stopping; else this process.
  * Why: a gateway that restarts is announced last, so it never takes the role
  * from the one at work. A choice by hash did: during a rolling restart two
  * gateways coordinated at a time, and 4,056 inputs were gone (docs/FINDINGS.md;
@@ -28,9 +27,7 @@
 }
 
 /** The coordinator among candidates that are in order. */
-export function chooseCoordinator(ranked: readonly MemberState[], self: Member, current: Member): Member {
+export function chooseCoordinator(ranked: readonly MemberState[], self: Member): Member {
   const usable = ranked.filter(candidate => candidate.alive && !candidate.stopping)
-  const well = usable.find(candidate => !candidate.slow)
-  const slow = usable.find(candidate => candidate.member.name === current.name) ?? usable[0]
-  return (well ?? slow)?.member ?? self
+  return (usable.find(candidate => !candidate.slow) ?? usable[0])?.member ?? self
 }
--- a/packages/gateway/src/process/membership/heartbeat-targets.ts
+++ b/packages/gateway/src/process/membership/heartbeat-targets.ts
@@ -4,14 +4,16 @@
  * Inputs: the members in the order in which they would coordinate; for each,
  * the time of its last answer and of the last heartbeat to it, and heartbeats
  * without an answer (this process's own, as of now).
- * Rule: the members that would coordinate before this one, up to and with the
- * second that is alive and not stopping. Each gets one every
+ * Rule: the members in their order, up to and with the second that can
+ * coordinate, this one counted: it is alive and neither stopping nor slow. Each
+ * gets one every
  * HEARTBEAT_INTERVAL_MS, one that has failed every FAILED_HEARTBEAT_INTERVAL_MS,
  * and none while MAX_PENDING_HEARTBEATS wait for an answer.
  * Why: only the coordinator and its successor matter to a gateway, so the cost
  * does not grow with the number of gateways. The successor is watched before
  * it is needed: one that was last heard at the start counted as failed just as
- * it became coordinator (docs/FINDINGS.md).
+ * it became coordinator (docs/FINDINGS.md); and a coordinator that becomes slow
+ * knows at once whom to leave the work to, where it took 0.5 s to find out.
  * Set by: the constants below.
  * Log event: none of its own; its effects are `member-failed` and `member-recovered`.
  */
@@ -39,12 +41,10 @@
   const watched: MemberState[] = []
   let usable = 0
   for (const state of ranked) {
-    if (state.isSelf && !state.stopping && !state.slow)
-      break
-    if (state.isSelf)
-      continue
-    watched.push(state)
-    if (!hasFailed(now - state.lastReplyAt) && !state.stopping && !state.slow)
+    if (!state.isSelf)
+      watched.push(state)
+    const isAlive = state.isSelf || !hasFailed(now - state.lastReplyAt)
+    if (isAlive && !state.stopping && !state.slow)
       usable++
     if (usable === WATCHED_CANDIDATES)
       break
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -217,7 +217,7 @@
 
   private updateCoordinator(): void {
     const previous = this.currentCoordinator
-    const coordinator = chooseCoordinator(this.ranked, this.self, previous)
+    const coordinator = chooseCoordinator(this.ranked, this.self)
     if (coordinator.name === previous.name && coordinator.address === previous.address)
       return
     this.log.coordinatorChanged(coordinator, previous, this.states.size)
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -165,6 +165,22 @@
       expect(members.coordinator.name).toBe('gateway-c')
     })
 
+    test('is the first in order, for all alike, where all are slow', async () => {
+      const first = await createSettledMembers({ 'gateway-b': SLOW, 'gateway-c': SLOW, 'gateway-d': SLOW }, 'gateway-a', 500)
+      const last = await createSettledMembers({ 'gateway-a': SLOW, 'gateway-b': SLOW, 'gateway-c': SLOW }, 'gateway-d', 500)
+      await beSlowFor(1500)
+      expect(first.members.coordinator.name).toBe('gateway-a')
+      expect(last.members.coordinator.name).toBe('gateway-a')
+    })
+
+    test('passes on at once, since its follower is known before it is needed', async () => {
+      const { members, peers } = await createSettledMembers({ 'gateway-b': ALIVE, 'gateway-c': ALIVE }, 'gateway-a', 1000)
+      peers.replies.set('gateway-c', 'silent')
+      const coordinators = collectCoordinators(members)
+      await beSlowFor(1000)
+      expect(coordinators).toEqual(['gateway-b'])
+    })
+
     test('stays where nobody else answers', async () => {
       const { members } = await createSettledMembers({}, 'gateway-a', 500)
       await beSlowFor(1500)
--- /dev/null
+++ b/test/soak/slow-soak.test.ts
@@ -0,0 +1,84 @@
+import type { GatewayChild } from './support/gateway-child.js'
+import type { Draw } from './support/soak-clients.js'
+import { readFileSync } from 'node:fs'
+import path from 'node:path'
+import { wait } from '@eidermast/common'
+import { beforeAll, describe, expect, test, vi } from 'vitest'
+import { SoakClients } from './support/soak-clients.js'
+import { SoakDeployment } from './support/soak-deployment.js'
+import { createDraw, readSeeds } from './support/soak-seeds.js'
+
+/** Milliseconds for which a gateway is slowed. */
+const SLOWED_MS = 2500
+/** Shortest and longest time for which a slowed process stands still, in milliseconds; drawn, so that it keeps no step with timers. */
+const MIN_STOPPED_MS = 100
+const MAX_STOPPED_MS = 300
+/** Milliseconds for which it runs in between. */
+const RUNNING_MS = 30
+/** Milliseconds after a gateway has recovered in which nothing may change. */
+const QUIET_MS = 1500
+
+/** Gateways that one gateway has seen coordinate, in order, by its log. */
+function coordinatorsSeenBy({ directory }: SoakDeployment, number: number): string[] {
+  const lines = readFileSync(path.join(directory, `gateway-${number}.log`), 'utf8').split('\n')
+  return lines.filter(line => line.includes('"stage-coordinator"')).map(line => JSON.parse(line).coordinator)
+}
+
+/** Gateways that found themselves short of processor time, on a busy machine also others than those that the test slows. */
+function findSlow({ directory, gateways }: SoakDeployment): string[] {
+  const names = gateways.map((_, number) => `gateway-${number}`)
+  return names.filter(name => readFileSync(path.join(directory, `${name}.log`), 'utf8').includes('"event":"slow"'))
+}
+
+function coordinatorsOf(deployment: SoakDeployment): (string | undefined)[] {
+  return deployment.gateways.map((_, number) => coordinatorsSeenBy(deployment, number).at(-1) ?? `gateway-${number}`)
+}
+
+async function slow(gateway: GatewayChild, draw: Draw): Promise<void> {
+  const until = performance.now() + SLOWED_MS
+  while (performance.now() < until) {
+    gateway.signal('SIGSTOP')
+    await wait(MIN_STOPPED_MS + draw(MAX_STOPPED_MS - MIN_STOPPED_MS))
+    gateway.signal('SIGCONT')
+    await wait(RUNNING_MS)
+  }
+}
+
+describe('a soak of gateways that are short of processor time in turn', () => {
+  beforeAll(async () => {
+    await import('../../platform/build.mjs' as string)
+  })
+
+  test.each(readSeeds())('passes the stage work on to one that is well, if there is one, and does not pass it back and forth (seed %i)', async (seed) => {
+    const draw = createDraw(seed)
+    const deployment = new SoakDeployment()
+    await deployment.start()
+    const clients = new SoakClients(deployment.gateways, draw)
+    try {
+      await vi.waitFor(() => expect(new Set(coordinatorsOf(deployment)).size).toBe(1), { timeout: 30_000, interval: 100 })
+      await vi.waitFor(async () => expect(await Promise.all(deployment.gateways.map(gateway => gateway.isReady()))).not.toContain(false), { timeout: 30_000, interval: 100 })
+      clients.start()
+      const slowed: string[] = []
+      while (slowed.length < deployment.gateways.length - 1) {
+        const [coordinator] = coordinatorsOf(deployment)
+        slowed.push(coordinator!)
+        await slow(deployment.gateways[Number(coordinator!.at(-1))], draw)
+        const seen = deployment.gateways.map((_, number) => coordinatorsSeenBy(deployment, number))
+        expect(new Set(coordinatorsOf(deployment)).size).toBe(1)
+        expect(findSlow(deployment)).toContain(coordinator)
+        if (findSlow(deployment).length < deployment.gateways.length)
+          expect(findSlow(deployment)).not.toContain(coordinatorsOf(deployment)[0])
+        const slowBefore = findSlow(deployment)
+        await wait(QUIET_MS)
+        if (findSlow(deployment).length === slowBefore.length)
+          expect(deployment.gateways.map((_, number) => coordinatorsSeenBy(deployment, number))).toEqual(seen)
+      }
+      await clients.stop()
+      expect(clients.requests.filter(sent => sent.status === 200).length).toBeGreaterThan(clients.requests.length / 2)
+    }
+    finally {
+      await clients.stop()
+      await deployment.stop()
+    }
+  })
+})
