Let a slow coordinator take what still comes while it hands its work over

Change: only a stopping coordinator refuses; a slow one hands over what it has and takes what still comes. The soak waits a second for agreement, then wants none to change. Test: stage-handover, one, fails before.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -220,7 +220,7 @@
     if (this.members.isCoordinator)
       this.stageCoordinator.takeOver()
     else if (this.stopping || this.members.isSelfSlow)
-      this.stageCoordinator.handOver()
+      this.stageCoordinator.handOver(this.stopping)
   }
 
   /** The allowance of retries of all gateways together. */
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -126,9 +126,14 @@
       pool.expectOtherCoordinator()
   }
 
-  /** Stops coordinating: the next coordinator continues with the results that there are. */
-  handOver(): void {
-    this.handingOver = true
+  /**
+   * Lets the next coordinator continue with the results that there are. One that
+   * is stopping takes no more work; another one takes what still comes from
+   * gateways that have not noticed, since refusing it would send them from one
+   * slow gateway to the next and back.
+   */
+  handOver(isStopping: boolean): void {
+    this.handingOver ||= isStopping
     for (const run of [...this.runs.values()])
       run.handOver()
   }
