--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -26,6 +26,9 @@
   private readonly listeners: BackendListener[] = []
   /** Until when entries that go are used on: milliseconds of the process clock. */
   private graceUntil = 0
+  /** When the source answered last, and when before that: milliseconds of the process clock. */
+  private answeredAt = performance.now()
+  private answeredBeforeAt = performance.now()
   /** Timers that remove backend servers whose entries have gone, by id. */
   private readonly lapsed = new Map<string, NodeJS.Timeout>()
   /** Why entries may have lapsed; absent before the first outage. */
@@ -54,6 +57,16 @@
     return [...this.byService.get(service) ?? []].filter(backend => backend.takesWork)
   }
 
+  /** Milliseconds since the source answered last: a change that it has not brought may be as old. */
+  get listAgeMs(): number {
+    return performance.now() - this.answeredAt
+  }
+
+  noteSourceAnswered(): void {
+    this.answeredBeforeAt = this.answeredAt
+    this.answeredAt = performance.now()
+  }
+
   /** The source answers again after failures: entries may have lapsed meanwhile. */
   noteSourceReturned(outage: SourceOutage): void {
     this.lastOutage = outage
@@ -91,7 +104,7 @@
     backend.removed = true
     this.byId.delete(id)
     this.backendsOf(backend.service).delete(backend)
-    this.log.backendRemoved(backend.record, reason)
+    this.log.backendRemoved(backend.record, reason, this.noticedWithinMs)
     for (const listener of this.listeners)
       listener.removed?.(backend)
   }
@@ -107,6 +120,11 @@
       this.upsert(record)
   }
 
+  /** Milliseconds between the source's last two answers: what the last one brought is at most that old. */
+  private get noticedWithinMs(): number {
+    return this.answeredAt - this.answeredBeforeAt
+  }
+
   private add(record: BackendRecord): void {
     const backend = new Backend(record)
     this.byId.set(record.id, backend)
@@ -121,7 +139,7 @@
     backend.record = record
     if (!stateChanged)
       return
-    this.log.backendStateChanged(record)
+    this.log.backendStateChanged(record, this.noticedWithinMs)
     for (const listener of this.listeners)
       listener.stateChanged?.(backend)
   }
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -72,9 +72,9 @@
     this.log.write('backend-added', { backend: id, service, failureDomain, address, draining })
   }
 
-  /** It began to leave, or takes work again. */
-  backendStateChanged({ id, service, draining }: BackendRecord): void {
-    this.log.write('backend-state', { backend: id, service, draining })
+  /** It began to leave, or takes work again; at most `noticedWithinMs` milliseconds ago. */
+  backendStateChanged({ id, service, draining }: BackendRecord, noticedWithinMs: number): void {
+    this.log.write('backend-state', { backend: id, service, draining, noticedWithinMs: Math.round(noticedWithinMs) })
   }
 
   /** Its entry is gone, and it is used on for this long, in milliseconds, since the list was away before. */
@@ -99,7 +99,8 @@
     this.log.write('work-turned-away', { backend: id, service, waitedMs: Math.round(waitedMs), draining: record.draining, removed })
   }
 
-  backendRemoved({ id, service }: BackendRecord, reason: string): void {
-    this.log.write('backend-removed', { backend: id, service, reason })
+  /** Its entry went at most `noticedWithinMs` milliseconds before the list's last answer. */
+  backendRemoved({ id, service }: BackendRecord, reason: string, noticedWithinMs: number): void {
+    this.log.write('backend-removed', { backend: id, service, reason, noticedWithinMs: Math.round(noticedWithinMs) })
   }
 }
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -32,6 +32,8 @@
 
 /** Takes the changes of the platform's list of backend servers. */
 export interface BackendSink {
+  /** The source answered; called before what it brings. */
+  noteSourceAnswered: () => void
   /** The source answers again after failures: entries may have lapsed meanwhile. */
   noteSourceReturned: (outage: SourceOutage) => void
   /** The whole list. */
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -71,3 +71,22 @@
     expect(isUsed()).toBe(false)
   })
 })
+
+describe('a change of the list', () => {
+  test('is logged with how old it may be: the time between the last two answers of the source', () => {
+    const { log, lines } = createLog()
+    const watched = new BackendRegistry(log)
+    watched.upsert(RECORD)
+    watched.noteSourceAnswered()
+    vi.advanceTimersByTime(4600)
+    watched.noteSourceAnswered()
+    watched.upsert({ ...RECORD, draining: true })
+    vi.advanceTimersByTime(300)
+    watched.remove(RECORD.id, 'its entry is gone')
+    expect(lines.slice(-2)).toMatchObject([
+      { event: 'backend-state', noticedWithinMs: 4600 },
+      { event: 'backend-removed', noticedWithinMs: 4600 },
+    ])
+    expect(watched.listAgeMs).toBe(300)
+  })
+})
