Pass the list of backend servers between gateways, so that a lost read of one hides nothing

Cause: a gateway learned of backend servers from its own reads alone. A read that a silent connection lost, or a store that leaves one gateway without an answer, kept it from a leaving for 4.6 s and more, while peers that answered its heartbeats knew.

Change: heartbeats and their answers tell the revision of the list; a gateway that has not caught up within 0.2 s fetches the list from that peer (backend-list, peer-fetch). Entries keep their revisions, so that whichever read comes later undoes nothing. What has gone by a peer's word is removed at once, or after 1.5 s where this gateway's own source is away.

--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -18,6 +18,19 @@
   draining: boolean
 }
 
+/** An entry of the platform's list, with its place among the list's changes. */
+export interface ListedBackend {
+  record: BackendRecord
+  /** Rises with every change of the list; at least 1. */
+  revision: number
+}
+
+/** The platform's list up to one of its changes; it may hold newer entries too. */
+export interface ListedBackends {
+  revision: number
+  entries: readonly ListedBackend[]
+}
+
 /** Load as a backend server reported it in an answer. */
 export interface BackendLoad {
   /** Requests at work there, of all gateways. */
--- a/packages/gateway/src/connection/peers/peer-clients.ts
+++ b/packages/gateway/src/connection/peers/peer-clients.ts
@@ -6,6 +6,7 @@
 import type { TRPCClient } from '@trpc/client'
 import type { Result } from 'ts-results-es'
 import type { ConfigurationRecord } from '../../version/configuration-holder.js'
+import type { ListedBackends } from '../backends/backend.js'
 import type { Member } from './member.js'
 import type { Heartbeat, HeartbeatReply } from './peer-messages.js'
 import type { PeerRouter } from './peer-router.js'
@@ -27,10 +28,11 @@
  */
 const HEARTBEAT_TIMEOUT_MS = 450
 /**
- * Milliseconds for a peer's configuration. Not measured: a configuration may be
- * large; one that is late comes with the next heartbeat.
+ * Milliseconds for what a peer holds, its configuration or its list of backend
+ * servers. Not measured: both may be large; what is late is asked for again
+ * after the next heartbeat.
  */
-const CONFIGURATION_TIMEOUT_MS = 1500
+const HELD_STATE_TIMEOUT_MS = 1500
 /** Milliseconds to free results. Not measured: results that aren't freed end by themselves. */
 const RELEASE_TIMEOUT_MS = 1000
 
@@ -69,7 +71,12 @@
 
   /** The peer's configuration; null while it knows none. */
   configuration(member: Member): Promise<ConfigurationRecord | null> {
-    return this.of(member).configuration.query(undefined, { signal: AbortSignal.timeout(CONFIGURATION_TIMEOUT_MS) })
+    return this.of(member).configuration.query(undefined, { signal: AbortSignal.timeout(HELD_STATE_TIMEOUT_MS) })
+  }
+
+  /** The peer's list of backend servers. */
+  backends(member: Member): Promise<ListedBackends> {
+    return this.of(member).backends.query(undefined, { signal: AbortSignal.timeout(HELD_STATE_TIMEOUT_MS) })
   }
 
   /** Does the stage work of a request at a peer; takes as long as the signal allows. */
--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -15,6 +15,8 @@
   address: z.string(),
   /** Configuration version that the sender holds. */
   version: z.number(),
+  /** Revision of the sender's list of backend servers; absent in releases that do not pass it on. */
+  backends: z.number().optional(),
 })
 
 /** A gateway's heartbeat to another. */
@@ -24,6 +26,8 @@
 export interface HeartbeatReply {
   /** Configuration version that the peer holds. */
   version: number
+  /** Revision of the peer's list of backend servers; absent in releases that do not pass it on. */
+  backends?: number
   /** It is stopping: the coordinator's role passes to another gateway. */
   stopping: boolean
   /** It is short of processor time: the role passes to a gateway that is not, where there is one. */
--- a/packages/gateway/src/connection/peers/peer-router.ts
+++ b/packages/gateway/src/connection/peers/peer-router.ts
@@ -5,6 +5,7 @@
  */
 import type { Result } from 'ts-results-es'
 import type { ConfigurationRecord } from '../../version/configuration-holder.js'
+import type { ListedBackends } from '../backends/backend.js'
 import type { Heartbeat, HeartbeatReply, PreparationReplyMessage } from './peer-messages.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs } from './preparation.js'
 import { UNABORTED } from '@eidermast/common'
@@ -19,6 +20,8 @@
   heartbeat: (heartbeat: Heartbeat) => HeartbeatReply
   /** The configuration in force; undefined while none is known. */
   configuration: () => ConfigurationRecord | undefined
+  /** The list of backend servers; its revision is 0 while none is known. */
+  backends: () => ListedBackends
   /** Does the stage work of a request; the signal aborts when the calling gateway leaves or abandons the call. */
   prepare: (request: PreparationRequest, signal: AbortSignal) => Promise<Result<PreparedInputs, PreparationFailure>>
   /** Frees the results of requests; ids that aren't known are ignored. */
@@ -31,6 +34,7 @@
     // The heartbeat's name on the wire since the first release.
     greet: trpc.procedure.input(heartbeatSchema).mutation(({ input }) => service.heartbeat(input)),
     configuration: trpc.procedure.query(() => service.configuration() ?? null),
+    backends: trpc.procedure.query(() => service.backends()),
     prepare: trpc.procedure.input(preparationRequestSchema).mutation(async ({ input, signal }): Promise<PreparationReplyMessage> => {
       const result = await service.prepare(input, signal ?? UNABORTED)
       return encodePreparationReply(result)
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -6,7 +6,7 @@
  */
 import type { EventLog } from '@eidermast/common'
 import type { BackendRecord } from '../connection/backends/backend.js'
-import type { BackendSink, SourceOutage } from './platform-adapter.js'
+import type { SourceOutage } from './platform-adapter.js'
 import { Backend } from '../connection/backends/backend.js'
 import { GatewayLog } from './gateway-log.js'
 import { decideLapseGrace } from './lapse-grace.js'
@@ -19,16 +19,16 @@
   stateChanged?: (backend: Backend) => void
 }
 
-/** Holds backend servers; a source upserts and removes them. */
-export class BackendRegistry implements BackendSink {
+/** Holds backend servers; the list upserts and removes them. */
+export class BackendRegistry {
   private readonly byId = new Map<string, Backend>()
   private readonly byService = new Map<string, Set<Backend>>()
   private readonly listeners: BackendListener[] = []
   /** Until when entries that go are used on: milliseconds of the process clock. */
   private graceUntil = 0
-  /** When the source answered last, and when before that: milliseconds of the process clock. */
-  private answeredAt = performance.now()
-  private answeredBeforeAt = performance.now()
+  /** When the list was read last, and when before that: milliseconds of the process clock. */
+  private readAt = performance.now()
+  private readBeforeAt = performance.now()
   /** Timers that remove backend servers whose entries have gone, by id. */
   private readonly lapsed = new Map<string, NodeJS.Timeout>()
   /** Why entries may have lapsed; absent before the first outage. */
@@ -57,14 +57,15 @@
     return [...this.byService.get(service) ?? []].filter(backend => backend.takesWork)
   }
 
-  /** Milliseconds since the source answered last: a change that it has not brought may be as old. */
+  /** Milliseconds since the list was read last: a change that is not known here may be as old. */
   get listAgeMs(): number {
-    return performance.now() - this.answeredAt
+    return performance.now() - this.readAt
   }
 
-  noteSourceAnswered(): void {
-    this.answeredBeforeAt = this.answeredAt
-    this.answeredAt = performance.now()
+  /** The platform or a peer gave the list; called before what it brings. */
+  noteListRead(): void {
+    this.readBeforeAt = this.readAt
+    this.readAt = performance.now()
   }
 
   /** The source answers again after failures: entries may have lapsed meanwhile. */
@@ -85,13 +86,17 @@
 
   /** Its entry has gone: it is removed, at once or after the time of grace. */
   unlist(id: string): void {
-    const remainingMs = this.graceUntil - performance.now()
-    if (remainingMs <= 0 || !this.byId.has(id))
+    this.unlistAfter(id, this.graceUntil - performance.now())
+  }
+
+  /** Its entry has gone: it is used on for this long, in milliseconds, where that is more than 0. */
+  unlistAfter(id: string, graceMs: number): void {
+    if (graceMs <= 0 || !this.byId.has(id))
       return this.remove(id, 'its entry is gone')
     if (this.lapsed.has(id))
       return
-    this.log.backendLapsed(id, remainingMs, this.lastOutage)
-    const removal = setTimeout(() => this.remove(id, 'its entry lapsed and did not come back'), remainingMs)
+    this.log.backendLapsed(id, graceMs, this.lastOutage)
+    const removal = setTimeout(() => this.remove(id, 'its entry lapsed and did not come back'), graceMs)
     this.lapsed.set(id, removal.unref())
   }
 
@@ -120,9 +125,9 @@
       this.upsert(record)
   }
 
-  /** Milliseconds between the source's last two answers: what the last one brought is at most that old. */
+  /** Milliseconds between the last two reads of the list: what the last one brought is at most that old. */
   private get noticedWithinMs(): number {
-    return this.answeredAt - this.answeredBeforeAt
+    return this.readAt - this.readBeforeAt
   }
 
   private add(record: BackendRecord): void {
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -40,6 +40,16 @@
     this.log.write('peer-configuration-failed', { member: member.name, error: formatError(error) })
   }
 
+  /** A peer that holds a newer list of backend servers did not give it. */
+  peerBackendsFailed(member: Member, error: unknown): void {
+    this.log.write('peer-backends-failed', { member: member.name, error: formatError(error) })
+  }
+
+  /** A peer's list replaced this process's own, which was read this many milliseconds ago. */
+  backendListAdopted(member: Member, revision: number, previous: number, listAgeMs: number): void {
+    this.log.write('backend-list', { source: member.name, revision, previous, listAgeMs: Math.round(listAgeMs) })
+  }
+
   memberListed(member: Member, announcementOrder: number): void {
     // Its own order is not known to a gateway until the directory lists it.
     const seniority = Number.isFinite(announcementOrder) ? announcementOrder : undefined
@@ -99,7 +109,7 @@
     this.log.write('work-turned-away', { backend: id, service, waitedMs: Math.round(waitedMs), draining: record.draining, removed })
   }
 
-  /** Its entry went at most `noticedWithinMs` milliseconds before the list's last answer. */
+  /** Its entry went at most `noticedWithinMs` milliseconds before the list's last read. */
   backendRemoved({ id, service }: BackendRecord, reason: string, noticedWithinMs: number): void {
     this.log.write('backend-removed', { backend: id, service, reason, noticedWithinMs: Math.round(noticedWithinMs) })
   }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -24,6 +24,7 @@
 import { RetryBudget } from '../request/attempts/retry-budget.js'
 import { PassThrough } from '../request/pass-through.js'
 import { ConfigurationHolder } from '../version/configuration-holder.js'
+import { BackendList } from './backend-list.js'
 import { BackendRegistry } from './backend-registry.js'
 import { drainClients } from './drain/drain-clients.js'
 import { latestEndMs } from './drain/drain-plan.js'
@@ -51,6 +52,7 @@
   readonly metrics = new GatewayMetrics()
   readonly configuration: ConfigurationHolder
   readonly registry: BackendRegistry
+  readonly backendList: BackendList
   readonly members: Members
   readonly clients: ClientServer
   private readonly self: Member
@@ -71,6 +73,7 @@
     this.gatewayLog = new GatewayLog(log)
     this.configuration = new ConfigurationHolder(platform.decodeConfiguration, log)
     this.registry = new BackendRegistry(log)
+    this.backendList = new BackendList(this.registry, log)
     this.members = this.createMembers()
     this.connections = this.createConnections()
     this.stageCoordinator = this.createStageCoordinator()
@@ -120,9 +123,9 @@
 
   private createMembers(): Members {
     const contact = {
-      heartbeat: (member: Member) => this.peers.heartbeat(member, { ...this.self, version: this.configuration.version }),
+      heartbeat: (member: Member) => this.peers.heartbeat(member, { ...this.self, ...this.peerService.held }),
     }
-    return new Members(this.self, contact, this.log, (member, version) => void this.peerService.learnVersion(member, version))
+    return new Members(this.self, contact, this.log, (member, reply) => this.peerService.learn(member, reply))
   }
 
   private createConnections(): BackendConnections {
@@ -184,6 +187,7 @@
   private createPeerService(): GatewayPeerService {
     return new GatewayPeerService({
       holder: this.configuration,
+      backendList: this.backendList,
       peers: this.peers,
       stageCoordinator: this.stageCoordinator,
       describeSelf: () => ({ stopping: this.stopping, slow: this.members.isSelfSlow, announcementOrder: this.members.selfOrder }),
@@ -210,7 +214,7 @@
     const { signal } = this.ending
     const { configurationSource, backendSource, memberDirectory } = this.platform
     void configurationSource.follow(text => this.configuration.offer(text, 'platform'), signal)
-    void backendSource.follow(this.registry, signal)
+    void backendSource.follow(this.backendList, signal)
     void memberDirectory.follow(this.members, signal)
     void memberDirectory.announce(this.self, signal)
   }
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -40,8 +40,8 @@
     /** Sends heartbeats to other gateways; rejects where no answer came. */
     private readonly contact: { heartbeat: (member: Member) => Promise<HeartbeatReply> },
     log: EventLog,
-    /** Called with a peer and the configuration version that it holds. */
-    private readonly onVersion: (member: Member, version: number) => void,
+    /** Called with a peer and its answer to a heartbeat. */
+    private readonly onReply: (member: Member, reply: HeartbeatReply) => void,
   ) {
     this.log = new GatewayLog(log)
     this.currentCoordinator = self
@@ -184,7 +184,7 @@
     state.slow = reply.slow
     this.setOrder(state, reply.announcementOrder ?? state.announcementOrder)
     this.setAlive(state, true)
-    this.onVersion(state.member, reply.version)
+    this.onReply(state.member, reply)
   }
 
   /**
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -1,46 +1,86 @@
 /**
  * What this gateway and its peers exchange: it answers their heartbeats, gives
- * them its configuration, and does their stage work while it coordinates. Where
- * a peer holds a newer configuration, which the platform's store did not bring,
- * it fetches that; versions come with each heartbeat and its reply. It owns no
- * state but that a fetch is under way; one that fails is tried again with the
- * next heartbeat that shows a newer version.
+ * them its configuration and its list of backend servers, and does their stage
+ * work while it coordinates. Where a peer holds a newer configuration or list,
+ * which the platform's store did not bring, it fetches that
+ * (`peer-fetch.ts`); versions come with each heartbeat and its reply. It owns
+ * no state but that fetches are under way.
  */
 import type { Result } from 'ts-results-es'
+import type { ListedBackends } from '../connection/backends/backend.js'
 import type { Member } from '../connection/peers/member.js'
 import type { PeerClients } from '../connection/peers/peer-clients.js'
 import type { Heartbeat, HeartbeatReply } from '../connection/peers/peer-messages.js'
 import type { PeerService } from '../connection/peers/peer-router.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../connection/peers/preparation.js'
 import type { ConfigurationHolder, ConfigurationRecord } from '../version/configuration-holder.js'
+import type { BackendList } from './backend-list.js'
 import type { GatewayLog } from './gateway-log.js'
+import { PeerFetch } from './peer-fetch.js'
+
+/** Milliseconds. A configuration is fetched at once: it changes seldom, and in seconds it must be in force everywhere. */
+const CONFIGURATION_PATIENCE_MS = 0
+/**
+ * Milliseconds. A read that is not lost brings a change within some
+ * milliseconds (7 on a day of the users' record, one change). Half costs fetches
+ * where a process is slow; twice leaves less of the two seconds in which a
+ * leaving backend server may get work.
+ */
+const BACKENDS_PATIENCE_MS = 200
 
 /** The parts of a gateway that its peers reach, and those that reach the peers. */
 export interface PeerServiceParts {
   holder: ConfigurationHolder
-  peers: PeerClients
+  backendList: BackendList
+  peers: Pick<PeerClients, 'configuration' | 'backends'>
   stageCoordinator: Preparer
-  /** What this process tells of itself in answer to a heartbeat, without the configuration version. */
-  describeSelf: () => Omit<HeartbeatReply, 'version'>
+  /** What this process tells of itself in answer to a heartbeat, without what it holds. */
+  describeSelf: () => Omit<HeartbeatReply, keyof HeldRevisions>
   log: GatewayLog
 }
 
-/** Answers the procedures between gateways, and fetches configurations that peers have and this process lacks. */
+/** What a gateway tells of the state that it shares with its peers. */
+export type HeldRevisions = Pick<HeartbeatReply, 'version' | 'backends'>
+
+/** Answers the procedures between gateways, and fetches what peers have and this process lacks. */
 export class GatewayPeerService implements PeerService {
-  private fetching = false
+  private readonly configurationFetch: PeerFetch
+  private readonly backendsFetch: PeerFetch
 
-  constructor(private readonly parts: PeerServiceParts) {}
+  constructor(private readonly parts: PeerServiceParts) {
+    const { holder, backendList, peers, log } = parts
+    this.configurationFetch = new PeerFetch({
+      patienceMs: CONFIGURATION_PATIENCE_MS,
+      revision: () => holder.version,
+      fetch: member => this.fetchConfiguration(member),
+      failed: (member, error) => log.peerConfigurationFailed(member, error),
+    })
+    this.backendsFetch = new PeerFetch({
+      patienceMs: BACKENDS_PATIENCE_MS,
+      revision: () => backendList.revision,
+      fetch: async member => backendList.adopt(await peers.backends(member), member),
+      failed: (member, error) => log.peerBackendsFailed(member, error),
+    })
+  }
+
+  /** What this process holds, as its heartbeats tell. */
+  get held(): HeldRevisions {
+    return { version: this.parts.holder.version, backends: this.parts.backendList.revision }
+  }
 
   heartbeat(heartbeat: Heartbeat): HeartbeatReply {
-    const { holder, describeSelf } = this.parts
-    void this.learnVersion(heartbeat, heartbeat.version)
-    return { version: holder.version, ...describeSelf() }
+    this.learn(heartbeat, heartbeat)
+    return { ...this.held, ...this.parts.describeSelf() }
   }
 
   configuration(): ConfigurationRecord | undefined {
     return this.parts.holder.record
   }
 
+  backends(): ListedBackends {
+    return this.parts.backendList.current
+  }
+
   prepare(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
     return this.parts.stageCoordinator.prepare(request, signal)
   }
@@ -50,20 +90,16 @@
       this.parts.stageCoordinator.release(id)
   }
 
-  /** A peer holds this version; a newer one is fetched, one fetch at a time. */
-  async learnVersion(member: Member, version: number): Promise<void> {
-    const { holder, peers, log } = this.parts
-    if (version <= holder.version || this.fetching)
-      return
-    this.fetching = true
-    try {
-      const record = await peers.configuration(member)
-      if (record)
-        holder.offer(record.text, member.name)
-    }
-    catch (error) {
-      log.peerConfigurationFailed(member, error)
-    }
-    this.fetching = false
+  /** A peer told what it holds; what is newer is fetched. */
+  learn({ name, address }: Member, { version, backends }: HeldRevisions): void {
+    const member = { name, address }
+    void this.configurationFetch.learn(member, version)
+    void this.backendsFetch.learn(member, backends)
+  }
+
+  private async fetchConfiguration(member: Member): Promise<void> {
+    const record = await this.parts.peers.configuration(member)
+    if (record)
+      this.parts.holder.offer(record.text, member.name)
   }
 }
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -6,7 +6,7 @@
  */
 import type { BackendCodec } from '../connection/backends/backend-client.js'
 import type { BackendConnections } from '../connection/backends/backend-connections.js'
-import type { BackendRecord } from '../connection/backends/backend.js'
+import type { ListedBackend, ListedBackends } from '../connection/backends/backend.js'
 import type { StageClient } from '../connection/backends/stage-client.js'
 import type { ClientCodec } from '../connection/clients/client-codec.js'
 import type { Member } from '../connection/peers/member.js'
@@ -34,14 +34,16 @@
 export interface BackendSink {
   /** The source answered; called before what it brings. */
   noteSourceAnswered: () => void
+  /** The source does not answer; called at the first failure. */
+  noteSourceFailed: () => void
   /** The source answers again after failures: entries may have lapsed meanwhile. */
   noteSourceReturned: (outage: SourceOutage) => void
   /** The whole list. */
-  replaceAll: (records: readonly BackendRecord[]) => void
+  replaceAll: (list: ListedBackends) => void
   /** One entry that is new or has changed. */
-  upsert: (record: BackendRecord) => void
-  /** One entry that has gone. */
-  unlist: (id: string) => void
+  upsert: (entry: ListedBackend) => void
+  /** One entry that has gone, by the change of this revision. */
+  unlist: (id: string, revision: number) => void
 }
 
 /** Follows the platform's list of backend servers. */
--- /dev/null
+++ b/test/gateway/backend-list.test.ts
@@ -0,0 +1,140 @@
+import type { BackendRecord, ListedBackend, ListedBackends } from '@eidermast/gateway'
+import { BackendList, BackendRegistry } from '@eidermast/gateway'
+import fc from 'fast-check'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createLog, createRecord } from './support/fakes.js'
+
+const SEED = 20261202
+const PEER = { name: 'gateway-b', address: '127.0.0.1:1' }
+const OUTAGE = { lastedMs: 3000, mayHaveReturnedMs: 100, usableAfterReturnMs: 2800, error: 'no answer' }
+
+function createEntry(id: string, revision: number, overrides: Partial<BackendRecord> = {}): ListedBackend {
+  return { revision, record: createRecord({ id, ...overrides }) }
+}
+
+let registry: BackendRegistry
+let list: BackendList
+
+beforeEach(() => {
+  vi.useFakeTimers()
+  const { log } = createLog()
+  registry = new BackendRegistry(log)
+  list = new BackendList(registry, log)
+  list.replaceAll({ revision: 10, entries: [createEntry('encode-a', 3), createEntry('encode-b', 7)] })
+})
+afterEach(() => void vi.useRealTimers())
+
+const used = (): string[] => registry.available('encode').map(backend => backend.id).sort()
+
+describe('a peer\'s list that is newer', () => {
+  test('brings what has begun to leave, what is new, and what has gone', () => {
+    const entries = [createEntry('encode-a', 12, { draining: true }), createEntry('encode-c', 13)]
+    list.adopt({ revision: 14, entries }, PEER)
+    expect(used()).toEqual(['encode-c'])
+    expect(registry.find('encode-b')).toBeUndefined()
+    expect(list.revision).toBe(14)
+  })
+
+  test('is the one that this process passes on', () => {
+    const newer = { revision: 14, entries: [createEntry('encode-a', 12, { draining: true })] }
+    list.adopt(newer, PEER)
+    expect(list.current).toEqual(newer)
+  })
+
+  test('is not undone by the own read that comes later with what the peer had already', () => {
+    list.adopt({ revision: 14, entries: [createEntry('encode-a', 12, { draining: true })] }, PEER)
+    list.upsert(createEntry('encode-b', 11))
+    list.upsert(createEntry('encode-a', 12))
+    list.unlist('encode-a', 14)
+    expect(registry.find('encode-a')?.takesWork).toBe(false)
+    expect(registry.find('encode-b')).toBeUndefined()
+  })
+
+  test('does not undo an entry of a whole list that was newer than the list\'s revision', () => {
+    list.replaceAll({ revision: 10, entries: [createEntry('encode-a', 16, { draining: true })] })
+    list.adopt({ revision: 14, entries: [createEntry('encode-a', 3)] }, PEER)
+    expect(registry.find('encode-a')?.takesWork).toBe(false)
+    list.adopt({ revision: 15, entries: [] }, PEER)
+    expect(registry.find('encode-a')).toBeDefined()
+  })
+
+  test('is the first list of a process whose own source has brought none', () => {
+    const started = new BackendList(new BackendRegistry(createLog().log), createLog().log)
+    started.adopt(list.current, PEER)
+    expect(started.current).toEqual(list.current)
+  })
+})
+
+describe('a peer\'s list that is not newer', () => {
+  test.each([9, 10])('changes nothing (revision %i)', (revision) => {
+    list.adopt({ revision, entries: [] }, PEER)
+    expect(used()).toEqual(['encode-a', 'encode-b'])
+  })
+})
+
+describe('a backend server that has gone by a peer\'s word', () => {
+  const GONE: ListedBackends = { revision: 14, entries: [createEntry('encode-a', 3)] }
+
+  test('gets nothing more where only a read of this process was lost', () => {
+    list.adopt(GONE, PEER)
+    expect(used()).toEqual(['encode-a'])
+  })
+
+  test('gets nothing more also right after this process\'s own source returned', () => {
+    list.noteSourceFailed()
+    list.noteSourceReturned(OUTAGE)
+    list.adopt(GONE, PEER)
+    expect(used()).toEqual(['encode-a'])
+  })
+
+  test('is used for less than two seconds more while the own source is away, since the peer\'s may have been too', () => {
+    list.noteSourceFailed()
+    list.adopt(GONE, PEER)
+    vi.advanceTimersByTime(1400)
+    expect(used()).toEqual(['encode-a', 'encode-b'])
+    vi.advanceTimersByTime(200)
+    expect(used()).toEqual(['encode-a'])
+  })
+
+  test('stays if its entry comes back in that time', () => {
+    list.noteSourceFailed()
+    list.adopt(GONE, PEER)
+    list.adopt({ revision: 15, entries: [...GONE.entries, createEntry('encode-b', 15)] }, PEER)
+    vi.advanceTimersByTime(5000)
+    expect(used()).toEqual(['encode-a', 'encode-b'])
+  })
+})
+
+describe('gateways that miss reads and hear each other', () => {
+  /** One change of the platform's list: an entry that is ready, draining or gone. */
+  const change = fc.record({ id: fc.constantFrom('a', 'b', 'c'), state: fc.constantFrom('ready', 'draining', 'gone') })
+  /** For each gateway, how many changes its own source brings before it hears the other. */
+  const steps = fc.array(fc.record({ reader: fc.nat(1), changes: fc.nat(4), hears: fc.boolean() }), { maxLength: 40 })
+
+  function read(target: BackendList, { id, state }: { id: string, state: string }, revision: number): void {
+    if (state === 'gone')
+      target.unlist(id, revision)
+    else
+      target.upsert(createEntry(id, revision, { draining: state === 'draining' }))
+  }
+
+  test('hold just what the platform listed at their revision, whatever the order', () => {
+    fc.assert(fc.property(fc.array(change, { minLength: 1, maxLength: 20 }), steps, (changes, order) => {
+      const lists = [0, 1].map(() => new BackendList(new BackendRegistry(createLog().log), createLog().log))
+      const readUpTo = [0, 0]
+      for (const { reader, changes: count, hears } of order) {
+        for (let step = 0; step < count && readUpTo[reader] < changes.length; step++)
+          read(lists[reader], changes[readUpTo[reader]++], readUpTo[reader])
+        if (hears)
+          lists[1 - reader].adopt(lists[reader].current, PEER)
+      }
+      for (const held of lists) {
+        const expected = new Map<string, string>()
+        for (const { id, state } of changes.slice(0, held.revision))
+          expected.set(id, state)
+        const listed = held.current.entries.map(({ record }) => [record.id, record.draining ? 'draining' : 'ready'] as const)
+        expect(new Map(listed)).toEqual(new Map([...expected].filter(([, state]) => state !== 'gone')))
+      }
+    }), { seed: SEED })
+  })
+})
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -73,13 +73,13 @@
 })
 
 describe('a change of the list', () => {
-  test('is logged with how old it may be: the time between the last two answers of the source', () => {
+  test('is logged with how old it may be: the time between the last two reads of the list', () => {
     const { log, lines } = createLog()
     const watched = new BackendRegistry(log)
     watched.upsert(RECORD)
-    watched.noteSourceAnswered()
+    watched.noteListRead()
     vi.advanceTimersByTime(4600)
-    watched.noteSourceAnswered()
+    watched.noteListRead()
     watched.upsert({ ...RECORD, draining: true })
     vi.advanceTimersByTime(300)
     watched.remove(RECORD.id, 'its entry is gone')
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -30,7 +30,7 @@
 function createMembers(self = 'gateway-c') {
   const peers = new FakePeers()
   const versions: number[] = []
-  const members = new Members({ name: self, address: self }, peers, createLog().log, (_, version) => versions.push(version))
+  const members = new Members({ name: self, address: self }, peers, createLog().log, (_, { version }) => versions.push(version))
   const names = ['gateway-a', 'gateway-b', 'gateway-c', 'gateway-d']
   names.forEach((name, announcementOrder) => members.upsert({ name, address: name, announcementOrder }))
   members.start()
--- a/test/gateway/peer-calls.test.ts
+++ b/test/gateway/peer-calls.test.ts
@@ -5,6 +5,7 @@
 import { Err } from 'ts-results-es'
 import { request } from 'undici'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createRecord } from './support/fakes.js'
 
 const HEARTBEAT = { name: 'gateway-b', address: '127.0.0.1:1', version: 3 }
 const REQUEST: PreparationRequest = {
@@ -19,9 +20,12 @@
 }
 const OVERLOADED = { kind: PreparationFailureKind.Overloaded, message: 'full', retryAfterMs: 300 }
 
+const BACKENDS = { revision: 9, entries: [{ revision: 4, record: createRecord({ id: 'encode-a', draining: true }) }] }
+
 const service = {
   heartbeat: vi.fn<PeerService['heartbeat']>(() => ({ version: 7, stopping: false, slow: true })),
   configuration: vi.fn<PeerService['configuration']>(() => undefined),
+  backends: vi.fn<PeerService['backends']>(() => BACKENDS),
   prepare: vi.fn<PeerService['prepare']>(async () => Err(OVERLOADED)),
   release: vi.fn<PeerService['release']>(),
 }
@@ -56,6 +60,10 @@
     expect(await clients.configuration(peer)).toEqual({ version: 4, text: '{}' })
   })
 
+  test('brings the list of backend servers', async () => {
+    expect(await clients.backends(peer)).toEqual(BACKENDS)
+  })
+
   test('brings stage work and how it ended', async () => {
     const result = await clients.prepare(peer, REQUEST, new AbortController().signal)
     expect(result.unwrapErr()).toEqual(OVERLOADED)
--- /dev/null
+++ b/test/gateway/peer-fetch.test.ts
@@ -0,0 +1,60 @@
+import { PeerFetch } from '@eidermast/gateway'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+
+const PEER = { name: 'gateway-b', address: '127.0.0.1:1' }
+const PATIENCE_MS = 200
+
+let revision: number
+const fetch = vi.fn<(member: typeof PEER) => Promise<void>>()
+const failed = vi.fn()
+let peerFetch: PeerFetch
+
+beforeEach(() => {
+  vi.useFakeTimers()
+  vi.resetAllMocks()
+  revision = 5
+  fetch.mockImplementation(async () => void (revision = 6))
+  peerFetch = new PeerFetch({ patienceMs: PATIENCE_MS, revision: () => revision, fetch, failed })
+})
+afterEach(() => void vi.useRealTimers())
+
+describe('a state that a peer holds', () => {
+  test('is fetched where the own read has not brought it in time', async () => {
+    void peerFetch.learn(PEER, 6)
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS - 1)
+    expect(fetch).not.toHaveBeenCalled()
+    await vi.advanceTimersByTimeAsync(1)
+    expect(fetch).toHaveBeenCalledExactlyOnceWith(PEER)
+  })
+
+  test('is not fetched where the own read brings it meanwhile', async () => {
+    void peerFetch.learn(PEER, 6)
+    revision = 6
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS)
+    expect(fetch).not.toHaveBeenCalled()
+  })
+
+  test.each([['older', 4], ['the same', 5], ['not told', undefined]])('is not fetched where its revision is %s', async (_name, held) => {
+    void peerFetch.learn(PEER, held)
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS)
+    expect(fetch).not.toHaveBeenCalled()
+  })
+
+  test('is fetched once, however many heartbeats tell of it meanwhile', async () => {
+    for (let heartbeat = 0; heartbeat < 5; heartbeat++)
+      void peerFetch.learn(PEER, 6)
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS)
+    expect(fetch).toHaveBeenCalledOnce()
+  })
+
+  test('is fetched at the next heartbeat where a fetch fails', async () => {
+    const error = new Error('no answer')
+    fetch.mockRejectedValueOnce(error)
+    void peerFetch.learn(PEER, 6)
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS)
+    expect(failed).toHaveBeenCalledExactlyOnceWith(PEER, error)
+    void peerFetch.learn(PEER, 6)
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS)
+    expect(revision).toBe(6)
+  })
+})
--- a/test/gateway/peer-messages.test.ts
+++ b/test/gateway/peer-messages.test.ts
@@ -3,6 +3,7 @@
   decodePreparationReply,
   encodePreparationReply,
   encodePreparationRequest,
+  heartbeatSchema,
   PreparationFailureKind,
   preparationRequestSchema,
 } from '@eidermast/gateway'
@@ -56,6 +57,13 @@
     expect(preparationRequestSchema.parse({ ...REQUEST_MESSAGE, ...prompt })).toEqual({ ...REQUEST, ...prompt })
   })
 
+  test.each([
+    ['that passes its list of backend servers on', { name: 'gateway-b', address: '127.0.0.1:1', version: 3, backends: 9 }],
+    ['that does not', { name: 'gateway-b', address: '127.0.0.1:1', version: 3 }],
+  ])('take the heartbeat of a release %s', (_name, heartbeat) => {
+    expect(heartbeatSchema.parse(overTheWire(heartbeat))).toStrictEqual(heartbeat)
+  })
+
   test('leave progress out where there is none', () => {
     const { progress, ...message } = REQUEST_MESSAGE
     expect(overTheWire(encodePreparationRequest({ ...REQUEST, progress: undefined }))).toStrictEqual(message)
