Base a change on the whole configuration, also right after the log has dropped its last checkpoint

Cause: when the log returns after an outage that is longer than its retention, it holds no checkpoint until an entry appends one. A change published in that time was based on what little the log held, so that it conflicted everywhere; and it could not be found, since no checkpoint came before it: unknown after 5 s.

Ruled out: the log client's time limit (a refused append is made again, an append in doubt is looked for).

Change: a publisher waits for the next checkpoint until its deadline, then says that nothing was changed; a change whose earlier records are dropped is judged by the first checkpoint that folded it.

--- a/packages/daemon/src/version/publisher.ts
+++ b/packages/daemon/src/version/publisher.ts
@@ -5,16 +5,16 @@
  * conflict. Keeps no state: an operator who loses the answer finds the record
  * with `eidermast config history`.
  */
-import type { LogClient } from './log.js'
+import type { LogClient, LogPage, LogRecord } from './log.js'
 import type { ObjectKind } from './objects.js'
-import type { ChangeRecord } from './record.js'
+import type { ChangeRecord, CheckpointRecord } from './record.js'
 import { createLogger, formatError, wait } from '@eidermast/common'
 import { v7 as uuidv7 } from 'uuid'
 import { CallFailure } from './call-error.js'
 import { Configuration, FoldOutcome, parseRecord } from './configuration.js'
 import { foldPage, hasGap } from './fold-page.js'
 import { readConfigurationStream } from './read-stream.js'
-import { CONFIGURATION_STREAM, RecordKind } from './record.js'
+import { CONFIGURATION_STREAM, NO_OFFSET, RecordKind } from './record.js'
 
 const log = createLogger('configuration')
 
@@ -59,25 +59,22 @@
 /** Milliseconds between tries. Not measured: half doubles the load on a log that is out, twice delays the answer. */
 const RETRY_MS = 100
 
-/** Reads the whole configuration from the log; undefined where the log does not answer. */
-export async function readConfiguration(client: LogClient): Promise<Configuration | undefined> {
-  const page = await readConfigurationStream(client, 0)
-  if (page.isErr()) {
-    log('log-unreadable', { error: formatError(page.error) })
-    return undefined
-  }
-  const configuration = new Configuration()
-  foldPage(configuration, page.value)
-  return configuration
+/**
+ * Reads the whole configuration from the log; undefined where the log does not
+ * answer, or has dropped records that no checkpoint on it holds.
+ */
+export function readConfiguration(client: LogClient): Promise<Configuration | undefined> {
+  return readWhole(client, Date.now())
 }
 
 /** Publishes a change and waits for its outcome. */
 export async function publishChange(client: LogClient, options: PublishOptions): Promise<Publication> {
   const recordId = uuidv7()
-  const configuration = await readConfiguration(client)
+  const { kind, name, value, base, author = '', timeoutMs = PUBLISH_TIMEOUT_MS } = options
+  const deadline = Date.now() + timeoutMs
+  const configuration = await readWhole(client, deadline)
   if (!configuration)
     return { outcome: PublishOutcome.Unreachable, recordId }
-  const { kind, name, value, base, author = '', timeoutMs = PUBLISH_TIMEOUT_MS } = options
   const change: ChangeRecord = {
     record: RecordKind.Change,
     id: recordId,
@@ -87,12 +84,39 @@
     value,
     author,
   }
-  const deadline = Date.now() + timeoutMs
   if (!await append(client, change, deadline))
     return { outcome: PublishOutcome.Unreachable, recordId }
   return await readBack(client, recordId, deadline)
 }
 
+/**
+ * The whole configuration. Right after the log was out for longer than it keeps
+ * records it holds no checkpoint: until the deadline an entry's next one is
+ * waited for, since a change based on a part of the configuration conflicts.
+ */
+async function readWhole(client: LogClient, deadline: number): Promise<Configuration | undefined> {
+  for (;;) {
+    const page = await readPage(client)
+    if (!page)
+      return undefined
+    const configuration = new Configuration()
+    foldPage(configuration, page)
+    if (!hasGap(configuration, page))
+      return configuration
+    if (Date.now() >= deadline)
+      return undefined
+    await wait(RETRY_MS)
+  }
+}
+
+async function readPage(client: LogClient): Promise<LogPage | undefined> {
+  const page = await readConfigurationStream(client, 0)
+  if (page.isOk())
+    return page.value
+  log('log-unreadable', { error: formatError(page.error) })
+  return undefined
+}
+
 /** Appends a record, again only while it is provably not on the log; returns whether it may be there. */
 async function append(client: LogClient, change: ChangeRecord, deadline: number): Promise<boolean> {
   while (Date.now() < deadline) {
@@ -117,25 +141,37 @@
 
 /** Looks for a record on the log and for what folding made of it; undefined where the log cannot say so now. */
 async function findPublication(client: LogClient, recordId: string): Promise<Publication | undefined> {
-  const page = await readConfigurationStream(client, 0)
-  if (page.isErr()) {
-    log('log-unreadable', { error: formatError(page.error) })
+  const page = await readPage(client)
+  const index = page?.records.findIndex(({ value }) => findChange(value, recordId)) ?? -1
+  if (!page || index < 0)
     return undefined
-  }
-  const { records } = page.value
-  const index = records.findIndex(({ value }) => isChange(value, recordId))
-  if (index < 0)
-    return undefined
-  const { offset, value } = records[index]
+  const { offset, value } = page.records[index]
   const before = new Configuration()
-  foldPage(before, { ...page.value, records: records.slice(0, index) })
-  if (hasGap(before, page.value))
+  foldPage(before, { ...page, records: page.records.slice(0, index) })
+  const isAccepted = hasGap(before, page)
+    ? isInCheckpoint(page.records.slice(index), offset, findChange(value, recordId)!)
+    : before.fold(offset, value) === FoldOutcome.Accepted
+  if (isAccepted === undefined)
+    return undefined
+  return { outcome: isAccepted ? PublishOutcome.Accepted : PublishOutcome.Conflict, recordId, offset }
+}
+
+/**
+ * Whether the first checkpoint that folded a change has it in force, where the
+ * records before the change are dropped; undefined where no checkpoint has
+ * folded it, or a later change of the same object hides it.
+ */
+function isInCheckpoint(records: readonly LogRecord[], offset: number, change: ChangeRecord): boolean | undefined {
+  const checkpoint = records.map(record => parseRecord(record.value))
+    .find(record => record?.record === RecordKind.Checkpoint && record.upTo >= offset) as CheckpointRecord | undefined
+  if (!checkpoint)
     return undefined
-  const accepted = before.fold(offset, value) === FoldOutcome.Accepted
-  return { outcome: accepted ? PublishOutcome.Accepted : PublishOutcome.Conflict, recordId, offset }
+  const inForce = checkpoint.objects.find(({ kind, name }) => kind === change.kind && name === change.name)?.offset ?? NO_OFFSET
+  return inForce > offset ? undefined : inForce === offset
 }
 
-function isChange(value: unknown, recordId: string): boolean {
+/** The change, where a raw value of the log is the one with this id. */
+function findChange(value: unknown, recordId: string): ChangeRecord | undefined {
   const parsed = parseRecord(value)
-  return parsed?.record === RecordKind.Change && parsed.id === recordId
+  return parsed?.record === RecordKind.Change && parsed.id === recordId ? parsed : undefined
 }
--- a/test/promises/configuration.test.ts
+++ b/test/promises/configuration.test.ts
@@ -1,3 +1,4 @@
+import { wait } from '@eidermast/common'
 import { CONFIGURATION_STREAM, HttpLogClient, ObjectKind, publishChange, PublishOutcome, readConfiguration } from '@eidermast/daemon'
 import { DeploymentName, LogOutage, OPERATOR_TIMEOUT_MS, ProcessKind, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
 import { afterAll, afterEach, beforeAll, describe, expect, test } from 'vitest'
@@ -108,6 +109,14 @@
     expect(configuration?.get(ObjectKind.Account, 'rider-app')?.value.share).toBe(share)
   })
 
+  test('is the base of a change right after the log was out for longer than it keeps records', async () => {
+    await publishShare()
+    await system.setFaults(system.logServiceUrl, { outage: LogOutage.Refuse })
+    await wait(RETENTION_MS + 2000)
+    await system.setFaults(system.logServiceUrl, {})
+    await measureInForce(await publishShare())
+  })
+
   test('is not turned back by a late copy of an older append', async () => {
     await system.setFaults(system.logServiceUrl, { repeatAppends: 1 })
     await publishShare()
--- a/test/version/publisher.test.ts
+++ b/test/version/publisher.test.ts
@@ -109,6 +109,77 @@
   })
 })
 
+/**
+ * What was seen: beside load, a change that an operator published right after
+ * the log had been out ended as unknown, and never took effect.
+ *
+ * Order of events: the log is out for longer than it keeps records; when it
+ * returns, its records are dropped, the last checkpoint among them, until an
+ * entry appends the next one. An operator publishes in that time.
+ *
+ * Cause: the change was based on what little the log held, so that it named no
+ * base and conflicted everywhere; and a change that no checkpoint precedes on
+ * the log could not be found there, whatever became of it.
+ *
+ * Evidence: without the mend the first test ends as unknown after its 1.5 s,
+ * the assertion that was seen.
+ */
+describe('a change published before the log has a checkpoint again', () => {
+  let checkpointer: Checkpointer
+
+  beforeEach(async () => {
+    await publish(100)
+    const configuration = (await readConfiguration(client))!
+    checkpointer = new Checkpointer(client, configuration, { retentionMs: RETENTION_MS, now: () => clock })
+    clock += 2 * RETENTION_MS
+  })
+
+  test('waits for it, and is accepted', async () => {
+    const published = publish(200)
+    await wait(300)
+    expect(await checkpointer.appendIfDue()).toBe(true)
+    expect(await published).toMatchObject({ outcome: PublishOutcome.Accepted })
+    expect((await readConfiguration(client))?.get(ObjectKind.Template, 'a')?.value.deadlineMs).toBe(200)
+  })
+
+  test('is not made where none comes: nothing was changed', async () => {
+    expect((await publish(200)).outcome).toBe(PublishOutcome.Unreachable)
+    const page = await client.read({ stream: CONFIGURATION_STREAM, from: 0, limit: 10, waitMs: 0 })
+    expect(page.unwrap().records).toEqual([])
+  })
+
+  test.each([
+    ['accepted', 0, PublishOutcome.Accepted],
+    ['in conflict', NO_OFFSET, PublishOutcome.Conflict],
+  ])('is found to be %s by a checkpoint that follows it, where the one before it is dropped meanwhile', async (_name, base, outcome) => {
+    await checkpointer.appendIfDue()
+    let reads = 0
+    const lateReader: LogClient = {
+      append: (stream, values, signal) => {
+        clock += RETENTION_MS * 0.6
+        return client.append(stream, values, signal)
+      },
+      read: async (options, signal) => {
+        if (++reads === 2)
+          await dropAllBeforeTheChange()
+        return client.read(options, signal)
+      },
+      close: async () => {},
+    }
+    const change = { kind: ObjectKind.Template, name: 'a', value: createTemplate(200), base, timeoutMs: 1500 }
+    expect(await publishChange(lateReader, change)).toMatchObject({ outcome, offset: 2 })
+  })
+
+  /** The log drops the first checkpoint and keeps the change; an entry that has folded both appends another. */
+  async function dropAllBeforeTheChange(): Promise<void> {
+    const configuration = (await readConfiguration(client))!
+    clock += RETENTION_MS * 0.6
+    const page = (await client.read({ stream: CONFIGURATION_STREAM, from: 0, limit: 10, waitMs: 0 })).unwrap()
+    expect(page.firstOffset).toBe(2)
+    await client.append(CONFIGURATION_STREAM, [configuration.checkpoint()])
+  }
+})
+
 describe('placement', () => {
   test('is a function of the configuration, fenced by the offset of the backend server\'s record', () => {
     const configuration = new Configuration()
