--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -25,10 +25,19 @@
   revision: number
 }
 
+/** A backend server whose entry has gone, and which is used on for some time. */
+export interface LapsingBackend {
+  id: string
+  /** Milliseconds for which it is used on. */
+  remainingMs: number
+}
+
 /** The platform's list up to one of its changes; it may hold newer entries too. */
 export interface ListedBackends {
   revision: number
   entries: readonly ListedBackend[]
+  /** What has gone from the list and is used on where the list comes from; absent where nothing is. */
+  lapsing?: readonly LapsingBackend[]
 }
 
 /** Load as a backend server reported it in an answer. */
--- a/packages/gateway/src/process/backend-list.ts
+++ b/packages/gateway/src/process/backend-list.ts
@@ -33,7 +33,7 @@
 
   /** The list as it is passed on to peers. */
   get current(): ListedBackends {
-    return { revision: this.currentRevision, entries: [...this.entries.values()] }
+    return { revision: this.currentRevision, entries: [...this.entries.values()], lapsing: this.registry.lapsing }
   }
 
   noteSourceAnswered(): void {
@@ -79,9 +79,10 @@
     this.log.backendListAdopted(peer, list.revision, this.currentRevision, this.registry.listAgeMs)
     this.registry.noteListRead()
     const listed = new Set(list.entries.map(entry => entry.record.id))
+    const lapsing = new Map(list.lapsing?.map(({ id, remainingMs }) => [id, remainingMs]))
     for (const [id, known] of this.entries) {
       if (!listed.has(id) && known.revision <= list.revision)
-        this.dropAsPeerDid(id)
+        this.dropAsPeerDid(id, lapsing.get(id))
     }
     for (const entry of list.entries) {
       if (entry.revision > (this.entries.get(entry.record.id)?.revision ?? 0))
@@ -95,8 +96,8 @@
     this.registry.upsert(entry.record)
   }
 
-  private dropAsPeerDid(id: string): void {
+  private dropAsPeerDid(id: string, usedByPeerMs: number | undefined): void {
     this.entries.delete(id)
-    this.registry.unlistAfter(id, decidePeerLapseGrace(this.isSourceAway))
+    this.registry.unlistAfter(id, decidePeerLapseGrace({ usedByPeerMs, isSourceAway: this.isSourceAway }))
   }
 }
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -5,7 +5,7 @@
  * reads the list again.
  */
 import type { EventLog } from '@eidermast/common'
-import type { BackendRecord } from '../connection/backends/backend.js'
+import type { BackendRecord, LapsingBackend } from '../connection/backends/backend.js'
 import type { SourceOutage } from './platform-adapter.js'
 import { Backend } from '../connection/backends/backend.js'
 import { GatewayLog } from './gateway-log.js'
@@ -19,6 +19,13 @@
   stateChanged?: (backend: Backend) => void
 }
 
+/** The removal of a backend server whose entry has gone. */
+interface Removal {
+  timer: NodeJS.Timeout
+  /** Milliseconds of the process clock. */
+  at: number
+}
+
 /** Holds backend servers; the list upserts and removes them. */
 export class BackendRegistry {
   private readonly byId = new Map<string, Backend>()
@@ -29,8 +36,8 @@
   /** When the list was read last, and when before that: milliseconds of the process clock. */
   private readAt = performance.now()
   private readBeforeAt = performance.now()
-  /** Timers that remove backend servers whose entries have gone, by id. */
-  private readonly lapsed = new Map<string, NodeJS.Timeout>()
+  /** Removals to come of backend servers whose entries have gone, by id. */
+  private readonly lapsed = new Map<string, Removal>()
   /** Why entries may have lapsed; absent before the first outage. */
   private lastOutage: SourceOutage | undefined
   private readonly log: GatewayLog
@@ -96,8 +103,14 @@
     if (this.lapsed.has(id))
       return
     this.log.backendLapsed(id, graceMs, this.lastOutage)
-    const removal = setTimeout(() => this.remove(id, 'its entry lapsed and did not come back'), graceMs)
-    this.lapsed.set(id, removal.unref())
+    const timer = setTimeout(() => this.remove(id, 'its entry lapsed and did not come back'), graceMs)
+    this.lapsed.set(id, { timer: timer.unref(), at: performance.now() + graceMs })
+  }
+
+  /** Backend servers whose entries have gone and that are used on. */
+  get lapsing(): LapsingBackend[] {
+    const now = performance.now()
+    return [...this.lapsed].map(([id, { at }]) => ({ id, remainingMs: at - now }))
   }
 
   /** Sends nothing to it from now on. */
@@ -150,7 +163,7 @@
   }
 
   private endLapse(id: string): void {
-    clearTimeout(this.lapsed.get(id))
+    clearTimeout(this.lapsed.get(id)?.timer)
     this.lapsed.delete(id)
   }
 
--- a/packages/gateway/src/process/lapse-grace.ts
+++ b/packages/gateway/src/process/lapse-grace.ts
@@ -5,13 +5,14 @@
  * Inputs: the last outage of the list's source: how long it lasted, when the
  * source may have returned, for how long after that a backend server that has
  * left may still get work (ms, known when the source answers again).
- * Where a peer tells that an entry has gone: whether this process's own source is away.
+ * Where a peer tells that an entry has gone: for how long the peer uses it on
+ * (ms), whether this process's own source is away.
  * Rule: not at all after an outage in which no entry can have lapsed. Else
  * until LAPSE_GRACE_MS after the source answered again, but no longer than the
  * platform allows, counted from the earliest moment at which the source may
- * have returned. What a peer tells holds at once, but where this process's own
- * source is away: the peer's may have been too, without its notice, so that the
- * backend server is used on for PEER_LAPSE_GRACE_MS.
+ * have returned. By a peer's word: as long as the peer does. Where the peer does
+ * not use it on and this process's own source is away, the peer's may have been
+ * too, without its notice: then for PEER_LAPSE_GRACE_MS.
  * Why: backend servers renew their entries, and cannot while the list is away:
  * an entry that is gone then need not mean that its backend server is. Without
  * this rule all 22 of a day of our own were dropped at once (commit a03d214).
@@ -44,9 +45,17 @@
  */
 const PEER_LAPSE_GRACE_MS = 1500
 
+/** What a peer told of an entry that has gone. */
+export interface PeerLapse {
+  /** Milliseconds for which the peer uses the backend server on; undefined where it does not. */
+  usedByPeerMs: number | undefined
+  /** This process's own source of the list does not answer. */
+  isSourceAway: boolean
+}
+
 /** For how long a backend server is used on whose entry has gone by a peer's word, in milliseconds; 0 for not at all. */
-export function decidePeerLapseGrace(isSourceAway: boolean): number {
-  return isSourceAway ? PEER_LAPSE_GRACE_MS : 0
+export function decidePeerLapseGrace({ usedByPeerMs, isSourceAway }: PeerLapse): number {
+  return usedByPeerMs ?? (isSourceAway ? PEER_LAPSE_GRACE_MS : 0)
 }
 
 /** For how long entries that go are used on after an outage, in milliseconds from its end; 0 for not at all. */
--- a/platform/src/store/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -1,5 +1,5 @@
 /**
- * Decides how long the store may hold a read of the configuration or of the
+ * Decides how long the platform's store may hold a read of the configuration or of the
  * list of backend servers, and for how long after the store's return a backend
  * server whose entry went meanwhile may get work.
  *
@@ -12,7 +12,7 @@
  * notices the loss, reads again and passes the change on within the longer
  * bound. One that is told waits for as long as both bounds together, since its
  * own read is not what the change depends on. At least MIN_READ_WAIT_MS. After
- * a failure reads do not wait (topic-follower.ts), so that only the first one
+ * a failure reads do not wait (the adapter's `topic-follower.ts`), so that only the first one
  * can be lost for so long.
  * Why: a read that a silent store has taken never answers and is noticed only
  * when its time is over. With 16.5 s a change was in force 7 to 10 s late, on
@@ -22,15 +22,21 @@
  * Set by: the constants below.
  * Log events: `store-failed`, `store-recovered`.
  */
-import type { PlatformSettings } from '../platform-settings.js'
 
-/** The platform's bounds on following the store. */
-export type StoreBounds = Omit<PlatformSettings, 'store'>
+/** The platform's bounds on following its store, in milliseconds. */
+export interface StoreBounds {
+  /** After the end of trouble a gateway is in touch again. */
+  contactMs: number
+  /** A configuration must be in force this long after the store acknowledged it. */
+  configurationMs: number
+  /** A backend server that is leaving gets nothing this long after the store acknowledged that. */
+  drainMs: number
+}
 
 /** Milliseconds after its wait until a read is abandoned. Not measured; half abandons reads that a slow store still answers. */
 export const READ_MARGIN_MS = 700
 
-/** Milliseconds for the first pause after a failure (retry-pause.ts) and for the next read. Not measured; at half of it a change may be in force too late. */
+/** Milliseconds for the first pause after a failure (`retry-pause.ts` of the adapter) and for the next read. Not measured; at half of it a change may be in force too late. */
 const NEXT_READ_MS = 400
 
 /**
@@ -50,13 +56,12 @@
 const ARRIVAL_MARGIN_MS = 200
 
 /** How long after the store's return a backend server that left meanwhile may get work, in milliseconds. */
-export function usableAfterReturnMs(bounds: StoreBounds): number {
-  return Math.max(bounds['contact-ms'], bounds['drain-ms']) - ARRIVAL_MARGIN_MS
+export function usableAfterReturnMs({ contactMs, drainMs }: StoreBounds): number {
+  return Math.max(contactMs, drainMs) - ARRIVAL_MARGIN_MS
 }
 
 /** How long the store may hold a read, in milliseconds. */
-export function maxReadWaitMs(bounds: StoreBounds, isToldByPeers: boolean): number {
-  const { 'contact-ms': contactMs, 'configuration-ms': configurationMs, 'drain-ms': drainMs } = bounds
+export function maxReadWaitMs({ contactMs, configurationMs, drainMs }: StoreBounds, isToldByPeers: boolean): number {
   const effectMs = Math.min(configurationMs, drainMs)
   const waitMs = isToldByPeers ? contactMs + effectMs : Math.max(contactMs, effectMs) - PASS_ON_MS
   return Math.max(MIN_READ_WAIT_MS, waitMs - READ_MARGIN_MS - NEXT_READ_MS)
