Add a soak of gateways that lose their reads of the list while backend servers leave

Each gateway has a way of its own to the store, which goes silent or is cut; gateways are replaced; backend servers leave with and without a word and serve on. Checked: nothing reaches them from a gateway in touch after the drain bound, by the later of both bounds.

The soaks share one wait for readiness.

--- a/test/soak/gateway-soak.test.ts
+++ b/test/soak/gateway-soak.test.ts
@@ -1,6 +1,6 @@
 import type { Draw, SentRequest } from './support/soak-clients.js'
 import { wait } from '@eidermast/common'
-import { beforeAll, describe, expect, test, vi } from 'vitest'
+import { beforeAll, describe, expect, test } from 'vitest'
 import { StoreFault } from '../platform/support/stand-in-store.js'
 import { RequestKind, SoakClients } from './support/soak-clients.js'
 import { SoakDeployment, STREAM_EVENTS } from './support/soak-deployment.js'
@@ -55,12 +55,6 @@
   return sent.body === whole ? undefined : `${sent.id} got ${JSON.stringify(sent.body)} as whole`
 }
 
-function waitUntilReady({ gateways }: SoakDeployment): Promise<void> {
-  return vi.waitFor(async () => {
-    expect(await Promise.all(gateways.map(gateway => gateway.isReady()))).not.toContain(false)
-  }, { timeout: 30_000, interval: 100 })
-}
-
 describe('a soak of gateways as processes', () => {
   beforeAll(async () => {
     await import('../../platform/build.mjs' as string)
@@ -73,14 +67,14 @@
     const clients = new SoakClients(deployment.gateways, draw)
     const faults: (Promise<void> | void)[] = []
     try {
-      await waitUntilReady(deployment)
+      await deployment.waitUntilReady()
       clients.start()
       for (let step = 0; step < STEPS; step++) {
         faults.push(FAULTS[draw(FAULTS.length)](deployment, draw))
         await wait(STEP_MS)
       }
       await Promise.all(faults)
-      await waitUntilReady(deployment)
+      await deployment.waitUntilReady()
       await clients.stop()
       expect(clients.requests.map(sent => findFault(sent, deployment.runsOf(sent.id))).filter(Boolean)).toEqual([])
       for (const kind of Object.values(RequestKind))
--- a/test/soak/leaving-soak.test.ts
+++ b/test/soak/leaving-soak.test.ts
@@ -1,7 +1,7 @@
 import type { Respond, StandInBackend } from '../platform/support/stand-in-backend.js'
 import type { Draw } from './support/soak-clients.js'
 import { wait } from '@eidermast/common'
-import { beforeAll, describe, expect, test, vi } from 'vitest'
+import { beforeAll, describe, expect, test } from 'vitest'
 import { answerWhole } from '../platform/support/stand-in-backend.js'
 import { StoreFault } from '../platform/support/stand-in-store.js'
 import { SoakClients } from './support/soak-clients.js'
@@ -127,7 +127,7 @@
     await run.deployment.start()
     const clients = new SoakClients(run.deployment.gateways, draw)
     try {
-      await vi.waitFor(async () => expect(await Promise.all(run.deployment.gateways.map(gateway => gateway.isReady()))).not.toContain(false), { timeout: 30_000, interval: 100 })
+      await run.deployment.waitUntilReady()
       clients.start()
       for (let step = 0; step < STEPS; step++) {
         run.step()
--- /dev/null
+++ b/test/soak/lost-reads-soak.test.ts
@@ -0,0 +1,157 @@
+import type { SeenRequest, StandInBackend } from '../platform/support/stand-in-backend.js'
+import type { Draw } from './support/soak-clients.js'
+import { wait } from '@eidermast/common'
+import { beforeAll, describe, expect, test } from 'vitest'
+import { SoakClients } from './support/soak-clients.js'
+import { SoakDeployment } from './support/soak-deployment.js'
+import { createDraw, readSeeds } from './support/soak-seeds.js'
+
+const STEPS = 16
+/** Milliseconds between the beginnings of two steps. */
+const STEP_MS = 500
+/** Milliseconds after a backend server's leaving from which gateways in touch send it nothing (settings, `drain-ms`). */
+const DRAIN_MS = 2000
+/** Milliseconds after the end of its trouble from which a gateway is in touch (settings, `contact-ms`). */
+const CONTACT_MS = 3000
+/** Milliseconds for the way of a request on a machine that has other work. */
+const SLACK_MS = 150
+/** Milliseconds after the last step in which requests still come. */
+const SETTLE_MS = 5500
+const BACKENDS_EACH = 6
+const SERVICES = ['plain', 'model', 'encode']
+/** Calls to stage backend servers name no request of a client. */
+const STAGE_RUN_PATH = '/-/stage-run'
+
+/** A time in which a gateway's way to the store was in trouble, or its process was replaced; in milliseconds of the test's clock. */
+interface Trouble {
+  gateway: number
+  from: number
+  to: number
+}
+
+/** A backend server that left; it serves on until the end of the run. */
+interface Leave {
+  backend: StandInBackend
+  at: number
+}
+
+class LostReadsRun {
+  readonly deployment = new SoakDeployment({ backendsEach: BACKENDS_EACH, ownLines: true })
+  readonly leaves: Leave[] = []
+  private readonly troubles: Trouble[] = []
+  private readonly underWay: Promise<void>[] = []
+
+  constructor(private readonly draw: Draw) {}
+
+  /** Lets a backend server leave, or brings trouble to one gateway or to all. */
+  step(): void {
+    const gateway = this.draw(this.deployment.gateways.length)
+    const kind = this.draw(8)
+    if (kind < 4)
+      this.leave()
+    else if (kind < 6)
+      this.silence([gateway])
+    else if (kind === 6)
+      this.silence(this.deployment.gateways.map((_, index) => index))
+    else
+      this.underWay.push(this.draw(2) === 0 ? this.cut(gateway) : this.replace(gateway))
+  }
+
+  async settle(): Promise<void> {
+    await Promise.all(this.underWay)
+    await wait(SETTLE_MS)
+  }
+
+  /** Work that reached a backend server too late, from a gateway that was in touch. */
+  lateArrivals(clients: SoakClients): string[] {
+    return this.leaves.flatMap(({ backend, at: leftAt }) => backend.seen
+      .filter(seen => isWork(seen) && seen.at > leftAt + DRAIN_MS + SLACK_MS && this.isInTouch(senderOf(seen, clients), seen.at))
+      .map(seen => `${seen.path} of gateway ${senderOf(seen, clients)} reached ${backend.id} ${Math.round(seen.at - leftAt)} ms after it had left`))
+  }
+
+  private leave(): void {
+    const left = new Set(this.leaves.map(({ backend }) => backend))
+    const service = SERVICES[this.draw(SERVICES.length)]
+    const staying = this.deployment.backends.filter(backend => backend.service === service && !left.has(backend))
+    if (staying.length < 2)
+      return
+    const backend = staying[this.draw(staying.length)]
+    if (this.draw(2) === 0)
+      this.deployment.list(backend, 'draining')
+    else
+      this.deployment.unlist(backend)
+    this.leaves.push({ backend, at: performance.now() })
+  }
+
+  private silence(gateways: number[]): void {
+    const now = performance.now()
+    for (const gateway of gateways) {
+      this.deployment.lines[gateway].silenceOpenConnections()
+      this.troubles.push({ gateway, from: now, to: now })
+    }
+  }
+
+  private async cut(gateway: number): Promise<void> {
+    const line = this.deployment.lines[gateway]
+    const trouble = { gateway, from: performance.now(), to: Number.POSITIVE_INFINITY }
+    this.troubles.push(trouble)
+    line.isCut = true
+    line.silenceOpenConnections()
+    await wait(300 + this.draw(3000))
+    line.isCut = false
+    trouble.to = performance.now()
+  }
+
+  private async replace(gateway: number): Promise<void> {
+    const trouble = { gateway, from: performance.now(), to: Number.POSITIVE_INFINITY }
+    this.troubles.push(trouble)
+    await this.deployment.gateways[gateway].replace(this.draw(2) === 0 ? 'SIGKILL' : 'SIGTERM')
+    trouble.to = performance.now()
+  }
+
+  /** Whether a gateway, or each of them where the sender is not known, has been in touch at a moment, with the slack of the machine. */
+  private isInTouch(gateway: number | undefined, at: number): boolean {
+    return !this.troubles.some(trouble => (gateway === undefined || trouble.gateway === gateway)
+      && trouble.from < at && trouble.to + CONTACT_MS + SLACK_MS > at)
+  }
+}
+
+/** Number of the gateway that sent a request; undefined for stage calls. */
+function senderOf(seen: SeenRequest, clients: SoakClients): number | undefined {
+  return seen.path === STAGE_RUN_PATH ? undefined : clients.gatewayOf(String(seen.headers['attempt-id']))
+}
+
+/** Calls that free results or ask for a report are none. */
+function isWork({ path }: SeenRequest): boolean {
+  return path === STAGE_RUN_PATH || !path.startsWith('/-/')
+}
+
+describe('backend servers that leave while gateways lose their reads of the list', () => {
+  beforeAll(async () => {
+    await import('../../platform/build.mjs' as string)
+  })
+
+  test.each(readSeeds())('get no work from gateways in touch after the drain bound (seed %i)', async (seed) => {
+    const draw = createDraw(seed)
+    const run = new LostReadsRun(draw)
+    await run.deployment.start()
+    const clients = new SoakClients(run.deployment.gateways, draw)
+    try {
+      await run.deployment.waitUntilReady()
+      clients.start()
+      for (let step = 0; step < STEPS; step++) {
+        run.step()
+        await wait(STEP_MS)
+      }
+      await run.settle()
+      await clients.stop()
+      expect(run.leaves.length).toBeGreaterThan(0)
+      expect(run.leaves.some(({ backend }) => backend.seen.some(isWork))).toBe(true)
+      expect(run.lateArrivals(clients)).toEqual([])
+    }
+    finally {
+      await clients.stop()
+      await run.deployment.stop()
+    }
+  })
+})
--- a/test/soak/slow-soak.test.ts
+++ b/test/soak/slow-soak.test.ts
@@ -58,7 +58,7 @@
     const clients = new SoakClients(deployment.gateways, draw)
     try {
       await vi.waitFor(() => expect(new Set(coordinatorsOf(deployment)).size).toBe(1), { timeout: 30_000, interval: 100 })
-      await vi.waitFor(async () => expect(await Promise.all(deployment.gateways.map(gateway => gateway.isReady()))).not.toContain(false), { timeout: 30_000, interval: 100 })
+      await deployment.waitUntilReady()
       clients.start()
       const slowed: string[] = []
       while (slowed.length < deployment.gateways.length - 1) {
--- a/test/soak/support/soak-clients.ts
+++ b/test/soak/support/soak-clients.ts
@@ -19,6 +19,8 @@
 export interface SentRequest {
   id: string
   kind: RequestKind
+  /** Number of the gateway that it was sent to. */
+  gateway: number
   /** Undefined where the connection ended without a head. */
   status?: number
   echoedId?: string
@@ -52,13 +54,18 @@
     await Promise.all(this.underWay)
   }
 
+  /** Number of the gateway that a request was sent to; undefined for an id that no client sent. */
+  gatewayOf(id: string): number | undefined {
+    return this.requests.find(sent => sent.id === id)?.gateway
+  }
+
   private send(): void {
     const kind = KINDS[this.draw(KINDS.length)]
-    const gateway = this.gateways[this.draw(this.gateways.length)]
-    const sentRequest: SentRequest = { id: `${kind}-${this.sentCount++}`, kind }
+    const gateway = this.draw(this.gateways.length)
+    const sentRequest: SentRequest = { id: `${kind}-${this.sentCount++}`, kind, gateway }
     this.requests.push(sentRequest)
     // A call that fails leaves no status or no body; what may be said of it is checked by those.
-    const call = this.call(gateway.address, sentRequest).catch(() => {}).finally(() => this.underWay.delete(call))
+    const call = this.call(this.gateways[gateway].address, sentRequest).catch(() => {}).finally(() => this.underWay.delete(call))
     this.underWay.add(call)
   }
 
--- a/test/soak/support/soak-deployment.ts
+++ b/test/soak/support/soak-deployment.ts
@@ -7,9 +7,11 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { wait } from '@eidermast/common'
+import { expect, vi } from 'vitest'
 import { answerWhole, StandInBackend, streamEvents } from '../../platform/support/stand-in-backend.js'
 import { makeStageResults, STAGE_LIMITS } from '../../platform/support/stand-in-stages.js'
 import { StandInStore } from '../../platform/support/stand-in-store.js'
+import { StoreLine } from '../../platform/support/store-line.js'
 import { GatewayChild } from './gateway-child.js'
 import { RequestKind } from './soak-clients.js'
 
@@ -46,6 +48,8 @@
   plainAnswer?: Respond
   /** Backend servers of each service. @default BACKENDS_EACH */
   backendsEach?: number
+  /** Each gateway has a way of its own to the store (`lines`). @default false */
+  ownLines?: boolean
 }
 
 /** A deployment with nothing broken. */
@@ -54,6 +58,8 @@
   readonly directory = mkdtempSync(path.join(tmpdir(), 'eidermast-soak-'))
   readonly backends: StandInBackend[] = []
   gateways: GatewayChild[] = []
+  /** The gateways' ways to the store, in their order, where the options ask for them. */
+  lines: StoreLine[] = []
   private version = 0
 
   constructor(private readonly options: SoakOptions = {}) {}
@@ -66,16 +72,25 @@
         await this.addBackend(service, number, respond)
     }
     this.publish()
-    this.gateways = Array.from({ length: GATEWAYS }, (_, number) => new GatewayChild(`gateway-${number}`, address, this.directory))
+    this.gateways = await Promise.all(Array.from({ length: GATEWAYS }, async (_, number) =>
+      new GatewayChild(`gateway-${number}`, await this.storeAddressFor(number, address), this.directory)))
     await Promise.all(this.gateways.map(gateway => gateway.start()))
   }
 
   async stop(): Promise<void> {
     await Promise.all(this.gateways.map(gateway => gateway.end()))
+    this.lines.forEach(line => line.stop())
     await Promise.all(this.backends.map(backend => backend.stop()))
     await this.store.stop()
   }
 
+  /** Resolves when every gateway says that it is ready. */
+  waitUntilReady(): Promise<void> {
+    return vi.waitFor(async () => {
+      expect(await Promise.all(this.gateways.map(gateway => gateway.isReady()))).not.toContain(false)
+    }, { timeout: 30_000, interval: 100 })
+  }
+
   /** Publishes the same routes under a newer version. */
   publish(): void {
     this.store.put('keyed.op', 'config', {
@@ -102,6 +117,13 @@
     return seen.filter(request => request.headers['attempt-id'] === id).length
   }
 
+  private async storeAddressFor(gateway: number, address: string): Promise<string> {
+    if (!this.options.ownLines)
+      return address
+    this.lines[gateway] = new StoreLine(address)
+    return this.lines[gateway].start()
+  }
+
   private async addBackend(service: string, number: number, respond: Respond): Promise<void> {
     const backend = new StandInBackend(`${service}-${number}`, service)
     backend.respond = respond
