Find the engine's cost once for its choice and its assignment; say why a drain repeats its steps

That a drain repeats its steps was noted as a repetition; it closes connections that have become idle meanwhile, so it stays and says so.

Result: test/gateway and test/platform pass (370); no change of decisions.

--- a/packages/gateway/src/process/drain/drain-clients.ts
+++ b/packages/gateway/src/process/drain/drain-clients.ts
@@ -18,6 +18,7 @@
   while (step !== DrainStep.End) {
     const elapsedMs = performance.now() - startedAt
     step = decideDrainStep({ elapsedMs, activeRequests: clients.activeRequests, gracePeriodMs, othersServe: othersServe() })
+    // Both again at each look: connections that have become idle since are closed too.
     if (step === DrainStep.Refuse)
       clients.refuseNew()
     if (step === DrainStep.Close)
--- a/packages/gateway/src/process/stages/engine-assignment.ts
+++ b/packages/gateway/src/process/stages/engine-assignment.ts
@@ -65,6 +65,15 @@
   assignedAt: number
 }
 
+/** What it would cost that an engine reads a request. */
+interface EngineCost {
+  engine: Backend
+  /** Tokens of shared parts that it would have to read. */
+  missingTokens: number
+  /** Milliseconds, by estimate. */
+  costMs: number
+}
+
 /** What is known of one engine. */
 class EngineState {
   tokensToRead = 0
@@ -106,27 +115,18 @@
 
   /** The engine that would be assigned; undefined where there is none. */
   choose(request: EngineRequest, engines: readonly Backend[], now: number): Backend | undefined {
-    const home = findHome(request.prompt, engines)
-    let best: Backend | undefined
-    let leastMs = Number.POSITIVE_INFINITY
-    for (const engine of engines) {
-      const costMs = this.cost(request, engine, engine === home, now)
-      if (costMs < leastMs) {
-        best = engine
-        leastMs = costMs
-      }
-    }
-    return best
+    return this.findCheapest(request, engines, now)?.engine
   }
 
   /** Assigns an engine; undefined where there is none. */
   assign(request: EngineRequest, engines: readonly Backend[], now: number): Backend | undefined {
     this.expire(now)
-    const engine = this.choose(request, engines, now)
-    if (!engine)
+    const cheapest = this.findCheapest(request, engines, now)
+    if (!cheapest)
       return undefined
+    const { engine, missingTokens } = cheapest
     const state = this.stateOf(engine)
-    const tokens = ownTokens(request.prompt) + this.missingTokens(request.prompt, engine, engine === findHome(request.prompt, engines), now)
+    const tokens = ownTokens(request.prompt) + missingTokens
     this.assignments.set(request.requestId, { engine: state, tokens, tokensAhead: state.tokensToRead, assignedAt: now })
     state.tokensToRead += tokens
     state.expire(now)
@@ -155,12 +155,23 @@
     return assignment
   }
 
-  private cost({ prompt, failureDomain, bytes }: EngineRequest, engine: Backend, isHome: boolean, now: number): number {
+  private findCheapest(request: EngineRequest, engines: readonly Backend[], now: number): EngineCost | undefined {
+    const home = findHome(request.prompt, engines)
+    let cheapest: EngineCost | undefined
+    for (const engine of engines) {
+      const cost = this.cost(request, engine, engine === home, now)
+      if (!cheapest || cost.costMs < cheapest.costMs)
+        cheapest = cost
+    }
+    return cheapest
+  }
+
+  private cost({ prompt, failureDomain, bytes }: EngineRequest, engine: Backend, isHome: boolean, now: number): EngineCost {
     const { tokensToRead, tokenMs } = this.stateOf(engine)
-    const missing = this.missingTokens(prompt, engine, isHome, now)
-    const readMs = (tokensToRead + ownTokens(prompt) + missing) * tokenMs
+    const missingTokens = this.missingTokens(prompt, engine, isHome, now)
+    const readMs = (tokensToRead + ownTokens(prompt) + missingTokens) * tokenMs
     const crossingMs = engine.failureDomain === failureDomain ? 0 : bytes / CROSSING_BYTES_PER_MS
-    return readMs + missing * TOKEN_COST_MS + crossingMs
+    return { engine, missingTokens, costMs: readMs + missingTokens * TOKEN_COST_MS + crossingMs }
   }
 
   /** Tokens of shared parts that an engine has to read, by what it was assigned; a part is of use only behind all before it. */
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -171,19 +171,20 @@
 
   /** The request with the failure domain of the engine that would read its results now. */
   private withReader(request: PreparationRequest): PreparationRequest {
-    const { requestId, prompt, service } = request
-    if (!prompt || !service)
-      return request
-    const subject = { requestId, prompt, failureDomain: request.failureDomain, bytes: 0 }
-    const engine = this.engines.choose(subject, this.registry.available(service), performance.now())
-    return { ...request, failureDomain: engine?.failureDomain ?? request.failureDomain }
+    const { requestId, prompt = [], failureDomain } = request
+    const engine = this.engines.choose({ requestId, prompt, failureDomain, bytes: 0 }, this.enginesFor(request), performance.now())
+    return { ...request, failureDomain: engine?.failureDomain ?? failureDomain }
   }
 
-  private assignEngine({ requestId, prompt, service }: PreparationRequest, inputs: PreparedInputs, now: number): PreparedInputs {
-    if (!prompt || !service)
-      return inputs
-    const engine = this.engines.assign({ requestId, prompt, ...inputs }, this.registry.available(service), now)
-    return { ...inputs, engine: engine?.id }
+  private assignEngine(request: PreparationRequest, inputs: PreparedInputs, now: number): PreparedInputs {
+    const { requestId, prompt = [] } = request
+    const engine = this.engines.assign({ requestId, prompt, ...inputs }, this.enginesFor(request), now)
+    return engine ? { ...inputs, engine: engine.id } : inputs
+  }
+
+  /** The engines that may answer a request; none where it has no prompt. */
+  private enginesFor({ prompt, service }: PreparationRequest): Backend[] {
+    return prompt && service ? this.registry.available(service) : []
   }
 
   /** Gives a service's pool the backend servers that take work. */
