--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -7,7 +7,7 @@
  * (`peer-fetch.ts`). It owns no state but that fetches are under way.
  */
 import type { Result } from 'ts-results-es'
-import type { ListedBackends } from '../connection/backends/backend.js'
+import type { BackendChange, ListedBackends } from '../connection/backends/backend.js'
 import type { Member } from '../connection/peers/member.js'
 import type { PeerClients } from '../connection/peers/peer-clients.js'
 import type { Heartbeat, HeartbeatReply } from '../connection/peers/peer-messages.js'
@@ -70,9 +70,7 @@
 
   heartbeat(heartbeat: Heartbeat): HeartbeatReply {
     this.learn(heartbeat, heartbeat)
-    const { backends } = heartbeat
-    const backendChanges = backends === undefined ? undefined : this.parts.backendList.changesSince(backends)
-    return { ...this.held, backendChanges, ...this.parts.describeSelf() }
+    return { ...this.held, backendChanges: this.changesFor(heartbeat), ...this.parts.describeSelf() }
   }
 
   configuration(): ConfigurationRecord | undefined {
@@ -101,6 +99,12 @@
     void this.backendsFetch.learn(member, backends)
   }
 
+  /** The changes of the list that a peer lacks; undefined where there is nothing to tell, which is most of the time. */
+  private changesFor({ backends }: Heartbeat): BackendChange[] | undefined {
+    const changes = backends === undefined ? undefined : this.parts.backendList.changesSince(backends)
+    return changes && changes.length > 0 ? changes : undefined
+  }
+
   private async fetchConfiguration(member: Member): Promise<void> {
     const record = await this.parts.peers.configuration(member)
     if (record)
