End a daemon whose stop fails, with code 1

Cause: read earlier, open since: the handler of unhandled rejections kept the process alive after a stop that rejected; nobody ended it but SIGKILL.

Change: the process logs stop-failed and exits with 1.

--- a/packages/daemon/src/process/run-daemon.ts
+++ b/packages/daemon/src/process/run-daemon.ts
@@ -10,6 +10,9 @@
 
 const log = createLogger('process')
 
+/** Exit code of a process that was asked to stop and could not do so in order. */
+const EXIT_STOP_FAILED = 1
+
 /** Starts the role that the settings name. */
 function startDaemon(settings: Settings): Promise<Daemon> {
   return settings.process.role === ProcessRole.Entry ? Entry.start(settings) : Side.start(settings)
@@ -27,12 +30,19 @@
   log('listening', { ...daemon.addresses })
 }
 
-function createStop(daemon: Daemon): () => void {
+/**
+ * What a signal to stop does: the daemon stops once, however often it comes,
+ * and the process ends, also where the stop fails.
+ */
+export function createStop(daemon: Pick<Daemon, 'stop'>, exit: (code: number) => void = code => process.exit(code)): () => void {
   let stopping = false
   return () => {
     if (stopping)
       return
     stopping = true
-    void daemon.stop().then(() => process.exit(0))
+    daemon.stop().then(() => exit(0), (error) => {
+      log('stop-failed', { error: formatError(error) })
+      exit(EXIT_STOP_FAILED)
+    })
   }
 }
