--- a/packages/gateway/src/process/backend-list.ts
+++ b/packages/gateway/src/process/backend-list.ts
@@ -1,7 +1,8 @@
 /**
  * The platform's list of backend servers as this process knows it, from its
- * own reads and from peers: whichever is newer. A lost read keeps a process from
- * its own changes for seconds without a sign; its peers know them meanwhile.
+ * own reads and from peers: whichever is newer, so that it never goes back. A
+ * lost read keeps a process from the changes for seconds without a sign; its
+ * peers know them meanwhile.
  *
  * It owns the newest entry of each backend server with its revision, in memory;
  * a process that starts has none and takes the whole list from the first source
@@ -59,7 +60,10 @@
     this.registry.noteSourceReturned(outage)
   }
 
+  /** Takes the source's whole list, unless it is older than what peers have told. */
   replaceAll({ revision, entries }: ListedBackends): void {
+    if (revision < this.currentRevision)
+      return
     this.forgetChanges(revision)
     this.currentRevision = revision
     this.entries.clear()
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -85,7 +85,11 @@
     this.addGauge('eidermast_gateway_active_requests', 'Requests without an answer yet', () => clients.activeRequests)
     this.addGauge('eidermast_gateway_configuration_version', 'Configuration version in force', () => configuration.version)
     this.addGauge('eidermast_gateway_replicas', 'Backend servers known', () => registry.size)
-    this.addGauge('eidermast_gateway_backend_list_age_seconds', 'Time since the list of backend servers was last read, from the platform or a peer', () => registry.listAgeMs / MILLISECONDS_PER_SECOND)
+    this.addGauge(
+      'eidermast_gateway_backend_list_age_seconds',
+      'Time since the list of backend servers was last read, from the platform or a peer',
+      () => registry.listAgeMs / MILLISECONDS_PER_SECOND,
+    )
     this.addGauge('eidermast_gateway_members', 'Gateways known, this one included', () => members.count)
     this.addGauge('eidermast_gateway_owns_stages', '1 where this gateway coordinates the stage work', () => Number(members.isCoordinator))
   }
--- a/packages/gateway/src/process/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -37,7 +37,10 @@
 /** Milliseconds after its wait until a read is abandoned. Not measured; half abandons reads that a slow store still answers. */
 export const READ_MARGIN_MS = 700
 
-/** Milliseconds for the first pause after a failure (`retry-pause.ts` of the adapter) and for the next read. Not measured; at half of it a change may be in force too late. */
+/**
+ * Milliseconds for the first pause after a failure (`retry-pause.ts`) and for the next read. Not measured; at half of it a change may be
+ * in force too late.
+ */
 const NEXT_READ_MS = 400
 
 /**
--- a/test/gateway/backend-list.test.ts
+++ b/test/gateway/backend-list.test.ts
@@ -65,6 +65,20 @@
   })
 })
 
+describe('a whole list of the own source', () => {
+  test('changes nothing where it is older than what peers have told', () => {
+    list.adopt({ revision: 14, entries: [createEntry('encode-a', 12, { draining: true })] }, PEER)
+    list.replaceAll({ revision: 11, entries: [createEntry('encode-a', 3), createEntry('encode-b', 7)] })
+    expect(used()).toEqual([])
+    expect(list.revision).toBe(14)
+  })
+
+  test('replaces what is known where it is as new', () => {
+    list.replaceAll({ revision: 10, entries: [createEntry('encode-b', 7)] })
+    expect(used()).toEqual(['encode-b'])
+  })
+})
+
 describe('changes that a peer tells', () => {
   const CHANGES = [
     { id: 'encode-a', revision: 12, record: createRecord({ id: 'encode-a', draining: true }) },
