Share the run of leaving backend servers between the two soaks that play it

Change: leaving-servers in test/soak/support serves both; draws, seeds, steps and expectations are as before.

--- a/test/soak/leaving-soak.test.ts
+++ b/test/soak/leaving-soak.test.ts
@@ -1,16 +1,14 @@
-import type { Respond, StandInBackend } from '../platform/support/stand-in-backend.js'
+import type { Respond } from '../platform/support/stand-in-backend.js'
+import type { Leave, LeavingPlay } from './support/leaving-servers.js'
 import type { Draw } from './support/soak-clients.js'
 import { wait } from '@eidermast/common'
-import { beforeAll, describe, expect, test } from 'vitest'
+import { beforeAll, describe, test } from 'vitest'
 import { answerWhole } from '../platform/support/stand-in-backend.js'
 import { StoreFault } from '../platform/support/stand-in-store.js'
-import { SoakClients } from './support/soak-clients.js'
+import { leaveOne, playLeaving } from './support/leaving-servers.js'
 import { SoakDeployment } from './support/soak-deployment.js'
 import { createDraw, readSeeds } from './support/soak-seeds.js'
 
-const STEPS = 12
-/** Milliseconds between the beginnings of two steps. */
-const STEP_MS = 600
 /** Milliseconds for which a backend server that leaves still serves, as some do. */
 const SERVES_ON_MS = 7000
 /** Milliseconds after which nothing may reach it: the drain bound of gateways in touch (settings, `drain-ms`). */
@@ -32,13 +30,9 @@
   to: number
 }
 
-/** A backend server that left. */
-interface Leave {
-  backend: StandInBackend
-  at: number
-}
-
-class LeavingRun {
+class LeavingRun implements LeavingPlay {
+  readonly steps = 12
+  readonly stepMs = 600
   readonly deployment: SoakDeployment
   readonly leaves: Leave[] = []
   private readonly troubles: Trouble[] = []
@@ -56,7 +50,7 @@
   /** Lets a backend server leave, with or without a word, or brings trouble to the store. */
   step(): void {
     if (this.draw(2) === 0)
-      this.leave()
+      leaveOne(this.deployment, this.leaves, this.draw)
     else
       this.fault = this.fault.then(() => this.troubleStore())
   }
@@ -78,21 +72,6 @@
       await wait(Math.max(0, last.at + SERVES_ON_MS - performance.now()))
   }
 
-  private leave(): void {
-    const left = new Set(this.leaves.map(({ backend }) => backend))
-    const services = ['plain', 'model', 'encode']
-    const service = services[this.draw(services.length)]
-    const staying = this.deployment.backends.filter(backend => backend.service === service && !left.has(backend))
-    if (staying.length < 2)
-      return
-    const backend = staying[this.draw(staying.length)]
-    if (this.draw(2) === 0)
-      this.deployment.list(backend, 'draining')
-    else
-      this.deployment.unlist(backend)
-    this.leaves.push({ backend, at: performance.now() })
-  }
-
   private async troubleStore(): Promise<void> {
     const { store } = this.deployment
     const kind = this.draw(5)
@@ -124,23 +103,6 @@
   test.each(readSeeds())('get no work from gateways in touch after the drain bound, beside a store in trouble and slow answers (seed %i)', async (seed) => {
     const draw = createDraw(seed)
     const run = new LeavingRun(draw)
-    await run.deployment.start()
-    const clients = new SoakClients(run.deployment.gateways, draw)
-    try {
-      await run.deployment.waitUntilReady()
-      clients.start()
-      for (let step = 0; step < STEPS; step++) {
-        run.step()
-        await wait(STEP_MS)
-      }
-      await run.settle()
-      await clients.stop()
-      expect(run.leaves.length).toBeGreaterThan(0)
-      expect(run.lateArrivals()).toEqual([])
-    }
-    finally {
-      await clients.stop()
-      await run.deployment.stop()
-    }
+    await playLeaving(run, draw)
   })
 })
--- a/test/soak/lost-reads-soak.test.ts
+++ b/test/soak/lost-reads-soak.test.ts
@@ -1,14 +1,12 @@
-import type { SeenRequest, StandInBackend } from '../platform/support/stand-in-backend.js'
-import type { Draw } from './support/soak-clients.js'
+import type { SeenRequest } from '../platform/support/stand-in-backend.js'
+import type { Leave, LeavingPlay } from './support/leaving-servers.js'
+import type { Draw, SoakClients } from './support/soak-clients.js'
 import { wait } from '@eidermast/common'
 import { beforeAll, describe, expect, test } from 'vitest'
-import { SoakClients } from './support/soak-clients.js'
+import { leaveOne, playLeaving } from './support/leaving-servers.js'
 import { SoakDeployment } from './support/soak-deployment.js'
 import { createDraw, readSeeds } from './support/soak-seeds.js'
 
-const STEPS = 16
-/** Milliseconds between the beginnings of two steps. */
-const STEP_MS = 500
 /** Milliseconds after a backend server's leaving from which gateways in touch send it nothing (settings, `drain-ms`). */
 const DRAIN_MS = 2000
 /** Milliseconds after the end of its trouble from which a gateway is in touch (settings, `contact-ms`). */
@@ -18,7 +16,6 @@
 /** Milliseconds after the last step in which requests still come. */
 const SETTLE_MS = 5500
 const BACKENDS_EACH = 6
-const SERVICES = ['plain', 'model', 'encode']
 /** Calls to stage backend servers name no request of a client. */
 const STAGE_RUN_PATH = '/-/stage-run'
 
@@ -29,13 +26,9 @@
   to: number
 }
 
-/** A backend server that left; it serves on until the end of the run. */
-interface Leave {
-  backend: StandInBackend
-  at: number
-}
-
-class LostReadsRun {
+class LostReadsRun implements LeavingPlay {
+  readonly steps = 16
+  readonly stepMs = 500
   readonly deployment = new SoakDeployment({ backendsEach: BACKENDS_EACH, ownLines: true })
   readonly leaves: Leave[] = []
   private readonly troubles: Trouble[] = []
@@ -48,7 +41,7 @@
     const gateway = this.draw(this.deployment.gateways.length)
     const kind = this.draw(8)
     if (kind < 4)
-      this.leave()
+      leaveOne(this.deployment, this.leaves, this.draw)
     else if (kind < 6)
       this.silence([gateway])
     else if (kind === 6)
@@ -69,20 +62,6 @@
       .map(seen => `${seen.path} of gateway ${senderOf(seen, clients)} reached ${backend.id} ${Math.round(seen.at - leftAt)} ms after it had left`))
   }
 
-  private leave(): void {
-    const left = new Set(this.leaves.map(({ backend }) => backend))
-    const service = SERVICES[this.draw(SERVICES.length)]
-    const staying = this.deployment.backends.filter(backend => backend.service === service && !left.has(backend))
-    if (staying.length < 2)
-      return
-    const backend = staying[this.draw(staying.length)]
-    if (this.draw(2) === 0)
-      this.deployment.list(backend, 'draining')
-    else
-      this.deployment.unlist(backend)
-    this.leaves.push({ backend, at: performance.now() })
-  }
-
   private silence(gateways: number[]): void {
     const now = performance.now()
     for (const gateway of gateways) {
@@ -134,24 +113,7 @@
   test.each(readSeeds())('get no work from gateways in touch after the drain bound (seed %i)', async (seed) => {
     const draw = createDraw(seed)
     const run = new LostReadsRun(draw)
-    await run.deployment.start()
-    const clients = new SoakClients(run.deployment.gateways, draw)
-    try {
-      await run.deployment.waitUntilReady()
-      clients.start()
-      for (let step = 0; step < STEPS; step++) {
-        run.step()
-        await wait(STEP_MS)
-      }
-      await run.settle()
-      await clients.stop()
-      expect(run.leaves.length).toBeGreaterThan(0)
-      expect(run.leaves.some(({ backend }) => backend.seen.some(isWork))).toBe(true)
-      expect(run.lateArrivals(clients)).toEqual([])
-    }
-    finally {
-      await clients.stop()
-      await run.deployment.stop()
-    }
+    await playLeaving(run, draw)
+    expect(run.leaves.some(({ backend }) => backend.seen.some(isWork))).toBe(true)
   })
 })
