--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -12,13 +12,18 @@
 import type { Member } from '../connection/peers/member.js'
 import type { ConfigurationDecoder } from '../version/configuration-holder.js'
 
-/** Whether other gateways tell this one of changes that its own source has missed. */
-export type ToldByPeers = () => boolean
+/** What other gateways mean for the reads of this one, as of now. */
+export interface PeerView {
+  /** They tell this one of changes that its own source has missed. */
+  readonly isTold: boolean
+  /** Gateways listed, this one included. */
+  readonly gateways: number
+}
 
 /** Follows the platform's configuration. */
 export interface ConfigurationSource {
   /** Offers each configuration as text until the signal aborts; retries failures by itself. */
-  follow: (offer: (text: string) => void, isToldByPeers: ToldByPeers, signal: AbortSignal) => Promise<void>
+  follow: (offer: (text: string) => void, peers: PeerView, signal: AbortSignal) => Promise<void>
 }
 
 /** A time in which a source did not answer, and has just ended. */
@@ -54,7 +59,7 @@
 /** Follows the platform's list of backend servers. */
 export interface BackendSource {
   /** Reports backend servers until the signal aborts; retries failures by itself. */
-  follow: (sink: BackendSink, isToldByPeers: ToldByPeers, signal: AbortSignal) => Promise<void>
+  follow: (sink: BackendSink, peers: PeerView, signal: AbortSignal) => Promise<void>
 }
 
 /** A gateway as the directory lists it. */
@@ -65,6 +70,8 @@
 
 /** Takes the changes of a directory. */
 export interface MemberSink {
+  /** Members listed, this gateway included. */
+  readonly count: number
   upsert: (member: ListedMember) => void
   remove: (name: string) => void
 }
--- a/packages/gateway/src/process/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -7,13 +7,13 @@
  * Inputs: the platform's bounds from the settings (ms): how long after trouble
  * a gateway is in touch again, and within which a configuration and the leaving
  * of a backend server must take effect; whether other gateways tell this one of
- * changes that its own read has missed (as of now).
+ * changes that its own read has missed, and how many are listed (as of now).
  * Rule: the bounds do not add up: a change that a lost read hides must be in
  * force by the later of both. A gateway that nobody tells reads so that it
  * notices the loss, reads again and passes the change on within the longer
  * bound. One that is told waits for as long as both bounds together, since its
  * own read is not what the change depends on; after a read that brought changes
- * it rests. At least MIN_READ_WAIT_MS. After a failure reads do not wait (the
+ * it rests, the longer the more gateways there are. At least MIN_READ_WAIT_MS. After a failure reads do not wait (the
  * adapter's `topic-follower.ts`), so that only the first one can be lost for so
  * long.
  * Why: a read that a silent store has taken never answers and is noticed only
@@ -25,6 +25,8 @@
  * Log events: `store-failed`, `store-recovered`.
  */
 
+import type { PeerView } from './platform-adapter.js'
+
 /** The platform's bounds on following its store, in milliseconds. */
 export interface StoreBounds {
   /** After the end of trouble a gateway is in touch again. */
@@ -66,17 +68,43 @@
 }
 
 /**
- * Milliseconds. Each change of the list costs a call of every gateway that
- * waits for it. On a site of 236 backend servers and 69 gateways they were
- * 11,400 to 21,200 in a minute without the rest, and 3,400 to 7,400 with it
- * (eight random days each). Not measured: half costs more calls, twice as long
- * leaves too little of the bounds where nobody tells.
+ * Milliseconds of rest for each gateway listed: a change wakes every gateway
+ * that waits for it, so that the calls of a busy minute grow with the square of
+ * their number. With it all of them together make some 33 calls a second, however
+ * often the topic changes. Half makes twice as many, twice is bounded by the
+ * constants below on large sites.
+ */
+const REST_FOR_EACH_GATEWAY_MS = 30
+/**
+ * Milliseconds. On a site of 236 backend servers and 69 gateways the calls to
+ * the store were 11,400 to 21,200 in a minute without a rest, and 3,400 to 7,400
+ * with this one (eight random days each).
+ */
+const MIN_TOLD_REST_MS = 1000
+/** Part of the time in which a leaving must take effect. Not measured: with all of it a gateway that nobody told would be late. */
+const MAX_REST_SHARE = 0.5
+
+/** How long a gateway rests after a read of the list of backend servers that brought changes, in milliseconds; what comes meanwhile comes together. */
+export function restAfterChangesMs({ drainMs }: StoreBounds, peers: PeerView): number {
+  if (!peers.isTold)
+    return 0
+  const longestMs = Math.max(MIN_TOLD_REST_MS, drainMs * MAX_REST_SHARE)
+  return Math.min(longestMs, Math.max(MIN_TOLD_REST_MS, peers.gateways * REST_FOR_EACH_GATEWAY_MS))
+}
+
+/**
+ * Milliseconds. Gateways that start together cost each other one read and not
+ * one for each start. With 1500 gateways did not list each other within the second that
+ * the tests of two gateways allow (commit a9b2dc3).
  */
-const TOLD_REST_MS = 1000
+const MIN_DIRECTORY_REST_MS = 400
+/** Milliseconds of a process's life in which it rests for no longer: those that start together must soon agree who coordinates. */
+const STARTING_MS = 10_000
 
-/** How long a gateway rests after a read that brought changes, in milliseconds; what comes meanwhile comes together. */
-export function restAfterChangesMs(isToldByPeers: boolean): number {
-  return isToldByPeers ? TOLD_REST_MS : 0
+/** How long a gateway rests after a read of the directory of gateways that brought changes, in milliseconds; takes the time since it began to follow. */
+export function restOfDirectoryMs(gateways: number, followedMs: number): number {
+  const isStarting = followedMs < STARTING_MS
+  return isStarting ? MIN_DIRECTORY_REST_MS : Math.max(MIN_DIRECTORY_REST_MS, gateways * REST_FOR_EACH_GATEWAY_MS)
 }
 
 /** How long the store may hold a read, in milliseconds. */
--- a/packages/gateway/src/process/stages/admission-accuracy.ts
+++ b/packages/gateway/src/process/stages/admission-accuracy.ts
@@ -10,7 +10,6 @@
  * of another); without a half-life some days fell by 0.1 and more.
  */
 import type { PreparationRequest } from '../../connection/peers/preparation.js'
-import { ANSWER_TIME_MS } from '../../request/stages/stage-graph.js'
 
 /** Weight of the newest request. Not measured; half follows a burst late, twice as much follows single requests. */
 const NEWEST_WEIGHT = 0.1
@@ -33,9 +32,9 @@
     return learned ? 1 + (learned.factor - 1) * 2 ** ((learned.learnedAt - now) / HALF_LIFE_MS) : 1
   }
 
-  /** A request was admitted with this expected time to the first event, in milliseconds and without the factor. */
-  admitted({ requestId }: PreparationRequest, finishMs: number): void {
-    this.expected.set(requestId, finishMs - ANSWER_TIME_MS)
+  /** A request was admitted with this expected time of its stages, in milliseconds and without the factor. */
+  admitted({ requestId }: PreparationRequest, stagesMs: number): void {
+    this.expected.set(requestId, stagesMs)
   }
 
   /**
--- a/packages/gateway/src/process/stages/engine-assignment.ts
+++ b/packages/gateway/src/process/stages/engine-assignment.ts
@@ -28,20 +28,40 @@
  * the worth is 0.018 +- 0.013 less (12 pairs).
  */
 const TOKEN_COST_MS = 0.08
+/**
+ * Share that counts of the tokens that the home of a prompt lacks, as far as is
+ * known here: it may have read them for an earlier coordinator, or longer ago.
+ * Played as PART_LIFETIME_MS, tokens read again are 26% fewer than at 0, where a
+ * home is preferred to an engine that keeps the part that most prompts begin
+ * with; at 0.9 more is read in all.
+ */
+const HOME_MISSING_SHARE = 0.5
 /** Bytes from another failure domain that weigh as much as a millisecond. Not measured apart. */
 const CROSSING_BYTES_PER_MS = 40_000
-/** Milliseconds for which an engine counts as keeping a part that it was assigned. Not measured; keys that come seldom are evicted by then. */
-const PART_LIFETIME_MS = 10_000
+/**
+ * Milliseconds for which an engine counts as keeping a part that it was assigned.
+ * Played without a network with 82 engines, tokens that are read again are 10%
+ * fewer than at half of it; keys that come more seldom are evicted by then.
+ */
+const PART_LIFETIME_MS = 20_000
 /** Milliseconds that a token takes at an engine of which nothing was measured. */
 const FIRST_TOKEN_MS = 0.026
 /** Bounds of a measured time for each token, over FIRST_TOKEN_MS. Not measured; they keep one odd request from deciding for long. */
 const MAX_SLOWNESS = 20
 /** See MAX_SLOWNESS. */
 const MIN_SLOWNESS = 0.5
-/** Weight of the newest request in the measured time. Not measured; half notices a slowed engine late. */
-const SPEED_WEIGHT = 0.1
-/** Milliseconds of an answer's first event that do not depend on the prompt: fetch, connection, first step. Not measured apart. */
-const FIXED_MS = 30
+/** Weight of the newest long request in the measured time. Not measured; half notices a slowed engine late. */
+const SPEED_WEIGHT = 0.2
+/**
+ * Tokens from which on a request has its full weight: the time of a short one
+ * says little of the engine's, since most of it does not depend on the prompt.
+ * Played as PART_LIFETIME_MS, tokens read again fall by 46%, since no engine is
+ * left because it seems slow, and answers are expected to take 1.3 times as long
+ * as they do, where it was 1.8 times.
+ */
+const FULL_WEIGHT_TOKENS = 4000
+/** Milliseconds of an answer's first event that do not depend on the prompt: fetch, connection, first step. Played as PART_LIFETIME_MS, tokens read again are 10% fewer than at 30. */
+const FIXED_MS = 50
 /** Milliseconds after which an assigned request counts as read whatever is known of it. Not measured; far above a usual first event. */
 const MAX_READING_MS = 3000
 
@@ -65,9 +85,15 @@
   assignedAt: number
 }
 
-/** What it would cost that an engine reads a request. */
-interface EngineCost {
+/** The engine that a request would be assigned, and what is expected of it. */
+export interface ExpectedReading {
   engine: Backend
+  /** Milliseconds from the call to the first event, by estimate. */
+  firstEventMs: number
+}
+
+/** What it would cost that an engine reads a request. */
+interface EngineCost extends ExpectedReading {
   /** Tokens of shared parts that it would have to read. */
   missingTokens: number
   /** Milliseconds, by estimate. */
@@ -104,7 +130,7 @@
   measure(tookMs: number, tokens: number): void {
     const measured = Math.max(0, tookMs - FIXED_MS) / Math.max(1, tokens)
     const bounded = Math.min(MAX_SLOWNESS * FIRST_TOKEN_MS, Math.max(MIN_SLOWNESS * FIRST_TOKEN_MS, measured))
-    this.tokenMs += (bounded - this.tokenMs) * SPEED_WEIGHT
+    this.tokenMs += (bounded - this.tokenMs) * SPEED_WEIGHT * Math.min(1, tokens / FULL_WEIGHT_TOKENS)
   }
 }
 
@@ -114,8 +140,8 @@
   private readonly assignments = new Map<string, Assignment>()
 
   /** The engine that would be assigned; undefined where there is none. */
-  choose(request: EngineRequest, engines: readonly Backend[], now: number): Backend | undefined {
-    return this.findCheapest(request, engines, now)?.engine
+  choose(request: EngineRequest, engines: readonly Backend[], now: number): ExpectedReading | undefined {
+    return this.findCheapest(request, engines, now)
   }
 
   /** Assigns an engine; undefined where there is none. */
@@ -171,17 +197,16 @@
     const missingTokens = this.missingTokens(prompt, engine, isHome, now)
     const readMs = (tokensToRead + ownTokens(prompt) + missingTokens) * tokenMs
     const crossingMs = engine.failureDomain === failureDomain ? 0 : bytes / CROSSING_BYTES_PER_MS
-    return { engine, missingTokens, costMs: readMs + missingTokens * TOKEN_COST_MS + crossingMs }
+    return { engine, missingTokens, firstEventMs: FIXED_MS + readMs, costMs: readMs + missingTokens * TOKEN_COST_MS + crossingMs }
   }
 
   /** Tokens of shared parts that an engine has to read, by what it was assigned; a part is of use only behind all before it. */
   private missingTokens(prompt: readonly PromptPart[], engine: Backend, isHome: boolean, now: number): number {
-    if (isHome)
-      return 0
     const state = this.stateOf(engine)
     const shared = sharedParts(prompt)
     const firstMissing = shared.findIndex(part => !state.keeps(part.id, now))
-    return firstMissing === -1 ? 0 : shared.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0)
+    const tokens = firstMissing === -1 ? 0 : shared.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0)
+    return isHome ? tokens * HOME_MISSING_SHARE : tokens
   }
 
   private stateOf(engine: Backend): EngineState {
--- /dev/null
+++ b/packages/gateway/src/process/stages/pool/call-size.ts
@@ -0,0 +1,45 @@
+/**
+ * Decides how many items a call takes before the rest is left to the calls
+ * that start next.
+ *
+ * Inputs: items that wait in the pool; the usable backend servers and when each
+ * can start a call (ms, by the expected end of its call under way), as of now;
+ * the fixed time of a call (ms, configured).
+ * Rule: the waiting items are divided evenly among the backend servers that can
+ * start within SOON_SHARE of the fixed time of a call; a call takes whole tasks
+ * until it has its part.
+ * Why: a call ends with its last item, so each task added delays all others in
+ * the call. The first idle backend server used to take all that waited, up to a
+ * full call, while the next ones stood idle some milliseconds later: calls of
+ * one task and of four ran side by side. Under load few backend servers start
+ * soon and much waits, so that calls become full by the same rule.
+ * Set by: see SOON_SHARE.
+ * Log event: `stage-call` (items).
+ */
+
+/**
+ * Share of the fixed time of a call within which a start is soon. Played without
+ * a network (79 backend servers of three services in six failure domains, 200
+ * requests a second, three seeds): refused requests 79 without the rule, 41 at
+ * 0.4 and 36 at 0.65 (two seeds), 74 at 0.25 and 118 at 1, where calls are too
+ * small for the load. At 130 a second, the 90th percentile of the most urgent
+ * requests falls from 1,260 to 1,046 ms.
+ */
+const SOON_SHARE = 0.5
+
+/** When a backend server can start a call. */
+export interface StartForecast {
+  isUsable: (now: number) => boolean
+  /** Milliseconds until it could start another call. */
+  startsIn: (now: number) => number
+}
+
+/** Items after which a call takes no further task; takes the fixed time of a call, in milliseconds. */
+export function decideCallItems(waitingItems: number, backends: Iterable<StartForecast>, fixedCallMs: number, now: number): number {
+  let startingSoon = 0
+  for (const backend of backends) {
+    if (backend.isUsable(now) && backend.startsIn(now) <= fixedCallMs * SOON_SHARE)
+      startingSoon++
+  }
+  return Math.ceil(waitingItems / Math.max(1, startingSoon))
+}
--- a/packages/gateway/src/process/stages/pool/domain-wait.ts
+++ b/packages/gateway/src/process/stages/pool/domain-wait.ts
@@ -52,29 +52,56 @@
 export function findBetterDomain(
   task: StageTask,
   here: BackendForecast,
-  others: Iterable<BackendForecast>,
+  others: DomainForecasts,
   now: number,
 ): string | undefined {
-  const costMs = crossingCost(task, here)
+  const costMs = crossingCost(task, here.failureDomain)
   if (costMs < MIN_CROSSING_COST_MS)
     return undefined
   const callMs = here.callTime(task.items)
   const spareMs = task.targetAt - now - callMs - task.remainingMs - TARGET_MARGIN_MS
   const maxDelayMs = Math.min(MAX_DOMAIN_WAIT_MS, costMs, spareMs)
-  for (const other of others) {
-    if (other === here || !other.isUsable(now) || crossingCost(task, other) >= costMs)
-      continue
-    const delayMs = other.startsIn(now) + other.callTime(task.items) - callMs
-    if (delayMs < maxDelayMs)
-      return other.failureDomain
+  return others.find((failureDomain, startsInMs, forecast) => {
+    const delayMs = startsInMs + forecast.callTime(task.items) - callMs
+    return delayMs < maxDelayMs && crossingCost(task, failureDomain) < costMs
+  })
+}
+
+/**
+ * What is expected of the usable backend servers of a pool at one moment, for
+ * all tasks that are weighed then. With it, and without work where none is idle,
+ * the pools of 79 backend servers cost 0.30 ms of processor time a request at 130
+ * requests a second, and 0.67 ms where each task asked each backend server anew
+ * (one process, 10 s).
+ */
+export class DomainForecasts {
+  private readonly entries: { startsInMs: number, forecast: BackendForecast }[] = []
+
+  constructor(forecasts: Iterable<BackendForecast>, now: number) {
+    for (const forecast of forecasts) {
+      if (forecast.isUsable(now))
+        this.entries.push({ startsInMs: forecast.startsIn(now), forecast })
+    }
+  }
+
+  /** The failure domain of the first backend server that suits; undefined where none does. */
+  find(suits: (failureDomain: string, startsInMs: number, forecast: BackendForecast) => boolean): string | undefined {
+    for (const { startsInMs, forecast } of this.entries) {
+      if (suits(forecast.failureDomain, startsInMs, forecast))
+        return forecast.failureDomain
+    }
+    return undefined
   }
-  return undefined
 }
 
-/** Milliseconds of waiting that the bytes to other failure domains are worth, if the task's items run here. */
-function crossingCost(task: StageTask, { failureDomain }: BackendForecast): number {
-  const crossing = task.inputs.filter(input => input.holder.failureDomain !== failureDomain)
-  const fetchedBytes = crossing.reduce((sum, input) => sum + input.bytes, 0)
-  const isReadElsewhere = task.readerDomain !== undefined && task.readerDomain !== failureDomain
-  return task.items * (fetchedBytes + (isReadElsewhere ? task.resultBytes : 0)) / CROSSING_BYTES_PER_MS
+/** Milliseconds of waiting that the bytes to other failure domains are worth, if the task's items run in this one. */
+function crossingCost(task: StageTask, failureDomain: string): number {
+  let bytes = 0
+  for (const input of task.inputs) {
+    if (input.holder.failureDomain !== failureDomain)
+      bytes += input.bytes
+  }
+  if (task.readerDomain !== undefined && task.readerDomain !== failureDomain)
+    bytes += task.resultBytes
+  return task.items * bytes / CROSSING_BYTES_PER_MS
 }
--- a/packages/gateway/src/process/stages/pool/service-pace.ts
+++ b/packages/gateway/src/process/stages/pool/service-pace.ts
@@ -11,8 +11,12 @@
  * itemMs from the estimates, 1 refuses work that would be in time.
  */
 const TYPICAL_FILL = 0.6
-/** Share of the speed of full batches that is reached under load. Came in commit 5c1a649; not measured apart. */
-const BATCH_EFFICIENCY = 0.8
+/**
+ * Share of the speed of full batches that is reached under load. Played without a
+ * network, a burst of urgent requests earns 0.94 of its worth at 0.8 and 0.97 at
+ * 0.95, a burst of large results 0.92 and 0.90 (two seeds and one).
+ */
+const BATCH_EFFICIENCY = 0.9
 /** Calls whose results are in memory at once: one being read, one being made. Commit 1e05cb6. */
 const CALLS_IN_MEMORY = 2
 /** Weight of the newest task in the typical size of a result. Not measured; twice as much follows single tasks. */
--- a/packages/gateway/src/process/stages/pool/stage-batch.ts
+++ b/packages/gateway/src/process/stages/pool/stage-batch.ts
@@ -43,6 +43,8 @@
   tasks: readonly PoolTask[]
   /** Places of one call. */
   maxItems: number
+  /** Items after which no further task is added (`call-size.ts`). */
+  enoughItems: number
   /** Result memory that may be reserved, in bytes. */
   freeBytes: number
   /** The failure domain that a task should wait for; undefined where it should run here now. */
@@ -89,10 +91,11 @@
   return { suiting, overflow }
 }
 
-function fill(parts: BatchPart[], tasks: readonly PoolTask[], { maxItems, freeBytes }: BatchInput, reason: BatchReason): void {
+function fill(parts: BatchPart[], tasks: readonly PoolTask[], { maxItems, enoughItems, freeBytes }: BatchInput, reason: BatchReason): void {
   for (const task of tasks) {
-    const places = maxItems - countItems(parts)
-    if (places <= 0)
+    const taken = countItems(parts)
+    const places = maxItems - taken
+    if (places <= 0 || taken >= enoughItems)
       return
     const waiting = task.waiting.length
     const withinMemory = Math.floor((freeBytes - reservedBytes(parts)) / task.stageTask.resultBytes)
--- a/packages/gateway/src/process/stages/pool/stage-pool.ts
+++ b/packages/gateway/src/process/stages/pool/stage-pool.ts
@@ -18,7 +18,8 @@
 import { ItemFailure } from '../../../connection/backends/stage-client.js'
 import { ResultFrees } from '../backend/result-frees.js'
 import { StageBackend } from '../backend/stage-backend.js'
-import { findBetterDomain } from './domain-wait.js'
+import { decideCallItems } from './call-size.js'
+import { DomainForecasts, findBetterDomain } from './domain-wait.js'
 import { estimatePace, typicalCallMs, updateTypicalBytes } from './service-pace.js'
 import { chooseBatch } from './stage-batch.js'
 import { StageCalls } from './stage-calls.js'
@@ -127,10 +128,13 @@
     this.failTasks(ItemFailure.InputGone, task => lacksInput(task, now))
     for (const backend of this.backends.values())
       backend.memory.expire(now)
-    if (!this.hasWaitingTasks)
+    const idle = this.hasWaitingTasks ? this.idleBackends(now) : []
+    if (idle.length === 0)
       return
     this.queue.sort(this.typicalCallMs(), now)
-    for (const backend of this.idleBackends(now)) {
+    for (const backend of idle) {
+      if (!this.hasWaitingTasks)
+        return
       const items = this.takeBatch(backend, now)
       if (items.length > 0)
         void this.calls.run(backend, items, this.limits, now)
@@ -156,11 +160,13 @@
   }
 
   private takeBatch(backend: StageBackend, now: number): PoolItem[] {
+    const forecasts = new DomainForecasts(this.backends.values(), now)
     const parts = chooseBatch({
       tasks: this.queue.tasks,
       maxItems: this.limits.batch,
+      enoughItems: decideCallItems(this.queue.waitingItems, this.backends.values(), this.limits.callMs, now),
       freeBytes: backend.memory.freeBytes(),
-      betterDomain: task => findBetterDomain(task, backend, this.backends.values(), now),
+      betterDomain: task => findBetterDomain(task, backend, forecasts, now),
       nextCalls: domain => this.nextCalls(domain, now),
     })
     return this.queue.take(parts)
--- a/packages/gateway/src/process/stages/pool/task-queue.ts
+++ b/packages/gateway/src/process/stages/pool/task-queue.ts
@@ -23,6 +23,11 @@
     return this.queued
   }
 
+  /** Items that are in no call and have no result. */
+  get waitingItems(): number {
+    return this.queued.reduce((sum, task) => sum + task.waiting.length, 0)
+  }
+
   add(task: StageTask): PoolTask {
     const added = createPoolTask(task)
     this.queued.push(added)
--- a/packages/gateway/src/process/stages/stage-admission.ts
+++ b/packages/gateway/src/process/stages/stage-admission.ts
@@ -1,24 +1,31 @@
 /**
  * Decides whether stage work is started or refused when it arrives.
  *
- * Inputs: the request's stages, target and deadline (ms left); rank and
- * unfinished items of every admitted request; pace of each service, from its
- * configured times and the measured speed of its backend servers. All are
- * current and local to the coordinator.
- * Rule: the expected time to the first event is the longest wait for the items
- * that go before, at the pace of their services, plus the request's own way
- * through its stages, corrected by how far earlier estimates of like work were
- * off (`admission-accuracy.ts`). Work that is expected within its target and its deadline
- * is admitted; the rest is refused at once with a time to retry. A wait of
- * ALWAYS_ALLOWED_WAIT_MS is allowed whatever the target says.
- * Why: held work that cannot be in time expires in the queue and delays the
- * rest. Running it in the background lost on both sites (commit ad6e8df), and so
- * did admitting it up to a tenth beyond the target (commit f868ed0).
+ * Inputs: the request's stages, target and deadline (ms left); expected time of
+ * its answer (ms, engine-assignment.ts); rank and unfinished items of every
+ * admitted request; pace of each service, from its configured times and the
+ * measured speed of its backend servers. All are current and local to the
+ * coordinator.
+ * Rule: a stage starts when the stages before it are done and the items that go
+ * before are, at the pace of their service. The last stage's end, corrected by
+ * how far earlier estimates of like work were off (`admission-accuracy.ts`), and
+ * the answer are the expected time to the first event. Work that is expected
+ * within its target and its deadline is admitted; the rest is refused at once
+ * with a time to retry. A wait of ALWAYS_ALLOWED_WAIT_MS is allowed whatever the
+ * target says.
+ * Why: while a request goes through its first stages, the items before it in
+ * the later ones are worked on. With an estimate that added that wait to the
+ * whole way, and calls that took all that waited, a burst of urgent requests was
+ * served in time to 0.63 and 0.65, with neither to 0.80 and 0.83 (72 stage
+ * backend servers, two seeds, without a network). Held work that cannot be in
+ * time expires in the queue and delays the rest. Running it in the background
+ * lost on both sites (commit ad6e8df), and so did admitting it up to a tenth
+ * beyond the target (commit f868ed0).
  * Set by: commits 5c1a649, 1e05cb6, ad6e8df, f868ed0, see the constants.
  * Log event: `stages-admission`.
  */
 import type { PreparationRequest } from '../../connection/peers/preparation.js'
-import { ANSWER_TIME_MS, longestWayThrough } from '../../request/stages/stage-graph.js'
+import type { StageWork } from '../../request/stages/request-stages.js'
 
 /**
  * Wait that no target forbids, in milliseconds: some targets are below the time
@@ -61,35 +68,39 @@
   remainingItems: (service: string) => number
 }
 
+/** Work that asks to be admitted. */
+export interface ApplyingWork extends StageWork {
+  /** Real over expected time of like work. */
+  accuracyFactor: number
+}
+
 /** A decision and what it was made from. */
 export interface AdmissionDecision {
   /** The work is expected in time. */
   isAdmitted: boolean
   /** Expected time to the first event, in milliseconds; infinite where a service has no backend server. */
   finishMs: number
-  /** The same before it was corrected by how far earlier estimates were off. */
-  plainMs: number
+  /** Expected time of the stages, in milliseconds, before it was corrected by how far earlier estimates were off. */
+  stagesMs: number
   /** Milliseconds after which a refused request may be retried. */
   retryAfterMs: number
 }
 
-/** Decides on a request by the work that goes before it; the factor is that of real over expected time. */
+/** Decides on a request by the work that goes before it. */
 export function decideAdmission(
-  request: PreparationRequest,
-  rank: number,
+  { request, rank, answerMs, accuracyFactor }: ApplyingWork,
   committed: Iterable<CommittedWork>,
   paceOf: PaceOfService,
-  accuracyFactor = 1,
 ): AdmissionDecision {
   const ahead = [...committed].filter(work => work.rank <= rank)
-  const aloneMs = estimateFinish(request, [], paceOf)
-  const plainMs = estimateFinish(request, ahead, paceOf)
-  const finishMs = (plainMs - ANSWER_TIME_MS) * accuracyFactor + ANSWER_TIME_MS
+  const aloneMs = estimateStages(request, [], paceOf) + answerMs
+  const stagesMs = estimateStages(request, ahead, paceOf)
+  const finishMs = stagesMs * accuracyFactor + answerMs
   const allowedMs = Math.max(request.targetMs, aloneMs + ALWAYS_ALLOWED_WAIT_MS)
   return {
     isAdmitted: finishMs <= Math.min(allowedMs, request.deadlineMs),
     finishMs,
-    plainMs,
+    stagesMs,
     retryAfterMs: retryAfter(finishMs, request.targetMs),
   }
 }
@@ -100,24 +111,21 @@
   return Math.max(MIN_RETRY_MS, finishMs - targetMs * RETRY_TARGET_SHARE)
 }
 
-/** Expected time to the first event behind other work, in milliseconds. */
-function estimateFinish(request: PreparationRequest, ahead: readonly CommittedWork[], paceOf: PaceOfService): number {
-  let wait = 0
-  for (const [service, items] of countItems(request)) {
-    if (items === 0)
-      continue
-    const pace = paceOf(service)
-    if (!pace || pace.backends === 0)
-      return Number.POSITIVE_INFINITY
-    const total = items + ahead.reduce((sum, work) => sum + work.remainingItems(service), 0)
-    wait = Math.max(wait, total * pace.itemMs / pace.backends - pace.callMs)
+/** Expected time until all stages are done behind other work, in milliseconds; infinite where a service has no backend server. */
+function estimateStages({ stages }: PreparationRequest, ahead: readonly CommittedWork[], paceOf: PaceOfService): number {
+  const ends: number[] = []
+  for (const { service, dependsOn, items } of stages) {
+    const readyMs = Math.max(0, ...dependsOn.map(dependency => ends[dependency] ?? 0))
+    ends.push(items === 0 ? readyMs : Math.max(readyMs, waitFor(service, items, ahead, paceOf)) + (paceOf(service)?.callMs ?? 0))
   }
-  return wait + longestWayThrough(request.stages, service => paceOf(service)?.callMs ?? 0) + ANSWER_TIME_MS
+  return Math.max(0, ...ends)
 }
 
-function countItems(request: PreparationRequest): Map<string, number> {
-  const items = new Map<string, number>()
-  for (const stage of request.stages)
-    items.set(stage.service, (items.get(stage.service) ?? 0) + stage.items)
-  return items
+/** Milliseconds until the call of some items can start behind other work at a service. */
+function waitFor(service: string, items: number, ahead: readonly CommittedWork[], paceOf: PaceOfService): number {
+  const pace = paceOf(service)
+  if (!pace || pace.backends === 0)
+    return Number.POSITIVE_INFINITY
+  const total = items + ahead.reduce((sum, work) => sum + work.remainingItems(service), 0)
+  return total * pace.itemMs / pace.backends - pace.callMs
 }
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -17,6 +17,8 @@
 import type { PreparationListener } from '../../request/stages/request-stages.js'
 import type { RouteTable } from '../../version/route-table.js'
 import type { BackendRegistry } from '../backend-registry.js'
+import type { ExpectedReading } from './engine-assignment.js'
+import type { ApplyingWork } from './stage-admission.js'
 import { Err } from 'ts-results-es'
 import { PreparationFailureKind } from '../../connection/peers/preparation.js'
 import { RequestStages } from '../../request/stages/request-stages.js'
@@ -40,6 +42,14 @@
  * keeps state of lost requests.
  */
 const MAX_HOLD_MS = 20_000
+/**
+ * Milliseconds of an answer beside the engine's: the way from the coordinator
+ * over the gateway to the engine, and back. Not measured apart; half admits some
+ * that are late, twice refuses some that would be in time.
+ */
+const ANSWER_OVERHEAD_MS = 70
+/** Milliseconds from the last stage to the answer where no engine reads the results. Not measured. */
+const PLAIN_ANSWER_MS = 250
 /** The client left, or the request's time passed. */
 const CANCELLED: PreparationFailure = { kind: PreparationFailureKind.Cancelled, message: 'the request was given up', retryAfterMs: 0 }
 
@@ -147,33 +157,44 @@
       end(Err({ kind: PreparationFailureKind.HandedOver, message: 'the coordinator is stopping', retryAfterMs: 0 }))
       return
     }
-    const rank = rankRequest(request, now)
+    const reading = this.expectReading(request, now)
+    const work = this.describeWork(request, reading, now)
     if (request.progress !== undefined)
-      return this.start(request, rank, end)
-    const decision = decideAdmission(request, rank, this.runs.values(), service => this.pools.get(service)?.pace(), this.accuracy.factorFor(request, now))
-    logAdmission(this.log, request, decision, this.runs.size)
+      return this.start(work, end)
+    const decision = decideAdmission(work, this.runs.values(), service => this.pools.get(service)?.pace())
+    logAdmission(this.log, work, decision, this.runs.size)
     if (decision.isAdmitted) {
-      this.accuracy.admitted(request, decision.plainMs)
-      return this.start(request, rank, end)
+      this.accuracy.admitted(request, decision.stagesMs)
+      return this.start(work, end)
     }
     const message = `the stages would take ${Math.round(decision.finishMs)} ms`
     end(Err({ kind: PreparationFailureKind.Overloaded, message, retryAfterMs: decision.retryAfterMs }))
   }
 
-  private start(request: PreparationRequest, rank: number, end: PreparationListener): void {
-    const { requestId } = request
+  private start(work: ApplyingWork, end: PreparationListener): void {
+    const { requestId } = work.request
     this.release(requestId)
-    const run = new RequestStages(this.withReader(request), rank, service => this.pools.get(service), end)
+    const run = new RequestStages(work, service => this.pools.get(service), end)
     this.runs.set(requestId, run)
     setTimeout(() => this.runs.get(requestId) === run && this.release(requestId), MAX_HOLD_MS).unref()
     run.start()
   }
 
-  /** The request with the failure domain of the engine that would read its results now. */
-  private withReader(request: PreparationRequest): PreparationRequest {
+  /** A request as admission and the stages see it: read in the failure domain of the engine that would read it now. */
+  private describeWork(request: PreparationRequest, reading: ExpectedReading | undefined, now: number): ApplyingWork {
+    const answerMs = reading ? reading.firstEventMs + ANSWER_OVERHEAD_MS : PLAIN_ANSWER_MS
+    return {
+      request: { ...request, failureDomain: reading?.engine.failureDomain ?? request.failureDomain },
+      rank: rankRequest(request, answerMs, now),
+      answerMs,
+      accuracyFactor: this.accuracy.factorFor(request, now),
+    }
+  }
+
+  /** The engine that would read the results of a request now. */
+  private expectReading(request: PreparationRequest, now: number): ExpectedReading | undefined {
     const { requestId, prompt = [], failureDomain } = request
-    const engine = this.engines.choose({ requestId, prompt, failureDomain, bytes: 0 }, this.enginesFor(request), performance.now())
-    return { ...request, failureDomain: engine?.failureDomain ?? failureDomain }
+    return this.engines.choose({ requestId, prompt, failureDomain, bytes: 0 }, this.enginesFor(request), now)
   }
 
   private assignEngine(request: PreparationRequest, inputs: PreparedInputs, now: number): PreparedInputs {
--- a/packages/gateway/src/process/stages/stage-order.ts
+++ b/packages/gateway/src/process/stages/stage-order.ts
@@ -2,9 +2,11 @@
  * Decides in which order the stage work of requests runs.
  *
  * Inputs: priority (0 is the most urgent), target (milliseconds on the process
- * clock), whether the client retries; all known when the request arrives.
- * Rule: by target, each level of priority shifted by PRIORITY_STEP_MS; a retry
- * counts as one level more urgent. A waiting task that will miss its target is
+ * clock), whether the client retries, expected time of the answer (ms,
+ * engine-assignment.ts); all known when the request arrives.
+ * Rule: by the time at which the stages have to be done for the answer to meet
+ * its target, each level of priority shifted by PRIORITY_STEP_MS; a retry counts
+ * as one level more urgent. A waiting task that will miss its target is
  * put back by LATE_STEP_MS.
  * Why: strict priority starved the least urgent kinds (commit 5c1a649); a
  * shifted target delays them by a bounded time. By target alone, what is late
@@ -29,10 +31,10 @@
  */
 const LATE_STEP_MS = 1500
 
-/** Place in the order of a request that arrives now, on the process clock in milliseconds; the least goes first. */
-export function rankRequest({ priority, isRetry, targetMs }: PreparationRequest, now: number): number {
+/** Place in the order of a request that arrives now and whose answer takes some milliseconds, on the process clock; the least goes first. */
+export function rankRequest({ priority, isRetry, targetMs }: PreparationRequest, answerMs: number, now: number): number {
   const level = priority - (isRetry ? 1 : 0)
-  return now + targetMs + level * PRIORITY_STEP_MS
+  return now + targetMs - answerMs + level * PRIORITY_STEP_MS
 }
 
 /** Place in the order of a task that waits now for a call of some milliseconds; the least goes first. */
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -53,6 +53,7 @@
   private handles: readonly string[] | undefined
   private inputsRead = false
   private lastEventId: string | undefined
+  private firstEventAt: number | undefined
   private lastFailure: CallFailure | undefined
   private fallback: WholeAnswer | undefined
 
@@ -75,7 +76,7 @@
         return this.end(next.error)
       const result = await this.attempt(next.value)
       if (result.end === AttemptEnd.Answered)
-        return {}
+        return { firstEventAt: this.firstEventAt }
       this.takeFailure(next.value, result)
       decision = decideAfterAttempt(this.history, request.route, signal.aborted)
     }
@@ -157,6 +158,7 @@
 
   /** The first event shows that the backend server has read its inputs; each one is where a resumed stream goes on. */
   private takeEvent(id: string | undefined): void {
+    this.firstEventAt ??= performance.now()
     if (!this.inputsRead && this.subject.inputs.handles) {
       this.inputsRead = true
       this.subject.inputs.onRead?.()
@@ -198,7 +200,7 @@
     const { request, answer, signal } = this.subject
     if (this.fallback && !answer.started && !signal.aborted) {
       passWhole(this.fallback, answer)
-      return { retry }
+      return { retry, firstEventAt: this.firstEventAt }
     }
     const error = errorOfUnanswered({
       service: request.service,
@@ -206,7 +208,7 @@
       runs: this.history.runs,
       lastFailure: this.lastFailure,
     })
-    return { error, retry }
+    return { error, retry, firstEventAt: this.firstEventAt }
   }
 
   private remainingMs(): number {
--- a/packages/gateway/src/request/attempts/run-subject.ts
+++ b/packages/gateway/src/request/attempts/run-subject.ts
@@ -29,6 +29,8 @@
   error?: RequestError
   /** Why there was no further attempt; absent where one answered. */
   retry?: RetryDecision
+  /** When the first event of a stream was passed on: milliseconds of the process clock. */
+  firstEventAt?: number
 }
 
 /** One request, and where its answer goes. */
--- a/packages/gateway/src/request/pass-through.ts
+++ b/packages/gateway/src/request/pass-through.ts
@@ -103,11 +103,12 @@
     }
   }
 
-  private finish(request: ClientRequest, route: string | undefined, answer: ClientAnswer, { error, retry }: RunEnd): void {
+  private finish(request: ClientRequest, route: string | undefined, answer: ClientAnswer, { error, retry, firstEventAt }: RunEnd): void {
     const tookMs = performance.now() - request.arrivedAt
     const configurationVersion = this.parts.configuration.version
     this.parts.metrics.countRequest(route ?? NO_ROUTE, outcomeOf(error), tookMs)
-    this.log.requestEnded({ requestId: request.head.requestId, route, error, retry, tookMs, configurationVersion })
+    const firstEventMs = firstEventAt === undefined ? undefined : firstEventAt - request.arrivedAt
+    this.log.requestEnded({ requestId: request.head.requestId, route, error, retry, tookMs, firstEventMs, configurationVersion })
     if (!error)
       return
     if (answer.started)
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -5,6 +5,7 @@
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { CallFailure } from '../connection/backends/backend-client.js'
 import type { Backend } from '../connection/backends/backend.js'
+import type { PromptPart } from '../connection/clients/client-codec.js'
 import type { RetryDecision } from './attempts/retry-rule.js'
 import type { RoutedRequest } from './routed-request.js'
 
@@ -36,6 +37,8 @@
   /** Why there was no further attempt; absent where no attempt failed. */
   retry: RetryDecision | undefined
   tookMs: number
+  /** Milliseconds from its arrival to the first event of a stream; absent where there was none. */
+  firstEventMs: number | undefined
   configurationVersion: number
 }
 
@@ -60,6 +63,7 @@
       running: backend.load?.running,
       loadAgeMs: backend.load ? Math.round(performance.now() - backend.loadAt) : undefined,
       remainingMs: Math.round(remainingMs),
+      promptTokens: request.head.promptParts.length > 0 ? countTokens(request.head.promptParts) : undefined,
     })
   }
 
@@ -73,7 +77,7 @@
     })
   }
 
-  requestEnded({ requestId, route, error, retry, tookMs, configurationVersion }: RequestEnd): void {
+  requestEnded({ requestId, route, error, retry, tookMs, firstEventMs, configurationVersion }: RequestEnd): void {
     this.log.write('request-ended', {
       request: requestId,
       route,
@@ -83,7 +87,12 @@
       retry,
       retryAfterMs: error?.retryAfterMs,
       tookMs: Math.round(tookMs),
+      firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
       configuration: configurationVersion,
     })
   }
 }
+
+function countTokens(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, part) => sum + part.tokens, 0)
+}
--- a/packages/gateway/src/request/stages/index.ts
+++ b/packages/gateway/src/request/stages/index.ts
@@ -1,4 +1,5 @@
 export * from './request-stages.js'
+export * from './stage-delay.js'
 export * from './stage-failure.js'
 export * from './stage-graph.js'
 export * from './stage-progress.js'
--- a/packages/gateway/src/request/stages/request-stages.ts
+++ b/packages/gateway/src/request/stages/request-stages.ts
@@ -13,6 +13,7 @@
 import type { StageResult, StageTask, StageTaskQueues } from './stage-task.js'
 import { Err, Ok } from 'ts-results-es'
 import { PreparationFailureKind } from '../../connection/peers/preparation.js'
+import { decideStageDelay } from './stage-delay.js'
 import { decideStageFailure, StageFailureDecision } from './stage-failure.js'
 import { StageGraph } from './stage-graph.js'
 import { adoptProgress } from './stage-progress.js'
@@ -24,6 +25,15 @@
  */
 const RETRY_AFTER_MS = 1000
 
+/** A request whose stages run, and what was decided of it when it came. */
+export interface StageWork {
+  request: PreparationRequest
+  /** Place in the order; the least goes first. */
+  rank: number
+  /** Expected time from the end of the stages to the first event, in milliseconds. */
+  answerMs: number
+}
+
 /** Called once with how the stage work ended. */
 export type PreparationListener = (result: Result<PreparedInputs, PreparationFailure>) => void
 
@@ -33,18 +43,27 @@
   private restarts = 0
   private ended = false
   private handingOver = false
+  /** Looks again at stages whose start is put off. */
+  private delayTimer: NodeJS.Timeout | undefined
   /** Used once: a restart runs every stage. */
   private progress: readonly StageProgress[] | undefined
   private readonly graph: StageGraph
   private readonly targetAt: number
   private readonly deadlineAt: number
 
+  private readonly request: PreparationRequest
+  readonly rank: number
+  private readonly answerMs: number
+
   constructor(
-    private readonly request: PreparationRequest,
-    readonly rank: number,
+    work: StageWork,
     private readonly queueOf: StageTaskQueues,
     private readonly listener: PreparationListener,
   ) {
+    const { request } = work
+    this.request = request
+    this.rank = work.rank
+    this.answerMs = work.answerMs
     this.graph = new StageGraph(request.stages)
     this.states = new StageStates(request.stages, this.graph, queueOf)
     this.progress = request.progress
@@ -70,6 +89,7 @@
       return
     const progress = this.states.describeProgress(performance.now())
     this.ended = true
+    clearTimeout(this.delayTimer)
     this.states.cancelTasks()
     this.states = new StageStates([], this.graph, this.queueOf)
     this.listener(Err({ kind: PreparationFailureKind.HandedOver, message: 'the coordinator is stopping', retryAfterMs: 0, progress }))
@@ -86,12 +106,13 @@
   /** Cancels what is under way and frees all results. */
   release(): void {
     this.ended = true
+    clearTimeout(this.delayTimer)
     this.states.freeEverything()
   }
 
   private advance(): void {
     for (let stage = 0; stage < this.request.stages.length && !this.ended; stage++) {
-      if (this.states.isReady(stage))
+      if (this.states.isReady(stage) && !this.putOff(stage))
         this.startStage(stage)
     }
     if (this.ended || !this.states.isDone)
@@ -100,6 +121,26 @@
     this.listener(Ok(this.states.describeInputs(this.request.failureDomain)))
   }
 
+  /** Puts the start of a stage off where the others take longer; false where it should start now. */
+  private putOff(stage: number): boolean {
+    const now = performance.now()
+    const delayMs = decideStageDelay(stage, this.graph, {
+      callMs: other => this.callMs(other),
+      remainingMs: other => this.states.remainingMs(other, this.callMs(other), now),
+    })
+    if (delayMs === 0)
+      return false
+    clearTimeout(this.delayTimer)
+    this.delayTimer = setTimeout(() => this.advance(), delayMs)
+    return true
+  }
+
+  /** Expected time of a stage's call, in milliseconds. */
+  private callMs(stage: number): number {
+    const { service, items } = this.request.stages[stage]
+    return items === 0 ? 0 : this.queueOf(service)?.typicalCallMs() ?? 0
+  }
+
   private startStage(stage: number): void {
     const { service, items } = this.request.stages[stage]
     const { states } = this
@@ -128,7 +169,7 @@
       rank: this.rank,
       targetAt: this.targetAt,
       deadlineAt: this.deadlineAt,
-      remainingMs: graph.remainingAfter(stage, reader => this.queueOf(reader)?.typicalCallMs() ?? 0),
+      remainingMs: graph.remainingAfter(stage, reader => this.queueOf(reader)?.typicalCallMs() ?? 0) + this.answerMs,
       listener: {
         inputsFetched: () => this.states.markFetched(stage),
         completed: results => this.complete(stage, results),
--- a/packages/gateway/src/request/stages/stage-graph.ts
+++ b/packages/gateway/src/request/stages/stage-graph.ts
@@ -6,13 +6,6 @@
  */
 import type { PreparationStage } from '../../connection/peers/preparation.js'
 
-/**
- * Expected time from the last stage to the first event of the answer, in
- * milliseconds. Not measured; at half of it more requests are admitted than
- * meet their target, at twice as much some are refused that would have.
- */
-export const ANSWER_TIME_MS = 250
-
 /** Expected time of one call of a service, in milliseconds. */
 export type CallTime = (service: string) => number
 
@@ -29,26 +22,27 @@
     return this.readers[stage]
   }
 
+  /** Milliseconds until a stage is expected to be done, by what each stage's own call still takes. */
+  doneIn(stage: number, remainingMsOf: (stage: number) => number): number {
+    const dependencies = this.stages[stage].dependsOn.map(dependency => this.doneIn(dependency, remainingMsOf))
+    return Math.max(0, ...dependencies) + remainingMsOf(stage)
+  }
+
+  /** Stages whose results the request's backend server reads. */
+  get finalStages(): number[] {
+    return this.stages.flatMap((_, stage) => this.isFinal(stage) ? [stage] : [])
+  }
+
   /** Whether the request's backend server, not another stage, reads a stage's results. */
   isFinal(stage: number): boolean {
     return this.readers[stage].length === 0
   }
 
-  /** Expected time of the longest way from a stage's end to the first event, in milliseconds. */
+  /** Expected time of the longest way from a stage's end to that of the last one that needs it, in milliseconds. */
   remainingAfter(stage: number, callMsOf: CallTime): number {
     const ways = this.readers[stage]
       .filter(reader => this.stages[reader].items > 0)
       .map(reader => callMsOf(this.stages[reader].service) + this.remainingAfter(reader, callMsOf))
-    return Math.max(ANSWER_TIME_MS, ...ways)
-  }
-}
-
-/** Expected time of the longest way through all stages, without the answer, in milliseconds. */
-export function longestWayThrough(stages: readonly PreparationStage[], callMsOf: CallTime): number {
-  const ends: number[] = []
-  for (const stage of stages) {
-    const startsAt = Math.max(0, ...stage.dependsOn.map(dependency => ends[dependency] ?? 0))
-    ends.push(startsAt + (stage.items > 0 ? callMsOf(stage.service) : 0))
+    return Math.max(0, ...ways)
   }
-  return Math.max(0, ...ends)
 }
--- a/packages/gateway/src/request/stages/stage-states.ts
+++ b/packages/gateway/src/request/stages/stage-states.ts
@@ -12,6 +12,8 @@
 interface StageState {
   results: StageResult[] | undefined
   started: boolean
+  /** When it started, on the process clock in milliseconds. */
+  startedAt: number
   /** Stages that read the results and have not fetched them. */
   readersLeft: number
   /** Its own inputs are fetched. */
@@ -31,6 +33,7 @@
     this.states = stages.map((_, stage) => ({
       results: undefined,
       started: false,
+      startedAt: 0,
       readersLeft: graph.readersOf(stage).length,
       hasInputs: false,
       task: undefined,
@@ -71,6 +74,15 @@
 
   markStarted(stage: number): void {
     this.states[stage].started = true
+    this.states[stage].startedAt = performance.now()
+  }
+
+  /** Milliseconds that a stage's own call is still expected to take, of those that it takes in all; 0 where it is done. */
+  remainingMs(stage: number, callMs: number, now: number): number {
+    const { results, started, startedAt } = this.states[stage]
+    if (results)
+      return 0
+    return started ? Math.max(0, startedAt + callMs - now) : callMs
   }
 
   setTask(stage: number, task: SubmittedTask | undefined): void {
--- a/test/gateway/admission-accuracy.test.ts
+++ b/test/gateway/admission-accuracy.test.ts
@@ -2,8 +2,10 @@
 import { AdmissionAccuracy, decideAdmission } from '@eidermast/gateway'
 import { describe, expect, test } from 'vitest'
 
-/** Expected times of admission end with the first event, 250 ms after the stages. */
-const EXPECTED_MS = 400 + 250
+/** Expected time of the stages, in milliseconds. */
+const EXPECTED_MS = 400
+/** Expected time of the answer, in milliseconds. */
+const ANSWER_MS = 250
 
 function createRequest(service = 'encode', requestId = 'request-1'): PreparationRequest {
   const stages = [{ service, dependsOn: [], resultBytes: 10, items: 1 }]
@@ -57,8 +59,8 @@
   test('refuses work that would be in time by the plain estimate alone', () => {
     const pace = { backends: 1, itemMs: 100, callMs: 300 }
     const ahead = [{ rank: 0, remainingItems: () => 6 }]
-    const decide = (factor: number) => decideAdmission(createRequest(), 1, ahead, () => pace, factor)
-    expect(decide(1)).toMatchObject({ isAdmitted: true, finishMs: 950, plainMs: 950 })
-    expect(decide(1.5)).toMatchObject({ isAdmitted: false, finishMs: 1300, plainMs: 950 })
+    const decide = (accuracyFactor: number) => decideAdmission({ request: createRequest(), rank: 1, answerMs: ANSWER_MS, accuracyFactor }, ahead, () => pace)
+    expect(decide(1)).toMatchObject({ isAdmitted: true, finishMs: 950, stagesMs: 700 })
+    expect(decide(1.5)).toMatchObject({ isAdmitted: false, finishMs: 1300, stagesMs: 700 })
   })
 })
--- a/test/gateway/engine-assignment.test.ts
+++ b/test/gateway/engine-assignment.test.ts
@@ -55,13 +55,13 @@
 
   test('is the same at every coordinator for shared parts of which it knows nothing', () => {
     const parts = Array.from({ length: 10 }, (_, number) => `part-${number}`)
-    const engineOf = (part: string, engines: readonly Backend[]) => new EngineAssignments().choose(sharing(part), engines, 0)?.id
+    const engineOf = (part: string, engines: readonly Backend[]) => new EngineAssignments().choose(sharing(part), engines, 0)?.engine.id
     expect(parts.map(part => engineOf(part, ENGINES))).toEqual(parts.map(part => engineOf(part, ENGINES.toReversed())))
   })
 
   test('lies where the results are, if nothing else speaks against it', () => {
     const request = createRequest({ failureDomain: 'domain-b', bytes: 2_000_000 })
-    expect(new EngineAssignments().choose(request, ENGINES, 0)?.id).toBe('b')
+    expect(new EngineAssignments().choose(request, ENGINES, 0)?.engine.id).toBe('b')
   })
 
   test('is no longer one whose prompts turned out to be read slowly', () => {
@@ -98,9 +98,40 @@
     const first = assignments.assign(sharing('part'), ENGINES, 0)!
     const others = ENGINES.filter(engine => engine !== first)
     const second = assignments.assign(sharing('part'), others, 0)!
-    expect(assignments.choose(sharing('part'), [second, ...others], 1000)).toBe(second)
-    const home = new EngineAssignments().choose(sharing('part'), others, 0)
-    expect(assignments.choose(sharing('part'), others, LONG_MS)).toBe(home)
+    expect(assignments.choose(sharing('part'), [second, ...others], 1000)?.engine).toBe(second)
+    const home = new EngineAssignments().choose(sharing('part'), others, 0)?.engine
+    expect(assignments.choose(sharing('part'), others, LONG_MS)?.engine).toBe(home)
+  })
+
+  test('is one that keeps the part that most prompts begin with, rather than the home of the rest', () => {
+    const assignments = new EngineAssignments()
+    const beginning = (rest: string) => createRequest({ prompt: [{ id: 'first', tokens: 400 }, { id: rest, tokens: 200 }, { id: 'own', tokens: 100 }] })
+    const engines = Array.from({ length: 6 }, (_, number) => {
+      const request = beginning(`rest-${number}`)
+      const engine = assignments.assign(request, ENGINES, number * 100)
+      assignments.release(request.requestId, number * 100 + 60)
+      return engine?.id
+    })
+    expect(new Set(engines).size).toBe(1)
+  })
+
+  test('is expected to answer later, the more it has to read', () => {
+    const assignments = new EngineAssignments()
+    const expectedMs = (tokens: number) => assignments.choose(createRequest({ prompt: [{ id: 'own', tokens }] }), ENGINES, 0)!.firstEventMs
+    expect(expectedMs(20_000) - expectedMs(10_000)).toBeGreaterThan(100)
+  })
+
+  test('is not taken for slow because short prompts wait for what does not depend on them', () => {
+    const assignments = new EngineAssignments()
+    const long = createRequest({ prompt: [{ id: 'own', tokens: 10_000 }] })
+    const expectedMs = (): number => assignments.choose(long, [ENGINES[0]], 0)!.firstEventMs
+    const before = expectedMs()
+    for (let count = 0; count < 30; count++) {
+      const short = createRequest({ prompt: [{ id: 'own', tokens: 200 }] })
+      assignments.assign(short, [ENGINES[0]], 0)
+      assignments.release(short.requestId, 80)
+    }
+    expect(expectedMs()).toBeLessThan(before * 2.5)
   })
 
   test('is none where none takes work', () => {
--- /dev/null
+++ b/test/gateway/stage-delay.test.ts
@@ -0,0 +1,29 @@
+import type { PreparationStage } from '@eidermast/gateway'
+import { decideStageDelay, StageGraph } from '@eidermast/gateway'
+import { describe, expect, test } from 'vitest'
+
+const CALL_MS = 400
+
+function stage(items: number, dependsOn: number[] = []): PreparationStage {
+  return { service: 'encode', dependsOn, resultBytes: 10, items }
+}
+
+/** The delay of the first stage while of the others' calls some milliseconds are left. */
+function delayOfFirst(stages: PreparationStage[], left: Record<number, number> = {}): number {
+  const callMs = (number: number): number => stages[number].items === 0 ? 0 : CALL_MS
+  return decideStageDelay(0, new StageGraph(stages), { callMs, remainingMs: number => left[number] ?? callMs(number) })
+}
+
+describe('the delay of a stage', () => {
+  test.each([
+    ['is none where it is the only one', [stage(1)], {}, 0],
+    ['is none where the others take no longer', [stage(1), stage(1)], {}, 0],
+    ['is none where others read its results', [stage(1), stage(1, [0]), stage(1, [1]), stage(1, [2])], {}, 0],
+    ['is none where it has no items', [stage(0), stage(1), stage(1, [1]), stage(1, [2])], {}, 0],
+    ['lets it end before the last of a longer chain', [stage(1), stage(1), stage(1, [1]), stage(1, [2])], {}, 1200 - 640],
+    ['counts what is left of a chain under way', [stage(1), stage(1), stage(1, [1]), stage(1, [2])], { 1: 100 }, 900 - 640],
+    ['is over once a chain is far enough', [stage(1), stage(1), stage(1, [1]), stage(1, [2])], { 1: 0, 2: 200 }, 0],
+  ])('%s', (_name, stages, left, delayMs) => {
+    expect(delayOfFirst(stages, left)).toBe(delayMs)
+  })
+})
--- /dev/null
+++ b/test/gateway/stage-load.test.ts
@@ -0,0 +1,43 @@
+import type { KindOutcome, LoadKind } from './support/stage-load.js'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createChain, createLargeStage, playStageLoad } from './support/stage-load.js'
+
+const SEEDS = [1, 2]
+const URGENT: LoadKind = { rate: 55, priority: 3, targetMs: 2000, tokens: 800, stages: createChain(0) }
+const LARGE: LoadKind = { rate: 45, priority: 4, targetMs: 1400, tokens: 8000, stages: createLargeStage(2) }
+const BACKGROUND: LoadKind = { rate: 75, priority: 5, targetMs: 2000, tokens: 2000, stages: createChain(1) }
+
+function shareInTime({ asked, inTime }: KindOutcome): number {
+  return inTime / asked
+}
+
+beforeEach(() => void vi.useFakeTimers())
+afterEach(() => void vi.useRealTimers())
+
+// What callers saw: in a burst of requests with three stages a third of them was refused, and at usual load some of
+// the least urgent, while calls of the stage backend servers were half empty and those admitted were done long before
+// their target. Cause: an idle backend server took all that waited while others became idle some milliseconds later,
+// and the estimate added the wait for a later stage to the time in which that wait goes by.
+// Evidence: with both as they were, the shares below are those given as "before".
+describe('under load', () => {
+  // Before: 27 and 67 of the background refused, and 15 of the urgent with the second seed.
+  test.each(SEEDS)('all are served in time at a usual rate (seed %i)', async (seed) => {
+    const outcomes = await playStageLoad([URGENT, LARGE, BACKGROUND], seed)
+    expect(outcomes.map(shareInTime)).toEqual([1, 1, 1])
+  })
+
+  // Before: 0.63 and 0.65 of the urgent.
+  test.each(SEEDS)('urgent requests of three stages are served in a burst that calls with many items can take (seed %i)', async (seed) => {
+    const [urgent, large] = await playStageLoad([{ ...URGENT, rate: 140 }, LARGE, BACKGROUND], seed)
+    expect(shareInTime(urgent)).toBeGreaterThan(0.75)
+    expect(shareInTime(large)).toBe(1)
+  })
+
+  // Before: 0.87 and 0.94 of the urgent, 0.65 and 0.58 of the background.
+  test.each(SEEDS)('a burst of large results leaves memory to the others (seed %i)', async (seed) => {
+    const [urgent, large, background] = await playStageLoad([URGENT, { ...LARGE, rate: 125 }, BACKGROUND], seed)
+    expect(shareInTime(urgent)).toBe(1)
+    expect(shareInTime(large)).toBeGreaterThan(0.95)
+    expect(shareInTime(background)).toBeGreaterThan(0.75)
+  })
+})
--- a/test/gateway/stage-rules.test.ts
+++ b/test/gateway/stage-rules.test.ts
@@ -5,6 +5,7 @@
   createPoolTask,
   decideItemRetry,
   decideStageFailure,
+  DomainForecasts,
   findBetterDomain,
   inputsFetchedAfter,
   ItemFailure,
@@ -35,7 +36,7 @@
 
 describe('the choice of a batch', () => {
   function choose(tasks: PoolTask[], options: Partial<BatchInput> = {}) {
-    const parts = chooseBatch({ tasks, maxItems: 4, freeBytes: 1000, betterDomain: () => undefined, nextCalls: () => ({ places: 4, freeBytes: 1000 }), ...options })
+    const parts = chooseBatch({ tasks, maxItems: 4, enoughItems: 4, freeBytes: 1000, betterDomain: () => undefined, nextCalls: () => ({ places: 4, freeBytes: 1000 }), ...options })
     return parts.map(part => [tasks.indexOf(part.task), part.items, part.reason])
   }
 
@@ -44,6 +45,16 @@
     expect(choose(tasks)).toEqual([[0, 2, BatchReason.SuitsDomain], [2, 2, BatchReason.SuitsDomain]])
   })
 
+  test('leaves tasks to the next calls once it has its part of what waits', () => {
+    const tasks = [2, 1, 1].map(items => createPoolTask(createTask({ items })))
+    expect(choose(tasks, { enoughItems: 2 })).toEqual([[0, 2, BatchReason.SuitsDomain]])
+    expect(choose(tasks, { enoughItems: 3 })).toEqual([[0, 2, BatchReason.SuitsDomain], [1, 1, BatchReason.SuitsDomain]])
+  })
+
+  test('takes a task whole also where its part is smaller', () => {
+    expect(choose([createPoolTask(createTask({ items: 3 }))], { enoughItems: 1 })).toEqual([[0, 3, BatchReason.SuitsDomain]])
+  })
+
   test('splits the task that opens the call where places or memory end', () => {
     expect(choose([createPoolTask(createTask({ items: 6 }))])).toEqual([[0, 4, BatchReason.SuitsDomain]])
     expect(choose([createPoolTask(createTask({ items: 3 }))], { freeBytes: 25 })).toEqual([[0, 2, BatchReason.SuitsDomain]])
@@ -101,7 +112,7 @@
     ['does not wait for a backend server that gets no calls', reader(8_000_000), forecast('domain-b', 0, false), undefined],
     ['does not wait for one in a failure domain that is no better', reader(8_000_000), forecast('domain-c'), undefined],
   ])('%s', (_name, task, other, domain) => {
-    expect(findBetterDomain(task, HERE, [HERE, other], 0)).toBe(domain)
+    expect(findBetterDomain(task, HERE, new DomainForecasts([HERE, other], 0), 0)).toBe(domain)
   })
 })
 
--- /dev/null
+++ b/test/gateway/support/stage-load.ts
@@ -0,0 +1,135 @@
+/**
+ * Load on a stage coordinator without a network: requests at random times by a
+ * seed, three stage services, and what their callers get. Plays under fake
+ * timers.
+ */
+import type { Backend, PreparationRequest, PreparationStage, StageCallResult, StageClient, StageItem, StageLimits } from '@eidermast/gateway'
+import { BackendRegistry, RouteTable, StageCallEnd, StageCoordinator } from '@eidermast/gateway'
+import { vi } from 'vitest'
+import { createConfiguration, createLog, createRecord, createStageLimits } from './fakes.js'
+import { createRandom } from './random.js'
+
+const FAILURE_DOMAINS = ['a', 'b', 'c', 'd', 'e', 'f']
+/** Backend servers of each stage service. */
+const BACKENDS_EACH = 24
+const ENGINES = 60
+const LIMITS: Record<string, StageLimits> = {
+  encode: createStageLimits({ batch: 8, callMs: 240, itemMs: 26, resultMemoryBytes: 9_600_000 }),
+  retrieve: createStageLimits({ batch: 18, callMs: 240, itemMs: 11, resultMemoryBytes: 2_000_000 }),
+  rerank: createStageLimits({ batch: 24, callMs: 240, itemMs: 9, resultMemoryBytes: 260_000 }),
+}
+/** Milliseconds after its stages until a request's engine has read their results. */
+const READ_MS = 150
+/** Milliseconds for which requests come. */
+const LOAD_MS = 3000
+/** Milliseconds until the last of them has ended. */
+const REST_MS = 4000
+
+/** A kind of request. */
+export interface LoadKind {
+  /** Requests a second. */
+  rate: number
+  priority: number
+  targetMs: number
+  /** Tokens of its own. */
+  tokens: number
+  stages: PreparationStage[]
+}
+
+/** What the callers of one kind got. */
+export interface KindOutcome {
+  asked: number
+  /** Answered within the target. */
+  inTime: number
+  refused: number
+  /** Times of the stages in milliseconds, the shortest first. */
+  stageTimes: number[]
+}
+
+/** Three stages in a row, and one beside them whose large results are read at the end. */
+export function createChain(besideItems: number): PreparationStage[] {
+  return [
+    { service: 'encode', dependsOn: [], resultBytes: 800_000, items: besideItems },
+    { service: 'encode', dependsOn: [], resultBytes: 8000, items: 1 },
+    { service: 'retrieve', dependsOn: [1], resultBytes: 60_000, items: 4 },
+    { service: 'rerank', dependsOn: [2], resultBytes: 6000, items: 6 },
+  ]
+}
+
+/** One stage with large results. */
+export function createLargeStage(items: number): PreparationStage[] {
+  return [{ service: 'encode', dependsOn: [], resultBytes: 800_000, items }]
+}
+
+/** Stage backend servers that take exactly the configured time. */
+class ExactStageClient implements StageClient {
+  private made = 0
+
+  async run(backend: Backend, items: readonly StageItem[]): Promise<StageCallResult> {
+    const { callMs, itemMs } = LIMITS[backend.service]
+    await new Promise(resolve => setTimeout(resolve, callMs + itemMs * items.length))
+    return { end: StageCallEnd.Done, outcomes: items.map(() => ({ handle: `result-${this.made++}` })) }
+  }
+
+  async free(): Promise<boolean> {
+    return true
+  }
+
+  async freeResultMemory(): Promise<undefined> {}
+}
+
+function createLoadedCoordinator(): StageCoordinator {
+  const { log } = createLog()
+  const registry = new BackendRegistry(log)
+  const coordinator = new StageCoordinator(registry, new ExactStageClient(), { takeRetry: () => true }, log)
+  const services = Object.entries(LIMITS).map(([name, stage]) => ({ name, maxConnections: 9, stage }))
+  coordinator.applyConfiguration(new RouteTable(createConfiguration({ services })))
+  const counts = [...Object.keys(LIMITS).map(service => ({ service, count: BACKENDS_EACH })), { service: 'model', count: ENGINES }]
+  for (const { service, count } of counts) {
+    for (let number = 0; number < count; number++)
+      registry.upsert(createRecord({ id: `${service}-${number}`, service, failureDomain: FAILURE_DOMAINS[number % FAILURE_DOMAINS.length] }))
+  }
+  return coordinator
+}
+
+/** Plays requests of some kinds by a seed; the outcomes are in the order of the kinds. Needs fake timers. */
+export async function playStageLoad(kinds: readonly LoadKind[], seed: number): Promise<KindOutcome[]> {
+  const coordinator = createLoadedCoordinator()
+  const random = createRandom(seed)
+  const outcomes = kinds.map((): KindOutcome => ({ asked: 0, inTime: 0, refused: 0, stageTimes: [] }))
+  const totalRate = kinds.reduce((sum, { rate }) => sum + rate, 0)
+  const draw = (): number => {
+    let left = random() * totalRate
+    return Math.max(0, kinds.findIndex(({ rate }) => (left -= rate) < 0))
+  }
+  let number = 0
+  for (let at = 0; at < LOAD_MS; at += -Math.log(1 - random()) * 1000 / totalRate) {
+    const kind = draw()
+    const request = describe(kinds[kind], `request-${number++}`, FAILURE_DOMAINS[Math.floor(random() * FAILURE_DOMAINS.length)])
+    setTimeout(() => void ask(coordinator, request, outcomes[kind]), at)
+  }
+  await vi.advanceTimersByTimeAsync(LOAD_MS + REST_MS)
+  coordinator.stop()
+  outcomes.forEach(({ stageTimes }) => stageTimes.sort((left, right) => left - right))
+  return outcomes
+}
+
+function describe({ stages, priority, targetMs, tokens }: LoadKind, requestId: string, failureDomain: string): PreparationRequest {
+  const prompt = [{ id: requestId, tokens }]
+  return { requestId, stages, key: requestId, priority, targetMs, deadlineMs: 8000, isRetry: false, failureDomain, service: 'model', prompt }
+}
+
+async function ask(coordinator: StageCoordinator, request: PreparationRequest, outcome: KindOutcome): Promise<void> {
+  const askedAt = performance.now()
+  outcome.asked++
+  const result = await coordinator.prepare(request, new AbortController().signal)
+  if (result.isErr()) {
+    outcome.refused++
+    return
+  }
+  const tookMs = performance.now() - askedAt
+  outcome.stageTimes.push(tookMs)
+  if (tookMs + READ_MS <= request.targetMs)
+    outcome.inTime++
+  setTimeout(() => coordinator.release(request.requestId), READ_MS)
+}
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,6 +1,6 @@
 import type { KeyedRecord, TopicSink } from '@eidermast/platform'
 import { wait } from '@eidermast/common'
-import { maxReadWaitMs, READ_MARGIN_MS, usableAfterReturnMs } from '@eidermast/gateway'
+import { maxReadWaitMs, READ_MARGIN_MS, restAfterChangesMs, restOfDirectoryMs, usableAfterReturnMs } from '@eidermast/gateway'
 import { encodeRecord, PlatformLog, readRecords, StoreClient, TopicFollower } from '@eidermast/platform'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createLog } from '../gateway/support/fakes.js'
@@ -170,6 +170,29 @@
   })
 })
 
+describe('the rest after changes', () => {
+  const BOUNDS = { contactMs: 5000, configurationMs: 4000, drainMs: 4000 }
+
+  test.each([
+    ['none at the coordinator, which the others hear', BOUNDS, { isTold: false, gateways: 70 }, 0],
+    ['a second where there are few gateways', BOUNDS, { isTold: true, gateways: 4 }, 1000],
+    ['longer the more there are', BOUNDS, { isTold: true, gateways: 50 }, 1500],
+    ['no longer than half of the time in which a leaving must take effect', BOUNDS, { isTold: true, gateways: 400 }, 2000],
+    ['a second where that time is short', { ...BOUNDS, drainMs: 1000 }, { isTold: true, gateways: 400 }, 1000],
+  ])('of the list of backend servers is %s', (_name, bounds, peers, restMs) => {
+    expect(restAfterChangesMs(bounds, peers)).toBe(restMs)
+  })
+
+  test('keeps the calls of all gateways together in bounds, however many there are', () => {
+    const callsASecond = (gateways: number): number => gateways * 1000 / restOfDirectoryMs(gateways, 60_000)
+    expect([10, 70, 400].map(callsASecond).every(calls => calls < 34)).toBe(true)
+  })
+
+  test('of the directory is short while a gateway starts, so that those that start together know each other', () => {
+    expect(restOfDirectoryMs(400, 0)).toBe(400)
+  })
+})
+
 describe('records', () => {
   test.each([
     ['an empty value', 'key', ''],
