--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -91,7 +91,7 @@
       () => registry.listAgeMs / MILLISECONDS_PER_SECOND,
     )
     this.addGauge('eidermast_gateway_members', 'Gateways known, this one included', () => members.count)
-    this.addGauge('eidermast_gateway_owns_stages', 'Shards of the stage work that this gateway coordinates; 1 where it is not divided and this gateway coordinates it', () => members.coordinatedShards)
+    this.addGauge('eidermast_gateway_owns_stages', 'Shards of the stage work that this gateway coordinates', () => members.coordinatedShards)
   }
 
   private addGauge(name: string, help: string, read: () => number): void {
--- a/packages/gateway/src/process/stages/engine-assignment.ts
+++ b/packages/gateway/src/process/stages/engine-assignment.ts
@@ -60,7 +60,11 @@
  * as they do, where it was 1.8 times.
  */
 const FULL_WEIGHT_TOKENS = 4000
-/** Milliseconds of an answer's first event that do not depend on the prompt: fetch, connection, first step. Played as PART_LIFETIME_MS, tokens read again are 10% fewer than at 30. */
+/**
+ * Milliseconds of an answer's first event that do not depend on the prompt: fetch,
+ * connection, first step. Played as PART_LIFETIME_MS, tokens read again are 10%
+ * fewer than at 30.
+ */
 const FIXED_MS = 50
 /** Milliseconds after which an assigned request counts as read whatever is known of it. Not measured; far above a usual first event. */
 const MAX_READING_MS = 3000
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -1,11 +1,12 @@
 /**
  * The coordinator of a shard of the stage work, or of all of it: batches the
  * items of all gateways' requests in one pool for each stage service. Owns the
- * pools for as long as the process lives and the stage work of each request until its
- * results are released. One coordinator at a time is a matter of efficiency,
- * never of safety: items may run again, and two coordinators at once cost
- * result memory and time only. When the process dies, the requesting gateways
- * ask the next coordinator, and results left behind expire.
+ * pools for as long as the process lives, and the stage work of each request
+ * until its results are released. One coordinator of a shard at a time is a
+ * matter of efficiency, never of safety: items may run again, and two
+ * coordinators at once cost result memory and time only. When the process dies,
+ * the requesting gateways ask the next coordinator, and results left behind
+ * expire.
  */
 import type { EventLog } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
