Let a leaving gateway that is the last one take stage work of any shard; pass Members as what peers mean for reads

Cause: what StageCoordinators remembered of a stop was undone only for shards that it had coordinated before; a shard new to it would have been refused with 503 although no other gateway is left. Change: a coordinator's role undoes it for all; the test of it failed first. Members is the view of the peers itself, in place of an object of getters.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -11,7 +11,7 @@
 import type { StageShard } from '../connection/peers/stage-shard.js'
 import type { RetryBudgetSettings } from '../request/attempts/retry-budget.js'
 import type { GatewaySettings } from './gateway-settings.js'
-import type { PeerView, PlatformAdapter } from './platform-adapter.js'
+import type { PlatformAdapter } from './platform-adapter.js'
 import { createServer } from 'node:http'
 import { OutlierEjection } from '@eidermast/common'
 import { BackendConnections } from '../connection/backends/backend-connections.js'
@@ -213,26 +213,12 @@
   private followPlatform(): void {
     const { signal } = this.ending
     const { configurationSource, backendSource, memberDirectory } = this.platform
-    const peers = this.describePeers()
-    void configurationSource.follow(text => this.configuration.offer(text, 'platform'), peers, signal)
-    void backendSource.follow(this.backendList, peers, signal)
+    void configurationSource.follow(text => this.configuration.offer(text, 'platform'), this.members, signal)
+    void backendSource.follow(this.backendList, this.members, signal)
     void memberDirectory.follow(this.members, signal)
     void memberDirectory.announce(this.self, signal)
   }
 
-  /** All others send heartbeats to the coordinator, and hear from it what it has read. */
-  private describePeers(): PeerView {
-    const { members } = this
-    return {
-      get isTold() {
-        return !members.isCoordinator
-      },
-      get gateways() {
-        return members.count
-      },
-    }
-  }
-
   private takeCoordinatorChange(shard: StageShard): void {
     this.stageCoordinators.takeChange(shard, this.roleIn(shard))
   }
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -14,7 +14,7 @@
 import type { Member } from '../../connection/peers/member.js'
 import type { HeartbeatReply } from '../../connection/peers/peer-messages.js'
 import type { StageShard } from '../../connection/peers/stage-shard.js'
-import type { ListedMember, MemberSink } from '../platform-adapter.js'
+import type { ListedMember, MemberSink, PeerView } from '../platform-adapter.js'
 import type { FailureWatch } from './failure-watches.js'
 import type { MemberState } from './member-state.js'
 import { GatewayLog } from '../gateway-log.js'
@@ -27,7 +27,7 @@
 import { SlownessWatch } from './slowness.js'
 
 /** Follows members and keeps the coordinator. */
-export class Members implements MemberSink {
+export class Members implements MemberSink, PeerView {
   private readonly states = new Map<string, MemberState>()
   /** The states in the order in which they would coordinate. */
   private ranked: MemberState[] = []
@@ -97,6 +97,11 @@
     return this.currentCoordinator.name === this.self.name
   }
 
+  /** All others send heartbeats to the first member, and hear from it what it has read. */
+  get isTold(): boolean {
+    return !this.isCoordinator
+  }
+
   /** Whether this process is short of processor time and coordinates only where nobody else can. */
   get isSelfSlow(): boolean {
     return this.states.get(this.self.name)?.slow ?? false
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -17,7 +17,7 @@
   /** They tell this one of changes that its own source has missed. */
   readonly isTold: boolean
   /** Gateways listed, this one included. */
-  readonly gateways: number
+  readonly count: number
 }
 
 /** Follows the platform's configuration. */
--- a/packages/gateway/src/process/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -89,7 +89,7 @@
   if (!peers.isTold)
     return 0
   const longestMs = Math.max(MIN_TOLD_REST_MS, drainMs * MAX_REST_SHARE)
-  return Math.min(longestMs, Math.max(MIN_TOLD_REST_MS, peers.gateways * REST_FOR_EACH_GATEWAY_MS))
+  return Math.min(longestMs, Math.max(MIN_TOLD_REST_MS, peers.count * REST_FOR_EACH_GATEWAY_MS))
 }
 
 /**
--- a/packages/gateway/src/process/stages/stage-coordinators.ts
+++ b/packages/gateway/src/process/stages/stage-coordinators.ts
@@ -62,7 +62,11 @@
 
   /** A shard has another coordinator. */
   takeChange(shard: StageShard, role: CoordinatorRole): void {
-    this.leaving ||= role === CoordinatorRole.Leaves
+    if (role === CoordinatorRole.Leaves)
+      this.leaving = true
+    // A leaving gateway is chosen only where no other is left: then it takes what comes.
+    if (role === CoordinatorRole.Coordinates)
+      this.leaving = false
     const coordinator = this.byShard.get(shard.name)
     coordinator?.expectOtherCoordinator()
     if (role === CoordinatorRole.Coordinates)
--- a/test/gateway/stage-coordinators.test.ts
+++ b/test/gateway/stage-coordinators.test.ts
@@ -81,4 +81,17 @@
     expect(result.isErr() && result.error.kind).toBe(PreparationFailureKind.HandedOver)
     coordinators.stop()
   })
+
+  // What callers would see: 503 for all requests of a shard while the one gateway that is left is stopping. Order of
+  // events: it hands one shard over and stops taking work; the gateways that took over are lost; it is asked for a
+  // shard that it did not coordinate before. Cause: what it remembered of its stop was undone for known shards only.
+  test('take work of any shard again when a leaving gateway is the one that is left', async () => {
+    const { coordinators } = createCoordinators()
+    coordinators.takeChange(createShard(['a']), CoordinatorRole.Leaves)
+    coordinators.takeChange(createShard(['b']), CoordinatorRole.Coordinates)
+    const prepared = coordinators.prepare(createStageRequest({ shard: 'b' }), NEVER)
+    await vi.advanceTimersByTimeAsync(1000)
+    expect((await prepared).isOk()).toBe(true)
+    coordinators.stop()
+  })
 })
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -174,11 +174,11 @@
   const BOUNDS = { contactMs: 5000, configurationMs: 4000, drainMs: 4000 }
 
   test.each([
-    ['none at the coordinator, which the others hear', BOUNDS, { isTold: false, gateways: 70 }, 0],
-    ['a second where there are few gateways', BOUNDS, { isTold: true, gateways: 4 }, 1000],
-    ['longer the more there are', BOUNDS, { isTold: true, gateways: 50 }, 1500],
-    ['no longer than half of the time in which a leaving must take effect', BOUNDS, { isTold: true, gateways: 400 }, 2000],
-    ['a second where that time is short', { ...BOUNDS, drainMs: 1000 }, { isTold: true, gateways: 400 }, 1000],
+    ['none at the coordinator, which the others hear', BOUNDS, { isTold: false, count: 70 }, 0],
+    ['a second where there are few gateways', BOUNDS, { isTold: true, count: 4 }, 1000],
+    ['longer the more there are', BOUNDS, { isTold: true, count: 50 }, 1500],
+    ['no longer than half of the time in which a leaving must take effect', BOUNDS, { isTold: true, count: 400 }, 2000],
+    ['a second where that time is short', { ...BOUNDS, drainMs: 1000 }, { isTold: true, count: 400 }, 1000],
   ])('of the list of backend servers is %s', (_name, bounds, peers, restMs) => {
     expect(restAfterChangesMs(bounds, peers)).toBe(restMs)
   })
