Let the test of a killed last backend server wait for a request that runs

Shown by a side that stands still for 2.5 s: the same assertion, with the answer no-backend and ran none. Change: the test sends until a request runs; what is answered before must say that it did not run. What it asserts of the run is unchanged. Result: passes alone, and with the side standing still, which failed before.

--- a/test/promises/results.test.ts
+++ b/test/promises/results.test.ts
@@ -39,6 +39,27 @@
   return record
 }
 
+/**
+ * Sends requests until one runs, and returns what waits for its answer. On a busy
+ * machine the one backend server that is left may be silent for a while: what is
+ * answered then has not run, and must say so.
+ */
+async function sendUntilRunning(record: CallerRecord): Promise<() => ReturnType<CallerRecord['send']>> {
+  for (;;) {
+    const sent = record.begin(PIPELINE, 'question', false)
+    const answered = record.send(sent, system.entryUrls[0], LONG_DEADLINE)
+    let isAnswered = false
+    void answered.then(() => {
+      isAnswered = true
+    })
+    const isRunning = (): boolean => runsOf(system, sent.requestId).length === 1
+    await expect.poll(() => isRunning() || isAnswered, { timeout: 10_000 }).toBe(true)
+    if (isRunning())
+      return () => answered
+    expect((await answered)?.ran).toBe(Ran.None)
+  }
+}
+
 /** Sends a streamed request and returns the whole text that came. */
 async function stream(input: string, onText: (text: string) => void = () => {}): Promise<string> {
   const response = await streamPipeline({ entryUrl: system.entryUrls[0], pipeline: PIPELINE, input, headers: LONG_DEADLINE })
@@ -166,11 +187,9 @@
     await system.setServiceFaults('encoder', { slowFactor: 500 })
     await system.end('encoder-2', 'SIGKILL')
     const record = new CallerRecord()
-    const sent = record.begin(PIPELINE, 'question', false)
-    const answered = record.send(sent, system.entryUrls[0], LONG_DEADLINE)
-    await expect.poll(() => runsOf(system, sent.requestId).length, { timeout: 10_000 }).toBe(1)
+    const answer = await sendUntilRunning(record)
     await system.end('encoder-1', 'SIGKILL')
-    expect((await answered)?.ran).toBe(Ran.Unknown)
+    expect((await answer())?.ran).toBe(Ran.Unknown)
     expect(record.violations(system)).toEqual([])
   })
 
