Look a stage's pace up once, a coordinator up by its shard's name, and a call's time in one place

Cause: reading the whole change again. Admission asked for a service's pace, which looks at all its backend servers, twice for each stage; each call at a coordinator took its shard's name apart and sorted it only to find the coordinator; the time of a stage's call was looked up by two expressions in RequestStages. Change: endOfCall takes the pace; StageCoordinators decodes a name only where it creates a coordinator; remainingAfter takes the time by the stage. Ruled out: behaviour, bounds and assertions are as they were.

--- a/packages/gateway/src/process/stages/stage-admission.ts
+++ b/packages/gateway/src/process/stages/stage-admission.ts
@@ -116,16 +116,19 @@
   const ends: number[] = []
   for (const { service, dependsOn, items } of stages) {
     const readyMs = Math.max(0, ...dependsOn.map(dependency => ends[dependency] ?? 0))
-    ends.push(items === 0 ? readyMs : Math.max(readyMs, waitFor(service, items, ahead, paceOf)) + (paceOf(service)?.callMs ?? 0))
+    ends.push(items === 0 ? readyMs : endOfCall(readyMs, items, paceOf(service), itemsAhead(service, ahead)))
   }
   return Math.max(0, ...ends)
 }
 
-/** Milliseconds until the call of some items can start behind other work at a service. */
-function waitFor(service: string, items: number, ahead: readonly CommittedWork[], paceOf: PaceOfService): number {
-  const pace = paceOf(service)
+/** When the call of some items ends that may start from a time on, in milliseconds, behind other items of its service. */
+function endOfCall(readyMs: number, items: number, pace: ServicePace | undefined, ahead: number): number {
   if (!pace || pace.backends === 0)
     return Number.POSITIVE_INFINITY
-  const total = items + ahead.reduce((sum, work) => sum + work.remainingItems(service), 0)
-  return total * pace.itemMs / pace.backends - pace.callMs
+  const waitMs = (items + ahead) * pace.itemMs / pace.backends - pace.callMs
+  return Math.max(readyMs, waitMs) + pace.callMs
+}
+
+function itemsAhead(service: string, ahead: readonly CommittedWork[]): number {
+  return ahead.reduce((sum, work) => sum + work.remainingItems(service), 0)
 }
--- a/packages/gateway/src/process/stages/stage-coordinators.ts
+++ b/packages/gateway/src/process/stages/stage-coordinators.ts
@@ -45,7 +45,7 @@
   constructor(private readonly parts: StageCoordinatorParts) {}
 
   prepare(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
-    return this.of(decodeShard(request.shard ?? WHOLE_SHARD.name)).prepare(request, signal)
+    return this.of(request.shard ?? WHOLE_SHARD.name).prepare(request, signal)
   }
 
   release(requestId: string): void {
@@ -80,13 +80,13 @@
       coordinator.stop()
   }
 
-  private of(shard: StageShard): StageCoordinator {
-    const existing = this.byShard.get(shard.name)
+  private of(shardName: string): StageCoordinator {
+    const existing = this.byShard.get(shardName)
     if (existing)
       return existing
     const { registry, client, retryBudget, log } = this.parts
-    const created = new StageCoordinator(new ShardBackends(registry, shard), client, retryBudget, log)
-    this.byShard.set(shard.name, created)
+    const created = new StageCoordinator(new ShardBackends(registry, decodeShard(shardName)), client, retryBudget, log)
+    this.byShard.set(shardName, created)
     if (this.table)
       created.applyConfiguration(this.table)
     if (this.leaving)
--- a/packages/gateway/src/request/stages/request-stages.ts
+++ b/packages/gateway/src/request/stages/request-stages.ts
@@ -169,7 +169,7 @@
       rank: this.rank,
       targetAt: this.targetAt,
       deadlineAt: this.deadlineAt,
-      remainingMs: graph.remainingAfter(stage, reader => this.queueOf(reader)?.typicalCallMs() ?? 0) + this.answerMs,
+      remainingMs: graph.remainingAfter(stage, reader => this.callMs(reader)) + this.answerMs,
       listener: {
         inputsFetched: () => this.states.markFetched(stage),
         completed: results => this.complete(stage, results),
--- a/packages/gateway/src/request/stages/stage-graph.ts
+++ b/packages/gateway/src/request/stages/stage-graph.ts
@@ -6,8 +6,8 @@
  */
 import type { PreparationStage } from '../../connection/peers/preparation.js'
 
-/** Expected time of one call of a service, in milliseconds. */
-export type CallTime = (service: string) => number
+/** Expected time of a stage's call, in milliseconds. */
+export type CallTime = (stage: number) => number
 
 /** Stages by their numbers in the route. */
 export class StageGraph {
@@ -42,7 +42,7 @@
   remainingAfter(stage: number, callMsOf: CallTime): number {
     const ways = this.readers[stage]
       .filter(reader => this.stages[reader].items > 0)
-      .map(reader => callMsOf(this.stages[reader].service) + this.remainingAfter(reader, callMsOf))
+      .map(reader => callMsOf(reader) + this.remainingAfter(reader, callMsOf))
     return Math.max(0, ...ways)
   }
 }
