An entry is ready only once it has met its backend servers

Cause: an entry called itself ready as soon as it knew the configuration; its links to the sides stood some ten milliseconds later, and a request of the balancer in between was shed. Not excluded: a late report of a side that drained beside the next one's stop.

Change: first-contact.ts; ready after each link answered or failed to, 1 s at most, so that a frozen side does not keep an entry out.

--- a/packages/daemon/src/connection/side-link.ts
+++ b/packages/daemon/src/connection/side-link.ts
@@ -40,6 +40,8 @@
   outstanding = 0
   /** Calls sent since the newest load report. */
   sentSinceReport = 0
+  /** Whether the side has answered, or failed to, since this link began. */
+  tried = false
   private connection: PeerConnection<SideClient> | undefined
   private newestLoad: Load | undefined
   private answering = false
@@ -171,6 +173,7 @@
   }
 
   private setAnswering(answering: boolean): void {
+    this.tried = true
     if (this.answering === answering)
       return
     this.answering = answering
--- a/packages/daemon/src/process/entry/caller-service.ts
+++ b/packages/daemon/src/process/entry/caller-service.ts
@@ -33,7 +33,7 @@
 
   /** Whether the balancer should send callers here. */
   isReady(): boolean {
-    return this.phase === EntryPhase.Serving && this.knowsConfiguration()
+    return this.phase === EntryPhase.Serving && this.knowsConfiguration() && this.options.membership.hasMetBackends
   }
 
   knowsConfiguration(): boolean {
--- a/packages/daemon/src/process/membership/index.ts
+++ b/packages/daemon/src/process/membership/index.ts
@@ -1,3 +1,4 @@
+export * from './first-contact.js'
 export * from './member-state.js'
 export * from './member.js'
 export * from './membership.js'
--- a/packages/daemon/src/process/membership/membership.ts
+++ b/packages/daemon/src/process/membership/membership.ts
@@ -14,6 +14,7 @@
 import { wait } from '@eidermast/common'
 import { SideLink } from '../../connection/side-link.js'
 import { BackendRole, ObjectKind } from '../../version/objects.js'
+import { isFirstContactOver } from './first-contact.js'
 import { MemberState } from './member-state.js'
 import { Member } from './member.js'
 import { selectWatched } from './watched-backends.js'
@@ -41,6 +42,9 @@
   private readonly members = new Map<string, Member>()
   private membersByService = new Map<string, Member[]>()
   private readonly unsubscribe: () => void
+  /** When the first links were opened, in milliseconds of the process clock. */
+  private openedAt: number | undefined
+  private met = false
 
   constructor(
     private readonly configuration: Configuration,
@@ -64,6 +68,15 @@
     return [...this.members.values()]
   }
 
+  /** Whether this entry has met its backend servers; true for good once it has. */
+  get hasMetBackends(): boolean {
+    if (this.met || this.openedAt === undefined)
+      return true
+    const tried = this.list().map(member => member.link.tried)
+    this.met = isFirstContactOver({ tried, sinceOpenedMs: performance.now() - this.openedAt })
+    return this.met
+  }
+
   /** Backend servers in force that hold what a stage needs. */
   candidates(stage: PlannedStage): Member[] {
     const pool = this.membersByService.get(stage.service) ?? []
@@ -78,6 +91,7 @@
 
   /** Brings the links in line with the configuration and carries it to the sides. */
   update(): void {
+    this.openedAt ??= performance.now()
     const { entryName, watchLimit } = this.options
     const watched = selectWatched(this.configuration.list(ObjectKind.Backend), entryName, watchLimit)
     this.closeUnwatched(watched)
--- a/test/process/membership-rules.test.ts
+++ b/test/process/membership-rules.test.ts
@@ -1,5 +1,5 @@
 import type { HeartbeatSigns, MemberSigns } from '@eidermast/daemon'
-import { BackendOrder, decideMemberState, isHeartbeatDue, judgeSide, MemberState, selectWatched, SideHealth, VirtualMachineState } from '@eidermast/daemon'
+import { BackendOrder, decideMemberState, FIRST_CONTACT_MS, isFirstContactOver, isHeartbeatDue, judgeSide, MemberState, selectWatched, SideHealth, VirtualMachineState } from '@eidermast/daemon'
 import { describe, expect, test } from 'vitest'
 import { createBackend } from '../support/fixtures.js'
 
@@ -18,6 +18,17 @@
   })
 })
 
+describe('the first contact of an entry with its backend servers', () => {
+  test.each<[string, boolean[], number, boolean]>([
+    ['has no backend server to meet', [], 0, true],
+    ['waits for a side that has shown nothing', [true, false], FIRST_CONTACT_MS - 1, false],
+    ['is over when every side answered or failed to', [true, true], 1, true],
+    ['does not wait for a frozen side for ever', [true, false], FIRST_CONTACT_MS, true],
+  ])('%s', (_name, tried, sinceOpenedMs, over) => {
+    expect(isFirstContactOver({ tried, sinceOpenedMs })).toBe(over)
+  })
+})
+
 describe('the backend servers that an entry watches', () => {
   const pool = Array.from({ length: 10 }, (_, index) => ({ name: `encoder-${index}`, offset: index, value: createBackend() }))
   const other = { name: 'retriever-1', offset: 10, value: createBackend({ service: 'retriever' }) }
