--- a/packages/gateway/src/connection/peers/peer-clients.ts
+++ b/packages/gateway/src/connection/peers/peer-clients.ts
@@ -12,7 +12,7 @@
 import type { PeerRouter } from './peer-router.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs } from './preparation.js'
 import { createTRPCClient, httpLink } from '@trpc/client'
-import { Agent, request as send } from 'undici'
+import { Agent } from 'undici'
 import { decodePreparationReply, encodePreparationRequest } from './peer-messages.js'
 
 /** Milliseconds until a connection is up. Not measured: half suspects busy gateways, twice notices dead ones late. */
@@ -109,7 +109,8 @@
 
   /** The part of `fetch` that tRPC's link needs, without the web's streams. */
   private async fetch(url: string, options: PeerCallOptions): Promise<PeerAnswer> {
-    const { statusCode, body } = await send(url, { ...options, dispatcher: this.agent })
+    const { origin, pathname, search } = new URL(url)
+    const { statusCode, body } = await this.agent.request({ ...options, origin, path: `${pathname}${search}` })
     return { ok: statusCode === OK_STATUS, status: statusCode, json: () => body.json() }
   }
 }
