A gateway that starts waits for its first contact, and leaves its work to the coordinator that it finds

The calls of the stage backend servers by caller: of 184 from 37.5 to 38 s, 86 came from 24 other gateways, for 132 of 744 items, then 53 of 145, 42 of 135, 32, 28, 16; with 1.5 to 3 items each. A gateway that has heard nobody takes itself for the coordinator; those that had just become ready were sent requests before their first heartbeat was answered, and went on with what they had admitted after they knew better. Ruled out: several coordinators for a longer time (from 35 s on the same three admitted nearly all), store and configuration (read before).

Change: acquaintance.ts, the stage work of a process's own requests waits until each watched member has answered or failed to, 0.6 s from the start at most; one that finds another coordinator hands over what it holds, as a slow one did before; a coordinator that hands its own work over no longer takes itself for stopping, which was for good.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -226,9 +226,7 @@
   private roleIn(shard: StageShard): CoordinatorRole {
     if (this.members.coordinatorOf(shard).name === this.self.name)
       return CoordinatorRole.Coordinates
-    if (this.stopping)
-      return CoordinatorRole.Leaves
-    return this.members.isSelfSlow ? CoordinatorRole.HandsOver : CoordinatorRole.Other
+    return this.stopping ? CoordinatorRole.Leaves : CoordinatorRole.HandsOver
   }
 
   /** The allowance of retries of all gateways together. */
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -18,6 +18,7 @@
 import type { FailureWatch } from './failure-watches.js'
 import type { MemberState } from './member-state.js'
 import { GatewayLog } from '../gateway-log.js'
+import { Acquaintance } from './acquaintance.js'
 import { chooseCoordinator, rankCandidates } from './coordinator-choice.js'
 import { hasFailed, HEARTBEAT_INTERVAL_MS, ownPauseMs } from './failure-detection.js'
 import { FailureWatches } from './failure-watches.js'
@@ -37,6 +38,7 @@
   private readonly slowness: SlownessWatch
   private readonly log: GatewayLog
   private timer: NodeJS.Timeout | undefined
+  private readonly acquaintance = new Acquaintance()
   /** Members were listed or removed since the last ranking. */
   private rankDue = false
   private tickedAt = performance.now()
@@ -58,6 +60,7 @@
 
   /** Starts the heartbeats. */
   start(): void {
+    this.acquaintance.begin(performance.now())
     this.rankIfDue()
     this.timer = setInterval(() => this.tick(), HEARTBEAT_INTERVAL_MS)
   }
@@ -125,6 +128,11 @@
     return this.ranked.some(state => !state.isSelf && state.alive && !state.stopping)
   }
 
+  /** Resolves when this process has heard enough of the others to know who coordinates, at once where it has; see `acquaintance.ts`. */
+  whenAcquainted(): Promise<void> {
+    return this.acquaintance.whenOver()
+  }
+
   /** A signal that aborts when a member fails; released by `dispose`. */
   watchFailure(member: Member): FailureWatch {
     return this.failureWatches.watch(member.name)
@@ -178,12 +186,19 @@
     const now = performance.now()
     this.takeOwnTick(now)
     this.shardCoordinators.tick(this.ranked, now)
-    for (const [state, intervalMs] of selectWatched(this.ranked, this.shardCoordinators.candidates, now)) {
+    this.watchPeers(now)
+    this.updateCoordinator()
+  }
+
+  /** Notices members that have failed, and sends the heartbeats that are due. */
+  private watchPeers(now: number): void {
+    const watched = selectWatched(this.ranked, this.shardCoordinators.candidates, now)
+    for (const [state, intervalMs] of watched) {
       this.setAlive(state, !hasFailed(now - state.lastReplyAt, intervalMs))
       if (isHeartbeatDue(state, intervalMs, now))
         void this.sendHeartbeat(state, now)
     }
-    this.updateCoordinator()
+    this.acquaintance.look({ listed: this.count > 1, tried: [...watched.keys()].map(state => state.tried), now })
   }
 
   /** While this process stood still it heard nobody: that time says nothing about the others, but something about this process. */
@@ -216,6 +231,8 @@
     state.pendingHeartbeats--
     state.tried = true
     this.updateCoordinator()
+    if (!this.acquaintance.isOver)
+      this.watchPeers(performance.now())
   }
 
   private takeReply(state: MemberState, reply: HeartbeatReply): void {
--- a/packages/gateway/src/process/stages/shared-preparer.ts
+++ b/packages/gateway/src/process/stages/shared-preparer.ts
@@ -94,8 +94,9 @@
    */
   private async prepareInShards(request: PreparationRequest, signal: AbortSignal): Promise<Preparation> {
     const startedAt = performance.now()
+    await this.members.whenAcquainted()
     const [preferred, other] = this.shards.order(request)
-    const result = await this.prepareAtCoordinators(request, preferred, signal)
+    const result = await this.prepareAtCoordinators(withTimeLeft(request, performance.now() - startedAt), preferred, signal)
     if (!other || result.isOk() || result.error.kind !== PreparationFailureKind.Overloaded)
       return result
     const second = await this.prepareAtCoordinators(withTimeLeft(request, performance.now() - startedAt), other, signal)
@@ -116,7 +117,8 @@
       const failure = result?.isErr() ? result.error : undefined
       if (result && failure?.kind !== PreparationFailureKind.HandedOver)
         return result
-      if (result)
+      // One that is this process has found another coordinator and is not stopping for that.
+      if (result && coordinator.name !== this.members.self.name)
         this.members.markStopping(coordinator)
       progress = failure?.progress
     }
--- a/packages/gateway/src/process/stages/stage-coordinators.ts
+++ b/packages/gateway/src/process/stages/stage-coordinators.ts
@@ -28,12 +28,13 @@
 export enum CoordinatorRole {
   /** It coordinates the shard from now on. */
   Coordinates = 'coordinates',
-  /** Another one does, and this process should leave its work to it. */
+  /**
+   * Another one does, and this process leaves its work to it: what it holds
+   * would go on in small calls beside the other's.
+   */
   HandsOver = 'hands-over',
   /** Another one does; this process is leaving and takes no more work. */
   Leaves = 'leaves',
-  /** Another one does; what this process has ends here. */
-  Other = 'other',
 }
 
 /** Coordinates the shards that this process is asked for. */
@@ -71,7 +72,7 @@
     coordinator?.expectOtherCoordinator()
     if (role === CoordinatorRole.Coordinates)
       coordinator?.takeOver()
-    else if (role !== CoordinatorRole.Other)
+    else
       coordinator?.handOver(role === CoordinatorRole.Leaves)
   }
 
--- /dev/null
+++ b/test/gateway/acquaintance.test.ts
@@ -0,0 +1,114 @@
+/**
+ * What callers saw: after all gateways of a large deployment had lost power,
+ * two of three requests were refused for two and a half seconds, though the
+ * stage backend servers were all there.
+ * Order of events: fifty gateways become ready within a second; each is sent
+ * requests before any other gateway has answered its first heartbeat, counts
+ * itself as the coordinator, and calls the stage backend servers for them.
+ * Cause: a gateway that has heard nobody yet acted as one that is alone.
+ * Evidence: the calls of a replay by caller: 86 of 184 in half a second came
+ * from such gateways, for 132 of 744 items; the shards' coordinators, with the
+ * rest, refused 250 of 300 requests.
+ */
+import type { HeartbeatReply, Preparer } from '@eidermast/gateway'
+import { Acquaintance, Members, SharedPreparer } from '@eidermast/gateway'
+import { Ok } from 'ts-results-es'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { createLog } from './support/fakes.js'
+import { createStageRequest, NEVER } from './support/stage-coordinator.js'
+
+const SELF = { name: 'gateway-b', address: 'gateway-b' }
+const OTHER = { name: 'gateway-a', address: 'gateway-a', announcementOrder: 1 }
+const ALIVE: HeartbeatReply = { version: 1, stopping: false, slow: false }
+const PREPARED = Ok({ handles: ['handle'], failureDomain: 'zone-a', bytes: 1 })
+/** Milliseconds. */
+const ANSWER_MS = 100
+const LONGEST_WAIT_MS = 600
+
+/** A gateway that starts; `heartbeat` is how others answer it. */
+function createStarting(heartbeat: () => Promise<HeartbeatReply>) {
+  const { log } = createLog()
+  const members = new Members(SELF, { heartbeat }, log, () => {})
+  const asked: string[] = []
+  const local: Preparer = {
+    prepare: async () => {
+      asked.push('itself')
+      return PREPARED
+    },
+    release: () => {},
+  }
+  const peers = {
+    prepare: async () => {
+      asked.push('the other')
+      return PREPARED
+    },
+    release: async () => {},
+  }
+  return { members, asked, preparer: new SharedPreparer(members, local, peers, log) }
+}
+
+const answerLate = (): Promise<HeartbeatReply> => new Promise(resolve => setTimeout(() => resolve(ALIVE), ANSWER_MS))
+const refuse = (): Promise<HeartbeatReply> => Promise.reject(new Error('refused'))
+
+beforeEach(() => void vi.useFakeTimers())
+afterEach(() => void vi.useRealTimers())
+
+describe('a request at a gateway that has just started', () => {
+  test('waits for the first heartbeats and goes to the coordinator', async () => {
+    const { members, asked, preparer } = createStarting(answerLate)
+    members.start()
+    const prepared = preparer.prepare(createStageRequest(), NEVER)
+    members.upsert(OTHER)
+    await vi.advanceTimersByTimeAsync(ANSWER_MS + 10)
+    await prepared
+    expect(asked).toEqual(['the other'])
+    members.stop()
+  })
+
+  test('does not wait longer where the others refuse', async () => {
+    const { members, asked, preparer } = createStarting(refuse)
+    members.start()
+    members.upsert(OTHER)
+    const prepared = preparer.prepare(createStageRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(10)
+    await prepared
+    expect(asked).toEqual(['itself'])
+    members.stop()
+  })
+
+  test('waits a limited time where no other gateway is listed', async () => {
+    const { members, asked, preparer } = createStarting(refuse)
+    members.start()
+    const prepared = preparer.prepare(createStageRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(LONGEST_WAIT_MS - 200)
+    expect(asked).toEqual([])
+    await vi.advanceTimersByTimeAsync(400)
+    await prepared
+    expect(asked).toEqual(['itself'])
+    members.stop()
+  })
+
+  test('later on, waits for nothing, however many gateways fail', async () => {
+    const { members, asked, preparer } = createStarting(refuse)
+    members.start()
+    await vi.advanceTimersByTimeAsync(1000)
+    members.upsert(OTHER)
+    await preparer.prepare(createStageRequest(), NEVER)
+    expect(asked).toEqual(['itself'])
+    members.stop()
+  })
+})
+
+describe('the first contact with other gateways', () => {
+  test.each<[string, { listed: boolean, tried: boolean[], now: number }, boolean]>([
+    ['goes on while none is listed', { listed: false, tried: [], now: 100 }, false],
+    ['goes on while one has not shown anything', { listed: true, tried: [true, false], now: 100 }, false],
+    ['is over when each has answered or failed to', { listed: true, tried: [true, true], now: 100 }, true],
+    ['is over after the longest wait', { listed: false, tried: [false], now: LONGEST_WAIT_MS }, true],
+  ])('%s', (_name, signs, isOver) => {
+    const acquaintance = new Acquaintance()
+    acquaintance.begin(0)
+    acquaintance.look(signs)
+    expect(acquaintance.isOver).toBe(isOver)
+  })
+})
--- a/test/gateway/shared-preparer.test.ts
+++ b/test/gateway/shared-preparer.test.ts
@@ -38,6 +38,30 @@
   })
 })
 
+describe('a coordinator that hands its own work over, since another one was found', () => {
+  const HANDED_OVER: Preparation = Err({ kind: PreparationFailureKind.HandedOver, message: 'the coordinator is stopping', retryAfterMs: 0 })
+
+  beforeEach(() => void vi.useFakeTimers())
+  afterEach(() => void vi.useRealTimers())
+
+  // What operators would see: a gateway that was slow for a moment never coordinates again, until it restarts. Cause: to
+  // the request, work that is handed over means a coordinator that stops, and here that was taken of this process too.
+  test('is not stopping, and coordinates again', async () => {
+    const { log } = createLog()
+    const members = new Members(SELF, { heartbeat: async () => ({ version: 1, stopping: false, slow: false }) }, log, () => {})
+    members.start()
+    members.upsert({ ...SELF, announcementOrder: 1 })
+    members.upsert({ name: 'gateway-b', address: '127.0.0.1:2', announcementOrder: 2 })
+    await vi.advanceTimersByTimeAsync(1000)
+    const answers = [HANDED_OVER, PREPARED]
+    const peers = { prepare: async () => PREPARED, release: async () => {} }
+    const shared = new SharedPreparer(members, { prepare: async () => answers.shift()!, release: () => {} }, peers, log)
+    expect((await shared.prepare(REQUEST, NEVER)).isOk()).toBe(true)
+    expect(members.isCoordinator).toBe(true)
+    members.stop()
+  })
+})
+
 describe('stage work in shards', () => {
   const ORDER = [createShard(['a']), createShard(['b']), createShard(['c'])]
 
