One module for the parts of a prompt

Cause: since tokens were summed in three places, the shared parts cut off in three, and the home of a prompt found by two equal functions. Ruled out: hashing a request's home once for several uses; no two of them share engines. Change: request/prompt-parts.ts, called from the four places. Behaviour as before.

--- a/packages/gateway/src/process/stages/engine-assignment.ts
+++ b/packages/gateway/src/process/stages/engine-assignment.ts
@@ -20,7 +20,7 @@
  */
 import type { Backend } from '../../connection/backends/backend.js'
 import type { PromptPart } from '../../connection/clients/client-codec.js'
-import { rankByRendezvous } from '../../request/rendezvous.js'
+import { countTokens, findHome, sharedParts } from '../../request/prompt-parts.js'
 
 /**
  * Milliseconds for each token of a shared part that is read again: it takes the
@@ -209,7 +209,7 @@
     const state = this.stateOf(engine)
     const shared = sharedParts(prompt)
     const firstMissing = shared.findIndex(part => !state.keeps(part.id, now))
-    const tokens = firstMissing === -1 ? 0 : shared.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0)
+    const tokens = firstMissing === -1 ? 0 : countTokens(shared.slice(firstMissing))
     return isHome ? tokens * HOME_MISSING_SHARE : tokens
   }
 
@@ -231,14 +231,3 @@
 function ownTokens(prompt: readonly PromptPart[]): number {
   return prompt.at(-1)?.tokens ?? 0
 }
-
-/** The parts that other requests may begin with too. */
-function sharedParts(prompt: readonly PromptPart[]): readonly PromptPart[] {
-  return prompt.slice(0, -1)
-}
-
-/** The engine that all coordinators prefer for the shared parts. */
-function findHome(prompt: readonly PromptPart[], engines: readonly Backend[]): Backend | undefined {
-  const last = sharedParts(prompt).at(-1)
-  return last && rankByRendezvous(last.id, engines, engine => engine.id)[0]
-}
--- a/packages/gateway/src/process/stages/shard-choice.ts
+++ b/packages/gateway/src/process/stages/shard-choice.ts
@@ -17,6 +17,7 @@
 import type { BackendRegistry } from '../backend-registry.js'
 import type { Members } from '../membership/members.js'
 import { isInShard, WHOLE_SHARD } from '../../connection/peers/stage-shard.js'
+import { sharedParts } from '../../request/prompt-parts.js'
 import { HASH_RANGE, hashText } from '../../request/rendezvous.js'
 
 /** A way to choose the shards that are asked for a request. */
@@ -72,5 +73,5 @@
 
 /** What requests have in common that should meet the same engines. */
 function keyOf({ prompt, requestId }: PreparationRequest): string {
-  return prompt?.at(-2)?.id ?? requestId
+  return sharedParts(prompt ?? []).at(-1)?.id ?? requestId
 }
--- a/packages/gateway/src/request/attempts/backend-choice.ts
+++ b/packages/gateway/src/request/attempts/backend-choice.ts
@@ -18,7 +18,7 @@
 import type { EjectionPolicy } from '@eidermast/common'
 import type { Backend } from '../../connection/backends/backend.js'
 import type { PromptPart } from '../../connection/clients/client-codec.js'
-import { rankByRendezvous } from '../rendezvous.js'
+import { countTokens, findHome, sharedParts } from '../prompt-parts.js'
 
 /** What a choice goes by. */
 export interface ChoiceSubject {
@@ -102,9 +102,8 @@
   order(candidates: readonly Backend[], subject: ChoiceSubject): Backend[] {
     const now = performance.now()
     const usable = this.ejection.filter(candidates)
-    const shared = subject.promptParts.slice(0, -1)
-    const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-    const home = findHome(shared, usable)
+    const sharedTokens = countTokens(sharedParts(subject.promptParts))
+    const home = findHome(subject.promptParts, usable)
     return orderByCost(usable, (backend) => {
       const read = backend === home ? 0 : sharedTokens * TOKEN_COST_MS
       const fetch = backend.failureDomain === subject.failureDomain ? 0 : subject.bytes / OTHER_DOMAIN_BYTES_PER_MS
@@ -113,12 +112,6 @@
   }
 }
 
-/** The backend server that keeps the shared parts; all gateways that know the same servers find the same one. */
-function findHome(shared: readonly PromptPart[], usable: readonly Backend[]): Backend | undefined {
-  const last = shared.at(-1)
-  return last && rankByRendezvous(last.id, usable, backend => backend.id)[0]
-}
-
 function orderByCost(backends: readonly Backend[], costOf: (backend: Backend) => number): Backend[] {
   return backends
     .map(backend => ({ backend, cost: costOf(backend) }))
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -5,9 +5,9 @@
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { CallFailure } from '../connection/backends/backend-client.js'
 import type { Backend } from '../connection/backends/backend.js'
-import type { PromptPart } from '../connection/clients/client-codec.js'
 import type { RetryDecision } from './attempts/retry-rule.js'
 import type { RoutedRequest } from './routed-request.js'
+import { countTokens } from './prompt-parts.js'
 
 /** One attempt that begins. */
 export interface AttemptStart {
@@ -92,7 +92,3 @@
     })
   }
 }
-
-function countTokens(parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, part) => sum + part.tokens, 0)
-}
