Admission works out the pace of each service once for a request

Cause: each decision estimates the stages twice, alone and behind other work, and both worked out the pace anew over all backend servers of the service. Ruled out: keeping the pace between requests; it moves with each call's end. Change: the paces of a request's services are worked out once and read by both estimates. Three comments are wrapped anew.

--- a/packages/gateway/src/process/membership/heartbeat-targets.ts
+++ b/packages/gateway/src/process/membership/heartbeat-targets.ts
@@ -8,10 +8,9 @@
  * in their order, up to and with the second that can coordinate, this one
  * counted: it is alive and neither stopping nor slow. Of those that were never
  * heard, as many are asked at a time as were asked in vain, at least
- * MIN_UNTRIED. Each gets one every
- * HEARTBEAT_INTERVAL_MS, those of a shard every SHARD_INTERVAL_MS, one that has
- * failed every FAILED_HEARTBEAT_INTERVAL_MS, and none while
- * MAX_PENDING_HEARTBEATS wait for an answer.
+ * MIN_UNTRIED. Each gets one every HEARTBEAT_INTERVAL_MS, those of a shard every
+ * SHARD_INTERVAL_MS, one that has failed every FAILED_HEARTBEAT_INTERVAL_MS, and
+ * none while MAX_PENDING_HEARTBEATS wait for an answer.
  * Why: only the coordinator and its successor matter to a gateway, so the cost
  * does not grow with the number of gateways. The successor is watched before
  * it is needed: one that was last heard at the start counted as failed just as
--- a/packages/gateway/src/process/stages/stage-admission.ts
+++ b/packages/gateway/src/process/stages/stage-admission.ts
@@ -61,6 +61,9 @@
 /** The pace of a service; undefined where the configuration has no such stage service. */
 export type PaceOfService = (service: string) => ServicePace | undefined
 
+/** The paces of the services that a request needs, by name. */
+type Paces = ReadonlyMap<string, ServicePace | undefined>
+
 /** Admitted work of one request. */
 export interface CommittedWork {
   rank: number
@@ -93,8 +96,9 @@
   paceOf: PaceOfService,
 ): AdmissionDecision {
   const ahead = [...committed].filter(work => work.rank <= rank)
-  const aloneMs = estimateStages(request, [], paceOf) + answerMs
-  const stagesMs = estimateStages(request, ahead, paceOf)
+  const paces: Paces = new Map(request.stages.map(({ service }) => [service, paceOf(service)]))
+  const aloneMs = estimateStages(request, [], paces) + answerMs
+  const stagesMs = estimateStages(request, ahead, paces)
   const finishMs = stagesMs * accuracyFactor + answerMs
   const allowedMs = Math.max(request.targetMs, aloneMs + ALWAYS_ALLOWED_WAIT_MS)
   return {
@@ -112,11 +116,11 @@
 }
 
 /** Expected time until all stages are done behind other work, in milliseconds; infinite where a service has no backend server. */
-function estimateStages({ stages }: PreparationRequest, ahead: readonly CommittedWork[], paceOf: PaceOfService): number {
+function estimateStages({ stages }: PreparationRequest, ahead: readonly CommittedWork[], paces: Paces): number {
   const ends: number[] = []
   for (const { service, dependsOn, items } of stages) {
     const readyMs = Math.max(0, ...dependsOn.map(dependency => ends[dependency] ?? 0))
-    ends.push(items === 0 ? readyMs : endOfCall(readyMs, items, paceOf(service), itemsAhead(service, ahead)))
+    ends.push(items === 0 ? readyMs : endOfCall(readyMs, items, paces.get(service), itemsAhead(service, ahead)))
   }
   return Math.max(0, ...ends)
 }
