--- a/packages/gateway/src/process/stages/stage-admission.ts
+++ b/packages/gateway/src/process/stages/stage-admission.ts
@@ -21,9 +21,9 @@
  * work that was admitted seconds before. When it counted for the time of the
  * stages too, 0.11 and 0.13 of the least urgent were refused for good after 2 s of
  * slow calls, though the queues had gone; with the wait alone 0.05 and 0.02. Held
- * work that cannot be in time expires in the queue and delays the rest. Running it in the background
- * lost on both sites (commit ad6e8df), and so did admitting it up to a tenth
- * beyond the target (commit f868ed0).
+ * work that cannot be in time expires in the queue and delays the rest. Running it
+ * in the background lost on both sites (commit ad6e8df), and so did admitting it
+ * up to a tenth beyond the target (commit f868ed0).
  * Set by: commits 5c1a649, 1e05cb6, ad6e8df, f868ed0, see the constants.
  * Log event: `stages-admission`.
  */
