--- /dev/null
+++ b/test/platform/support/crashing-pool.ts
@@ -0,0 +1,92 @@
+/**
+ * A pool of stand-in backend servers, each of which ends with its process when
+ * it begins to run a certain body, and is replaced after some time under a new
+ * id, as the platform does it: the entry of the old one lapses later.
+ */
+import type { SeenRequest } from './stand-in-backend.js'
+import type { StandInStore } from './stand-in-store.js'
+import { wait } from '@eidermast/common'
+import { answerWhole, StandInBackend } from './stand-in-backend.js'
+
+/** The body that ends every backend server that runs it. */
+export const CRASHING_BODY = 'crash'
+
+const SERVER_TOPIC = 'keyed.servers'
+/** Milliseconds from the end of a backend server until another one serves in its place. */
+const RESTART_MS = 2000
+/** Milliseconds until the entry of one that said nothing lapses: three heartbeats of the platform. */
+const LAPSE_MS = 3600
+
+/** What differs between pools. */
+export interface CrashingPoolOptions {
+  service: string
+  size: number
+  /** Milliseconds of work before an answer, and before a crash. */
+  workMs: number
+}
+
+/** Backend servers of one service that crash and come back. */
+export class CrashingPool {
+  /** When each backend server ended: milliseconds of the test's clock. */
+  readonly endedAt: number[] = []
+  /** Requests with the crashing body, as backend servers got them. */
+  readonly crashingSeen: SeenRequest[] = []
+  private readonly alive = new Set<StandInBackend>()
+  private readonly underWay = new Set<Promise<void>>()
+  private started = 0
+  private stopped = false
+
+  constructor(private readonly store: StandInStore, private readonly options: CrashingPoolOptions) {}
+
+  async start(): Promise<void> {
+    for (let index = 0; index < this.options.size; index++)
+      await this.startOne()
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true
+    await Promise.all(this.underWay)
+    await Promise.all([...this.alive].map(backend => backend.stop()))
+  }
+
+  /** Backend servers end together, without any request being the cause. */
+  endSome(count: number): void {
+    for (const backend of [...this.alive].slice(0, count))
+      this.end(backend)
+  }
+
+  private async startOne(): Promise<void> {
+    const { service, workMs } = this.options
+    const backend = new StandInBackend(`${service}-${this.started++}`, service)
+    backend.respond = async (seen, response) => {
+      if (seen.body === CRASHING_BODY)
+        this.crashingSeen.push(seen)
+      await wait(workMs)
+      if (seen.body === CRASHING_BODY)
+        return this.end(backend)
+      await answerWhole()(seen, response)
+    }
+    await backend.start()
+    this.alive.add(backend)
+    this.store.put(SERVER_TOPIC, backend.id, backend.entry())
+  }
+
+  private end(backend: StandInBackend): void {
+    if (!this.alive.delete(backend))
+      return
+    this.endedAt.push(performance.now())
+    const replaced = this.replace(backend).finally(() => this.underWay.delete(replaced))
+    this.underWay.add(replaced)
+  }
+
+  private async replace(backend: StandInBackend): Promise<void> {
+    await backend.stop()
+    if (this.stopped)
+      return
+    await wait(RESTART_MS)
+    if (!this.stopped)
+      await this.startOne()
+    await wait(LAPSE_MS - RESTART_MS)
+    this.store.put(SERVER_TOPIC, backend.id, undefined)
+  }
+}
