Following a topic is the gateway's own, not the adapter's

How a reader resumes after a failure, begins anew where the history is gone, and what an outage lasted are decisions and state; the adapter keeps the store's calls and forms.

--- a/packages/gateway/src/process/crashes/crash-witness.ts
+++ b/packages/gateway/src/process/crashes/crash-witness.ts
@@ -20,7 +20,7 @@
 const MAX_CHECKS = 3
 
 /** A backend server that ended, and the requests that ran there. */
-interface BackendCrash {
+export interface BackendCrash {
   backend: Backend
   /** Fingerprints of the requests whose calls broke. */
   fingerprints: string[]
--- a/packages/gateway/src/process/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -14,7 +14,7 @@
  * bound. One that is told waits for as long as both bounds together, since its
  * own read is not what the change depends on; after a read that brought changes
  * it rests, the longer the more gateways there are. At least MIN_READ_WAIT_MS.
- * After a failure reads do not wait (the adapter's `topic-follower.ts`), so that
+ * After a failure reads do not wait (`topic-follower.ts`), so that
  * only the first one can be lost for so long.
  * Why: a read that a silent store has taken never answers and is noticed only
  * when its time is over. With 16.5 s a change was in force 7 to 10 s late, on
--- a/platform/src/store/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -10,12 +10,11 @@
  * It owns the offset, in memory: a process that restarts reads the newest
  * records first.
  */
-import type { SourceOutage } from '@eidermast/gateway'
-import type { PlatformLog } from '../platform-log.js'
-import type { PlacedRecord, StoreClient } from './store-client.js'
+import type { PlacedRecord, TopicReader } from './keyed-topic.js'
+import type { SourceOutage } from './platform-adapter.js'
 import { formatError, wait } from '@eidermast/common'
-import { retryPauseMs } from '@eidermast/gateway'
-import { StoreError } from './store-records.js'
+import { HistoryGoneError } from './keyed-topic.js'
+import { retryPauseMs } from './retry-pause.js'
 
 /** An outage as this module knows it, without the platform's bounds. */
 export type StoreOutage = Omit<SourceOutage, 'usableAfterReturnMs'>
@@ -44,6 +43,16 @@
   recovered?: (outage: StoreOutage) => void
 }
 
+/** The log events of a topic. */
+export interface TopicLog {
+  /** The first failure of calls for a topic. */
+  storeFailed: (topic: string, error: unknown) => void
+  /** Calls succeed again after this many failures in a row; the store did not answer for this many milliseconds. */
+  storeRecovered: (topic: string, failures: number, awayMs: number) => void
+  /** The store has removed the records that were to be read next; the newest ones are read again. */
+  storeHistoryGone: (topic: string) => void
+}
+
 /** Follows one topic. */
 export class TopicFollower {
   /** Offset of the next record; undefined before the newest records are read. */
@@ -60,10 +69,10 @@
   private newestOffsets = new Map<string, number>()
 
   constructor(
-    private readonly store: StoreClient,
+    private readonly store: TopicReader,
     private readonly topic: string,
     private readonly sink: TopicSink,
-    private readonly log: PlatformLog,
+    private readonly log: TopicLog,
   ) {}
 
   /** Resolves when the signal aborts; failures are logged and retried. */
@@ -126,7 +135,7 @@
   }
 
   private noteError(error: unknown): void {
-    if (!(error instanceof StoreError && error.historyGone))
+    if (!(error instanceof HistoryGoneError))
       return this.noteFailure(error)
     this.log.storeHistoryGone(this.topic)
     this.offset = undefined
