Gateways tell each other of crashes with heartbeats, for the time in which the store is out

What callers would see: while the store does not answer, each gateway learned of a request that ends backend servers only by its own three ends: with three gateways ten of ten backend servers ended within six seconds.

Change: heartbeats and their answers carry the reports that the other side has not confirmed, by number; a process that starts confirms nothing, and is told all again. The field is left out where there is nothing to tell, and by releases that do not know it.

--- a/packages/gateway/src/connection/peers/index.ts
+++ b/packages/gateway/src/connection/peers/index.ts
@@ -1,3 +1,4 @@
+export * from './crash-exchange.js'
 export * from './member.js'
 export * from './peer-clients.js'
 export * from './peer-handler.js'
--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -5,6 +5,7 @@
  */
 import type { Result } from 'ts-results-es'
 import type { BackendChange } from '../backends/backend.js'
+import type { CrashExchangeMessage } from './crash-exchange.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, StageProgress } from './preparation.js'
 import { Err, Ok } from 'ts-results-es'
 import * as z from 'zod'
@@ -18,6 +19,8 @@
   version: z.number(),
   /** Revision of the sender's list of backend servers; absent in releases that do not pass it on. */
   backends: z.number().optional(),
+  /** Crashes that the sender tells; checked by whoever takes it. */
+  crashes: z.unknown().optional(),
 })
 
 /** A gateway's heartbeat to another. */
@@ -31,6 +34,8 @@
   backends?: number
   /** The changes of that list since the revision of the heartbeat, where the peer still knows them all. */
   backendChanges?: BackendChange[]
+  /** Crashes that the peer tells; absent where it has none to tell, and in releases that do not. */
+  crashes?: CrashExchangeMessage
   /** It is stopping: the coordinator's role passes to another gateway. */
   stopping: boolean
   /** It is short of processor time: the role passes to a gateway that is not, where there is one. */
--- a/packages/gateway/src/process/crashes/crash-board.ts
+++ b/packages/gateway/src/process/crashes/crash-board.ts
@@ -2,7 +2,8 @@
  * Which requests end backend servers, as all gateways together know it. A
  * request comes again at any gateway, and each end may be seen by another one:
  * every gateway reports what it sees to the platform's ledger, where the others
- * read it, and where it outlasts them all.
+ * read it, and where it outlasts them all. Heartbeats tell it too, for the time
+ * in which the store does not answer.
  *
  * It owns this gateway's reports and the merged history, in memory. A process
  * that starts reads all reports first, its predecessor's among them.
@@ -18,6 +19,7 @@
 import { CrashHistory } from './crash-history.js'
 import { CrashLog } from './crash-log.js'
 import { isEmptyReport, NO_REPORTS } from './crash-report.js'
+import { PeerExchange } from './peer-exchange.js'
 import { countedCrashes, isCovered, isQuarantined } from './quarantine.js'
 import { RecentAnswers } from './recent-answers.js'
 
@@ -47,6 +49,8 @@
 export class CrashBoard implements CrashWatch, CrashSink {
   private readonly history: CrashHistory
   private readonly answers = new RecentAnswers()
+  /** Tells peers, and learns from them. */
+  readonly peerExchange: PeerExchange
   private readonly log: CrashLog
   private readonly now: () => number
   /** This gateway's record. */
@@ -61,6 +65,7 @@
     this.now = parts.now ?? Date.now
     this.history = new CrashHistory(this.now)
     this.log = new CrashLog(parts.log)
+    this.peerExchange = new PeerExchange(reports => void this.learn(reports), this.now())
   }
 
   /** Fingerprints whose requests are refused. */
@@ -141,6 +146,7 @@
     const fingerprints = new Set([...news.crashes, ...news.answers].map(({ fingerprint }) => fingerprint))
     const refusedBefore = new Set([...fingerprints].filter(fingerprint => this.isRefused(fingerprint)))
     this.history.merge(news)
+    this.peerExchange.note(news)
     this.reportKnownAnswers(news.crashes)
     for (const fingerprint of fingerprints) {
       if (this.isRefused(fingerprint) !== refusedBefore.has(fingerprint))
@@ -166,10 +172,12 @@
 
   /** Adds to this gateway's record, without what the history has forgotten. */
   private addToOwn(reports: CrashReports): void {
-    const isKnown = ({ fingerprint }: { fingerprint: string }): boolean => this.history.has(fingerprint)
-    const crashes = new Map([...this.own.crashes, ...reports.crashes].filter(isKnown).map(crash => [`${crash.fingerprint} ${crash.backend}`, crash]))
-    const answers = new Map([...this.own.answers, ...reports.answers].filter(isKnown).map(answer => [answer.fingerprint, answer]))
-    this.own = { crashes: this.strongest([...crashes.values()]), answers: [...answers.values()] }
+    const crashes = [...this.own.crashes, ...reports.crashes].filter(crash => this.history.knows(crash))
+    const answers = [...this.own.answers, ...reports.answers].filter(({ fingerprint }) => this.history.has(fingerprint))
+    this.own = {
+      crashes: this.strongest([...new Map(crashes.map(crash => [keyOf(crash), crash])).values()]),
+      answers: [...new Map(answers.map(answer => [answer.fingerprint, answer])).values()],
+    }
   }
 
   /** As many reports as a record takes; those of requests with the most crashes first, then the newest. */
--- a/packages/gateway/src/process/crashes/crash-history.ts
+++ b/packages/gateway/src/process/crashes/crash-history.ts
@@ -15,6 +15,8 @@
 const MAX_FINGERPRINTS = 4096
 /** Fingerprints that stay where there are too many: what goes is chosen for many at once. */
 const KEPT_FINGERPRINTS = MAX_FINGERPRINTS * 7 / 8
+/** Ends of backend servers that are kept of one fingerprint, the newest: more than a refusal needs. */
+const MAX_CRASHES_EACH = 8
 /** Milliseconds between two looks for what is too old; a part of the time for which it counts. */
 const EXPIRY_PAUSE_MS = 10_000
 
@@ -38,6 +40,11 @@
     return { crashes: [...entry?.crashes.values() ?? []], answeredAt: entry?.answeredAt }
   }
 
+  /** Whether an end of a backend server is kept here. */
+  knows({ fingerprint, backend }: CrashReport): boolean {
+    return this.entries.get(fingerprint)?.crashes.has(backend) ?? false
+  }
+
   /** Whether anything is known of a fingerprint. */
   has(fingerprint: string): boolean {
     return this.entries.has(fingerprint)
@@ -60,7 +67,7 @@
   /** Those of some reports that are not known here and not too old. */
   newsIn({ crashes, answers }: CrashReports): CrashReports {
     return {
-      crashes: crashes.filter(crash => !this.isExpired(crash.at) && !this.entries.get(crash.fingerprint)?.crashes.has(crash.backend)),
+      crashes: crashes.filter(crash => this.isNews(crash)),
       answers: answers.filter(({ fingerprint, at }) => !this.isExpired(at) && at > (this.entries.get(fingerprint)?.answeredAt ?? 0)),
     }
   }
@@ -68,7 +75,7 @@
   /** Takes reports. */
   merge({ crashes, answers }: CrashReports): void {
     for (const crash of crashes)
-      this.entryOf(crash.fingerprint).crashes.set(crash.backend, crash)
+      this.takeCrash(crash)
     for (const answer of answers)
       this.takeAnswer(answer)
     this.forgetExpired()
@@ -76,6 +83,22 @@
       this.forgetLeast()
   }
 
+  private isNews(crash: CrashReport): boolean {
+    if (this.isExpired(crash.at))
+      return false
+    const known = this.entries.get(crash.fingerprint)?.crashes
+    if (!known)
+      return true
+    return !known.has(crash.backend) && (known.size < MAX_CRASHES_EACH || crash.at > oldestOf(known).at)
+  }
+
+  private takeCrash(crash: CrashReport): void {
+    const { crashes } = this.entryOf(crash.fingerprint)
+    crashes.set(crash.backend, crash)
+    if (crashes.size > MAX_CRASHES_EACH)
+      crashes.delete(oldestOf(crashes).backend)
+  }
+
   private takeAnswer({ fingerprint, at }: AnswerReport): void {
     const entry = this.entryOf(fingerprint)
     entry.answeredAt = Math.max(at, entry.answeredAt ?? 0)
@@ -115,6 +138,10 @@
   }
 }
 
+function oldestOf(crashes: ReadonlyMap<string, CrashReport>): CrashReport {
+  return [...crashes.values()].reduce((oldest, crash) => crash.at < oldest.at ? crash : oldest)
+}
+
 /** When something was learned last of a fingerprint, in epoch milliseconds. */
 function newestOf({ crashes, answeredAt = 0 }: Entry): number {
   return Math.max(answeredAt, ...[...crashes.values()].map(({ at }) => at))
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -128,7 +128,7 @@
 
   private createMembers(): Members {
     const contact = {
-      heartbeat: (member: Member) => this.peers.heartbeat(member, { ...this.self, ...this.peerService.held }),
+      heartbeat: (member: Member) => this.peers.heartbeat(member, { ...this.self, ...this.peerService.heldFor(member) }),
     }
     return new Members(this.self, contact, this.log, (member, reply) => this.peerService.learn(member, reply))
   }
@@ -210,6 +210,7 @@
       backendList: this.backendList,
       peers: this.peers,
       stageCoordinator: this.stageCoordinators,
+      crashes: this.crashBoard.peerExchange,
       describeSelf: () => ({ stopping: this.stopping, slow: this.members.isSelfSlow, announcementOrder: this.members.selfOrder }),
       log: this.gatewayLog,
     })
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -1,6 +1,7 @@
 /**
  * What this gateway and its peers exchange: it answers their heartbeats, gives
- * them its configuration and its list of backend servers, and does their stage
+ * them its configuration and its list of backend servers, exchanges crashes
+ * (`crashes/peer-exchange.ts`), and does their stage
  * work while it coordinates. Each heartbeat and its answer tell the versions
  * held, and an answer the changes of the list that the sender lacks. What a peer
  * holds beyond that, and the platform's store did not bring, is fetched
@@ -15,6 +16,7 @@
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../connection/peers/preparation.js'
 import type { ConfigurationHolder, ConfigurationRecord } from '../version/configuration-holder.js'
 import type { BackendList } from './backend-list.js'
+import type { PeerExchange } from './crashes/peer-exchange.js'
 import type { GatewayLog } from './gateway-log.js'
 import { PeerFetch } from './peer-fetch.js'
 
@@ -34,13 +36,14 @@
   backendList: BackendList
   peers: Pick<PeerClients, 'configuration' | 'backends'>
   stageCoordinator: Preparer
+  crashes: PeerExchange
   /** What this process tells of itself in answer to a heartbeat, without what it holds. */
   describeSelf: () => Omit<HeartbeatReply, keyof HeldState>
   log: GatewayLog
 }
 
 /** What a gateway tells of the state that it shares with its peers. */
-export type HeldState = Pick<HeartbeatReply, 'version' | 'backends' | 'backendChanges'>
+export type HeldState = Pick<HeartbeatReply, 'version' | 'backends' | 'backendChanges'> & { crashes?: unknown }
 
 /** Answers the procedures between gateways, and fetches what peers have and this process lacks. */
 export class GatewayPeerService implements PeerService {
@@ -63,14 +66,15 @@
     })
   }
 
-  /** What this process holds, as its heartbeats tell. */
-  get held(): Pick<HeldState, 'version' | 'backends'> {
-    return { version: this.parts.holder.version, backends: this.parts.backendList.revision }
+  /** What this process holds, as its heartbeats tell a peer. */
+  heldFor({ address }: Member): Pick<HeartbeatReply, 'version' | 'backends' | 'crashes'> {
+    const { holder, backendList, crashes } = this.parts
+    return { version: holder.version, backends: backendList.revision, crashes: crashes.messageFor(address) }
   }
 
   heartbeat(heartbeat: Heartbeat): HeartbeatReply {
     this.learn(heartbeat, heartbeat)
-    return { ...this.held, backendChanges: this.changesFor(heartbeat), ...this.parts.describeSelf() }
+    return { ...this.heldFor(heartbeat), backendChanges: this.changesFor(heartbeat), ...this.parts.describeSelf() }
   }
 
   configuration(): ConfigurationRecord | undefined {
@@ -91,8 +95,10 @@
   }
 
   /** A peer told what it holds; what is newer and was not told is fetched. */
-  learn({ name, address }: Member, { version, backends, backendChanges }: HeldState): void {
+  learn({ name, address }: Member, { version, backends, backendChanges, crashes }: HeldState): void {
     const member = { name, address }
+    if (crashes !== undefined)
+      this.parts.crashes.take(address, crashes)
     if (backends !== undefined && backendChanges)
       this.parts.backendList.adoptChanges(backendChanges, backends, member)
     void this.configurationFetch.learn(member, version)
--- a/test/platform/crashing-requests.test.ts
+++ b/test/platform/crashing-requests.test.ts
@@ -22,7 +22,7 @@
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { CRASHING_BODY, CrashingPool } from './support/crashing-pool.js'
 import { startGateway } from './support/in-process-gateway.js'
-import { StandInStore } from './support/stand-in-store.js'
+import { StandInStore, StoreFault } from './support/stand-in-store.js'
 
 /** Backend servers that a request may end before it is known to be the cause. */
 const CRASHES_BEFORE = 3
@@ -136,6 +136,13 @@
     expect(pool.crashingSeen.length).toBe(seenBefore)
   })
 
+  test('ends few backend servers also while the store is out, since gateways tell each other', async () => {
+    store.fault = StoreFault.Reset
+    await sendCrashing(CONTACT_MS)
+    expect(statusesOf(await sendCrashing(CONTACT_MS))).toEqual([503])
+    expect(pool.endedAt.length).toBeLessThanOrEqual(CRASHES_BEFORE + SENT_AFTER)
+  })
+
   test('is refused by gateways that start after the loss of all', async () => {
     await crashUntilRefused()
     const endedBefore = pool.endedAt.length
