An item that ends its stage backend server travels alone after two ends, and is not sent after three

What callers would see: a call for items of several requests breaks with its backend server; all of them were sent again together, and met in the next call. One item ended every stage backend server, since its request's stages begin again after its third failure.

Cause: the same as of requests that end backend servers; a broken call was the backend server's fault alone.

Change: stage work knows the fingerprint of its request, a broken call is investigated as one of a request is, and its items wait for the answer (0.1 s at most) before they are sent again. Results of stages do not speak for a request: its own backend server has not run it yet.

Tests of gateway, pages and platform pass.

--- a/packages/gateway/src/connection/backends/stage-client.ts
+++ b/packages/gateway/src/connection/backends/stage-client.ts
@@ -27,6 +27,8 @@
   InputGone = 'input-gone',
   /** The backend server has no memory for the result. */
   NoMemory = 'no-memory',
+  /** Requests like its own end the backend servers that run them; it is not sent. */
+  Quarantined = 'quarantined',
   /** Any other failure of the item itself. */
   Error = 'error',
 }
--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -72,6 +72,7 @@
   returning: z.boolean(),
   /** Failure domain of the backend server that will read the results. */
   zone: z.string(),
+  fingerprint: z.string().optional(),
   service: z.string().optional(),
   prompt: z.array(z.object({ id: z.string(), tokens: z.number() })).optional(),
   shard: z.string().optional(),
--- a/packages/gateway/src/connection/peers/preparation.ts
+++ b/packages/gateway/src/connection/peers/preparation.ts
@@ -50,6 +50,8 @@
   isRetry: boolean
   /** Failure domain of the backend server that will read the results. */
   failureDomain: string
+  /** The same for each time that its client sends it; absent in requests of releases that do not tell it. */
+  fingerprint?: string
   /** The service that answers the request. */
   service?: string
   /** Parts of its prompt in order; absent where it has none. */
--- a/packages/gateway/src/process/crashes/crash-board.ts
+++ b/packages/gateway/src/process/crashes/crash-board.ts
@@ -10,7 +10,7 @@
  */
 import type { EventLog } from '@eidermast/common'
 import type { Backend } from '../../connection/backends/backend.js'
-import type { CrashWatch } from '../../request/attempts/backend-run.js'
+import type { CrashWatch } from '../../request/crash-watch.js'
 import type { CrashLedger, CrashSink } from '../platform-adapter.js'
 import type { AnswerReport, CrashReport, CrashReports } from './crash-report.js'
 import type { BackendCrash } from './crash-witness.js'
@@ -38,7 +38,7 @@
   ledger: Pick<CrashLedger, 'publish'>
   log: EventLog
   /** Finds out whether the backend server of a broken call ended. */
-  witness: { noteBroken: (backend: Backend, fingerprint: string) => void }
+  witness: Pick<CrashWatch, 'noteBroken'>
   /** Whether this gateway writes again what the ledger has lost of others' reports: one does, or the reports of gateways that are gone stay lost. */
   restoresOthers: () => boolean
   /** Epoch milliseconds. @default Date.now */
@@ -73,8 +73,8 @@
     return this.history.fingerprints.filter(fingerprint => this.isRefused(fingerprint)).length
   }
 
-  noteBroken(backend: Backend, fingerprint: string): void {
-    this.parts.witness.noteBroken(backend, fingerprint)
+  noteBroken(backend: Backend, fingerprint: string): Promise<void> {
+    return this.parts.witness.noteBroken(backend, fingerprint)
   }
 
   noteAnswered(fingerprint: string): void {
@@ -85,6 +85,10 @@
       this.report({ crashes: [], answers: [{ fingerprint, at }] })
   }
 
+  crashCount(fingerprint: string): number {
+    return this.history.has(fingerprint) ? countedCrashes(this.history.factsOf(fingerprint), this.now()).length : 0
+  }
+
   refusal(fingerprint: string): string | undefined {
     if (!this.history.has(fingerprint))
       return undefined
--- a/packages/gateway/src/process/crashes/crash-witness.ts
+++ b/packages/gateway/src/process/crashes/crash-witness.ts
@@ -26,6 +26,13 @@
   fingerprints: string[]
 }
 
+/** A backend server that is asked for. */
+interface Investigation {
+  /** Of the requests whose calls broke. */
+  fingerprints: Set<string>
+  ended: Promise<void>
+}
+
 /** What the witness works with. */
 export interface CrashWitnessParts {
   checkPresence: CheckPresence
@@ -36,25 +43,29 @@
 
 /** Watches for ends of backend servers. */
 export class CrashWitness {
-  /** Fingerprints of broken calls by backend server, while it is asked for. */
-  private readonly broken = new Map<Backend, Set<string>>()
+  /** By backend server, while it is asked for. */
+  private readonly underWay = new Map<Backend, Investigation>()
 
   constructor(private readonly parts: CrashWitnessParts) {}
 
-  /** A request was sent to a backend server and its call broke. */
-  noteBroken(backend: Backend, fingerprint: string): void {
-    const known = this.broken.get(backend)
-    if (known)
-      return void known.add(fingerprint)
-    this.broken.set(backend, new Set([fingerprint]))
-    void this.investigate(backend)
+  /** A request was sent to a backend server and its call broke; resolves when it is known whether the backend server ended. */
+  noteBroken(backend: Backend, fingerprint: string): Promise<void> {
+    const known = this.underWay.get(backend)
+    if (known) {
+      known.fingerprints.add(fingerprint)
+      return known.ended
+    }
+    const fingerprints = new Set([fingerprint])
+    const ended = this.investigate(backend, fingerprints)
+    this.underWay.set(backend, { fingerprints, ended })
+    return ended
   }
 
-  private async investigate(backend: Backend): Promise<void> {
+  private async investigate(backend: Backend, broken: ReadonlySet<string>): Promise<void> {
     await wait(COLLECT_MS)
     const presence = await this.checkRepeatedly(backend)
-    const fingerprints = [...this.broken.get(backend) ?? []]
-    this.broken.delete(backend)
+    this.underWay.delete(backend)
+    const fingerprints = [...broken]
     this.parts.log.backendChecked(backend.record, presence, fingerprints)
     if (presence === Presence.Gone)
       this.parts.onCrash({ backend, fingerprints })
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -173,7 +173,7 @@
   private createStageCoordinators(): StageCoordinators {
     const client = this.platform.stageClient(this.connections)
     const retryBudget = new RetryBudget({ ...this.retryAllowance(), ratio: 0 }, () => countSharingGateways(this.members.shards.length))
-    return new StageCoordinators({ registry: this.registry, client, retryBudget, log: this.log })
+    return new StageCoordinators({ registry: this.registry, client, retryBudget, crashes: this.crashBoard, log: this.log })
   }
 
   private createBackendRunner(): BackendRunner {
--- a/packages/gateway/src/process/stages/pool/stage-batch.ts
+++ b/packages/gateway/src/process/stages/pool/stage-batch.ts
@@ -11,7 +11,7 @@
  * Why: a call has a large fixed cost (200 to 240 ms on the users' sites), so a
  * full call is worth more than the bytes that cross failure domains; but what
  * the next call at home takes anyway would cross for nothing. A split task
- * waits for two calls.
+ * waits for two calls. A task that travels alone is the only one of its call.
  * Set by: paired days of three deployments with burst, crash and slow backend
  * servers. Against filling every call once half of one waited, results that
  * cross failure domains fall to 0.40 to 0.47 of their bytes, and the share of
@@ -41,6 +41,8 @@
 export interface BatchInput {
   /** In the order in which they should run. */
   tasks: readonly PoolTask[]
+  /** Whether no other task may be in the call of this one (`crash-isolation.ts`). */
+  travelsAlone: (task: StageTask) => boolean
   /** Places of one call. */
   maxItems: number
   /** Items after which no further task is added (`call-size.ts`). */
@@ -91,8 +93,12 @@
   return { suiting, overflow }
 }
 
-function fill(parts: BatchPart[], tasks: readonly PoolTask[], { maxItems, enoughItems, freeBytes }: BatchInput, reason: BatchReason): void {
+function fill(parts: BatchPart[], tasks: readonly PoolTask[], input: BatchInput, reason: BatchReason): void {
+  const { maxItems, enoughItems, freeBytes, travelsAlone } = input
   for (const task of tasks) {
+    const [first] = parts
+    if (first && (travelsAlone(first.task.stageTask) || travelsAlone(task.stageTask)))
+      continue
     const taken = countItems(parts)
     const places = maxItems - taken
     if (places <= 0 || taken >= enoughItems)
--- a/packages/gateway/src/process/stages/pool/stage-calls.ts
+++ b/packages/gateway/src/process/stages/pool/stage-calls.ts
@@ -4,16 +4,15 @@
  * Owns the calls under way; relies on the client to answer or abort each. When
  * the process dies, results of its calls expire at their backend servers.
  */
-import type { EventLog } from '@eidermast/common'
-import type { ItemOutcome, StageCallResult, StageClient } from '../../../connection/backends/stage-client.js'
-import type { RetryBudget } from '../../../request/attempts/retry-budget.js'
+import type { ItemOutcome, StageCallResult } from '../../../connection/backends/stage-client.js'
 import type { StageLimits } from '../../../version/configuration.js'
 import type { ResultFrees } from '../backend/result-frees.js'
 import type { StageBackend } from '../backend/stage-backend.js'
 import type { ItemFailureCause } from './item-retry.js'
+import type { StagePoolParts } from './pool-parts.js'
 import type { PoolItem } from './pool-task.js'
 import type { TaskQueue } from './task-queue.js'
-import { createBoundedSignal } from '@eidermast/common'
+import { createBoundedSignal, wait } from '@eidermast/common'
 import { ItemFailure, StageCallEnd } from '../../../connection/backends/stage-client.js'
 import { logBackendPaused, logStageCall } from '../stage-log.js'
 import { callTimeoutMs } from './call-timeout.js'
@@ -21,6 +20,14 @@
 import { countsAsFailure, decideItemRetry } from './item-retry.js'
 import { describeItem, inputBytesOf, resultBytesOf } from './pool-task.js'
 
+/**
+ * Milliseconds for which the items of a broken call wait until it is known
+ * whether their backend server ended: sent again at once, an item that ends them
+ * ends the next one before. The answer takes 20 ms where the VM is there. Not
+ * measured; twice delays the items of a VM that is gone.
+ */
+const MAX_INVESTIGATION_MS = 100
+
 /** Runs calls of one service. */
 export class StageCalls {
   private otherCoordinatorUntil = 0
@@ -28,11 +35,9 @@
   /** Calls `dispatch` after a call or a pause has ended, to start what can be started. */
   constructor(
     private readonly service: string,
-    private readonly client: StageClient,
+    private readonly parts: StagePoolParts,
     private readonly queue: TaskQueue,
     private readonly frees: ResultFrees,
-    private readonly retryBudget: Pick<RetryBudget, 'takeRetry'>,
-    private readonly log: EventLog,
     private readonly dispatch: () => void,
   ) {}
 
@@ -47,15 +52,15 @@
     const timeoutMs = callTimeoutMs(backend.callTime(items.length))
     const fetchTimer = this.startFetchTimer(items, limits, startedAt)
     const timeout = createBoundedSignal(timeoutMs)
-    const result = await this.client.run(backend.backend, items.map(item => describeItem(item, startedAt)), timeout.signal)
+    const result = await this.parts.client.run(backend.backend, items.map(item => describeItem(item, startedAt)), timeout.signal)
     timeout.dispose()
     clearTimeout(fetchTimer)
     const tookMs = performance.now() - startedAt
-    logStageCall(this.log, this.service, backend, items, result, tookMs)
+    logStageCall(this.parts.log, this.service, backend, items, result, tookMs)
     if (result.end === StageCallEnd.Done)
       this.takeOutcomes(backend, items, result, tookMs)
     else
-      this.takeCallFailure(backend, items, result.end)
+      await this.takeCallFailure(backend, items, result.end)
     this.dispatch()
   }
 
@@ -92,25 +97,35 @@
       this.queue.addResult(item, result)
   }
 
-  private takeCallFailure(backend: StageBackend, items: readonly PoolItem[], end: Exclude<StageCallEnd, StageCallEnd.Done>): void {
+  private async takeCallFailure(backend: StageBackend, items: readonly PoolItem[], end: Exclude<StageCallEnd, StageCallEnd.Done>): Promise<void> {
     const pauseMs = backend.fail(performance.now())
     const bytes = resultBytesOf(items)
-    if (end === StageCallEnd.Broken)
+    if (end === StageCallEnd.Broken) {
       backend.memory.holdLostCall(bytes, performance.now())
-    else
+      await this.noteBroken(backend, items)
+    }
+    else {
       backend.memory.release(bytes)
-    logBackendPaused(this.log, this.service, backend, end, pauseMs)
+    }
+    logBackendPaused(this.parts.log, this.service, backend, end, pauseMs)
     setTimeout(this.dispatch, pauseMs)
     this.retry(items, end)
   }
 
+  /** Resolves when it is known whether the backend server ended under the items, or after MAX_INVESTIGATION_MS. */
+  private async noteBroken({ backend }: StageBackend, items: readonly PoolItem[]): Promise<void> {
+    const fingerprints = [...new Set(items.flatMap(item => item.task.stageTask.fingerprint ?? []))]
+    const investigated = fingerprints.map(fingerprint => this.parts.crashes.noteBroken(backend, fingerprint))
+    await Promise.race([Promise.all(investigated), wait(MAX_INVESTIGATION_MS)])
+  }
+
   /** Lets items wait for another call, or fails their tasks. */
   private retry(items: readonly PoolItem[], cause: ItemFailureCause): void {
     const live = items.filter(item => !item.task.ended)
     for (const item of live) {
       if (countsAsFailure(cause))
         item.failures++
-      const decision = decideItemRetry(cause, item.failures, () => this.retryBudget.takeRetry(this.service))
+      const decision = decideItemRetry(cause, item.failures, () => this.parts.retryBudget.takeRetry(this.service))
       if (!decision.isRetried)
         this.queue.fail(item.task, decision.failure)
     }
--- a/packages/gateway/src/process/stages/pool/stage-pool.ts
+++ b/packages/gateway/src/process/stages/pool/stage-pool.ts
@@ -5,14 +5,12 @@
  * registry for the backend servers. Nothing is kept when the process dies: the
  * requesting gateways ask the next coordinator.
  */
-import type { EventLog } from '@eidermast/common'
 import type { Backend } from '../../../connection/backends/backend.js'
-import type { StageClient } from '../../../connection/backends/stage-client.js'
 import type { StageProgress } from '../../../connection/peers/preparation.js'
-import type { RetryBudget } from '../../../request/attempts/retry-budget.js'
 import type { StageResult, StageTask, StageTaskQueue, SubmittedTask } from '../../../request/stages/stage-task.js'
 import type { StageLimits } from '../../../version/configuration.js'
 import type { ServicePace } from '../stage-admission.js'
+import type { StagePoolParts } from './pool-parts.js'
 import type { PoolItem } from './pool-task.js'
 import type { CallCapacity } from './stage-batch.js'
 import { ItemFailure } from '../../../connection/backends/stage-client.js'
@@ -20,6 +18,7 @@
 import { StageBackend } from '../backend/stage-backend.js'
 import { CallForecasts } from './call-forecasts.js'
 import { decideCallItems } from './call-size.js'
+import { isRefused, travelsAlone } from './crash-isolation.js'
 import { findBetterDomain } from './domain-wait.js'
 import { estimatePace, typicalCallMs, updateTypicalBytes } from './service-pace.js'
 import { chooseBatch } from './stage-batch.js'
@@ -38,14 +37,13 @@
   constructor(
     service: string,
     private limits: StageLimits,
-    private readonly client: StageClient,
-    retryBudget: Pick<RetryBudget, 'takeRetry'>,
-    log: EventLog,
+    private readonly parts: StagePoolParts,
   ) {
+    const { client } = parts
     const dispatch = (): void => this.dispatch()
     this.frees = new ResultFrees(client, dispatch)
     this.queue = new TaskQueue(result => this.free(result))
-    this.calls = new StageCalls(service, client, this.queue, this.frees, retryBudget, log, dispatch)
+    this.calls = new StageCalls(service, parts, this.queue, this.frees, dispatch)
   }
 
   setLimits(limits: StageLimits): void {
@@ -127,6 +125,7 @@
     const now = performance.now()
     this.failTasks(ItemFailure.Late, task => isTooLate(task, this.limits.callMs, now))
     this.failTasks(ItemFailure.InputGone, task => lacksInput(task, now))
+    this.failTasks(ItemFailure.Quarantined, task => isRefused(task, this.parts.crashes))
     for (const backend of this.backends.values())
       backend.memory.expire(now)
     const idle = this.hasWaitingTasks ? this.idleBackends(now) : []
@@ -143,7 +142,7 @@
   }
 
   private readFreeMemoryOf({ backend, memory }: StageBackend): void {
-    void this.client.freeResultMemory(backend).then((bytes) => {
+    void this.parts.client.freeResultMemory(backend).then((bytes) => {
       if (bytes !== undefined)
         memory.recordReportedFree(bytes, performance.now())
     })
@@ -164,6 +163,7 @@
     const forecasts = new CallForecasts(this.backends.values(), now)
     const parts = chooseBatch({
       tasks: this.queue.tasks,
+      travelsAlone: task => travelsAlone(task, this.parts.crashes),
       maxItems: this.limits.batch,
       enoughItems: decideCallItems(this.queue.waitingItems, forecasts, this.limits.callMs),
       freeBytes: backend.memory.freeBytes(),
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -8,15 +8,13 @@
  * the requesting gateways ask the next coordinator, and results left behind
  * expire.
  */
-import type { EventLog } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
 import type { Backend } from '../../connection/backends/backend.js'
-import type { StageClient } from '../../connection/backends/stage-client.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../../connection/peers/preparation.js'
-import type { RetryBudget } from '../../request/attempts/retry-budget.js'
 import type { PreparationListener } from '../../request/stages/request-stages.js'
 import type { RouteTable } from '../../version/route-table.js'
 import type { ExpectedReading } from './engine-assignment.js'
+import type { StagePoolParts } from './pool/pool-parts.js'
 import type { CoordinatedBackends } from './shard-backends.js'
 import type { ApplyingWork } from './stage-admission.js'
 import { Err } from 'ts-results-es'
@@ -64,9 +62,7 @@
 
   constructor(
     private readonly backends: CoordinatedBackends,
-    private readonly client: StageClient,
-    private readonly retryBudget: Pick<RetryBudget, 'takeRetry'>,
-    private readonly log: EventLog,
+    private readonly parts: StagePoolParts,
   ) {
     const refresh = (backend: Backend): void => this.refresh(backend.service)
     backends.listen({ added: refresh, removed: refresh, stateChanged: refresh })
@@ -85,7 +81,7 @@
         pool.setLimits(stage)
         continue
       }
-      this.pools.set(name, new StagePool(name, stage, this.client, this.retryBudget, this.log))
+      this.pools.set(name, new StagePool(name, stage, this.parts))
       this.refresh(name)
     }
   }
@@ -100,7 +96,7 @@
         const tookMs = now - startedAt
         const isMeasured = result.isOk() || result.error.kind === PreparationFailureKind.TooLate
         const expectedMs = this.accuracy.ended(request, isMeasured ? tookMs : undefined, now)
-        logStagesEnded(this.log, request, result, { tookMs, expectedMs })
+        logStagesEnded(this.parts.log, request, result, { tookMs, expectedMs })
         resolve(result.map(inputs => this.assignEngine(request, inputs, now)))
       }
       const cancel = (): void => {
@@ -162,7 +158,7 @@
     if (request.progress !== undefined)
       return this.start(work, end)
     const decision = decideAdmission(work, this.runs.values(), service => this.pools.get(service)?.pace())
-    logAdmission(this.log, work, decision, this.runs.size)
+    logAdmission(this.parts.log, work, decision, this.runs.size)
     if (decision.isAdmitted) {
       this.accuracy.admitted(request, decision.stagesMs)
       return this.start(work, end)
--- a/packages/gateway/src/process/stages/stage-coordinators.ts
+++ b/packages/gateway/src/process/stages/stage-coordinators.ts
@@ -4,24 +4,19 @@
  * the coordinators for the life of the process. They are lost with it, and the
  * requesting gateways ask the next coordinator of each shard.
  */
-import type { EventLog } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
-import type { StageClient } from '../../connection/backends/stage-client.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../../connection/peers/preparation.js'
 import type { StageShard } from '../../connection/peers/stage-shard.js'
-import type { RetryBudget } from '../../request/attempts/retry-budget.js'
 import type { RouteTable } from '../../version/route-table.js'
 import type { BackendRegistry } from '../backend-registry.js'
+import type { StagePoolParts } from './pool/pool-parts.js'
 import { decodeShard, WHOLE_SHARD } from '../../connection/peers/stage-shard.js'
 import { ShardBackends } from './shard-backends.js'
 import { StageCoordinator } from './stage-coordinator.js'
 
 /** What the coordinators work with. */
-export interface StageCoordinatorParts {
+export interface StageCoordinatorParts extends StagePoolParts {
   registry: BackendRegistry
-  client: StageClient
-  retryBudget: Pick<RetryBudget, 'takeRetry'>
-  log: EventLog
 }
 
 /** What a change of a shard's coordinator means for this process. */
@@ -85,8 +80,7 @@
     const existing = this.byShard.get(shardName)
     if (existing)
       return existing
-    const { registry, client, retryBudget, log } = this.parts
-    const created = new StageCoordinator(new ShardBackends(registry, decodeShard(shardName)), client, retryBudget, log)
+    const created = new StageCoordinator(new ShardBackends(this.parts.registry, decodeShard(shardName)), this.parts)
     this.byShard.set(shardName, created)
     if (this.table)
       created.applyConfiguration(this.table)
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -9,6 +9,7 @@
 import type { BackendCall, BackendClient, CallFailure } from '../../connection/backends/backend-client.js'
 import type { Backend } from '../../connection/backends/backend.js'
 import type { WholeAnswer } from '../answers/answer-relay.js'
+import type { CrashWatch } from '../crash-watch.js'
 import type { RequestLog } from '../request-log.js'
 import type { RoutedRequest } from '../routed-request.js'
 import type { AttemptResult } from './backend-attempt.js'
@@ -32,16 +33,6 @@
   remove: (id: string, reason: string) => void
 }
 
-/** Follows the ends of attempts, for backend servers that end while requests run there; implemented by the process. */
-export interface CrashWatch {
-  /** A request was sent to a backend server and its call broke. */
-  noteBroken: (backend: Backend, fingerprint: string) => void
-  /** A backend server answered a request to the end. */
-  noteAnswered: (fingerprint: string) => void
-  /** Why requests with this fingerprint are sent to no backend server; undefined where they are. */
-  refusal: (fingerprint: string) => string | undefined
-}
-
 /** What a run works with. */
 export interface BackendRunParts {
   registry: KnownBackends
@@ -190,7 +181,7 @@
     })
     recordHealthSign(this.parts.ejection, backend, sign, tookMs)
     if (failure?.kind === CallFailureKind.Broken)
-      this.parts.crashes.noteBroken(backend, request.fingerprint)
+      void this.parts.crashes.noteBroken(backend, request.fingerprint)
     if (!failure)
       this.parts.crashes.noteAnswered(request.fingerprint)
     if (failure)
--- a/packages/gateway/src/request/index.ts
+++ b/packages/gateway/src/request/index.ts
@@ -1,6 +1,7 @@
 export * from './answers/index.js'
 export * from './attempts/index.js'
 export * from './client-retries.js'
+export * from './crash-watch.js'
 export * from './deadlines.js'
 export * from './pass-through.js'
 export * from './rendezvous.js'
--- a/packages/gateway/src/request/pass-through.ts
+++ b/packages/gateway/src/request/pass-through.ts
@@ -4,14 +4,14 @@
  * process and owns no state of requests: each is held by its own call of `serve`
  * and is lost with the process; its client sees the connection break.
  */
-import type { EventLog } from '@eidermast/common'
+import type { EventLog, RequestError } from '@eidermast/common'
 import type { ClientAnswer } from '../connection/clients/client-answer.js'
 import type { ClientRequest, RequestHandler } from '../connection/clients/client-request.js'
 import type { PreparationRequest, Preparer } from '../connection/peers/preparation.js'
 import type { ConfigurationHolder } from '../version/configuration-holder.js'
-import type { CrashWatch } from './attempts/backend-run.js'
 import type { BackendRunner } from './attempts/backend-runner.js'
 import type { RunEnd, RunInputs } from './attempts/run-subject.js'
+import type { CrashWatch } from './crash-watch.js'
 import type { RoutedRequest } from './routed-request.js'
 import { createError, ErrorKind } from '@eidermast/common'
 import { NO_INPUTS } from './attempts/run-subject.js'
@@ -53,11 +53,17 @@
     const routed = this.router.route(request)
     if (routed.isErr())
       return this.finish(request, undefined, answer, { error: routed.error })
-    const refusal = this.parts.crashes.refusal(routed.value.fingerprint)
-    const end = refusal === undefined ? await this.run(routed.value, answer, signal) : { error: createError(ErrorKind.Quarantined, refusal) }
+    const refused = this.refuse(routed.value)
+    const end = refused ? { error: refused } : await this.run(routed.value, answer, signal)
     this.finish(request, routed.value.route.name, answer, end)
   }
 
+  /** The error of a request that is sent to no backend server; undefined for others. */
+  private refuse({ fingerprint }: RoutedRequest): RequestError | undefined {
+    const refusal = this.parts.crashes.refusal(fingerprint)
+    return refusal === undefined ? undefined : createError(ErrorKind.Quarantined, refusal)
+  }
+
   private run(request: RoutedRequest, answer: ClientAnswer, signal: AbortSignal): Promise<RunEnd> {
     if (request.route.stages.length === 0)
       return this.parts.runner.run({ request, inputs: NO_INPUTS, answer, signal })
@@ -70,7 +76,7 @@
     const stagesSignal = AbortSignal.any([signal, AbortSignal.timeout(atLeastOne(firstEventMs))])
     const prepared = await this.parts.preparer.prepare(this.describe(request), stagesSignal)
     if (prepared.isErr())
-      return { error: errorOfPreparation(prepared.error) }
+      return { error: this.refuse(request) ?? errorOfPreparation(prepared.error) }
     const inputs: RunInputs = {
       ...prepared.value,
       onRead: () => this.parts.preparer.release(requestId),
@@ -95,6 +101,7 @@
     const now = performance.now()
     return {
       requestId: request.head.requestId,
+      fingerprint: request.fingerprint,
       stages: request.route.stages.map((stage, number) => ({ ...stage, items: request.head.stageItems[number] ?? 0 })),
       key: request.head.stageKey,
       priority: request.priority,
--- a/packages/gateway/src/request/stages/request-stages.ts
+++ b/packages/gateway/src/request/stages/request-stages.ts
@@ -159,6 +159,7 @@
     const { service, items, resultBytes, dependsOn } = request.stages[stage]
     return {
       requestId: request.requestId,
+      fingerprint: request.fingerprint,
       stage,
       service,
       items,
--- a/packages/gateway/src/request/stages/stage-failure.ts
+++ b/packages/gateway/src/request/stages/stage-failure.ts
@@ -4,7 +4,8 @@
  * Inputs: why the stage failed, how often the request's stage work was
  * restarted, whether this coordinator is handing its work over (all current).
  * Rule: a coordinator that hands over lets the next one redo the stage. Work
- * that is late ends. Anything else restarts all stages of the request, at most
+ * that is late ends, and so does work that ends the backend servers that run
+ * it. Anything else restarts all stages of the request, at most
  * MAX_RESTARTS times; single items have been retried before.
  * Why: the inputs of the failed stage may be freed already, and a lost input
  * usually means a lost backend server, which held results of other stages too;
@@ -27,7 +28,7 @@
   HandOver = 'hand-over',
   /** It ends: its time is up. */
   TooLate = 'too-late',
-  /** It ends: it was restarted too often. */
+  /** It ends: it was restarted too often, or may not be sent again. */
   Abandon = 'abandon',
   Restart = 'restart',
 }
@@ -46,5 +47,7 @@
     return StageFailureDecision.HandOver
   if (failure === ItemFailure.Late)
     return StageFailureDecision.TooLate
+  if (failure === ItemFailure.Quarantined)
+    return StageFailureDecision.Abandon
   return restarts < MAX_RESTARTS ? StageFailureDecision.Restart : StageFailureDecision.Abandon
 }
--- a/packages/gateway/src/request/stages/stage-task.ts
+++ b/packages/gateway/src/request/stages/stage-task.ts
@@ -45,6 +45,8 @@
 /** The items of one stage of one request. */
 export interface StageTask {
   requestId: string
+  /** Of the request; absent where its gateway does not tell it. */
+  fingerprint: string | undefined
   stage: number
   service: string
   items: number
--- a/test/gateway/crash-board.test.ts
+++ b/test/gateway/crash-board.test.ts
@@ -37,7 +37,7 @@
 
 function createBoard(name: string, { follows = true, restoresOthers = false } = {}) {
   const { log, lines } = createLog()
-  const board = new CrashBoard({ name, ledger, log, witness: { noteBroken: () => {} }, restoresOthers: () => restoresOthers })
+  const board = new CrashBoard({ name, ledger, log, witness: { noteBroken: async () => {} }, restoresOthers: () => restoresOthers })
   if (follows)
     ledger.follow(board)
   return { board, lines }
--- a/test/gateway/crash-witness.test.ts
+++ b/test/gateway/crash-witness.test.ts
@@ -26,7 +26,7 @@
     const { witness, checkPresence, lines } = createWitness(Presence.Gone)
     const backend = createBackend({ id: 'plain-a' })
     for (const fingerprint of ['first', 'second', 'first'])
-      witness.noteBroken(backend, fingerprint)
+      void witness.noteBroken(backend, fingerprint)
     await vi.advanceTimersByTimeAsync(ASKED_MS)
     expect(checkPresence).toHaveBeenCalledTimes(1)
     expect(lines).toMatchObject([{ event: 'backend-checked', backend: 'plain-a', presence: 'gone', fingerprints: 'first,second' }])
@@ -35,9 +35,9 @@
   test('lead to a new question later', async () => {
     const { witness, checkPresence } = createWitness(Presence.Present)
     const backend = createBackend({ id: 'plain-a' })
-    witness.noteBroken(backend, 'first')
+    void witness.noteBroken(backend, 'first')
     await vi.advanceTimersByTimeAsync(ASKED_MS)
-    witness.noteBroken(backend, 'first')
+    void witness.noteBroken(backend, 'first')
     await vi.advanceTimersByTimeAsync(ASKED_MS)
     expect(checkPresence).toHaveBeenCalledTimes(2)
   })
@@ -47,7 +47,7 @@
     ['three times at most', [Presence.Unknown], 'unknown'],
   ])('lead to further questions where the VM does not answer, %s', async (_until, answers, presence) => {
     const { witness, lines } = createWitness(...answers)
-    witness.noteBroken(createBackend({ id: 'plain-a' }), 'first')
+    void witness.noteBroken(createBackend({ id: 'plain-a' }), 'first')
     await vi.advanceTimersByTimeAsync(ASKED_MS)
     expect(lines).toMatchObject([{ presence }])
   })
--- a/test/gateway/stage-rules.test.ts
+++ b/test/gateway/stage-rules.test.ts
@@ -17,6 +17,7 @@
 
 function createTask(overrides: Partial<StageTask> = {}): StageTask {
   return {
+    fingerprint: undefined,
     requestId: 'request-1',
     stage: 0,
     service: 'encode',
@@ -36,7 +37,7 @@
 
 describe('the choice of a batch', () => {
   function choose(tasks: PoolTask[], options: Partial<BatchInput> = {}) {
-    const parts = chooseBatch({ tasks, maxItems: 4, enoughItems: 4, freeBytes: 1000, betterDomain: () => undefined, nextCalls: () => ({ places: 4, freeBytes: 1000 }), ...options })
+    const parts = chooseBatch({ tasks, travelsAlone: () => false, maxItems: 4, enoughItems: 4, freeBytes: 1000, betterDomain: () => undefined, nextCalls: () => ({ places: 4, freeBytes: 1000 }), ...options })
     return parts.map(part => [tasks.indexOf(part.task), part.items, part.reason])
   }
 
--- a/test/gateway/support/fakes.ts
+++ b/test/gateway/support/fakes.ts
@@ -3,7 +3,7 @@
  * Fakes at the gateway's interfaces: a log that is kept, a stage service in
  * memory, and makers of records.
  */
-import type { BackendRecord, Configuration, ItemOutcome, Route, StageCallResult, StageClient, StageItem, StageLimits } from '@eidermast/gateway'
+import type { BackendRecord, Configuration, CrashWatch, ItemOutcome, Route, StageCallResult, StageClient, StageItem, StageLimits } from '@eidermast/gateway'
 import { EventLog } from '@eidermast/common'
 import { Backend, ItemFailure, StageCallEnd } from '@eidermast/gateway'
 
@@ -56,6 +56,9 @@
   }
 }
 
+/** Nothing is known of crashes, and nothing is learned. */
+export const NO_CRASHES: CrashWatch = { noteBroken: async () => {}, noteAnswered: () => {}, crashCount: () => 0, refusal: () => undefined }
+
 /** A call that a fake stage backend server got. */
 export interface FakeStageCall {
   backendId: string
--- a/test/gateway/support/stage-coordinator.ts
+++ b/test/gateway/support/stage-coordinator.ts
@@ -1,19 +1,19 @@
 /**
  * A stage coordinator with a fake stage service, and requests for it.
  */
-import type { PreparationRequest } from '@eidermast/gateway'
+import type { CrashWatch, PreparationRequest } from '@eidermast/gateway'
 import { BackendRegistry, RouteTable, StageCoordinator } from '@eidermast/gateway'
-import { createConfiguration, createLog, createRecord, createStageLimits, FakeStageService } from './fakes.js'
+import { createConfiguration, createLog, createRecord, createStageLimits, FakeStageService, NO_CRASHES } from './fakes.js'
 
 const LIMITS = createStageLimits()
 
 /** A coordinator of two stage services, `encode` and `rerank`, with a fake stage service behind it. */
-export function createCoordinator(backends: { id: string, failureDomain?: string, service?: string }[]) {
+export function createCoordinator(backends: { id: string, failureDomain?: string, service?: string }[], crashes: CrashWatch = NO_CRASHES) {
   const { log, lines } = createLog()
   const registry = new BackendRegistry(log)
   const service = new FakeStageService(LIMITS)
   const retries = { allowed: 10 }
-  const stageCoordinator = new StageCoordinator(registry, service, { takeRetry: () => retries.allowed-- > 0 }, log)
+  const stageCoordinator = new StageCoordinator(registry, { client: service, retryBudget: { takeRetry: () => retries.allowed-- > 0 }, crashes, log })
   stageCoordinator.applyConfiguration(new RouteTable(createConfiguration({ services: [
     { name: 'encode', maxConnections: 9, stage: LIMITS },
     { name: 'rerank', maxConnections: 9, stage: LIMITS },
