--- a/test/platform/crashing-requests.test.ts
+++ b/test/platform/crashing-requests.test.ts
@@ -30,6 +30,7 @@
 const CONTACT_MS = 3000
 /** Times that it may be sent to backend servers later than that. */
 const SENT_AFTER = 3
+const PATH = '/plain/x'
 const GATEWAYS = 3
 const POOL_SIZE = 10
 /** Milliseconds between the sendings of the crashing request, and for how long it comes. */
@@ -89,7 +90,7 @@
   const id = sent++
   const { address } = gateways[id % gateways.length]
   const headers = { 'host': 'host.example', 'attempt-id': `id-${id}`, 'deadline-ms': '2000' }
-  const response = await request(`${address}/plain/x`, { method: 'POST', headers, body })
+  const response = await request(`${address}${PATH}`, { method: 'POST', headers, body })
   await response.body.dump()
   return { status: response.statusCode, retryAfter: response.headers['retry-after'] }
 }
@@ -113,12 +114,6 @@
   return [...new Set(answers.map(({ status }) => status))]
 }
 
-/** Milliseconds after the third end from which the crashing request was sent to backend servers again, later than the bound. */
-function sentTooLate(): number[] {
-  const third = pool.endedAt[CRASHES_BEFORE - 1]
-  return pool.crashingSeen.filter(({ at }) => at > third + CONTACT_MS).map(({ at }) => Math.round(at - third))
-}
-
 /** Fingerprints that gateways refuse, of all of them together. */
 function totalQuarantined(): number {
   return gateways.reduce((sum, { gateway }) => sum + gateway.crashBoard.quarantined, 0)
@@ -133,8 +128,8 @@
 describe('a request that ends every backend server that runs it', () => {
   test('is sent on no more soon after the third end, at whichever gateway it comes', async () => {
     await sendCrashing(PLAY_MS)
-    expect(pool.endedAt.length).toBeGreaterThanOrEqual(CRASHES_BEFORE)
-    expect(sentTooLate().length).toBeLessThanOrEqual(SENT_AFTER)
+    expect(pool.ends.length).toBeGreaterThanOrEqual(CRASHES_BEFORE)
+    expect(pool.sentLaterThan(CONTACT_MS, PATH).length).toBeLessThanOrEqual(SENT_AFTER)
   })
 
   test('is refused at once, as not run, and is not asked to come again', async () => {
@@ -149,17 +144,17 @@
     store.fault = StoreFault.Reset
     await sendCrashing(CONTACT_MS)
     expect(statusesOf(await sendCrashing(CONTACT_MS))).toEqual([503])
-    expect(pool.endedAt.length).toBeLessThanOrEqual(CRASHES_BEFORE + SENT_AFTER)
+    expect(pool.ends.length).toBeLessThanOrEqual(CRASHES_BEFORE + SENT_AFTER)
   })
 
   test('is refused by gateways that start after the loss of all', async () => {
     await crashUntilRefused()
-    const endedBefore = pool.endedAt.length
+    const endedBefore = pool.ends.length
     await Promise.all(gateways.map(({ gateway }) => gateway.close()))
     gateways = [await startGateway('gateway-0', storeAddress), await startGateway('gateway-new', storeAddress)]
     await vi.waitFor(() => expect(gateways.map(({ gateway }) => gateway.crashBoard.quarantined)).toEqual([1, 1]), { timeout: CONTACT_MS })
     expect(statusesOf(await sendCrashing(CRASHING_INTERVAL_MS * 4))).toEqual([503])
-    expect(pool.endedAt.length).toBe(endedBefore)
+    expect(pool.ends.length).toBe(endedBefore)
   })
 
   test('costs other callers nothing once it is refused, and has none of them refused', async () => {
@@ -183,7 +178,7 @@
     }
     const last = (await answers).slice(-CONTACT_MS / BESIDE_INTERVAL_MS / 2)
     clearInterval(watch)
-    expect(pool.endedAt.length).toBeGreaterThan(POOL_SIZE)
+    expect(pool.ends.length).toBeGreaterThan(POOL_SIZE)
     expect(refused).toBe(0)
     // One may meet only backend servers that have ended and are still listed.
     expect(last.filter(({ status }) => status === 200).length).toBeGreaterThan(last.length * SERVED_SHARE)
--- a/test/platform/support/crashing-pool.ts
+++ b/test/platform/support/crashing-pool.ts
@@ -25,10 +25,17 @@
   workMs: number
 }
 
+/** The end of a backend server. */
+export interface BackendEnd {
+  /** Milliseconds of the test's clock. */
+  at: number
+  /** Path of the request that ended it; absent where none did. */
+  path?: string
+}
+
 /** Backend servers of one service that crash and come back. */
 export class CrashingPool {
-  /** When each backend server ended: milliseconds of the test's clock. */
-  readonly endedAt: number[] = []
+  readonly ends: BackendEnd[] = []
   /** Requests with the crashing body, as backend servers got them. */
   readonly crashingSeen: SeenRequest[] = []
   private readonly alive = new Set<StandInBackend>()
@@ -63,7 +70,7 @@
         this.crashingSeen.push(seen)
       await wait(workMs)
       if (seen.body === CRASHING_BODY)
-        return this.end(backend)
+        return this.end(backend, seen.path)
       await answerWhole()(seen, response)
     }
     await backend.start()
@@ -71,10 +78,16 @@
     this.store.put(SERVER_TOPIC, backend.id, backend.entry())
   }
 
-  private end(backend: StandInBackend): void {
+  /** Requests with the crashing body and this path that came later than a time after the third end under such a request. */
+  sentLaterThan(afterThirdMs: number, path: string): SeenRequest[] {
+    const third = this.ends.filter(end => end.path === path)[2]
+    return third ? this.crashingSeen.filter(seen => seen.path === path && seen.at > third.at + afterThirdMs) : []
+  }
+
+  private end(backend: StandInBackend, path?: string): void {
     if (!this.alive.delete(backend))
       return
-    this.endedAt.push(performance.now())
+    this.ends.push({ at: performance.now(), path })
     const replaced = this.replace(backend).finally(() => this.underWay.delete(replaced))
     this.underWay.add(replaced)
   }
--- a/test/soak/support/soak-deployment.ts
+++ b/test/soak/support/soak-deployment.ts
@@ -8,6 +8,7 @@
 import path from 'node:path'
 import { wait } from '@eidermast/common'
 import { expect, vi } from 'vitest'
+import { CrashingPool } from '../../platform/support/crashing-pool.js'
 import { answerWhole, StandInBackend, streamEvents } from '../../platform/support/stand-in-backend.js'
 import { makeStageResults, STAGE_LIMITS } from '../../platform/support/stand-in-stages.js'
 import { StandInStore } from '../../platform/support/stand-in-store.js'
@@ -48,6 +49,8 @@
   plainAnswer?: Respond
   /** Backend servers of each service. @default BACKENDS_EACH */
   backendsEach?: number
+  /** Backend servers of the plain service in a pool whose members a body ends and that come back (`plainPool`), in place of the others. @default none */
+  plainPoolSize?: number
   /** Each gateway has a way of its own to the store (`lines`). @default false */
   ownLines?: boolean
 }
@@ -57,16 +60,23 @@
   readonly store = new StandInStore()
   readonly directory = mkdtempSync(path.join(tmpdir(), 'eidermast-soak-'))
   readonly backends: StandInBackend[] = []
+  readonly plainPool: CrashingPool | undefined
   gateways: GatewayChild[] = []
   /** The gateways' ways to the store, in their order, where the options ask for them. */
   lines: StoreLine[] = []
   private version = 0
 
-  constructor(private readonly options: SoakOptions = {}) {}
+  constructor(private readonly options: SoakOptions = {}) {
+    if (options.plainPoolSize !== undefined)
+      this.plainPool = new CrashingPool(this.store, { service: 'plain', size: options.plainPoolSize, workMs: ANSWER_MS })
+  }
 
   async start(): Promise<void> {
     const address = await this.store.start()
     const services: Record<string, Respond> = { plain: this.options.plainAnswer ?? delayed, model: streamEvents(STREAM_EVENTS), encode: makeStageResults() }
+    await this.plainPool?.start()
+    if (this.plainPool)
+      delete services.plain
     for (const [service, respond] of Object.entries(services)) {
       for (let number = 0; number < (this.options.backendsEach ?? BACKENDS_EACH); number++)
         await this.addBackend(service, number, respond)
@@ -80,7 +90,7 @@
   async stop(): Promise<void> {
     await Promise.all(this.gateways.map(gateway => gateway.end()))
     this.lines.forEach(line => line.stop())
-    await Promise.all(this.backends.map(backend => backend.stop()))
+    await Promise.all([...this.backends.map(backend => backend.stop()), this.plainPool?.stop()])
     await this.store.stop()
   }
 
