A store that comes back from an older copy is read anew by its era

What callers would see: after the store came back from a copy some seconds old, gateways took what they read for old: they went on sending to backend servers that leave, and sent nothing to those that come, until as many records were written as had been lost; a gateway whose announcement was lost was unknown to those that start later.

Cause: an offset was taken for a place in one history.

Change: the era of each answer is followed. A follower begins anew where it rises; revisions of the list hold era and offset, and on the wire between gateways stay offsets, with the era beside them, which older releases ignore. What such a copy says again is held to what is known: a backend server that leaves still leaves, one that has gone is withheld until its entry has lapsed.

--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -62,6 +62,11 @@
   capacity: number
 }
 
+/** Names one process of a backend server, also where a later one has its id. */
+export function lifeOf({ id, born }: BackendRecord): string {
+  return born === undefined ? id : `${id}/${born}`
+}
+
 /** A backend server with what this process learned of it. */
 export class Backend {
   /** Calls of this process under way there. */
@@ -87,8 +92,7 @@
 
   /** Names this one process, also where a later one has its id. */
   get life(): string {
-    const { id, born } = this.record
-    return born === undefined ? id : `${id}/${born}`
+    return lifeOf(this.record)
   }
 
   get service(): string {
--- a/packages/gateway/src/connection/peers/peer-clients.ts
+++ b/packages/gateway/src/connection/peers/peer-clients.ts
@@ -13,7 +13,7 @@
 import type { PreparationFailure, PreparationRequest, PreparedInputs } from './preparation.js'
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { Agent } from 'undici'
-import { decodePreparationReply, encodePreparationRequest } from './peer-messages.js'
+import { decodeHeartbeatReply, decodeListedBackends, decodePreparationReply, encodeHeartbeat, encodePreparationRequest } from './peer-messages.js'
 
 /** Milliseconds until a connection is up. Not measured: half suspects busy gateways, twice notices dead ones late. */
 const CONNECT_TIMEOUT_MS = 300
@@ -65,8 +65,9 @@
 
   private readonly clients = new Map<string, TRPCClient<PeerRouter>>()
 
-  heartbeat(member: Member, heartbeat: Heartbeat): Promise<HeartbeatReply> {
-    return this.of(member).greet.mutate(heartbeat, { signal: AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS) })
+  async heartbeat(member: Member, heartbeat: Heartbeat): Promise<HeartbeatReply> {
+    const signal = AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS)
+    return decodeHeartbeatReply(await this.of(member).greet.mutate(encodeHeartbeat(heartbeat), { signal }))
   }
 
   /** The peer's configuration; null while it knows none. */
@@ -75,8 +76,9 @@
   }
 
   /** The peer's list of backend servers. */
-  backends(member: Member): Promise<ListedBackends> {
-    return this.of(member).backends.query(undefined, { signal: AbortSignal.timeout(HELD_STATE_TIMEOUT_MS) })
+  async backends(member: Member): Promise<ListedBackends> {
+    const signal = AbortSignal.timeout(HELD_STATE_TIMEOUT_MS)
+    return decodeListedBackends(await this.of(member).backends.query(undefined, { signal }))
   }
 
   /** Does the stage work of a request at a peer; takes as long as the signal allows. */
--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -4,27 +4,51 @@
  * stay; they are decoded here, once, into the types of the rest of the code.
  */
 import type { Result } from 'ts-results-es'
-import type { BackendChange } from '../backends/backend.js'
+import type { BackendChange, ListedBackends } from '../backends/backend.js'
 import type { CrashExchangeMessage } from './crash-exchange.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, StageProgress } from './preparation.js'
 import { Err, Ok } from 'ts-results-es'
 import * as z from 'zod'
+import { positionOf, revisionAt } from '../backends/revision.js'
 
-/** A gateway's heartbeat to another. */
-export const heartbeatSchema = z.object({
+const heartbeatFields = z.object({
   name: z.string(),
   /** `IP:PORT` for its peers. */
   address: z.string(),
   /** Configuration version that the sender holds. */
   version: z.number(),
-  /** Revision of the sender's list of backend servers; absent in releases that do not pass it on. */
+  /** Offset up to which the sender has the list of backend servers; absent in releases that do not pass it on. */
   backends: z.number().optional(),
+  /** Era of that offset; absent where it is 0, and in releases that know none. */
+  backendsEra: z.number().optional(),
   /** Crashes that the sender tells; checked by whoever takes it. */
   crashes: z.unknown().optional(),
 })
 
+/** A gateway's heartbeat to another, as it stands on the wire. */
+type HeartbeatMessage = z.infer<typeof heartbeatFields>
+
 /** A gateway's heartbeat to another. */
-export type Heartbeat = z.infer<typeof heartbeatSchema>
+export interface Heartbeat {
+  name: string
+  address: string
+  version: number
+  /** Revision of the sender's list of backend servers; absent in releases that do not pass it on. */
+  backends?: number
+  crashes?: unknown
+}
+
+/** Checks a heartbeat and decodes it. */
+export const heartbeatSchema = heartbeatFields.transform(decodeHeartbeat)
+
+/** Encodes a heartbeat. */
+export function encodeHeartbeat(heartbeat: Heartbeat): HeartbeatMessage {
+  return { ...heartbeat, ...encodePlace(heartbeat.backends) }
+}
+
+function decodeHeartbeat({ backendsEra, ...rest }: HeartbeatMessage): Heartbeat {
+  return rest.backends === undefined ? rest : { ...rest, backends: decodePlace(rest.backends, backendsEra) }
+}
 
 /** Answer to a heartbeat. */
 export interface HeartbeatReply {
@@ -44,6 +68,59 @@
   announcementOrder?: number
 }
 
+/** Answer to a heartbeat as it stands on the wire: revisions are offsets of one era. */
+export interface HeartbeatReplyMessage extends HeartbeatReply {
+  backendsEra?: number
+}
+
+/** Encodes the answer to a heartbeat. */
+export function encodeHeartbeatReply(reply: HeartbeatReply): HeartbeatReplyMessage {
+  const { era } = positionOf(reply.backends ?? 0)
+  const backendChanges = reply.backendChanges?.map(change => ({ ...change, revision: offsetIn(era, change.revision) }))
+  return { ...reply, ...encodePlace(reply.backends), backendChanges }
+}
+
+/** Decodes the answer to a heartbeat. */
+export function decodeHeartbeatReply({ backendsEra, ...reply }: HeartbeatReplyMessage): HeartbeatReply {
+  const backendChanges = reply.backendChanges?.map(change => ({ ...change, revision: decodePlace(change.revision, backendsEra) }))
+  return { ...reply, backends: decodePlace(reply.backends, backendsEra), backendChanges }
+}
+
+/** The list of backend servers as it stands on the wire: revisions are offsets of one era, absent where it is 0. */
+export interface ListedBackendsMessage extends ListedBackends {
+  era?: number
+}
+
+/** Encodes the list of backend servers. */
+export function encodeListedBackends(list: ListedBackends): ListedBackendsMessage {
+  const { era, offset } = positionOf(list.revision)
+  const entries = list.entries.map(entry => ({ ...entry, revision: offsetIn(era, entry.revision) }))
+  return { ...list, revision: offset, era: era || undefined, entries }
+}
+
+/** Decodes the list of backend servers. */
+export function decodeListedBackends({ era, ...list }: ListedBackendsMessage): ListedBackends {
+  const entries = list.entries.map(entry => ({ ...entry, revision: decodePlace(entry.revision, era) }))
+  return { ...list, revision: decodePlace(list.revision, era), entries }
+}
+
+function encodePlace(revision: number | undefined): { backends?: number, backendsEra?: number } {
+  if (revision === undefined)
+    return {}
+  const { era, offset } = positionOf(revision)
+  return { backends: offset, backendsEra: era || undefined }
+}
+
+function decodePlace<Offset extends number | undefined>(offset: Offset, era = 0): Offset {
+  return (offset === undefined ? undefined : revisionAt({ era, offset })) as Offset
+}
+
+/** The offset of a revision in an era; 0, before all of that era, for one of an earlier era. */
+function offsetIn(era: number, revision: number): number {
+  const position = positionOf(revision)
+  return position.era === era ? position.offset : 0
+}
+
 const progressSchema = z.object({
   stage: z.number().int(),
   results: z.array(z.object({
--- a/packages/gateway/src/connection/peers/peer-router.ts
+++ b/packages/gateway/src/connection/peers/peer-router.ts
@@ -11,7 +11,7 @@
 import { UNABORTED } from '@eidermast/common'
 import { initTRPC } from '@trpc/server'
 import * as z from 'zod'
-import { encodePreparationReply, heartbeatSchema, preparationRequestSchema } from './peer-messages.js'
+import { encodeHeartbeatReply, encodeListedBackends, encodePreparationReply, heartbeatSchema, preparationRequestSchema } from './peer-messages.js'
 
 const trpc = initTRPC.create()
 
@@ -32,9 +32,9 @@
 export function createPeerRouter(service: PeerService) {
   return trpc.router({
     // The heartbeat's name on the wire since the first release.
-    greet: trpc.procedure.input(heartbeatSchema).mutation(({ input }) => service.heartbeat(input)),
+    greet: trpc.procedure.input(heartbeatSchema).mutation(({ input }) => encodeHeartbeatReply(service.heartbeat(input))),
     configuration: trpc.procedure.query(() => service.configuration() ?? null),
-    backends: trpc.procedure.query(() => service.backends()),
+    backends: trpc.procedure.query(() => encodeListedBackends(service.backends())),
     prepare: trpc.procedure.input(preparationRequestSchema).mutation(async ({ input, signal }): Promise<PreparationReplyMessage> => {
       const result = await service.prepare(input, signal ?? UNABORTED)
       return encodePreparationReply(result)
--- a/packages/gateway/src/process/backend-list.ts
+++ b/packages/gateway/src/process/backend-list.ts
@@ -12,9 +12,12 @@
 import type { BackendChange, LapsingBackend, ListedBackend, ListedBackends } from '../connection/backends/backend.js'
 import type { Member } from '../connection/peers/member.js'
 import type { BackendRegistry } from './backend-registry.js'
+import type { KnownList } from './older-copy.js'
 import type { BackendSink, SourceOutage } from './platform-adapter.js'
+import { lifeOf } from '../connection/backends/backend.js'
 import { GatewayLog } from './gateway-log.js'
 import { decidePeerLapseGrace } from './lapse-grace.js'
+import { OlderCopy } from './older-copy.js'
 
 /**
  * Changes that are kept for peers. Not measured: a site of 236 backend servers
@@ -31,6 +34,8 @@
   /** Revision after which `changes` holds every one. */
   private changesFrom = 0
   private isSourceAway = false
+  /** Holds to what is known where the source comes back from an older copy. */
+  private readonly olderCopy = new OlderCopy(entry => this.list(entry))
   private readonly log: GatewayLog
 
   constructor(private readonly registry: BackendRegistry, log: EventLog) {
@@ -64,12 +69,14 @@
   replaceAll({ revision, entries }: ListedBackends): void {
     if (revision < this.currentRevision)
       return
+    const believed = this.olderCopy.correct({ revision, entries }, this.known)
     this.forgetChanges(revision)
     this.currentRevision = revision
+    this.olderCopy.noteGone(this.missingIn(believed))
     this.entries.clear()
-    for (const entry of entries)
+    for (const entry of believed)
       this.entries.set(entry.record.id, entry)
-    this.registry.replaceAll(entries.map(entry => entry.record))
+    this.registry.replaceAll(believed.map(entry => entry.record))
   }
 
   upsert({ record, revision }: ListedBackend): void {
@@ -110,15 +117,17 @@
       return
     this.noteAdoption(list.revision, peer)
     this.forgetChanges(list.revision)
-    const listed = new Set(list.entries.map(entry => entry.record.id))
+    const entries = this.olderCopy.correct(list, this.known)
+    const listed = new Set(entries.map(entry => entry.record.id))
     const usedForMs = usedForMsById(list.lapsing ?? [])
+    this.olderCopy.noteGone(this.missingIn(entries))
     for (const [id, known] of this.entries) {
       if (listed.has(id) || known.revision > list.revision)
         continue
       this.entries.delete(id)
       this.useOnAsPeerDoes(id, usedForMs.get(id))
     }
-    for (const entry of list.entries) {
+    for (const entry of entries) {
       if (entry.revision > this.revisionOf(entry.record.id))
         this.list(entry)
     }
@@ -131,17 +140,31 @@
     if (revision <= this.currentRevision)
       return false
     this.currentRevision = revision
+    this.olderCopy.noteChange(id, record)
     this.remember(change)
     // A whole list may hold newer entries than its revision says.
     if (revision <= this.revisionOf(id))
       return false
-    if (record)
+    if (record) {
       this.list({ record, revision })
-    else
-      this.entries.delete(id)
+      return true
+    }
+    this.olderCopy.noteGone([this.entries.get(id) ?? []].flat())
+    this.entries.delete(id)
     return true
   }
 
+  /** What is listed up to now. */
+  private get known(): KnownList {
+    return { revision: this.currentRevision, find: id => this.entries.get(id)?.record }
+  }
+
+  /** Entries that are listed now and are missing in a whole list. */
+  private missingIn(entries: readonly ListedBackend[]): ListedBackend[] {
+    const listed = new Set(entries.map(({ record }) => lifeOf(record)))
+    return [...this.entries.values()].filter(({ record }) => !listed.has(lifeOf(record)))
+  }
+
   private list(entry: ListedBackend): void {
     this.entries.set(entry.record.id, entry)
     this.registry.upsert(entry.record)
--- a/packages/gateway/src/process/keyed-topic.ts
+++ b/packages/gateway/src/process/keyed-topic.ts
@@ -3,6 +3,8 @@
  * the adapter reads it for the gateway.
  */
 
+import type { TopicPosition } from '../connection/backends/revision.js'
+
 /** One record; an empty value drops its key. */
 export interface KeyedRecord {
   key: string
@@ -10,14 +12,19 @@
 }
 
 /** A record with its place in the topic. */
-export interface PlacedRecord extends KeyedRecord {
-  offset: number
-}
+export interface PlacedRecord extends KeyedRecord, TopicPosition {}
 
-/** The newest record of each key, and the offset to read on from. */
+/** The newest record of each key, and the place to read on from. */
 export interface NewestRecords {
   records: PlacedRecord[]
-  end: number
+  end: TopicPosition
+}
+
+/** Records in their order from some offset on. */
+export interface ReadRecords {
+  /** Era of the store when it answered. */
+  era: number
+  records: KeyedRecord[]
 }
 
 /** A read failed since the store has removed the records that were asked for. */
@@ -32,5 +39,5 @@
 export interface TopicReader {
   newest: (topic: string) => Promise<NewestRecords>
   /** Records from an offset on; waits for the first one for a time in milliseconds. */
-  read: (topic: string, offset: number, signal: AbortSignal, waitMs?: number) => Promise<KeyedRecord[]>
+  read: (topic: string, offset: number, signal: AbortSignal, waitMs?: number) => Promise<ReadRecords>
 }
--- a/packages/gateway/src/process/lapse-grace.ts
+++ b/packages/gateway/src/process/lapse-grace.ts
@@ -3,11 +3,13 @@
  * the platform's list.
  *
  * Inputs: the last outage of the list's source: how long it lasted, when the
- * source may have returned, for how long after that a backend server that has
+ * source may have returned, whether it lost what was written last, for how long
+ * after the return a backend server that has
  * left may still get work (ms, known when the source answers again).
  * Where a peer tells that an entry has gone: for how long the peer uses it on
  * (ms), whether this process's own source is away.
- * Rule: not at all after an outage in which no entry can have lapsed. Else
+ * Rule: not at all after an outage in which no entry can have lapsed, unless the
+ * list came back from an older copy, which lacks what was written last. Else
  * until LAPSE_GRACE_MS after the source answered again, but no longer than the
  * platform allows, counted from the earliest moment at which the source may
  * have returned. By a peer's word: as long as the peer does. Where the peer does
@@ -60,7 +62,7 @@
 
 /** For how long entries that go are used on after an outage, in milliseconds from its end; 0 for not at all. */
 export function decideLapseGrace(outage: SourceOutage): number {
-  if (outage.lastedMs < MIN_LAPSE_OUTAGE_MS)
+  if (outage.lastedMs < MIN_LAPSE_OUTAGE_MS && !outage.lostWrites)
     return 0
   return Math.max(0, Math.min(LAPSE_GRACE_MS, outage.usableAfterReturnMs - outage.mayHaveReturnedMs))
 }
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -37,6 +37,8 @@
   usableAfterReturnMs: number
   /** The last failure. */
   error: string
+  /** The source came back from an older copy: changes that it had told are gone from it, until they are written again. */
+  lostWrites: boolean
 }
 
 /** Takes the changes of the platform's list of backend servers. */
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -6,10 +6,13 @@
  * history, which is an answer and no failure, it starts again with the newest
  * records. Those come in pages that are no snapshot, so that reading resumes
  * where the first page ended, without the records that later pages had newer.
+ * Where the store came back from an older copy, its era has risen: offsets mean
+ * other records then, and it starts again in the same way.
  *
- * It owns the offset, in memory: a process that restarts reads the newest
+ * It owns the place, in memory: a process that restarts reads the newest
  * records first.
  */
+import type { TopicPosition } from '../connection/backends/revision.js'
 import type { PlacedRecord, TopicReader } from './keyed-topic.js'
 import type { SourceOutage } from './platform-adapter.js'
 import { formatError, wait } from '@eidermast/common'
@@ -27,14 +30,14 @@
 /** Takes what a topic brings. */
 export interface TopicSink {
   /** Everything that the topic holds, up to an offset; some records may be newer. */
-  snapshot: (records: PlacedRecord[], end: number) => void
+  snapshot: (records: PlacedRecord[], end: TopicPosition) => void
   record: (record: PlacedRecord) => void
   /** How long a read waits, in milliseconds: one that is lost is noticed only then. @default the client's */
   waitMs?: number
   /** Rest after each read that brought records, in milliseconds: records that come together cost one call. @default 0 */
   restMs?: number
-  /** Offset up to which the sink knows the topic from elsewhere. @default none */
-  knownOffset?: () => number
+  /** Up to which place the sink knows the topic from elsewhere. @default none */
+  known?: () => TopicPosition
   /** The store does not answer; called at the first failure. */
   failed?: () => void
   /** The store answered a read; called before what it brings. */
@@ -50,13 +53,15 @@
   /** Calls succeed again after this many failures in a row; the store did not answer for this many milliseconds. */
   storeRecovered: (topic: string, failures: number, awayMs: number) => void
   /** The store has removed the records that were to be read next; the newest ones are read again. */
-  storeHistoryGone: (topic: string) => void
+  storeHistoryGone: (topic: string, reason: string) => void
 }
 
 /** Follows one topic. */
 export class TopicFollower {
-  /** Offset of the next record; undefined before the newest records are read. */
-  private offset: number | undefined
+  /** Place of the next record; undefined before the newest records are read. */
+  private place: TopicPosition | undefined
+  /** Era in which the topic was followed last; undefined before the first answer. */
+  private era: number | undefined
   private failures = 0
   private lastError: unknown
   /** When the call under way, or the last one, was sent: milliseconds of the process clock. */
@@ -92,25 +97,35 @@
   }
 
   private async readNext(signal: AbortSignal): Promise<void> {
-    if (this.offset === undefined)
+    const { place } = this
+    if (place === undefined)
       return this.readNewest()
-    this.offset = Math.max(this.offset, this.sink.knownOffset?.() ?? 0)
+    this.skipKnown(place)
     this.calledAt = performance.now()
-    const records = await this.store.read(this.topic, this.offset, signal, this.failures > 0 ? NO_WAIT_MS : this.sink.waitMs)
-    this.reportAnswer()
+    const { records, era } = await this.store.read(this.topic, place.offset, signal, this.failures > 0 ? NO_WAIT_MS : this.sink.waitMs)
+    if (era !== place.era)
+      throw new HistoryGoneError(`the store's era is ${era} and was ${place.era}`)
+    this.reportAnswer(era)
     for (const record of records)
-      this.take({ ...record, offset: this.offset++ })
+      this.take({ ...record, era, offset: place.offset++ })
     if (records.length > 0 && this.sink.restMs)
       await wait(this.sink.restMs, signal)
   }
 
+  /** Reads on from where the sink knows the topic already, if that is a place of the same era. */
+  private skipKnown(place: TopicPosition): void {
+    const known = this.sink.known?.()
+    if (known?.era === place.era)
+      place.offset = Math.max(place.offset, known.offset)
+  }
+
   private async readNewest(): Promise<void> {
     this.calledAt = performance.now()
     const { records, end } = await this.store.newest(this.topic)
-    this.reportAnswer()
+    this.reportAnswer(end.era)
     this.sink.snapshot(records, end)
-    this.newestOffsets = new Map(records.filter(record => record.offset >= end).map(record => [record.key, record.offset]))
-    this.offset = end
+    this.newestOffsets = new Map(records.filter(record => record.offset >= end.offset).map(record => [record.key, record.offset]))
+    this.place = { ...end }
   }
 
   /** Passes a record on, unless a newer one of its key was passed on before. */
@@ -122,23 +137,25 @@
       this.sink.record(record)
   }
 
-  private reportAnswer(): void {
+  private reportAnswer(era: number): void {
     this.sink.answered?.()
-    if (this.failures > 0)
-      this.sink.recovered?.(this.describeOutage())
+    const lostWrites = this.era !== undefined && era !== this.era
+    this.era = era
+    if (this.failures > 0 || lostWrites)
+      this.sink.recovered?.(this.describeOutage(lostWrites))
   }
 
   private noteSuccess(): void {
     if (this.failures > 0)
-      this.log.storeRecovered(this.topic, this.failures, this.describeOutage().lastedMs)
+      this.log.storeRecovered(this.topic, this.failures, performance.now() - this.awaySince)
     this.failures = 0
   }
 
   private noteError(error: unknown): void {
     if (!(error instanceof HistoryGoneError))
       return this.noteFailure(error)
-    this.log.storeHistoryGone(this.topic)
-    this.offset = undefined
+    this.log.storeHistoryGone(this.topic, error.message)
+    this.place = undefined
   }
 
   private noteFailure(error: unknown): void {
@@ -153,8 +170,10 @@
     this.failedCallAt = this.calledAt
   }
 
-  private describeOutage(): StoreOutage {
+  private describeOutage(lostWrites: boolean): StoreOutage {
     const now = performance.now()
-    return { lastedMs: now - this.awaySince, mayHaveReturnedMs: now - this.failedCallAt, error: formatError(this.lastError) }
+    if (this.failures === 0)
+      return { lastedMs: 0, mayHaveReturnedMs: now - this.calledAt, error: 'the store came back from an older copy', lostWrites }
+    return { lastedMs: now - this.awaySince, mayHaveReturnedMs: now - this.failedCallAt, error: formatError(this.lastError), lostWrites }
   }
 }
--- a/test/gateway/backend-list.test.ts
+++ b/test/gateway/backend-list.test.ts
@@ -1,12 +1,12 @@
 import type { BackendRecord, ListedBackend, ListedBackends } from '@eidermast/gateway'
-import { BackendList, BackendRegistry } from '@eidermast/gateway'
+import { BackendList, BackendRegistry, revisionAt } from '@eidermast/gateway'
 import fc from 'fast-check'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createLog, createRecord } from './support/fakes.js'
 
 const SEED = 20261202
 const PEER = { name: 'gateway-b', address: '127.0.0.1:1' }
-const OUTAGE = { lastedMs: 3000, mayHaveReturnedMs: 100, usableAfterReturnMs: 2800, error: 'no answer' }
+const OUTAGE = { lastedMs: 3000, mayHaveReturnedMs: 100, usableAfterReturnMs: 2800, error: 'no answer', lostWrites: false }
 
 function createEntry(id: string, revision: number, overrides: Partial<BackendRecord> = {}): ListedBackend {
   return { revision, record: createRecord({ id, ...overrides }) }
@@ -26,6 +26,84 @@
 
 const used = (): string[] => registry.available('encode').map(backend => backend.id).sort()
 
+/** A revision of the era after that of the list. */
+const nextEra = (offset: number): number => revisionAt({ era: 1, offset })
+
+describe('a list that came back from an older copy', () => {
+  test('is taken although its offsets are lower, and the changes that follow it', () => {
+    list.replaceAll({ revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3)), createEntry('encode-b', nextEra(4))] })
+    list.upsert(createEntry('encode-c', nextEra(6)))
+    list.upsert(createEntry('encode-a', nextEra(7), { draining: true }))
+    expect(used()).toEqual(['encode-b', 'encode-c'])
+  })
+
+  test('does not let a backend server take work again that is known to leave', () => {
+    list.upsert(createEntry('encode-a', 11, { draining: true }))
+    list.replaceAll({ revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3)), createEntry('encode-b', nextEra(4))] })
+    expect(used()).toEqual(['encode-b'])
+  })
+
+  test('does not bring back what has gone, until it is written anew', () => {
+    list.unlist('encode-a', 11)
+    list.replaceAll({ revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3)), createEntry('encode-b', nextEra(4))] })
+    expect(used()).toEqual(['encode-b'])
+    list.upsert(createEntry('encode-a', nextEra(6)))
+    expect(used()).toEqual(['encode-a', 'encode-b'])
+  })
+
+  test('brings back what had gone and does not lapse, since its backend server lives', () => {
+    list.unlist('encode-a', 11)
+    list.replaceAll({ revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3)), createEntry('encode-b', nextEra(4))] })
+    vi.advanceTimersByTime(6000)
+    expect(used()).toEqual(['encode-a', 'encode-b'])
+  })
+
+  test('does not bring back what has gone and lapses', () => {
+    list.unlist('encode-a', 11)
+    list.replaceAll({ revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3)), createEntry('encode-b', nextEra(4))] })
+    list.unlist('encode-a', nextEra(6))
+    vi.advanceTimersByTime(6000)
+    expect(used()).toEqual(['encode-b'])
+  })
+
+  test('is held to what is known also where it is read again', () => {
+    list.upsert(createEntry('encode-a', 11, { draining: true }))
+    const copy = { revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3)), createEntry('encode-b', nextEra(4))] }
+    list.adopt(copy, PEER)
+    list.replaceAll(copy)
+    expect(used()).toEqual(['encode-b'])
+  })
+
+  test('brings a new process of a backend server whose earlier one has gone', () => {
+    list.upsert(createEntry('encode-a', 11, { born: 1 }))
+    list.unlist('encode-a', 12)
+    list.replaceAll({ revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3), { born: 2 })] })
+    expect(used()).toEqual(['encode-a'])
+  })
+
+  test('uses what is missing in it on until it can have been written anew', () => {
+    list.noteSourceReturned({ ...OUTAGE, lastedMs: 0, lostWrites: true })
+    list.replaceAll({ revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3))] })
+    expect(used()).toEqual(['encode-a', 'encode-b'])
+    vi.advanceTimersByTime(2000)
+    expect(used()).toEqual(['encode-a'])
+  })
+
+  test('is taken from a peer that has seen it first, with the same care', () => {
+    list.upsert(createEntry('encode-a', 11, { draining: true }))
+    list.adopt({ revision: nextEra(5), entries: [createEntry('encode-a', nextEra(3)), createEntry('encode-b', nextEra(4))] }, PEER)
+    expect(used()).toEqual(['encode-b'])
+    expect(list.revision).toBe(nextEra(5))
+  })
+
+  test('is not undone by a peer that has not seen it', () => {
+    list.replaceAll({ revision: nextEra(5), entries: [createEntry('encode-b', nextEra(4))] })
+    list.adopt({ revision: 500, entries: [createEntry('encode-a', 400)] }, PEER)
+    expect(used()).toEqual(['encode-b'])
+    expect(list.changesSince(500)).toBeUndefined()
+  })
+})
+
 describe('a peer\'s list that is newer', () => {
   test('brings what has begun to leave, what is new, and what has gone', () => {
     const entries = [createEntry('encode-a', 12, { draining: true }), createEntry('encode-c', 13)]
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -4,7 +4,7 @@
 import { createLog, createRecord } from './support/fakes.js'
 
 const RECORD = createRecord({ id: 'encode-a' })
-const OUTAGE: SourceOutage = { lastedMs: 3000, mayHaveReturnedMs: 100, usableAfterReturnMs: 4800, error: 'no answer' }
+const OUTAGE: SourceOutage = { lastedMs: 3000, mayHaveReturnedMs: 100, usableAfterReturnMs: 4800, error: 'no answer', lostWrites: false }
 let registry: BackendRegistry
 
 beforeEach(() => {
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -53,6 +53,25 @@
     await vi.waitFor(() => expect(seen).toEqual(['config=two', 'config=three']))
   })
 
+  test.each([
+    ['before its offsets are given out again', 0],
+    ['when its offsets are given out again', 3],
+  ])('begins anew where the store came back from an older copy, %s', async (_when, writes) => {
+    await followFromFirstRecord()
+    store.keepCopy()
+    for (const value of ['two', 'three', 'four'])
+      store.put(TOPIC, 'config', value)
+    await vi.waitFor(() => expect(seen.at(-1)).toBe('config=four'))
+    seen.length = 0
+    store.comeBackFromCopy()
+    for (let write = 0; write < writes; write++)
+      store.put(TOPIC, `key-${write}`, 'again')
+    await vi.waitFor(() => expect(seen).toContain('config=one'))
+    expect(seen).toEqual(['config=one', ...Array.from({ length: writes }, (_, write) => `key-${write}=again`)])
+    store.put(TOPIC, 'config', 'five')
+    await vi.waitFor(() => expect(seen.at(-1)).toBe('config=five'))
+  })
+
   test.each([StoreFault.Busy, StoreFault.Reset, StoreFault.Cut])('resumes after a store that is %s, without a lost or a repeated record', async (fault) => {
     await followFromFirstRecord()
     store.fault = fault
@@ -136,7 +155,7 @@
     line.silenceOpenConnections()
     await expect(client.read(TOPIC, 0, ending.signal, 0)).rejects.toThrow('timeout')
     const calledAt = performance.now()
-    expect(await client.read(TOPIC, 0, ending.signal, 0)).toHaveLength(1)
+    expect((await client.read(TOPIC, 0, ending.signal, 0)).records).toHaveLength(1)
     expect(performance.now() - calledAt).toBeLessThan(READ_MARGIN_MS / 2)
     line.stop()
   })
--- a/test/platform/support/stand-in-store.ts
+++ b/test/platform/support/stand-in-store.ts
@@ -32,12 +32,16 @@
   calls = 0
   /** Calls by topic. */
   readonly callsTo = new Map<string, number>()
+  /** Rises by one each time that the store comes back from an older copy; told in every answer. */
+  era = 1
   /** Items of one page of the newest records. */
   pageSize = 500
   /** Called after each page. */
   onPage: (topic: string) => void = () => {}
   private readonly topics = new Map<string, StoredRecord[]>()
   private readonly dropped = new Map<string, number>()
+  /** Records of each topic in the copy. */
+  private copy = new Map<string, number>()
   private readonly server: Server
 
   constructor() {
@@ -67,6 +71,18 @@
     this.dropped.set(topic, this.records(topic).length)
   }
 
+  /** Remembers what the store holds now. */
+  keepCopy(): void {
+    this.copy = new Map([...this.topics].map(([topic, records]) => [topic, records.length]))
+  }
+
+  /** Goes back to what it held when the copy was kept: offsets after that are given out again. */
+  comeBackFromCopy(): void {
+    for (const [topic, records] of this.topics)
+      records.length = this.copy.get(topic) ?? 0
+    this.era++
+  }
+
   newestOf(topic: string): Map<string, string> {
     const newest = new Map(this.records(topic).map(record => [record.key, record.value.toString()]))
     return new Map([...newest].filter(([, value]) => value !== ''))
@@ -80,6 +96,7 @@
       return void response.destroy()
     if (this.fault === StoreFault.Silent)
       return
+    response.setHeader('Store-Era', this.era)
     const topic = url.searchParams.get('topic') ?? ''
     this.callsTo.set(topic, (this.callsTo.get(topic) ?? 0) + 1)
     if (url.pathname === '/-/log-append')
@@ -113,7 +130,8 @@
       await wait(10)
     if (this.fault === StoreFault.Silent)
       return
-    if (offset < (this.dropped.get(topic) ?? 0))
+    response.setHeader('Store-Era', this.era)
+    if (offset < (this.dropped.get(topic) ?? 0) || offset > this.records(topic).length)
       return void response.writeHead(410).end(JSON.stringify({ first: this.dropped.get(topic) }))
     const header = Buffer.alloc(16)
     const records = this.records(topic).slice(offset).map(encode)
