--- a/packages/gateway/src/connection/backends/backend-connections.ts
+++ b/packages/gateway/src/connection/backends/backend-connections.ts
@@ -59,12 +59,12 @@
 /** How many connections to one backend server of a service this process may hold. */
 export type ConnectionShare = (service: string) => number
 
-/** Pools by backend server id; a pool ends with its backend server. */
+/** Pools by the life of their backend server: a later process of it may have another address. */
 export class BackendConnections {
   private readonly pools = new Map<string, Pool>()
-  /** Calls that wait for a connection, by backend server id. */
+  /** Calls that wait for a connection, by the life of their backend server. */
   private readonly waiting = new Map<string, Set<WorkCall>>()
-  /** Timers that close the pools of removed backend servers, by id. */
+  /** Timers that close the pools of removed backend servers, by life. */
   private readonly closing = new Map<string, NodeJS.Timeout>()
 
   constructor(private readonly share: ConnectionShare, private readonly watch: CallWatch) {}
@@ -77,8 +77,8 @@
   async sendWork(backend: Backend, options: WorkOptions): Promise<Dispatcher.ResponseData> {
     if (!backend.takesWork || options.signal.aborted)
       throw new CallNotSentError(`${backend.id} takes no more work, or the call was abandoned`)
-    const calls = this.waiting.get(backend.id) ?? new Set()
-    this.waiting.set(backend.id, calls)
+    const calls = this.waiting.get(backend.life) ?? new Set()
+    this.waiting.set(backend.life, calls)
     const call = new WorkCall(backend, this.watch, ended => void calls.delete(ended))
     calls.add(call)
     return call.send(this.of(backend), options)
@@ -86,7 +86,7 @@
 
   /** The backend server takes no more work: calls that wait for it are turned away. */
   turnAwayWaiting(backend: Backend): void {
-    for (const call of this.waiting.get(backend.id) ?? [])
+    for (const call of this.waiting.get(backend.life) ?? [])
       call.turnAway()
   }
 
@@ -95,22 +95,22 @@
    * work. Throws where a removed backend server has none any more.
    */
   of(backend: Backend): Pool {
-    const existing = this.pools.get(backend.id)
+    const existing = this.pools.get(backend.life)
     if (existing)
       return existing
     if (backend.removed)
       throw new CallNotSentError(`${backend.id} was removed`)
     const pool = createPool(backend.address, Math.max(MIN_CONNECTIONS, this.share(backend.service)))
-    this.pools.set(backend.id, pool)
+    this.pools.set(backend.life, pool)
     return pool
   }
 
   /** The backend server was removed: calls that wait are turned away, those under way end. */
   forget(backend: Backend): void {
     this.turnAwayWaiting(backend)
-    this.waiting.delete(backend.id)
-    if (this.pools.has(backend.id))
-      this.closing.set(backend.id, setTimeout(() => this.closePool(backend.id), CLOSE_DELAY_MS).unref())
+    this.waiting.delete(backend.life)
+    if (this.pools.has(backend.life))
+      this.closing.set(backend.life, setTimeout(() => this.closePool(backend.life), CLOSE_DELAY_MS).unref())
   }
 
   /** Breaks calls under way and closes at once. */
@@ -121,10 +121,10 @@
     await Promise.all([...this.pools.values()].map(pool => pool.destroy().catch(() => {})))
   }
 
-  private closePool(backendId: string): void {
-    const pool = this.pools.get(backendId)
-    this.pools.delete(backendId)
-    this.closing.delete(backendId)
+  private closePool(life: string): void {
+    const pool = this.pools.get(life)
+    this.pools.delete(life)
+    this.closing.delete(life)
     // A pool that cannot close in order was destroyed already; nothing refers to it any more.
     void pool?.close().catch(() => {})
   }
--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -79,7 +79,12 @@
   /** It was removed from the registry and gets no more work, ever: a restart has another id. */
   removed = false
 
-  constructor(public record: BackendRecord) {}
+  /** Names this one process, also where a later one has its id. */
+  readonly life: string
+
+  constructor(public record: BackendRecord) {
+    this.life = lifeOf(record)
+  }
 
   /** Whether new work may be sent there now. */
   get takesWork(): boolean {
@@ -90,11 +95,6 @@
     return this.record.id
   }
 
-  /** Names this one process, also where a later one has its id. */
-  get life(): string {
-    return lifeOf(this.record)
-  }
-
   get service(): string {
     return this.record.service
   }
@@ -109,6 +109,6 @@
 
   /** The name under which ejection counts its calls. */
   get backendName(): string {
-    return this.record.id
+    return this.life
   }
 }
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -95,10 +95,11 @@
   upsert(record: BackendRecord): void {
     this.endLapse(record.id)
     const existing = this.byId.get(record.id)
+    if (existing && isSameProcess(existing.record, record))
+      return this.update(existing, record)
     if (existing)
-      this.update(existing, record)
-    else
-      this.add(record)
+      this.remove(record.id, 'it started again under its id')
+    this.add(record)
   }
 
   /** Its entry has gone: it is removed, at once or after the time of grace. */
@@ -137,6 +138,12 @@
       listener.removed?.(backend)
   }
 
+  /** As `remove`, unless its id belongs to a later process of it by now. */
+  removeBackend(backend: Backend, reason: string): void {
+    if (this.byId.get(backend.id) === backend)
+      this.remove(backend.id, reason)
+  }
+
   /** Lists exactly these backend servers. */
   replaceAll(records: readonly BackendRecord[]): void {
     const listed = new Set(records.map(record => record.id))
@@ -164,7 +171,8 @@
 
   private update(backend: Backend, record: BackendRecord): void {
     const stateChanged = backend.record.draining !== record.draining
-    backend.record = record
+    // Releases that do not know when a process started leave it out.
+    backend.record = { ...record, born: record.born ?? backend.record.born }
     if (!stateChanged)
       return
     this.log.backendStateChanged(record, this.noticedWithinMs)
@@ -183,3 +191,8 @@
     return backends
   }
 }
+
+/** Whether two records are of one process: nothing that was learned of it holds for a later one. */
+function isSameProcess(known: BackendRecord, record: BackendRecord): boolean {
+  return known.born === undefined || record.born === undefined || known.born === record.born
+}
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -30,7 +30,7 @@
   /** Backend servers of a service that take new work. */
   available: (service: string) => Backend[]
   /** Sends nothing to a backend server from now on. */
-  remove: (id: string, reason: string) => void
+  removeBackend: (backend: Backend, reason: string) => void
 }
 
 /** What a run works with. */
@@ -187,7 +187,7 @@
     if (failure)
       this.parts.log.attemptFailed({ requestId: request.head.requestId, backend, failure, tookMs })
     if (failure?.kind === CallFailureKind.Misdirected)
-      this.parts.registry.remove(backend.id, 'another backend server has its address')
+      this.parts.registry.removeBackend(backend, 'another backend server has its address')
   }
 
   private takeFailure(backend: Backend, { end, failure, fallback }: AttemptResult): void {
--- a/packages/gateway/src/request/attempts/ejection-feed.ts
+++ b/packages/gateway/src/request/attempts/ejection-feed.ts
@@ -54,11 +54,11 @@
 export function recordHealthSign(ejection: EjectionPolicy, backend: Backend, sign: BackendHealthSign, tookMs: number): void {
   switch (sign) {
     case BackendHealthSign.Success:
-      return ejection.recordSuccess(backend.id, backend.service, tookMs)
+      return ejection.recordSuccess(backend.backendName, backend.service, tookMs)
     case BackendHealthSign.Failure:
-      return ejection.recordFailure(backend.id)
+      return ejection.recordFailure(backend.backendName)
     case BackendHealthSign.Abandoned:
-      return ejection.recordAbandoned(backend.id, backend.service, tookMs)
+      return ejection.recordAbandoned(backend.backendName, backend.service, tookMs)
     case BackendHealthSign.None:
   }
 }
--- /dev/null
+++ b/test/gateway/restarted-backends.test.ts
@@ -0,0 +1,80 @@
+/**
+ * What callers would see: a backend server crashes and starts again under its
+ * id, empty. Work would go to it by what was known of the process before: its
+ * load, its slowness, the parts of prompts that it had read, connections to an
+ * address that it may no longer have.
+ */
+import { OutlierEjection } from '@eidermast/common'
+import { BackendConnections, BackendRegistry, EngineAssignments } from '@eidermast/gateway'
+import { beforeEach, describe, expect, test, vi } from 'vitest'
+import { createLog, createRecord } from './support/fakes.js'
+
+const FIRST = createRecord({ id: 'plain-a', service: 'plain', address: '127.0.0.1:1', born: 1000 })
+const SECOND = { ...FIRST, address: '127.0.0.1:2', born: 2000 }
+
+let registry: BackendRegistry
+
+beforeEach(() => {
+  registry = new BackendRegistry(createLog().log)
+  registry.upsert(FIRST)
+})
+
+describe('a backend server that starts again under its id', () => {
+  test('is a new one of which nothing is known, and the one before is gone', () => {
+    const before = registry.find('plain-a')!
+    before.load = { running: 9, waiting: 9, capacity: 1 }
+    before.outstanding = 3
+    const heard = { added: vi.fn(), removed: vi.fn() }
+    registry.listen(heard)
+    registry.upsert(SECOND)
+    const after = registry.find('plain-a')!
+    expect(after).not.toBe(before)
+    expect([before.takesWork, after.takesWork, after.load, after.outstanding]).toEqual([false, true, undefined, 0])
+    expect(heard.removed).toHaveBeenCalledWith(before)
+    expect(heard.added).toHaveBeenCalledWith(after)
+    expect(registry.available('plain')).toEqual([after])
+  })
+
+  test('is not removed by what its earlier process is found to be', () => {
+    const before = registry.find('plain-a')!
+    registry.upsert(SECOND)
+    registry.removeBackend(before, 'another backend server has its address')
+    expect(registry.available('plain')).toHaveLength(1)
+  })
+
+  test('is not ejected for the failures of its earlier process', () => {
+    const ejection = new OutlierEjection()
+    registry.upsert(createRecord({ id: 'plain-b', service: 'plain' }))
+    registry.upsert(createRecord({ id: 'plain-c', service: 'plain' }))
+    for (let failure = 0; failure < 3; failure++)
+      ejection.recordFailure(registry.find('plain-a')!.backendName)
+    expect(ejection.filter(registry.available('plain'))).toHaveLength(2)
+    registry.upsert(SECOND)
+    expect(ejection.filter(registry.available('plain'))).toHaveLength(3)
+  })
+
+  test('gets connections to its own address', () => {
+    const connections = new BackendConnections(() => 2, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} })
+    registry.listen({ removed: backend => connections.forget(backend) })
+    const before = connections.of(registry.find('plain-a')!)
+    registry.upsert(SECOND)
+    expect(connections.of(registry.find('plain-a')!)).not.toBe(before)
+  })
+
+  test('is not taken for one that has read what its earlier process read', () => {
+    const engines = new EngineAssignments()
+    registry.listen({ removed: backend => engines.forget(backend.id) })
+    const request = { requestId: 'id-1', prompt: [{ id: 'shared', tokens: 5000 }, { id: 'own', tokens: 10 }], failureDomain: 'zone-a', bytes: 0 }
+    engines.assign(request, registry.available('plain'), 0)
+    const readAgain = engines.choose({ ...request, requestId: 'id-2' }, registry.available('plain'), 10)!.firstEventMs
+    registry.upsert(SECOND)
+    expect(engines.choose({ ...request, requestId: 'id-3' }, registry.available('plain'), 10)!.firstEventMs).not.toBe(readAgain)
+  })
+
+  test('stays the same one where its start is told for the first time, or only its state changes', () => {
+    registry.upsert(createRecord({ id: 'plain-b', service: 'plain' }))
+    const before = registry.find('plain-b')
+    registry.upsert(createRecord({ id: 'plain-b', service: 'plain', draining: true }))
+    expect(registry.find('plain-b')).toBe(before)
+  })
+})
