--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -32,6 +32,11 @@
     this.log.write('stop', { active, graceMs })
   }
 
+  /** The time of day went on by this much more than the steady clock: the VM was suspended, or its time of day was set. */
+  woke(awayMs: number): void {
+    this.log.write('woke', { awayMs: Math.round(awayMs) })
+  }
+
   stopped(active: number, tookMs: number): void {
     this.log.write('stopped', { active, tookMs: Math.round(tookMs) })
   }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -42,6 +42,7 @@
 import { ShardsByPrompt } from './stages/shard-choice.js'
 import { SharedPreparer } from './stages/shared-preparer.js'
 import { CoordinatorRole, StageCoordinators } from './stages/stage-coordinators.js'
+import { SuspensionWatch } from './suspension.js'
 
 /**
  * Milliseconds; a call that waits longer for its first byte is logged. Not
@@ -67,6 +68,7 @@
   private readonly stageCoordinators: StageCoordinators
   private readonly readiness: Readiness
   private readonly internalServers = new InternalServers()
+  private readonly suspensionWatch = new SuspensionWatch(awayMs => this.takeWake(awayMs))
   /** Ends what follows the platform. */
   private readonly ending = new AbortController()
   private stopping = false
@@ -100,6 +102,7 @@
     this.metrics.addGauges(this)
     this.followPlatform()
     this.members.start()
+    this.suspensionWatch.start()
     this.gatewayLog.listening()
   }
 
@@ -120,6 +123,7 @@
   async close(): Promise<void> {
     this.ending.abort()
     this.members.stop()
+    this.suspensionWatch.stop()
     this.stageCoordinators.stop()
     this.clients.close()
     this.internalServers.close()
@@ -154,6 +158,13 @@
     })
   }
 
+  /** This process may have been away: what it knows may be old, and others may have decided meanwhile. */
+  private takeWake(awayMs: number): void {
+    this.gatewayLog.woke(awayMs)
+    this.platform.readAnew()
+    this.members.meetAgain()
+  }
+
   private takeStateChange(backend: Backend): void {
     if (!backend.takesWork)
       this.connections.turnAwayWaiting(backend)
--- a/packages/gateway/src/process/membership/acquaintance.ts
+++ b/packages/gateway/src/process/membership/acquaintance.ts
@@ -1,5 +1,5 @@
 /**
- * Decides when a gateway that starts has heard enough of the others to know who
+ * Decides when a gateway that starts, or was away, has heard enough of the others to know who
  * coordinates the stage work. Until then its own requests wait.
  *
  * Inputs: when the directory was first read; for each member that is watched,
@@ -38,7 +38,7 @@
   now: number
 }
 
-/** The first contact of one process with the other gateways; it is over for good once it is. */
+/** The first contact of one process with the other gateways; it is over until the process was away. */
 export class Acquaintance {
   private over = true
   private startedAt = 0
@@ -56,6 +56,14 @@
     this.startedAt = now
   }
 
+  /** The process may have been away: it waits again until the others have shown themselves; takes milliseconds of the process clock. */
+  beginAgain(now: number): void {
+    if (this.listReadAt === undefined)
+      return
+    this.begin(now)
+    this.listReadAt = now
+  }
+
   /** The directory was read; takes milliseconds of the process clock. */
   noteListRead(now: number): void {
     this.listReadAt ??= now
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -177,6 +177,16 @@
     this.tick()
   }
 
+  /** This process may have been away: all are asked anew before it decides for them. */
+  meetAgain(): void {
+    for (const state of this.states.values()) {
+      state.tried = false
+      state.heartbeatSentAt = Number.NEGATIVE_INFINITY
+    }
+    this.acquaintance.beginAgain(performance.now())
+    this.tick()
+  }
+
   /** A call to a member failed; it must answer a heartbeat before it is used again. */
   suspect(member: Member): void {
     const state = this.states.get(member.name)
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -117,4 +117,6 @@
   clientCodec: ClientCodec
   backendCodec: BackendCodec
   stageClient: (connections: BackendConnections) => StageClient
+  /** Reads of the platform that wait are made anew: this process was away, and their connections may be gone. */
+  readAnew: () => void
 }
--- a/test/gateway/acquaintance.test.ts
+++ b/test/gateway/acquaintance.test.ts
@@ -55,6 +55,22 @@
 afterEach(() => void vi.useRealTimers())
 
 describe('a request at a gateway that has just started', () => {
+  test('waits again for heartbeats after the process was away, and goes to the coordinator', async () => {
+    const { members, asked, preparer } = createStarting(answerLate)
+    members.start()
+    members.upsert(OTHER)
+    members.noteListRead()
+    await vi.advanceTimersByTimeAsync(2 * ANSWER_MS)
+    members.meetAgain()
+    const prepared = preparer.prepare(createStageRequest(), NEVER)
+    await vi.advanceTimersByTimeAsync(ANSWER_MS / 2)
+    expect(asked).toEqual([])
+    await vi.advanceTimersByTimeAsync(ANSWER_MS)
+    await prepared
+    expect(asked).toEqual(['the other'])
+    members.stop()
+  })
+
   test('waits for the first heartbeats and goes to the coordinator', async () => {
     const { members, asked, preparer } = createStarting(answerLate)
     members.start()
--- a/test/platform/lost-read.test.ts
+++ b/test/platform/lost-read.test.ts
@@ -113,6 +113,21 @@
   })
 })
 
+describe('a gateway whose VM was suspended', () => {
+  test('reads anew at once when it wakes, though its steady clock says that its reads have just begun', async () => {
+    lines.forEach(line => line.silenceOpenConnections())
+    await wait(100)
+    store.put(SERVER_TOPIC, backends[0].id, backends[0].entry('draining'))
+    const timeOfDay = vi.spyOn(Date, 'now')
+    timeOfDay.mockImplementation(() => performance.timeOrigin + performance.now() + 5000)
+    await vi.waitFor(() => {
+      for (const { gateway: started } of [peer, gateway])
+        expect(started.registry.available('plain').map(({ id }) => id)).toEqual([backends[1].id])
+    }, { timeout: 1000 })
+    timeOfDay.mockRestore()
+  })
+})
+
 describe('gateways whose reads were all lost together', () => {
   test('send nothing to a leaving backend server once they are in touch, since the coordinator notices in time', async () => {
     const lostAt = performance.now()
