--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -2,12 +2,11 @@
  * The gateways of the deployment as this process sees them, the first of them
  * that can coordinate, and the one that coordinates each shard of the stage
  * work. The list comes from the platform's directory; whether a member is alive
- * is learned from its answers to heartbeats only.
+ * is learned from its answers to heartbeats only (`peer-watch.ts`).
  *
  * It owns the states of the members, in memory. When the process dies they are
  * lost: it reads the directory again at its start, and sends heartbeats before
- * it uses any member. The rules are in `coordinator-choice.ts`,
- * `failure-detection.ts` and `heartbeat-targets.ts`; shards are in
+ * it uses any member. The rule is in `coordinator-choice.ts`; shards are in
  * `shard-coordinators.ts`.
  */
 import type { EventLog } from '@eidermast/common'
@@ -17,15 +16,13 @@
 import type { ListedMember, MemberSink, PeerView } from '../platform-adapter.js'
 import type { FailureWatch } from './failure-watches.js'
 import type { MemberState } from './member-state.js'
+import type { PeerContact } from './peer-watch.js'
 import { GatewayLog } from '../gateway-log.js'
-import { Acquaintance } from './acquaintance.js'
 import { chooseCoordinator, rankCandidates } from './coordinator-choice.js'
-import { hasFailed, HEARTBEAT_INTERVAL_MS, ownPauseMs } from './failure-detection.js'
-import { FailureWatches } from './failure-watches.js'
-import { isHeartbeatDue, selectWatched } from './heartbeat-targets.js'
+import { HEARTBEAT_INTERVAL_MS } from './failure-detection.js'
 import { createMemberState } from './member-state.js'
+import { PeerWatch } from './peer-watch.js'
 import { isSameProcess, ShardCoordinators } from './shard-coordinators.js'
-import { SlownessWatch } from './slowness.js'
 
 /** Follows members and keeps the coordinator. */
 export class Members implements MemberSink, PeerView {
@@ -34,35 +31,42 @@
   private ranked: MemberState[] = []
   private currentCoordinator: Member
   private readonly shardCoordinators: ShardCoordinators
-  private readonly failureWatches = new FailureWatches()
-  private readonly slowness: SlownessWatch
+  private readonly peerWatch: PeerWatch
   private readonly log: GatewayLog
   private timer: NodeJS.Timeout | undefined
-  private readonly acquaintance = new Acquaintance()
-  /** Times that this process may have been away. */
-  private meetings = 0
   /** Members were listed or removed since the last ranking. */
   private rankDue = false
-  private tickedAt = performance.now()
 
   constructor(
     readonly self: Member,
-    /** Sends heartbeats to other gateways; rejects where no answer came. */
-    private readonly contact: { heartbeat: (member: Member) => Promise<HeartbeatReply> },
+    contact: PeerContact,
     log: EventLog,
     /** Called with a peer and its answer to a heartbeat. */
-    private readonly onReply: (member: Member, reply: HeartbeatReply) => void,
+    onReply: (member: Member, reply: HeartbeatReply) => void,
   ) {
-    this.slowness = new SlownessWatch(self.coreShare)
     this.log = new GatewayLog(log)
     this.shardCoordinators = new ShardCoordinators(this.log)
     this.currentCoordinator = self
+    this.peerWatch = new PeerWatch({
+      members: {
+        states: () => this.states.values(),
+        ranked: () => this.ranked,
+        candidates: () => this.shardCoordinators.candidates,
+        self: () => this.states.get(self.name),
+      },
+      contact,
+      coreShare: self.coreShare,
+      log: this.log,
+      orderChanged: (state, order) => this.setOrder(state, order),
+      onReply,
+      changed: () => this.updateCoordinator(),
+    })
     this.upsert({ ...self, announcementOrder: Number.POSITIVE_INFINITY })
   }
 
   /** Starts the heartbeats. */
   start(): void {
-    this.acquaintance.begin(performance.now())
+    this.peerWatch.begin(performance.now())
     this.rankIfDue()
     this.timer = setInterval(() => this.tick(), HEARTBEAT_INTERVAL_MS)
   }
@@ -132,12 +136,12 @@
 
   /** Resolves when this process has heard enough of the others to know who coordinates, at once where it has; see `acquaintance.ts`. */
   whenAcquainted(): Promise<void> {
-    return this.acquaintance.whenOver()
+    return this.peerWatch.whenAcquainted()
   }
 
   /** A signal that aborts when a member fails; released by `dispose`. */
   watchFailure(member: Member): FailureWatch {
-    return this.failureWatches.watch(member.name)
+    return this.peerWatch.watchFailure(member)
   }
 
   /** Lists a member; one that is listed again with another address or order is a new process. */
@@ -156,7 +160,7 @@
 
   /** The directory was read, and what it lists is listed here. */
   noteListRead(): void {
-    this.acquaintance.noteListRead(performance.now())
+    this.peerWatch.noteListRead(performance.now())
     this.rankSoon()
   }
 
@@ -181,12 +185,7 @@
 
   /** This process may have been away: all are asked anew before it decides for them. */
   meetAgain(): void {
-    this.meetings++
-    for (const state of this.states.values()) {
-      state.tried = false
-      state.heartbeatSentAt = Number.NEGATIVE_INFINITY
-    }
-    this.acquaintance.beginAgain(performance.now())
+    this.peerWatch.meetAgain(performance.now())
     this.tick()
   }
 
@@ -195,99 +194,30 @@
     const state = this.states.get(member.name)
     if (!state || state.isSelf)
       return
-    state.lastReplyAt = Number.NEGATIVE_INFINITY
-    this.setAlive(state, false)
+    this.peerWatch.suspect(state)
     this.updateCoordinator()
   }
 
   private tick(): void {
     this.rankIfDue()
     const now = performance.now()
-    this.takeOwnTick(now)
+    this.peerWatch.takeOwnTick(now)
     this.shardCoordinators.tick(this.ranked, now)
-    this.watchPeers(now)
+    this.peerWatch.look(now)
     this.updateCoordinator()
   }
 
-  /** Notices members that have failed, and sends the heartbeats that are due. */
-  private watchPeers(now: number): void {
-    const watched = selectWatched(this.ranked, this.shardCoordinators.candidates, now)
-    for (const [state, intervalMs] of watched) {
-      this.setAlive(state, !hasFailed(now - state.lastReplyAt, intervalMs))
-      if (isHeartbeatDue(state, intervalMs, now))
-        void this.sendHeartbeat(state, now)
-    }
-    this.acquaintance.look({ tried: [...watched.keys()].map(state => state.tried), now })
-  }
-
-  /** While this process stood still it heard nobody: that time says nothing about the others, but something about this process. */
-  private takeOwnTick(now: number): void {
-    const sinceLastMs = now - this.tickedAt
-    this.tickedAt = now
-    this.setSelfSlow(this.slowness.takeTick(sinceLastMs - HEARTBEAT_INTERVAL_MS, now))
-    const pausedMs = ownPauseMs(sinceLastMs)
-    for (const state of this.states.values())
-      state.lastReplyAt += pausedMs
-  }
-
-  private setSelfSlow(slow: boolean): void {
-    const state = this.states.get(this.self.name)
-    if (!state || state.slow === slow)
-      return
-    state.slow = slow
-    this.log.slownessChanged(slow, this.slowness.meanLatenessMs)
-  }
-
-  private async sendHeartbeat(state: MemberState, now: number): Promise<void> {
-    const { meetings } = this
-    state.pendingHeartbeats++
-    state.heartbeatSentAt = now
-    try {
-      this.takeReply(state, await this.contact.heartbeat(state.member))
-    }
-    catch {
-      // Harmless: a single heartbeat decides nothing; `lastReplyAt` stays, and from it the next tick logs a failure.
-    }
-    state.pendingHeartbeats--
-    // An answer may have lain here while this process was away.
-    state.tried ||= meetings === this.meetings
-    this.updateCoordinator()
-    if (!this.acquaintance.isOver)
-      this.watchPeers(performance.now())
-  }
-
-  private takeReply(state: MemberState, reply: HeartbeatReply): void {
-    state.lastReplyAt = performance.now()
-    state.stopping = reply.stopping
-    state.slow = reply.slow
-    this.setOrder(state, reply.announcementOrder ?? state.announcementOrder)
-    this.setAlive(state, true)
-    this.onReply(state.member, reply)
-  }
-
   /**
    * A process knows its own place best: by the record of an earlier process at
    * its address, each of two gateways that restarted together would leave the
    * stage work to the other, and both would coordinate.
    */
   private setOrder(state: MemberState, announcementOrder: number): void {
-    if (state.announcementOrder === announcementOrder)
-      return
     state.announcementOrder = announcementOrder
     this.log.memberListed(state.member, announcementOrder)
     this.rank()
   }
 
-  private setAlive(state: MemberState, alive: boolean): void {
-    if (state.alive === alive)
-      return
-    state.alive = alive
-    if (alive)
-      return this.log.memberRecovered(state.member)
-    this.log.memberFailed(state.member)
-    this.failureWatches.abort(state.member.name)
-  }
-
   /**
    * Ranks the members once for all that one read of the directory brings, then
    * sends the heartbeats that are due. With a ranking for each, the first list of
