An answer without a length does not speak for a request that ends backend servers

What callers would see: an answer that does not say where it ends looks whole also where the end of its backend server cut it. A request that ends backend servers in the middle of such answers counted as answered, and spoke for itself.

Cause: the end of the connection was taken for the end of the answer.

Change: only an answer that says where it ends counts; after one that does not, its backend server is asked for, as after a broken call.

Measured: backend-run, 'the answer to a request', one of two fails before.

--- a/packages/gateway/src/request/attempts/backend-attempt.ts
+++ b/packages/gateway/src/request/attempts/backend-attempt.ts
@@ -26,6 +26,8 @@
   end: AttemptEnd
   /** Why no answer came; absent where one did. */
   failure?: CallFailure
+  /** The answer said where it ends: one that does not may have been cut by the end of its backend server. @default false */
+  framed?: boolean
   /** A whole failure answer, to be passed on where nothing better comes. */
   fallback?: WholeAnswer
 }
@@ -63,7 +65,9 @@
     try {
       const head = await this.watchHead(this.parts.client.run(this.parts.backend, call, this.controller.signal))
       clearTimeout(timer)
-      return head.isOk() ? await this.takeAnswer(head.value) : { end: endOfFailure(head.error), failure: head.error }
+      if (head.isErr())
+        return { end: endOfFailure(head.error), failure: head.error }
+      return { ...await this.takeAnswer(head.value), framed: head.value.framed }
     }
     finally {
       this.parts.backend.outstanding--
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -180,16 +180,22 @@
       abandonedHere: aborted && !signal.aborted,
     })
     recordHealthSign(this.parts.ejection, backend, sign, tookMs)
-    if (failure?.kind === CallFailureKind.Broken)
-      void this.parts.crashes.noteBroken(backend, request.fingerprint)
-    if (!failure)
-      this.parts.crashes.noteAnswered(request.fingerprint)
+    this.reportToCrashWatch(backend, result)
     if (failure)
       this.parts.log.attemptFailed({ requestId: request.head.requestId, backend, failure, tookMs })
     if (failure?.kind === CallFailureKind.Misdirected)
       this.parts.registry.removeBackend(backend, 'another backend server has its address')
   }
 
+  /** An answer that does not say where it ends looks whole also where the end of its backend server cut it. */
+  private reportToCrashWatch(backend: Backend, { failure, framed }: AttemptResult): void {
+    const { fingerprint } = this.subject.request
+    if (!failure && framed)
+      this.parts.crashes.noteAnswered(fingerprint)
+    else if (!failure || failure.kind === CallFailureKind.Broken)
+      void this.parts.crashes.noteBroken(backend, fingerprint)
+  }
+
   private takeFailure(backend: Backend, { end, failure, fallback }: AttemptResult): void {
     this.history.attempts++
     this.history.lastEnd = end
--- a/packages/gateway/src/request/crash-watch.ts
+++ b/packages/gateway/src/request/crash-watch.ts
@@ -6,7 +6,7 @@
 
 /** Follows the ends of calls, for backend servers that end while requests run there. */
 export interface CrashWatch {
-  /** A request was sent to a backend server and its call broke; resolves when it is known whether the backend server ended. */
+  /** A request was sent to a backend server and its call broke, or may have; resolves when it is known whether the backend server ended. */
   noteBroken: (backend: Backend, fingerprint: string) => Promise<void>
   /** The backend server of a request's service answered it to the end. */
   noteAnswered: (fingerprint: string) => void
--- a/test/gateway/backend-run.test.ts
+++ b/test/gateway/backend-run.test.ts
@@ -94,3 +94,29 @@
     expect(budget.takeRetry(SERVICE)).toBe(false)
   })
 })
+
+describe('the answer to a request', () => {
+  test.each([
+    ['speaks for requests like it where it said where it ends', true, 1],
+    ['does not where it ended with its connection, and has that backend server asked for', false, 0],
+  ])('%s', async (_name, framed, times) => {
+    const { log } = createLog()
+    const registry = new BackendRegistry(log)
+    registry.upsert(createRecord({ id: 'first', service: SERVICE }))
+    const body = async function* () {
+      yield Buffer.from('whole')
+    }
+    const client: BackendClient = {
+      run: async () => Ok({ status: 200, headers: [], framed, body: body(), destroy: () => {} }),
+      probe: async () => true,
+    }
+    const ejection = new OutlierEjection()
+    const choice = new LeastLoadChoice(ejection)
+    const budget = new RetryBudget({ ratio: 0, extra: 0, windowMs: 10_000 }, () => 1)
+    const crashes = { ...NO_CRASHES, noteAnswered: vi.fn(), noteBroken: vi.fn(async () => {}) }
+    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainChoice: choice, engineChoice: choice, budget, crashes, log, isEngine: () => false })
+    await runner.run({ request: createRequest(), inputs: { handles: undefined, failureDomain: undefined, bytes: 0 }, answer: createAnswer(), signal: new AbortController().signal })
+    expect(crashes.noteAnswered).toHaveBeenCalledTimes(times)
+    expect(crashes.noteBroken).toHaveBeenCalledTimes(1 - times)
+  })
+})
