Evacuated failure domains get nothing more, as every gateway knows by its reads or by heartbeat

Cause: the operator's orders op/evacuate/ZONE were read by nothing, so that gateways went on sending to a failure domain for as long as its evacuation lasted.

Change: the adapter decodes the orders beside the configuration, with their places among the operator's records. EvacuationList keeps the newest order about each failure domain; heartbeats and their answers carry all of them, so that a gateway that the store turns away, or whose read was lost, hears of them within a heartbeat. An order that was taken back is remembered as such. The registry marks the backend servers: they take no work, which every choice, stage call and waiting call looks at already.

--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -78,6 +78,8 @@
 
   /** It was removed from the registry and gets no more work, ever: a restart has another id. */
   removed = false
+  /** Its failure domain is evacuated: it gets no work until that is taken back. */
+  evacuated = false
 
   /** Names this one process, also where a later one has its id. */
   readonly life: string
@@ -88,7 +90,7 @@
 
   /** Whether new work may be sent there now. */
   get takesWork(): boolean {
-    return !this.removed && !this.record.draining
+    return !this.removed && !this.record.draining && !this.evacuated
   }
 
   get id(): string {
--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -4,6 +4,7 @@
  * stay; they are decoded here, once, into the types of the rest of the code.
  */
 import type { Result } from 'ts-results-es'
+import type { EvacuationOrder } from '../../version/evacuation-order.js'
 import type { BackendChange, ListedBackends } from '../backends/backend.js'
 import type { CrashExchangeMessage } from './crash-exchange.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, StageProgress } from './preparation.js'
@@ -11,6 +12,8 @@
 import * as z from 'zod'
 import { positionOf, revisionAt } from '../backends/revision.js'
 
+const evacuationSchema = z.object({ failureDomain: z.string(), evacuated: z.boolean(), revision: z.number() })
+
 const heartbeatFields = z.object({
   name: z.string(),
   /** `IP:PORT` for its peers. */
@@ -23,6 +26,8 @@
   backendsEra: z.number().optional(),
   /** Crashes that the sender tells; checked by whoever takes it. */
   crashes: z.unknown().optional(),
+  /** Orders about failure domains that the sender knows; absent where it knows none, and in releases that do not pass them on. */
+  evacuations: z.array(evacuationSchema).optional(),
 })
 
 /** A gateway's heartbeat to another, as it stands on the wire. */
@@ -36,6 +41,7 @@
   /** Revision of the sender's list of backend servers; absent in releases that do not pass it on. */
   backends?: number
   crashes?: unknown
+  evacuations?: EvacuationOrder[]
 }
 
 /** Checks a heartbeat and decodes it. */
@@ -60,6 +66,8 @@
   backendChanges?: BackendChange[]
   /** Crashes that the peer tells; absent where it has none to tell, and in releases that do not. */
   crashes?: CrashExchangeMessage
+  /** Orders about failure domains that the peer knows; absent where it knows none, and in releases that do not pass them on. */
+  evacuations?: EvacuationOrder[]
   /** It is stopping: the coordinator's role passes to another gateway. */
   stopping: boolean
   /** It is short of processor time: the role passes to a gateway that is not, where there is one. */
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -15,7 +15,7 @@
 export interface BackendListener {
   added?: (backend: Backend) => void
   removed?: (backend: Backend) => void
-  /** It began to leave, or takes work again. */
+  /** It began to leave, its failure domain is evacuated, or it takes work again. */
   stateChanged?: (backend: Backend) => void
 }
 
@@ -40,6 +40,8 @@
   private readonly lapsed = new Map<string, Removal>()
   /** Why entries may have lapsed; absent before the first outage. */
   private lastOutage: SourceOutage | undefined
+  /** Failure domains whose backend servers get no work. */
+  private evacuated: ReadonlySet<string> = new Set()
   private readonly log: GatewayLog
 
   constructor(log: EventLog) {
@@ -155,6 +157,24 @@
       this.upsert(record)
   }
 
+  /** Exactly these failure domains are evacuated: their backend servers, and those that are listed there later, get no work. */
+  setEvacuated(failureDomains: ReadonlySet<string>): void {
+    this.evacuated = failureDomains
+    for (const backend of this.byId.values()) {
+      const evacuated = failureDomains.has(backend.failureDomain)
+      if (backend.evacuated === evacuated)
+        continue
+      backend.evacuated = evacuated
+      this.reportStateChange(backend)
+    }
+  }
+
+  /** Calls of this process under way at backend servers of evacuated failure domains. */
+  get callsInEvacuated(): number {
+    const evacuated = [...this.byId.values()].filter(backend => backend.evacuated)
+    return evacuated.reduce((sum, { outstanding }) => sum + outstanding, 0)
+  }
+
   /** Milliseconds between the last two reads of the list: what the last one brought is at most that old. */
   private get noticedWithinMs(): number {
     return this.readAt - this.readBeforeAt
@@ -162,6 +182,7 @@
 
   private add(record: BackendRecord): void {
     const backend = new Backend(record)
+    backend.evacuated = this.evacuated.has(backend.failureDomain)
     this.byId.set(record.id, backend)
     this.backendsOf(record.service).add(backend)
     this.log.backendAdded(record)
@@ -176,6 +197,10 @@
     if (!stateChanged)
       return
     this.log.backendStateChanged(record, this.noticedWithinMs)
+    this.reportStateChange(backend)
+  }
+
+  private reportStateChange(backend: Backend): void {
     for (const listener of this.listeners)
       listener.stateChanged?.(backend)
   }
--- /dev/null
+++ b/packages/gateway/src/process/evacuation/index.ts
@@ -0,0 +1,1 @@
+export * from './evacuation-list.js'
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -7,6 +7,7 @@
 import type { Presence } from '../connection/backends/presence-check.js'
 import type { CallStart } from '../connection/backends/work-call.js'
 import type { Member } from '../connection/peers/member.js'
+import type { EvacuationOrder } from '../version/evacuation-order.js'
 import type { SourceOutage } from './platform-adapter.js'
 import process from 'node:process'
 import { formatError } from '@eidermast/common'
@@ -56,6 +57,11 @@
     this.log.write('backend-list', { source: member.name, revision, previous, listAgeMs: Math.round(listAgeMs) })
   }
 
+  /** A failure domain is evacuated from now on, or no longer, by this process's own reads or by the word of a peer. */
+  evacuationChanged({ failureDomain, evacuated }: EvacuationOrder, source: string): void {
+    this.log.write('evacuation', { domain: failureDomain, evacuated, source })
+  }
+
   memberListed(member: Member, announcementOrder: number): void {
     // Its own order is not known to a gateway until the directory lists it.
     const seniority = Number.isFinite(announcementOrder) ? announcementOrder : undefined
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -32,6 +32,7 @@
 import { CrashWitness } from './crashes/crash-witness.js'
 import { drainClients } from './drain/drain-clients.js'
 import { latestEndMs } from './drain/drain-plan.js'
+import { EvacuationList } from './evacuation/evacuation-list.js'
 import { GatewayLog } from './gateway-log.js'
 import { GatewayMetrics } from './gateway-metrics.js'
 import { countSharingGateways, shareOfConnections } from './gateway-share.js'
@@ -57,6 +58,7 @@
   readonly configuration: ConfigurationHolder
   readonly registry: BackendRegistry
   readonly backendList: BackendList
+  readonly evacuations: EvacuationList
   readonly members: Members
   readonly crashBoard: CrashBoard
   readonly clients: ClientServer
@@ -80,6 +82,7 @@
     this.configuration = new ConfigurationHolder(platform.decodeConfiguration, log)
     this.registry = new BackendRegistry(log)
     this.backendList = new BackendList(this.registry, log)
+    this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashBoard = this.createCrashBoard()
     this.members = this.createMembers()
     this.connections = this.createConnections()
@@ -219,6 +222,7 @@
     return new GatewayPeerService({
       holder: this.configuration,
       backendList: this.backendList,
+      evacuations: this.evacuations,
       peers: this.peers,
       stageCoordinator: this.stageCoordinators,
       crashes: this.crashBoard.peerExchange,
@@ -244,8 +248,9 @@
 
   private followPlatform(): void {
     const { signal } = this.ending
-    const { configurationSource, backendSource, memberDirectory, crashLedger } = this.platform
-    void configurationSource.follow(text => this.configuration.offer(text, 'platform'), this.members, signal)
+    const { operatorSource, backendSource, memberDirectory, crashLedger } = this.platform
+    const operatorSink = { offerConfiguration: (text: string) => void this.configuration.offer(text, 'platform'), evacuations: this.evacuations }
+    void operatorSource.follow(operatorSink, this.members, signal)
     void backendSource.follow(this.backendList, this.members, signal)
     void memberDirectory.follow(this.members, signal)
     void crashLedger.follow(this.crashBoard, this.members, signal)
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -3,7 +3,7 @@
  * them its configuration and its list of backend servers, exchanges crashes
  * (`crashes/peer-exchange.ts`), and does their stage
  * work while it coordinates. Each heartbeat and its answer tell the versions
- * held, and an answer the changes of the list that the sender lacks. What a peer
+ * held and the orders about failure domains, and an answer the changes of the list that the sender lacks. What a peer
  * holds beyond that, and the platform's store did not bring, is fetched
  * (`peer-fetch.ts`). It owns no state but that fetches are under way.
  */
@@ -17,6 +17,7 @@
 import type { ConfigurationHolder, ConfigurationRecord } from '../version/configuration-holder.js'
 import type { BackendList } from './backend-list.js'
 import type { PeerExchange } from './crashes/peer-exchange.js'
+import type { EvacuationList } from './evacuation/evacuation-list.js'
 import type { GatewayLog } from './gateway-log.js'
 import { PeerFetch } from './peer-fetch.js'
 
@@ -34,6 +35,7 @@
 export interface PeerServiceParts {
   holder: ConfigurationHolder
   backendList: BackendList
+  evacuations: EvacuationList
   peers: Pick<PeerClients, 'configuration' | 'backends'>
   stageCoordinator: Preparer
   crashes: PeerExchange
@@ -43,7 +45,7 @@
 }
 
 /** What a gateway tells of the state that it shares with its peers. */
-export type HeldState = Pick<HeartbeatReply, 'version' | 'backends' | 'backendChanges'> & { crashes?: unknown }
+export type HeldState = Pick<HeartbeatReply, 'version' | 'backends' | 'backendChanges' | 'evacuations'> & { crashes?: unknown }
 
 /** Answers the procedures between gateways, and fetches what peers have and this process lacks. */
 export class GatewayPeerService implements PeerService {
@@ -67,9 +69,14 @@
   }
 
   /** What this process holds, as its heartbeats tell a peer. */
-  heldFor({ address }: Member): Pick<HeartbeatReply, 'version' | 'backends' | 'crashes'> {
-    const { holder, backendList, crashes } = this.parts
-    return { version: holder.version, backends: backendList.revision, crashes: crashes.messageFor(address) }
+  heldFor({ address }: Member): Pick<HeartbeatReply, 'version' | 'backends' | 'crashes' | 'evacuations'> {
+    const { holder, backendList, crashes, evacuations: { orders } } = this.parts
+    return {
+      version: holder.version,
+      backends: backendList.revision,
+      crashes: crashes.messageFor(address),
+      evacuations: orders.length > 0 ? orders : undefined,
+    }
   }
 
   heartbeat(heartbeat: Heartbeat): HeartbeatReply {
@@ -95,10 +102,12 @@
   }
 
   /** A peer told what it holds; what is newer and was not told is fetched. */
-  learn({ name, address }: Member, { version, backends, backendChanges, crashes }: HeldState): void {
+  learn({ name, address }: Member, { version, backends, backendChanges, crashes, evacuations }: HeldState): void {
     const member = { name, address }
     if (crashes !== undefined)
       this.parts.crashes.take(address, crashes)
+    // Before the configuration is fetched: a gateway that starts must know them when it serves.
+    this.parts.evacuations.adopt(evacuations ?? [], name)
     if (backends !== undefined && backendChanges)
       this.parts.backendList.adoptChanges(backendChanges, backends, member)
     void this.configurationFetch.learn(member, version)
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -1,6 +1,6 @@
 /**
  * What a gateway needs of the platform that it runs on, as interfaces: the
- * sources of configuration and backend servers, the directory of gateways, the
+ * sources of the operator's records and of backend servers, the directory of gateways, the
  * codecs, and calls to stage backend servers. An adapter implements them; it is
  * given to the gateway at its start.
  */
@@ -11,6 +11,7 @@
 import type { ClientCodec } from '../connection/clients/client-codec.js'
 import type { Member } from '../connection/peers/member.js'
 import type { ConfigurationDecoder } from '../version/configuration-holder.js'
+import type { EvacuationOrder, EvacuationOrders } from '../version/evacuation-order.js'
 import type { CrashReports } from './crashes/crash-report.js'
 
 /** What other gateways mean for the reads of this one, as of now. */
@@ -21,10 +22,25 @@
   readonly count: number
 }
 
-/** Follows the platform's configuration. */
-export interface ConfigurationSource {
-  /** Offers each configuration as text until the signal aborts; retries failures by itself. */
-  follow: (offer: (text: string) => void, peers: PeerView, signal: AbortSignal) => Promise<void>
+/** Takes the operator's orders about failure domains. */
+export interface EvacuationSink {
+  /** All orders in force. */
+  replaceAll: (orders: EvacuationOrders) => void
+  /** One order that is new, or was taken back. */
+  take: (order: EvacuationOrder) => void
+}
+
+/** Takes what the operator publishes. */
+export interface OperatorSink {
+  /** A configuration as text. */
+  offerConfiguration: (text: string) => void
+  evacuations: EvacuationSink
+}
+
+/** Follows what the operator publishes. */
+export interface OperatorSource {
+  /** Brings configurations and orders until the signal aborts, orders before a configuration that comes with them; retries failures by itself. */
+  follow: (sink: OperatorSink, peers: PeerView, signal: AbortSignal) => Promise<void>
 }
 
 /** A time in which a source did not answer, and has just ended. */
@@ -109,7 +125,7 @@
 
 /** All that a platform brings to a gateway. */
 export interface PlatformAdapter {
-  configurationSource: ConfigurationSource
+  operatorSource: OperatorSource
   decodeConfiguration: ConfigurationDecoder
   backendSource: BackendSource
   memberDirectory: MemberDirectory
--- a/test/platform/support/stand-in-backend.ts
+++ b/test/platform/support/stand-in-backend.ts
@@ -71,7 +71,7 @@
   respond: Respond = answerWhole()
   private readonly server: Server
 
-  constructor(readonly id: string, readonly service: string) {
+  constructor(readonly id: string, readonly service: string, readonly failureDomain = 'zone-a') {
     this.server = createServer((request, response) => {
       const chunks: Buffer[] = []
       request.on('error', () => {})
@@ -95,6 +95,6 @@
 
   /** Its entry in the store. */
   entry(state = 'ready'): object {
-    return { Service: this.service, Address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`, Zone: 'zone-a', Capacity: 4, State: state }
+    return { Service: this.service, Address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`, Zone: this.failureDomain, Capacity: 4, State: state }
   }
 }
