Cold backend servers get work in step with what they withstand, from all gateways together

Cause: an engine that comes back is empty and idle, so that every gateway and coordinator takes it for the best choice; nothing read that it is cold, or what it withstands then.

Change: a backend server is cold by its entry, by its answers, after it is listed anew, and after the evacuation of its failure domain is taken back. ColdPace divides time into turns: a coordinator assigns cold engines for the gateways that it hears, in proportion to them; a gateway that chooses by itself has turns of its own. Their shares of the bound come from the platform's settings and the number of gateways, so that groups that are cut off from each other add up to no more than the whole. Two ways were weighed: no work at all while cold (nothing warms it, and a pool that is all cold would serve nothing), and this one.

--- a/packages/gateway/src/connection/backends/backend-client.ts
+++ b/packages/gateway/src/connection/backends/backend-client.ts
@@ -83,6 +83,8 @@
   failure: CallFailureKind | undefined
   /** Absent where the backend server did not report it. */
   load: BackendLoad | undefined
+  /** Milliseconds for which the backend server is cold; absent where it does not say so. */
+  coldMs: number | undefined
   /** Headers for the client. */
   headers: HeaderList
 }
--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -18,6 +18,8 @@
   draining: boolean
   /** When its process started, in epoch milliseconds: a new process may have the id of an earlier one. Absent where it does not say so. */
   born?: number
+  /** Milliseconds for which it was cold, and slow for it, when its entry was written. Absent where it was not. */
+  coldMs?: number
 }
 
 /** An entry of the platform's list, with its place among the list's changes. */
@@ -81,6 +83,10 @@
   /** Its failure domain is evacuated: it gets no work until that is taken back. */
   evacuated = false
 
+  /** Since when it is, or was, cold, and until when: milliseconds of the process clock. */
+  coldSince = 0
+  private coldUntil = 0
+
   /** Names this one process, also where a later one has its id. */
   readonly life: string
 
@@ -93,6 +99,18 @@
     return !this.removed && !this.record.draining && !this.evacuated
   }
 
+  /** Whether it is cold: it has just started, and withstands few requests. */
+  isCold(now: number): boolean {
+    return now < this.coldUntil
+  }
+
+  /** It is cold for this many milliseconds from now, at least. */
+  noteCold(milliseconds: number, now: number): void {
+    if (!this.isCold(now))
+      this.coldSince = now
+    this.coldUntil = Math.max(this.coldUntil, now + milliseconds)
+  }
+
   get id(): string {
     return this.record.id
   }
--- a/packages/gateway/src/connection/backends/http-backend-client.ts
+++ b/packages/gateway/src/connection/backends/http-backend-client.ts
@@ -60,6 +60,8 @@
       backend.load = facts.load
       backend.loadAt = performance.now()
     }
+    if (facts.coldMs !== undefined)
+      backend.noteCold(facts.coldMs, performance.now())
     if (facts.failure) {
       // The head says all; a body that breaks off closes its connection, which the pool replaces.
       void response.body.dump().catch(() => {})
--- a/packages/gateway/src/process/backend-list.ts
+++ b/packages/gateway/src/process/backend-list.ts
@@ -77,6 +77,7 @@
     for (const entry of believed)
       this.entries.set(entry.record.id, entry)
     this.registry.replaceAll(believed.map(entry => entry.record))
+    this.registry.noteWholeList()
   }
 
   upsert({ record, revision }: ListedBackend): void {
@@ -132,6 +133,7 @@
         this.list(entry)
     }
     this.currentRevision = list.revision
+    this.registry.noteWholeList()
   }
 
   /** Takes one change where it is news; what has gone is left to the caller. Returns whether it was. */
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -42,9 +42,15 @@
   private lastOutage: SourceOutage | undefined
   /** Failure domains whose backend servers get no work. */
   private evacuated: ReadonlySet<string> = new Set()
+  /** A whole list was taken: what is listed from now on has started since. */
+  private hasList = false
   private readonly log: GatewayLog
 
-  constructor(log: EventLog) {
+  constructor(
+    log: EventLog,
+    /** How long a backend server of a service is cold after its start, in milliseconds. */
+    private readonly coldStartMs: (service: string) => number = () => 0,
+  ) {
     this.log = new GatewayLog(log)
   }
 
@@ -157,6 +163,11 @@
       this.upsert(record)
   }
 
+  /** A whole list was taken, from the source or from a peer. */
+  noteWholeList(): void {
+    this.hasList = true
+  }
+
   /** Exactly these failure domains are evacuated: their backend servers, and those that are listed there later, get no work. */
   setEvacuated(failureDomains: ReadonlySet<string>): void {
     this.evacuated = failureDomains
@@ -165,6 +176,8 @@
       if (backend.evacuated === evacuated)
         continue
       backend.evacuated = evacuated
+      if (!evacuated)
+        this.noteCold(backend, this.coldStartMs(backend.service))
       this.reportStateChange(backend)
     }
   }
@@ -186,20 +199,31 @@
     this.byId.set(record.id, backend)
     this.backendsOf(record.service).add(backend)
     this.log.backendAdded(record)
+    this.noteCold(backend, Math.max(record.coldMs ?? 0, this.hasList ? this.coldStartMs(record.service) : 0))
     for (const listener of this.listeners)
       listener.added?.(backend)
   }
 
   private update(backend: Backend, record: BackendRecord): void {
     const stateChanged = backend.record.draining !== record.draining
+    // The same entry read again says nothing new of how long it is cold.
+    const coldMs = record.coldMs === backend.record.coldMs ? 0 : record.coldMs
     // Releases that do not know when a process started leave it out.
     backend.record = { ...record, born: record.born ?? backend.record.born }
+    this.noteCold(backend, coldMs ?? 0)
     if (!stateChanged)
       return
     this.log.backendStateChanged(record, this.noticedWithinMs)
     this.reportStateChange(backend)
   }
 
+  private noteCold(backend: Backend, milliseconds: number): void {
+    if (milliseconds <= 0)
+      return
+    backend.noteCold(milliseconds, performance.now())
+    this.log.backendCold(backend.record, milliseconds)
+  }
+
   private reportStateChange(backend: Backend): void {
     for (const listener of this.listeners)
       listener.stateChanged?.(backend)
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -104,6 +104,11 @@
     this.log.write('backend-added', { backend: id, service, failureDomain, address, draining })
   }
 
+  /** It is cold for this many milliseconds: it has just started, or says so. */
+  backendCold({ id, service }: BackendRecord, coldMs: number): void {
+    this.log.write('backend-cold', { backend: id, service, coldMs: Math.round(coldMs) })
+  }
+
   /** It began to leave, or takes work again; at most `noticedWithinMs` milliseconds ago. */
   backendStateChanged({ id, service, draining }: BackendRecord, noticedWithinMs: number): void {
     this.log.write('backend-state', { backend: id, service, draining, noticedWithinMs: Math.round(noticedWithinMs) })
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -23,6 +23,7 @@
 import { createPeerRouter } from '../connection/peers/peer-router.js'
 import { LeastLoadChoice, PrefixAwareChoice } from '../request/attempts/backend-choice.js'
 import { BackendRunner } from '../request/attempts/backend-runner.js'
+import { coldAllowancePerSecond, ColdPace, COORDINATED_SHARE, OWN_SHARE } from '../request/attempts/cold-pace.js'
 import { RetryBudget } from '../request/attempts/retry-budget.js'
 import { PassThrough } from '../request/pass-through.js'
 import { ConfigurationHolder } from '../version/configuration-holder.js'
@@ -35,8 +36,9 @@
 import { EvacuationList } from './evacuation/evacuation-list.js'
 import { GatewayLog } from './gateway-log.js'
 import { GatewayMetrics } from './gateway-metrics.js'
-import { countSharingGateways, shareOfConnections } from './gateway-share.js'
+import { coordinatorPart, countSharingGateways, shareOfConnections } from './gateway-share.js'
 import { createMetricsServer, createReadinessServer, InternalServers } from './internal-servers.js'
+import { HeardPeers } from './membership/heard-peers.js'
 import { Members } from './membership/members.js'
 import { GatewayPeerService } from './peer-service.js'
 import { Readiness } from './readiness.js'
@@ -66,6 +68,7 @@
   private readonly gatewayLog: GatewayLog
   private readonly peers = new PeerClients()
   private readonly peerService: GatewayPeerService
+  private readonly heardPeers = new HeardPeers()
   private readonly connections: BackendConnections
   private readonly stageCoordinators: StageCoordinators
   private readonly readiness: Readiness
@@ -80,7 +83,7 @@
     this.self = { name, address: `${host}:${settings.listen['peer-port']}`, failureDomain, coreShare }
     this.gatewayLog = new GatewayLog(log)
     this.configuration = new ConfigurationHolder(platform.decodeConfiguration, log)
-    this.registry = new BackendRegistry(log)
+    this.registry = new BackendRegistry(log, service => this.configuration.table?.findService(service)?.coldStartMs ?? 0)
     this.backendList = new BackendList(this.registry, log)
     this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashBoard = this.createCrashBoard()
@@ -187,7 +190,8 @@
   private createStageCoordinators(): StageCoordinators {
     const client = this.platform.stageClient(this.connections)
     const retryBudget = new RetryBudget({ ...this.retryAllowance(), ratio: 0 }, () => countSharingGateways(this.members.shards.length))
-    return new StageCoordinators({ registry: this.registry, client, retryBudget, crashes: this.crashBoard, log: this.log })
+    const coldPace = new ColdPace(this.self.name, service => this.coldRate(service, COORDINATED_SHARE * coordinatorPart(this.heardPeers.count(performance.now()), this.members.count)))
+    return new StageCoordinators({ registry: this.registry, client, retryBudget, crashes: this.crashBoard, coldPace, log: this.log })
   }
 
   private createBackendRunner(): BackendRunner {
@@ -201,6 +205,7 @@
       engineChoice: new PrefixAwareChoice(ejection),
       budget: new RetryBudget(this.retryAllowance(), () => countSharingGateways(this.members.count)),
       crashes: this.crashBoard,
+      coldPace: new ColdPace(this.self.name, service => this.coldRate(service, OWN_SHARE / countSharingGateways(this.members.count))),
       log: this.log,
       isEngine: service => this.configuration.table?.findService(service)?.engine !== undefined,
     })
@@ -223,6 +228,7 @@
       holder: this.configuration,
       backendList: this.backendList,
       evacuations: this.evacuations,
+      heardPeers: this.heardPeers,
       peers: this.peers,
       stageCoordinator: this.stageCoordinators,
       crashes: this.crashBoard.peerExchange,
@@ -273,6 +279,12 @@
     return { ratio, extra, windowMs }
   }
 
+  /** Requests a second that a part of the allowance of all gateways comes to at one cold backend server of a service; undefined where there is no bound. */
+  private coldRate(service: string, part: number): number | undefined {
+    const withstands = this.configuration.table?.findService(service)?.coldPerSecond
+    return withstands === undefined ? undefined : coldAllowancePerSecond(withstands, this.platform.coldAllowance) * part
+  }
+
   private connectionShare(service: string): number {
     const limit = this.configuration.table?.findService(service)?.maxConnections ?? 0
     return shareOfConnections(limit, this.members.count)
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -19,6 +19,7 @@
 import type { PeerExchange } from './crashes/peer-exchange.js'
 import type { EvacuationList } from './evacuation/evacuation-list.js'
 import type { GatewayLog } from './gateway-log.js'
+import type { HeardPeers } from './membership/heard-peers.js'
 import { PeerFetch } from './peer-fetch.js'
 
 /** Milliseconds. A configuration is fetched at once: it changes seldom, and in seconds it must be in force everywhere. */
@@ -36,6 +37,7 @@
   holder: ConfigurationHolder
   backendList: BackendList
   evacuations: EvacuationList
+  heardPeers: HeardPeers
   peers: Pick<PeerClients, 'configuration' | 'backends'>
   stageCoordinator: Preparer
   crashes: PeerExchange
@@ -80,6 +82,7 @@
   }
 
   heartbeat(heartbeat: Heartbeat): HeartbeatReply {
+    this.parts.heardPeers.note(heartbeat.name, performance.now())
     this.learn(heartbeat, heartbeat)
     return { ...this.heldFor(heartbeat), backendChanges: this.changesFor(heartbeat), ...this.parts.describeSelf() }
   }
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -10,6 +10,7 @@
 import type { StageClient } from '../connection/backends/stage-client.js'
 import type { ClientCodec } from '../connection/clients/client-codec.js'
 import type { Member } from '../connection/peers/member.js'
+import type { ColdAllowance } from '../request/attempts/cold-pace.js'
 import type { ConfigurationDecoder } from '../version/configuration-holder.js'
 import type { EvacuationOrder, EvacuationOrders } from '../version/evacuation-order.js'
 import type { CrashReports } from './crashes/crash-report.js'
@@ -130,6 +131,8 @@
   backendSource: BackendSource
   memberDirectory: MemberDirectory
   crashLedger: CrashLedger
+  /** What a cold backend server may get from all gateways together. */
+  coldAllowance: ColdAllowance
   clientCodec: ClientCodec
   backendCodec: BackendCodec
   stageClient: (connections: BackendConnections) => StageClient
--- a/packages/gateway/src/process/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -5,8 +5,8 @@
  * work.
  *
  * Inputs: the platform's bounds from the settings (ms): how long after trouble
- * a gateway is in touch again, and within which a configuration and the leaving
- * of a backend server must take effect; whether other gateways tell this one of
+ * a gateway is in touch again, and within which a configuration, an evacuation
+ * and the leaving of a backend server must take effect; whether other gateways tell this one of
  * changes that its own read has missed, and how many are listed (as of now).
  * Rule: the bounds do not add up: a change that a lost read hides must be in
  * force by the later of both. A gateway that nobody tells reads so that it
@@ -35,6 +35,8 @@
   configurationMs: number
   /** A backend server that is leaving gets nothing this long after the store acknowledged that. */
   drainMs: number
+  /** The backend servers of an evacuated failure domain get nothing this long after the store acknowledged the order. */
+  evacuationMs: number
 }
 
 /** Milliseconds after its wait until a read is abandoned. Not measured; half abandons reads that a slow store still answers. */
@@ -108,8 +110,8 @@
 }
 
 /** How long the store may hold a read, in milliseconds. */
-export function maxReadWaitMs({ contactMs, configurationMs, drainMs }: StoreBounds, isToldByPeers: boolean): number {
-  const effectMs = Math.min(configurationMs, drainMs)
+export function maxReadWaitMs({ contactMs, configurationMs, drainMs, evacuationMs }: StoreBounds, isToldByPeers: boolean): number {
+  const effectMs = Math.min(configurationMs, drainMs, evacuationMs)
   const waitMs = isToldByPeers ? contactMs + effectMs : Math.max(contactMs, effectMs) - PASS_ON_MS
   return Math.max(MIN_READ_WAIT_MS, waitMs - READ_MARGIN_MS - NEXT_READ_MS)
 }
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -11,6 +11,7 @@
 import type { Result } from 'ts-results-es'
 import type { Backend } from '../../connection/backends/backend.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../../connection/peers/preparation.js'
+import type { ColdPace } from '../../request/attempts/cold-pace.js'
 import type { PreparationListener } from '../../request/stages/request-stages.js'
 import type { RouteTable } from '../../version/route-table.js'
 import type { ExpectedReading } from './engine-assignment.js'
@@ -51,6 +52,12 @@
 /** The client left, or the request's time passed. */
 const CANCELLED: PreparationFailure = { kind: PreparationFailureKind.Cancelled, message: 'the request was given up', retryAfterMs: 0 }
 
+/** What a coordinator works with. */
+export interface StageCoordinatorParts extends StagePoolParts {
+  /** How often the engines of this coordinator's requests may be cold ones. */
+  coldPace: Pick<ColdPace, 'mayTake' | 'note'>
+}
+
 /** Owns the pools of all stage services, and the requests whose results are held. */
 export class StageCoordinator implements Preparer {
   private readonly pools = new Map<string, StagePool>()
@@ -62,7 +69,7 @@
 
   constructor(
     private readonly backends: CoordinatedBackends,
-    private readonly parts: StagePoolParts,
+    private readonly parts: StageCoordinatorParts,
   ) {
     const refresh = (backend: Backend): void => this.refresh(backend.service)
     backends.listen({ added: refresh, removed: refresh, stateChanged: refresh })
@@ -190,18 +197,22 @@
   /** The engine that would read the results of a request now. */
   private expectReading(request: PreparationRequest, now: number): ExpectedReading | undefined {
     const { requestId, prompt = [], failureDomain } = request
-    return this.engines.choose({ requestId, prompt, failureDomain, bytes: 0 }, this.enginesFor(request), now)
+    return this.engines.choose({ requestId, prompt, failureDomain, bytes: 0 }, this.enginesFor(request, now), now)
   }
 
   private assignEngine(request: PreparationRequest, inputs: PreparedInputs, now: number): PreparedInputs {
     const { requestId, prompt = [] } = request
-    const engine = this.engines.assign({ requestId, prompt, ...inputs }, this.enginesFor(request), now)
-    return engine ? { ...inputs, engine: engine.id } : inputs
+    const engine = this.engines.assign({ requestId, prompt, ...inputs }, this.enginesFor(request, now), now)
+    if (!engine)
+      return inputs
+    this.parts.coldPace.note(engine, now)
+    return { ...inputs, engine: engine.id }
   }
 
-  /** The engines that may answer a request; none where it has no prompt. */
-  private enginesFor({ prompt, service }: PreparationRequest): Backend[] {
-    return prompt && service ? this.backends.available(service) : []
+  /** The engines that may answer a request now; none where it has no prompt. */
+  private enginesFor({ prompt, service }: PreparationRequest, now: number): Backend[] {
+    const engines = prompt && service ? this.backends.available(service) : []
+    return engines.filter(engine => this.parts.coldPace.mayTake(engine, now))
   }
 
   /** Gives a service's pool the backend servers that take work. */
--- a/packages/gateway/src/process/stages/stage-coordinators.ts
+++ b/packages/gateway/src/process/stages/stage-coordinators.ts
@@ -9,13 +9,13 @@
 import type { StageShard } from '../../connection/peers/stage-shard.js'
 import type { RouteTable } from '../../version/route-table.js'
 import type { BackendRegistry } from '../backend-registry.js'
-import type { StagePoolParts } from './pool/pool-parts.js'
+import type { StageCoordinatorParts } from './stage-coordinator.js'
 import { decodeShard, WHOLE_SHARD } from '../../connection/peers/stage-shard.js'
 import { ShardBackends } from './shard-backends.js'
 import { StageCoordinator } from './stage-coordinator.js'
 
 /** What the coordinators work with. */
-export interface StageCoordinatorParts extends StagePoolParts {
+export interface StageCoordinatorsParts extends StageCoordinatorParts {
   registry: BackendRegistry
 }
 
@@ -38,7 +38,7 @@
   private table: RouteTable | undefined
   private leaving = false
 
-  constructor(private readonly parts: StageCoordinatorParts) {}
+  constructor(private readonly parts: StageCoordinatorsParts) {}
 
   prepare(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
     return this.of(request.shard ?? WHOLE_SHARD.name).prepare(request, signal)
--- a/packages/gateway/src/request/attempts/backend-runner.ts
+++ b/packages/gateway/src/request/attempts/backend-runner.ts
@@ -8,6 +8,7 @@
 import type { RoutedRequest } from '../routed-request.js'
 import type { BackendChoice } from './backend-choice.js'
 import type { BackendRunParts } from './backend-run.js'
+import type { ColdPace } from './cold-pace.js'
 import type { RunEnd, RunInputs, RunSubject } from './run-subject.js'
 import { RequestLog } from '../request-log.js'
 import { BackendRun } from './backend-run.js'
@@ -19,6 +20,8 @@
   failureDomain: string
   plainChoice: BackendChoice
   engineChoice: BackendChoice
+  /** How often this process may send to a cold backend server that no coordinator assigned. */
+  coldPace: Pick<ColdPace, 'mayTake' | 'note'>
   log: EventLog
 }
 
@@ -38,7 +41,15 @@
   /** Answers the request, or says why there is no answer. */
   async run(subject: RunSubject): Promise<RunEnd> {
     this.parts.budget.countRequest(subject.request.service)
-    return new BackendRun(this.runParts, this.choose.bind(this), subject).run()
+    return new BackendRun(this.runParts, this.chooseForCall.bind(this), subject).run()
+  }
+
+  /** As `choose`, for a call that follows. */
+  private chooseForCall(request: RoutedRequest, inputs: RunInputs, tried: ReadonlySet<string>): Backend | undefined {
+    const backend = this.choose(request, inputs, tried)
+    if (backend && backend.id !== inputs.engine)
+      this.parts.coldPace.note(backend, performance.now())
+    return backend
   }
 
   /** The best backend server that was not tried. */
@@ -47,8 +58,10 @@
     const assigned = candidates.find(backend => backend.id === inputs.engine)
     if (assigned && this.parts.ejection.filter(candidates).includes(assigned))
       return assigned
+    const now = performance.now()
+    const open = candidates.filter(backend => this.parts.coldPace.mayTake(backend, now))
     const choice = this.parts.isEngine(request.service) ? this.parts.engineChoice : this.parts.plainChoice
-    return choice.order(candidates, {
+    return choice.order(open, {
       promptParts: request.head.promptParts,
       failureDomain: inputs.failureDomain ?? this.parts.failureDomain,
       bytes: inputs.bytes,
--- a/packages/gateway/src/version/configuration.ts
+++ b/packages/gateway/src/version/configuration.ts
@@ -81,6 +81,10 @@
   maxConnections: number
   engine?: EngineLimits
   stage?: StageLimits
+  /** How long a backend server is cold after its start, in milliseconds. @default 0 */
+  coldStartMs?: number
+  /** Requests a second that a cold backend server withstands from all callers together; absent where there is no bound. */
+  coldPerSecond?: number
 }
 
 /** Bounds on what a client may send and how long it may take. */
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -18,6 +18,13 @@
     expect(configuration.routes[0]).toMatchObject({ streaming: true, repeatable: false, resumable: false, maxAttempts: 1, stages: [], services: [{ service: 's', weight: 1 }] })
   })
 
+  test('says how long backend servers are cold after a start, and what they withstand then', () => {
+    const services = [{ Name: 'engine', ColdStartS: 3, ColdPerS: 10 }, { Name: 'plain', ColdStartS: 0, ColdPerS: 0 }]
+    const [engine, plain] = decodeConfiguration(JSON.stringify({ ...CONFIGURATION, Services: services })).services
+    expect(engine).toMatchObject({ coldStartMs: 3000, coldPerSecond: 10 })
+    expect(plain).toMatchObject({ coldStartMs: 0, coldPerSecond: undefined })
+  })
+
   test('gives every weighted service of a route', () => {
     const text = JSON.stringify({ ...CONFIGURATION, Routes: [{ ...ROUTE, Service: undefined, Backends: [{ Service: 'x', Weight: 90 }, { Service: 'y', Weight: 10 }] }] })
     expect(decodeConfiguration(text).routes[0].services).toEqual([{ service: 'x', weight: 90 }, { service: 'y', weight: 10 }])
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -175,7 +175,7 @@
     ['grown sites', 4000, 3000, 3000],
     ['a bound that is shorter', 3000, 2000, 500],
   ])('lets what a lost read hid be in force in time on %s', (_name, contact, configuration, drain) => {
-    const bounds = { contactMs: contact, configurationMs: configuration, drainMs: drain }
+    const bounds = { contactMs: contact, configurationMs: configuration, drainMs: drain, evacuationMs: 5000 }
     const toldMs = maxReadWaitMs(bounds, true)
     expect(toldMs).toBeGreaterThanOrEqual(1000)
     expect(toldMs + READ_MARGIN_MS + 300).toBeLessThan(contact + Math.min(configuration, drain))
@@ -185,12 +185,12 @@
   })
 
   test('ends the use of entries that went before a gateway is in touch again', () => {
-    expect(usableAfterReturnMs({ contactMs: 3000, configurationMs: 2000, drainMs: 2000 })).toBeLessThan(3000)
+    expect(usableAfterReturnMs({ contactMs: 3000, configurationMs: 2000, drainMs: 2000, evacuationMs: 5000 })).toBeLessThan(3000)
   })
 })
 
 describe('the rest after changes', () => {
-  const BOUNDS = { contactMs: 5000, configurationMs: 4000, drainMs: 4000 }
+  const BOUNDS = { contactMs: 5000, configurationMs: 4000, drainMs: 4000, evacuationMs: 5000 }
 
   test.each([
     ['none at the coordinator, which the others hear', BOUNDS, { isTold: false, count: 70 }, 0],
