Reads are made anew when those of the coordinator fail, so that a gateway goes by the list itself

The coordinator notices first; where it loses the next one too, it takes the store for away and uses on what has gone, for 1.9 s within its own bounds, and told the others to do so too. One of them had been in touch again meanwhile and may not.

Change: answers to heartbeats say that the source of backend servers does not answer. Who hears that of the first coordinator ends its own waiting reads and makes them anew: one that is answered shows the list as it is.

Its set-up now waits until the reads that are lost are those of gateways that know who coordinates; the other rows pass as before. test/gateway, test/platform and test/pages pass.

--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -68,6 +68,8 @@
   crashes?: CrashExchangeMessage
   /** Orders about failure domains that the peer knows; absent where it knows none, and in releases that do not pass them on. */
   evacuations?: EvacuationOrder[]
+  /** Its source of backend servers does not answer; absent where it does, and in releases that do not say so. */
+  sourceAway?: boolean
   /** It is stopping: the coordinator's role passes to another gateway. */
   stopping: boolean
   /** It is short of processor time: the role passes to a gateway that is not, where there is one. */
--- a/packages/gateway/src/process/backend-list.ts
+++ b/packages/gateway/src/process/backend-list.ts
@@ -33,7 +33,7 @@
   private readonly changes: BackendChange[] = []
   /** Revision after which `changes` holds every one. */
   private changesFrom = 0
-  private isSourceAway = false
+  private sourceAway = false
   /** Holds to what is known where the source comes back from an older copy. */
   private readonly olderCopy = new OlderCopy(entry => this.list(entry))
   private readonly log: GatewayLog
@@ -47,6 +47,11 @@
     return this.currentRevision
   }
 
+  /** Whether the source does not answer. */
+  get isSourceAway(): boolean {
+    return this.sourceAway
+  }
+
   /** The list as it is passed on to peers. */
   get current(): ListedBackends {
     return { revision: this.currentRevision, entries: [...this.entries.values()], lapsing: this.registry.lapsing }
@@ -57,11 +62,11 @@
   }
 
   noteSourceFailed(): void {
-    this.isSourceAway = true
+    this.sourceAway = true
   }
 
   noteSourceReturned(outage: SourceOutage): void {
-    this.isSourceAway = false
+    this.sourceAway = false
     this.registry.noteSourceReturned(outage)
   }
 
@@ -177,7 +182,7 @@
   }
 
   private useOnAsPeerDoes(id: string, usedByPeerMs: number | undefined): void {
-    this.registry.unlistAfter(id, decidePeerLapseGrace({ usedByPeerMs, isSourceAway: this.isSourceAway }))
+    this.registry.unlistAfter(id, decidePeerLapseGrace({ usedByPeerMs, isSourceAway: this.sourceAway }))
   }
 
   private noteAdoption(revision: number, peer: Member): void {
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -8,9 +8,11 @@
 import type { Backend } from '../connection/backends/backend.js'
 import type { CallStart } from '../connection/backends/work-call.js'
 import type { Member } from '../connection/peers/member.js'
+import type { HeartbeatReply } from '../connection/peers/peer-messages.js'
 import type { StageShard } from '../connection/peers/stage-shard.js'
 import type { RetryBudgetSettings } from '../request/attempts/retry-budget.js'
 import type { GatewaySettings } from './gateway-settings.js'
+import type { SelfDescription } from './peer-service.js'
 import type { PlatformAdapter } from './platform-adapter.js'
 import { createServer } from 'node:http'
 import { OutlierEjection } from '@eidermast/common'
@@ -29,6 +31,7 @@
 import { ConfigurationHolder } from '../version/configuration-holder.js'
 import { BackendList } from './backend-list.js'
 import { BackendRegistry } from './backend-registry.js'
+import { CoordinatorReads } from './coordinator-reads.js'
 import { CrashBoard } from './crashes/crash-board.js'
 import { CrashWitness } from './crashes/crash-witness.js'
 import { drainClients } from './drain/drain-clients.js'
@@ -73,6 +76,7 @@
   private readonly stageCoordinators: StageCoordinators
   private readonly readiness: Readiness
   private readonly internalServers = new InternalServers()
+  private readonly coordinatorReads = new CoordinatorReads(() => this.platform.readAnew())
   private readonly suspensionWatch = new SuspensionWatch(awayMs => this.takeWake(awayMs))
   /** Ends what follows the platform. */
   private readonly ending = new AbortController()
@@ -140,7 +144,19 @@
     const contact = {
       heartbeat: (member: Member) => this.peers.heartbeat(member, { ...this.self, ...this.peerService.heldFor(member) }),
     }
-    return new Members(this.self, contact, this.log, (member, reply) => this.peerService.learn(member, reply))
+    return new Members(this.self, contact, this.log, (member, reply) => this.takeReply(member, reply))
+  }
+
+  private takeReply(member: Member, reply: HeartbeatReply): void {
+    if (member.name === this.members.coordinator.name)
+      this.coordinatorReads.takeWord(member.name, reply.sourceAway ?? false)
+    this.peerService.learn(member, reply)
+  }
+
+  /** What this process tells of itself in answer to a heartbeat, beside what it holds. */
+  private describeSelf(): SelfDescription {
+    const { isSelfSlow, selfOrder } = this.members
+    return { stopping: this.stopping, slow: isSelfSlow, announcementOrder: selfOrder, sourceAway: this.backendList.isSourceAway || undefined }
   }
 
   private createCrashBoard(): CrashBoard {
@@ -232,7 +248,7 @@
       peers: this.peers,
       stageCoordinator: this.stageCoordinators,
       crashes: this.crashBoard.peerExchange,
-      describeSelf: () => ({ stopping: this.stopping, slow: this.members.isSelfSlow, announcementOrder: this.members.selfOrder }),
+      describeSelf: () => this.describeSelf(),
       log: this.gatewayLog,
     })
   }
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -42,13 +42,16 @@
   stageCoordinator: Preparer
   crashes: PeerExchange
   /** What this process tells of itself in answer to a heartbeat, without what it holds. */
-  describeSelf: () => Omit<HeartbeatReply, keyof HeldState>
+  describeSelf: () => SelfDescription
   log: GatewayLog
 }
 
 /** What a gateway tells of the state that it shares with its peers. */
 export type HeldState = Pick<HeartbeatReply, 'version' | 'backends' | 'backendChanges' | 'evacuations'> & { crashes?: unknown }
 
+/** What a gateway tells of itself, beside the state that it shares. */
+export type SelfDescription = Omit<HeartbeatReply, keyof HeldState>
+
 /** Answers the procedures between gateways, and fetches what peers have and this process lacks. */
 export class GatewayPeerService implements PeerService {
   private readonly configurationFetch: PeerFetch
--- a/test/platform/lost-read.test.ts
+++ b/test/platform/lost-read.test.ts
@@ -36,6 +36,8 @@
 /** Milliseconds between requests, and for how long they are sent: until well after the lost read is abandoned. */
 const SEND_INTERVAL_MS = 50
 const SEND_MS = 5500
+/** Milliseconds after which the stand-in store has answered every read, and more. */
+const READ_HOLD_MS = 400
 const CONFIGURATION = {
   Version: 3,
   Routes: [{ Name: 'plain', Host: 'host.example', PathPrefix: '/plain/', Type: 'idempotent', Service: 'plain', TimeoutMs: 6000, TargetLatencyMs: 3000, MaxAttempts: 1 }],
@@ -68,6 +70,8 @@
       expect(started.gateway.members.coordinator.name).toBe('gateway-a')
     }
   }, { timeout: 3000 })
+  // The reads that are lost are those of gateways that know who coordinates.
+  await wait(READ_HOLD_MS)
 })
 
 afterEach(async () => {
@@ -129,6 +133,19 @@
 })
 
 describe('gateways whose reads were all lost together', () => {
+  test('send nothing to a backend server that left without a word once they are in touch, though the coordinator takes the store for away', async () => {
+    const lostAt = performance.now()
+    lines.forEach(line => line.silenceOpenConnections())
+    await wait(100)
+    const leftAt = performance.now()
+    store.put(SERVER_TOPIC, backends[0].id, undefined)
+    lines[0].isCut = true
+    setTimeout(() => (lines[0].isCut = false), CONTACT_MS)
+    await sendForSomeTime()
+    expect(backends[1].seen.length).toBeGreaterThan(0)
+    expect(arrivalsAfter(Math.max(lostAt + CONTACT_MS, leftAt + DRAIN_MS))).toEqual([])
+  })
+
   test('send nothing to a leaving backend server once they are in touch, since the coordinator notices in time', async () => {
     const lostAt = performance.now()
     lines.forEach(line => line.silenceOpenConnections())
