--- a/test/platform/support/gateway-settings.ts
+++ b/test/platform/support/gateway-settings.ts
@@ -45,12 +45,20 @@
   return { clients, readiness, peers, metrics }
 }
 
+/** What differs between gateways. */
+export interface SettingsOptions {
+  /** @default zone-a */
+  failureDomain?: string
+  /** Further lines of the section `[platform]`. @default none */
+  platform?: readonly string[]
+}
+
 /** The text of a settings file. */
-export function createSettings(name: string, ports: GatewayPorts, storeAddress: string): string {
+export function createSettings(name: string, ports: GatewayPorts, storeAddress: string, { failureDomain = 'zone-a', platform = [] }: SettingsOptions = {}): string {
   return [
     '[process]',
     `name = ${name}`,
-    'zone = zone-a',
+    `zone = ${failureDomain}`,
     'host = 127.0.0.1',
     'grace-period-ms = 8000',
     '[listen]',
@@ -60,5 +68,6 @@
     `metrics-port = ${ports.metrics}`,
     '[platform]',
     `store = ${storeAddress}`,
+    ...platform,
   ].join('\n')
 }
--- a/test/platform/support/stand-in-backend.ts
+++ b/test/platform/support/stand-in-backend.ts
@@ -93,8 +93,8 @@
     await new Promise(resolve => this.server.close(resolve))
   }
 
-  /** Its entry in the store. */
-  entry(state = 'ready'): object {
-    return { Service: this.service, Address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`, Zone: this.failureDomain, Capacity: 4, State: state }
+  /** Its entry in the store; takes the milliseconds for which it is cold. */
+  entry(state = 'ready', coldMs = 0): object {
+    return { ColdRemainingMs: coldMs, Service: this.service, Address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`, Zone: this.failureDomain, Capacity: 4, State: state }
   }
 }
--- a/test/soak/lost-reads-soak.test.ts
+++ b/test/soak/lost-reads-soak.test.ts
@@ -1,4 +1,3 @@
-import type { SeenRequest } from '../platform/support/stand-in-backend.js'
 import type { Leave, LeavingPlay } from './support/leaving-servers.js'
 import type { Draw, SoakClients } from './support/soak-clients.js'
 import { wait } from '@eidermast/common'
@@ -6,6 +5,8 @@
 import { leaveOne, playLeaving } from './support/leaving-servers.js'
 import { SoakDeployment } from './support/soak-deployment.js'
 import { createDraw, readSeeds } from './support/soak-seeds.js'
+import { SoakTroubles } from './support/soak-troubles.js'
+import { isWork, senderOf } from './support/soak-work.js'
 
 /** Milliseconds after a backend server's leaving from which gateways in touch send it nothing (settings, `drain-ms`). */
 const DRAIN_MS = 2000
@@ -16,22 +17,13 @@
 /** Milliseconds after the last step in which requests still come. */
 const SETTLE_MS = 5500
 const BACKENDS_EACH = 6
-/** Calls to stage backend servers name no request of a client. */
-const STAGE_RUN_PATH = '/-/stage-run'
-
-/** A time in which a gateway's way to the store was in trouble, or its process was replaced; in milliseconds of the test's clock. */
-interface Trouble {
-  gateway: number
-  from: number
-  to: number
-}
 
 class LostReadsRun implements LeavingPlay {
   readonly steps = 16
   readonly stepMs = 500
   readonly deployment = new SoakDeployment({ backendsEach: BACKENDS_EACH, ownLines: true })
   readonly leaves: Leave[] = []
-  private readonly troubles: Trouble[] = []
+  private readonly troubles = new SoakTroubles(CONTACT_MS + SLACK_MS)
   private readonly underWay: Promise<void>[] = []
 
   constructor(private readonly draw: Draw) {}
@@ -58,7 +50,7 @@
   /** Work that reached a backend server too late, from a gateway that was in touch. */
   lateArrivals(clients: SoakClients): string[] {
     return this.leaves.flatMap(({ backend, at: leftAt }) => backend.seen
-      .filter(seen => isWork(seen) && seen.at > leftAt + DRAIN_MS + SLACK_MS && this.isInTouch(senderOf(seen, clients), seen.at))
+      .filter(seen => isWork(seen) && seen.at > leftAt + DRAIN_MS + SLACK_MS && this.troubles.isInTouch(senderOf(seen, clients), seen.at))
       .map(seen => `${seen.path} of gateway ${senderOf(seen, clients)} reached ${backend.id} ${Math.round(seen.at - leftAt)} ms after it had left`))
   }
 
@@ -66,14 +58,13 @@
     const now = performance.now()
     for (const gateway of gateways) {
       this.deployment.lines[gateway].silenceOpenConnections()
-      this.troubles.push({ gateway, from: now, to: now })
+      this.troubles.add(gateway, now, now)
     }
   }
 
   private async cut(gateway: number): Promise<void> {
     const line = this.deployment.lines[gateway]
-    const trouble = { gateway, from: performance.now(), to: Number.POSITIVE_INFINITY }
-    this.troubles.push(trouble)
+    const trouble = this.troubles.begin(gateway)
     line.isCut = true
     line.silenceOpenConnections()
     await wait(300 + this.draw(3000))
@@ -82,27 +73,10 @@
   }
 
   private async replace(gateway: number): Promise<void> {
-    const trouble = { gateway, from: performance.now(), to: Number.POSITIVE_INFINITY }
-    this.troubles.push(trouble)
+    const trouble = this.troubles.begin(gateway)
     await this.deployment.gateways[gateway].replace(this.draw(2) === 0 ? 'SIGKILL' : 'SIGTERM')
     trouble.to = performance.now()
   }
-
-  /** Whether a gateway, or each of them where the sender is not known, has been in touch at a moment, with the slack of the machine. */
-  private isInTouch(gateway: number | undefined, at: number): boolean {
-    return !this.troubles.some(trouble => (gateway === undefined || trouble.gateway === gateway)
-      && trouble.from < at && trouble.to + CONTACT_MS + SLACK_MS > at)
-  }
-}
-
-/** Number of the gateway that sent a request; undefined for stage calls. */
-function senderOf(seen: SeenRequest, clients: SoakClients): number | undefined {
-  return seen.path === STAGE_RUN_PATH ? undefined : clients.gatewayOf(String(seen.headers['attempt-id']))
-}
-
-/** Calls that free results or ask for a report are none. */
-function isWork({ path }: SeenRequest): boolean {
-  return path === STAGE_RUN_PATH || !path.startsWith('/-/')
 }
 
 describe('backend servers that leave while gateways lose their reads of the list', () => {
--- a/test/soak/support/gateway-child.ts
+++ b/test/soak/support/gateway-child.ts
@@ -3,6 +3,7 @@
  * be stopped, killed, paused and started again.
  */
 import type { ChildProcess } from 'node:child_process'
+import type { SettingsOptions } from '../../platform/support/gateway-settings.js'
 import { spawn } from 'node:child_process'
 import { createWriteStream, writeFileSync } from 'node:fs'
 import path from 'node:path'
@@ -24,12 +25,12 @@
   /** Replacements that overlap come one after the other. */
   private replaced: Promise<void> = Promise.resolve()
 
-  constructor(private readonly name: string, private readonly storeAddress: string, private readonly directory: string) {}
+  constructor(private readonly name: string, private readonly storeAddress: string, private readonly directory: string, private readonly options: SettingsOptions = {}) {}
 
   async start(): Promise<void> {
     const ports = await freePorts()
     const settings = path.join(this.directory, `${this.name}.ini`)
-    writeFileSync(settings, createSettings(this.name, ports, this.storeAddress))
+    writeFileSync(settings, createSettings(this.name, ports, this.storeAddress, this.options))
     const child = spawn(process.execPath, [this.bundle], { env: { ...process.env, EIDERMAST_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(path.join(this.directory, `${this.name}.log`), { flags: 'a' })
     child.stdout.pipe(log)
--- a/test/soak/support/soak-deployment.ts
+++ b/test/soak/support/soak-deployment.ts
@@ -53,6 +53,12 @@
   plainPoolSize?: number
   /** The bundle that gateways run at first. @default that of this checkout */
   bundle?: string
+  /** Failure domains, to which gateways and the backend servers of each service belong in turn. @default zone-a */
+  failureDomains?: readonly string[]
+  /** Fields of the plain service beside its name and connections. @default none */
+  plainService?: object
+  /** Further lines of the settings' section `[platform]`. @default none */
+  platformSettings?: readonly string[]
   /** Each gateway has a way of its own to the store (`lines`). @default false */
   ownLines?: boolean
 }
@@ -75,13 +81,11 @@
 
   async start(): Promise<void> {
     const address = await this.store.start()
-    const services: Record<string, Respond> = { plain: this.options.plainAnswer ?? delayed, model: streamEvents(STREAM_EVENTS), encode: makeStageResults() }
     await this.plainPool?.start()
-    if (this.plainPool)
-      delete services.plain
-    for (const [service, respond] of Object.entries(services)) {
+    const services = this.plainPool ? ['model', 'encode'] : ['plain', 'model', 'encode']
+    for (const service of services) {
       for (let number = 0; number < (this.options.backendsEach ?? BACKENDS_EACH); number++)
-        await this.addBackend(service, number, respond)
+        await this.addBackend(service, `${service}-${number}`, this.failureDomainOf(number))
     }
     this.publish()
     this.gateways = await Promise.all(Array.from({ length: GATEWAYS }, (_, number) => this.createGateway(number, address)))
@@ -107,7 +111,7 @@
     this.store.put('keyed.op', 'config', {
       Version: ++this.version,
       Routes: ROUTES,
-      Services: [{ Name: 'plain', MaxConnections: this.options.plainConnections ?? MAX_CONNECTIONS }, ...STAGED_SERVICES],
+      Services: [{ Name: 'plain', MaxConnections: this.options.plainConnections ?? MAX_CONNECTIONS, ...this.options.plainService }, ...STAGED_SERVICES],
       Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
     })
   }
@@ -129,7 +133,8 @@
   }
 
   private async createGateway(number: number, storeAddress: string): Promise<GatewayChild> {
-    const gateway = new GatewayChild(`gateway-${number}`, await this.storeAddressFor(number, storeAddress), this.directory)
+    const settings = { failureDomain: this.failureDomainOf(number), platform: this.options.platformSettings }
+    const gateway = new GatewayChild(`gateway-${number}`, await this.storeAddressFor(number, storeAddress), this.directory, settings)
     gateway.bundle = this.options.bundle ?? gateway.bundle
     return gateway
   }
@@ -141,11 +146,25 @@
     return this.lines[gateway].start()
   }
 
-  private async addBackend(service: string, number: number, respond: Respond): Promise<void> {
-    const backend = new StandInBackend(`${service}-${number}`, service)
-    backend.respond = respond
+  /** Failure domain of the gateway, or of the backend servers, of a number. */
+  failureDomainOf(number: number): string {
+    const { failureDomains = ['zone-a'] } = this.options
+    return failureDomains[number % failureDomains.length]
+  }
+
+  /** Starts a backend server and lists it, as cold for some milliseconds. */
+  async addBackend(service: string, id: string, failureDomain: string, coldMs = 0): Promise<StandInBackend> {
+    const backend = new StandInBackend(id, service, failureDomain)
+    backend.respond = this.answerOf(service)
     await backend.start()
     this.backends.push(backend)
-    this.list(backend, 'ready')
+    this.store.put('keyed.servers', backend.id, backend.entry('ready', coldMs))
+    return backend
+  }
+
+  private answerOf(service: string): Respond {
+    if (service === 'plain')
+      return this.options.plainAnswer ?? delayed
+    return service === 'model' ? streamEvents(STREAM_EVENTS) : makeStageResults()
   }
 }
