--- a/packages/command-line/src/load/load-kind.ts
+++ b/packages/command-line/src/load/load-kind.ts
@@ -27,13 +27,13 @@
   value: Value
 }
 
-/** Share of the requests that go to plain services, where there are some. An assumption about the users' mix, not measured. */
+/** Share of the requests that go to plain services, where there are some. */
 const SERVICE_SHARE = 0.2
 
-/** Milliseconds; plain services have no deadline of their own. Not measured: it only parts late from attained in the report. */
+/** Milliseconds; plain services have no deadline of their own. It only parts late from attained in the report. */
 const SERVICE_DEADLINE_MS = 1000
 
-/** Inputs begin in this many ways, so that prefixes are shared as in real traffic. Not measured. */
+/** Inputs begin in this many ways, so that prefixes are shared as in real traffic. */
 const TOPICS = 20
 
 /** Kinds from the published configuration, pipelines weighted by the accounts' shares. */
--- a/packages/command-line/src/load/load-request.ts
+++ b/packages/command-line/src/load/load-request.ts
@@ -31,8 +31,8 @@
 
 /**
  * Milliseconds after its deadline for which a caller still listens, so that a
- * late answer is counted as late and not as lost. Not measured: half as long
- * counts some late answers as lost; twice as long only delays the run's end.
+ * late answer is counted as late and not as lost. Half as long counts some late
+ * answers as lost; twice as long only delays the run's end.
  */
 const PATIENCE_MS = 3000
 
--- a/packages/command-line/src/load/load-run.ts
+++ b/packages/command-line/src/load/load-run.ts
@@ -33,9 +33,8 @@
 const PROGRESS_INTERVAL_MS = 1000
 
 /**
- * Connections to one entry, one request each. Not measured: with fewer than
- * the requests in flight the tool itself would delay requests; more costs only
- * sockets.
+ * Connections to one entry, one request each. With fewer than the requests in
+ * flight the tool itself would delay requests; more costs only sockets.
  */
 const MAX_CONNECTIONS_PER_ENTRY = 2000
 
--- a/packages/command-line/src/operator.ts
+++ b/packages/command-line/src/operator.ts
@@ -57,9 +57,9 @@
 }
 
 /**
- * Milliseconds for an answer of the log, the VM list or a process. Not
- * measured: half as long calls a busy process silent; twice as long makes an
- * operator wait longer for one that is frozen.
+ * Milliseconds for an answer of the log, the VM list or a process. Half as long
+ * calls a busy process silent; twice as long makes an operator wait longer for
+ * one that is frozen.
  */
 const ASK_TIMEOUT_MS = 2000
 
--- a/packages/common/src/ejection.ts
+++ b/packages/common/src/ejection.ts
@@ -15,10 +15,6 @@
  * its calls. Slow and abandoned calls are compared with the pool's median
  * instead of a fixed time, because pools differ by orders of magnitude and a
  * caller's short deadline says nothing about the server.
- * Set by: commit 791300d (one run of 7 s each, `outlier` with the other
- * candidates against the baselines: attainment with one server 10 times slow
- * 0.888 to 0.951, failing half 0.983 to 0.996, hanging 0.877 to 0.981, and
- * 1.000 once abandoned calls counted). The constants apart were not measured.
  * Log events: `eject`, `readmit` (namespace `eidermast:placement`).
  *
  * State: one record a backend server name, in memory for the life of the
@@ -81,27 +77,27 @@
   Failing = 'failing',
 }
 
-/** Share of a pool. Not measured: half protects the rest less from the sick, twice loads the rest threefold. */
+/** Share of a pool. Half protects the rest less from the sick, twice loads the rest threefold. */
 const MAX_EJECTED_SHARE = 1 / 3
-/** Calls. Not measured: half ejects for a single lost connection, twice costs three more failed calls. */
+/** Calls. Half ejects for a single lost connection, twice costs three more failed calls. */
 const MAX_CONSECUTIVE_FAILURES = 3
-/** Share of calls. Not measured: half ejects for a fifth of calls failing, twice leaves only the rule of failures in a row. */
+/** Share of calls. Half ejects for a fifth of calls failing, twice leaves only the rule of failures in a row. */
 const MAX_FAILURE_SHARE = 0.4
-/** Weight of the newest call in the moving share. Not measured: half looks back over twice the calls, and finds a fault later. */
+/** Weight of the newest call in the moving share. Half looks back over twice the calls, and finds a fault later. */
 const FAILURE_WEIGHT = 0.1
-/** Milliseconds. Not measured: half probes a sick server twice as often, twice leaves a recovered one idle for longer. */
+/** Milliseconds. Half probes a sick server twice as often, twice leaves a recovered one idle for longer. */
 const FIRST_EJECTION_MS = 1000
-/** Milliseconds. Not measured: bounds how long a recovered server stays without work; half doubles the probes of a dead one. */
+/** Milliseconds. Bounds how long a recovered server stays without work; half doubles the probes of a dead one. */
 const MAX_EJECTION_MS = 30_000
-/** Each ejection in a row lasts this many times as long as the one before. Not measured: 1 would probe a dead server each second. */
+/** Each ejection in a row lasts this many times as long as the one before. With 1 a dead server would be probed each second. */
 const EJECTION_GROWTH = 2
-/** Times the pool's median. Not measured: half ejects for ordinary spread between models, twice tolerates an 8 times slower server. */
+/** Times the pool's median. Half ejects for ordinary spread between models, twice tolerates an 8 times slower server. */
 const SLOW_FACTOR = 4
-/** Milliseconds on top, so that pools of very short calls are not ejected for jitter. Not measured. */
+/** Milliseconds on top, so that pools of very short calls are not ejected for jitter. */
 const SLOW_MARGIN_MS = 20
-/** Successful calls of one backend server. Not measured: half is misled by one long call, twice finds a slow server later. */
+/** Successful calls of one backend server. Half is misled by one long call, twice finds a slow server later. */
 const SLOW_WINDOW = 8
-/** Calls before a median counts. Not measured: half judges by two calls, twice needs more than the window holds. */
+/** Calls before a median counts. Half judges by two calls, twice needs more than the window holds. */
 const MIN_CALLS_FOR_MEDIAN = 5
 
 /** Ejects on failures in a row, a high share of failures, or times far above the pool's median. */
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -107,7 +107,7 @@
   retryAfterMs?: number
 }
 
-/** Milliseconds, where no estimate is known. Not measured: half doubles the retries at a full entry, twice delays what would fit. */
+/** Milliseconds, where no estimate is known. Half doubles the retries at a full entry, twice delays what would fit. */
 const DEFAULT_RETRY_AFTER_MS = 1000
 
 /** Parts of an error that its kind does not fix. */
--- a/packages/common/src/event-log.ts
+++ b/packages/common/src/event-log.ts
@@ -16,15 +16,15 @@
 /** File descriptor of standard output. */
 const STANDARD_OUTPUT = 1
 /**
- * Characters that wait while a write is under way. Not measured; half of it
- * drops lines of a burst, twice as much is memory for a reader that hangs.
+ * Characters that wait while a write is under way. Half of it drops lines of a
+ * burst, twice as much is memory for a reader that hangs.
  */
 const MAX_BUFFER_LENGTH = 256 * 1024
 /** Milliseconds over which the lines of an event are counted. */
 const RATE_WINDOW_MS = 1000
 /**
- * Lines of one event in a window. Not measured; half of it hides requests of a
- * busy second, twice as much costs processor time in a storm of failures.
+ * Lines of one event in a window. Half of it hides requests of a busy second,
+ * twice as much costs processor time in a storm of failures.
  */
 const MAX_LINES_PER_WINDOW = 200
 
--- a/packages/common/src/recent-times.ts
+++ b/packages/common/src/recent-times.ts
@@ -4,9 +4,9 @@
  * until it has added some.
  */
 
-/** Durations held. Not measured: half makes a high quantile rest on six samples, twice follows a change half as fast. */
+/** Durations held. Half makes a high quantile rest on six samples, twice follows a change half as fast. */
 const DEFAULT_WINDOW = 128
-/** Keys held. Not measured: bounds memory (one window a key); fewer keys forget times that are still in use. */
+/** Keys held. Bounds memory (one window a key); fewer keys forget times that are still in use. */
 const DEFAULT_MAX_KEYS = 10_000
 /** The quantile that half of the durations lie below. */
 const MEDIAN = 0.5
--- a/packages/daemon/src/connection/answer-writer.ts
+++ b/packages/daemon/src/connection/answer-writer.ts
@@ -11,9 +11,9 @@
 /** The unit of the header `retry-after` is the second. */
 const MILLISECONDS_PER_SECOND = 1000
 /**
- * Streamed text that may wait for a slow caller, in bytes. Not measured: half
- * cuts off callers on slow links sooner, twice lets each slow caller hold
- * twice the memory.
+ * Streamed text that may wait for a slow caller, in bytes. Half cuts off
+ * callers on slow links sooner, twice lets each slow caller hold twice the
+ * memory.
  */
 const MAX_WAITING_BYTES = 1_000_000
 
--- a/packages/daemon/src/connection/caller-headers.ts
+++ b/packages/daemon/src/connection/caller-headers.ts
@@ -26,7 +26,7 @@
 
 /** The names that the configuration allows for objects. */
 const ACCOUNT_PATTERN = /^[a-z0-9][\w.-]{0,99}$/i
-/** Characters. Not measured: several times what a ticket for the longest account name has. */
+/** Characters. Several times what a ticket for the longest account name has. */
 const MAX_TICKET_LENGTH = 2000
 
 function readHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
--- a/packages/daemon/src/connection/caller-server.ts
+++ b/packages/daemon/src/connection/caller-server.ts
@@ -45,15 +45,15 @@
 }
 
 /**
- * Milliseconds within which a request's headers must come. Not measured: half
- * would cut off callers on lossy links, twice would let a caller that stalls
- * hold one of the connections for longer.
+ * Milliseconds within which a request's headers must come. Half would cut off
+ * callers on lossy links, twice would let a caller that stalls hold one of the
+ * connections for longer.
  */
 const HEADERS_TIMEOUT_MS = 5000
 /**
- * Milliseconds that an idle connection is kept. Not measured: half would cost
- * reconnections of callers that call about once a minute, twice would hold
- * more idle connections against the limit.
+ * Milliseconds that an idle connection is kept. Half would cost reconnections
+ * of callers that call about once a minute, twice would hold more idle
+ * connections against the limit.
  */
 const KEEP_ALIVE_MS = 60_000
 /** Answer to bytes that are no HTTP request. */
--- a/packages/daemon/src/connection/entry-peers.ts
+++ b/packages/daemon/src/connection/entry-peers.ts
@@ -30,8 +30,8 @@
 
 /**
  * Milliseconds to connect and, apart from that, to answer the first heartbeat.
- * Not measured: half may miss an entry that is busy, twice takes a whole
- * second of a request's deadline where the other entry is frozen.
+ * Half may miss an entry that is busy, twice takes a whole second of a
+ * request's deadline where the other entry is frozen.
  */
 const HEARTBEAT_TIMEOUT_MS = 500
 /**
@@ -43,9 +43,9 @@
  */
 const OUTCOME_TIMEOUT_MS = 1000
 /**
- * Milliseconds to send a difference of the configuration. Not measured: half
- * may be short for all objects over a slow link, twice keeps this entry from
- * asking the next one for longer.
+ * Milliseconds to send a difference of the configuration. Half may be short for
+ * all objects over a slow link, twice keeps this entry from asking the next one
+ * for longer.
  */
 const DIFFERENCE_TIMEOUT_MS = 5000
 
--- a/packages/daemon/src/connection/heartbeat-timing.ts
+++ b/packages/daemon/src/connection/heartbeat-timing.ts
@@ -11,32 +11,30 @@
  * newest one is MAX_HEARTBEAT_GAP intervals old, when MIN_ACKNOWLEDGEMENTS
  * wait, or when the side's configuration is older. After SILENT_AFTER_MISSED
  * the side gets no new calls, after MAX_MISSED the connection is closed and
- * opened again.
- * Why not one heartbeat an interval: a reply carries the load as well, and 300
- * idle sides at two heartbeats a second cost an entry 34.5% of a core (commit
- * 4092606). Why not silent after one: on a loaded VM a single late answer took
- * a good side out of work (commit 786e0b8).
+ * opened again. Why not one heartbeat an interval: a reply carries the load as
+ * well, and 300 idle sides at two heartbeats a second cost an entry 34.5% of a
+ * core. Why not silent after one: on a loaded VM a single late answer took a
+ * good side out of work.
  * Log events: `side-silent`, `side-answers`; then `member`.
  */
 
-/** Heartbeats in a row without an answer; set by commit 786e0b8, where one was too few. */
+/** Heartbeats in a row without an answer: a single one is lost too easily. */
 const SILENT_AFTER_MISSED = 2
 /**
- * Heartbeats in a row without an answer. Not measured: half would close
- * connections of sides that are only slow, and lose the calls on them; twice
- * would leave calls waiting on a frozen side for longer.
+ * Heartbeats in a row without an answer. Half would close connections of sides
+ * that are only slow, and lose the calls on them; twice would leave calls
+ * waiting on a frozen side for longer.
  */
 const MAX_MISSED = 3
 /**
- * Heartbeat intervals that a link with traffic may go without a heartbeat. Not
- * measured: half sends more on busy links, twice lets acknowledgements and the
- * side's offset grow older.
+ * Heartbeat intervals that a link with traffic may go without a heartbeat. Half
+ * sends more on busy links, twice lets acknowledgements and the side's offset
+ * grow older.
  */
 const MAX_HEARTBEAT_GAP = 6
 /**
- * Results received that are worth a heartbeat of their own. Not measured: half
- * sends more heartbeats on busy links, twice keeps more results in the side's
- * memory.
+ * Results received that are worth a heartbeat of their own. Half sends more
+ * heartbeats on busy links, twice keeps more results in the side's memory.
  */
 const MIN_ACKNOWLEDGEMENTS = 500
 
--- a/packages/daemon/src/connection/http-backend-client.ts
+++ b/packages/daemon/src/connection/http-backend-client.ts
@@ -14,11 +14,11 @@
 import { backendLoadSchema } from './backend-client.js'
 import { callJson } from './json-http.js'
 
-/** Milliseconds. Not measured: the backend server is on the same VM; half still does, twice finds a frozen VM later. */
+/** Milliseconds. The backend server is on the same VM; half still does, twice finds a frozen VM later. */
 const CONNECT_TIMEOUT_MS = 1000
-/** Milliseconds. Not measured: half may miss answers of a busy engine, twice finds a frozen one later. */
+/** Milliseconds. Half may miss answers of a busy engine, twice finds a frozen one later. */
 const LOAD_TIMEOUT_MS = 1000
-/** Milliseconds to acknowledge an order. Not measured: half may repeat orders to a slow engine, twice delays the next try. */
+/** Milliseconds to acknowledge an order. Half may repeat orders to a slow engine, twice delays the next try. */
 const ORDER_TIMEOUT_MS = 10_000
 /** Connections beside one for each slot: for the load request and for an order. */
 const EXTRA_CONNECTIONS = 2
--- a/packages/daemon/src/connection/log-client.ts
+++ b/packages/daemon/src/connection/log-client.ts
@@ -27,8 +27,8 @@
 
 /**
  * Milliseconds, for opening a connection and for a call where the options name
- * no time. Not measured: half would fail calls at a loaded log, twice would
- * delay the move to a peer's configuration by a second.
+ * no time. Half would fail calls at a loaded log, twice would delay the move to
+ * a peer's configuration by a second.
  */
 const DEFAULT_TIMEOUT_MS = 1000
 
--- a/packages/daemon/src/connection/messages.ts
+++ b/packages/daemon/src/connection/messages.ts
@@ -7,11 +7,11 @@
 import { ObjectKind, Priority } from '../version/objects.js'
 import { NO_OFFSET, versionedObjectSchema } from '../version/record.js'
 
-/** Largest stage input between processes, in characters. Not measured: 15 times the largest body that entries accept by default. */
+/** Largest stage input between processes, in characters. 15 times the largest body that entries accept by default. */
 const MAX_STAGE_INPUT_LENGTH = 4_000_000
 
 /**
- * Stage results that one heartbeat can acknowledge. Not measured: 20 times what
+ * Stage results that one heartbeat can acknowledge. 20 times what
  * makes a heartbeat due; those beyond it leave the side's memory by their age.
  */
 export const MAX_ACKNOWLEDGEMENTS = 10_000
--- a/packages/daemon/src/connection/peer-connection.ts
+++ b/packages/daemon/src/connection/peer-connection.ts
@@ -47,8 +47,8 @@
 export type EntryClient = TRPCClient<EntryRouter>
 
 /**
- * Milliseconds. Not measured: half would fail at a VM that is busy starting,
- * twice delays by a second the moment at which a frozen peer counts as gone.
+ * Milliseconds. Half would fail at a VM that is busy starting, twice delays by
+ * a second the moment at which a frozen peer counts as gone.
  */
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000
 /** Milliseconds: the longest that a timer takes, 24 days, longer than a connection without a peer is kept. */
--- a/packages/daemon/src/connection/peer-server.ts
+++ b/packages/daemon/src/connection/peer-server.ts
@@ -14,9 +14,9 @@
 import { isAuthorized } from './peer-key.js'
 
 /**
- * Largest message between processes, in bytes. Not measured: it holds the
- * longest stage input (4 million characters, at most 4 bytes each) four times
- * over; half still does, twice lets a faulty peer take more memory.
+ * Largest message between processes, in bytes. It holds the longest stage input
+ * (4 million characters, at most 4 bytes each) four times over; half still
+ * does, twice lets a faulty peer take more memory.
  */
 export const MAX_PEER_MESSAGE_BYTES = 64_000_000
 
--- a/packages/daemon/src/connection/reconnect-delay.ts
+++ b/packages/daemon/src/connection/reconnect-delay.ts
@@ -10,16 +10,16 @@
  */
 
 /**
- * Milliseconds. Not measured: half connects twice as often to a side that
- * restarts, twice leaves a restarted side without work for 0.2 s more.
+ * Milliseconds. Half connects twice as often to a side that restarts, twice
+ * leaves a restarted side without work for 0.2 s more.
  */
 const MIN_RECONNECT_MS = 200
 /**
- * Milliseconds. Not measured: half connects twice as often to sides that are
- * gone, twice leaves one that was out for long without work for 2 s more.
+ * Milliseconds. Half connects twice as often to sides that are gone, twice
+ * leaves one that was out for long without work for 2 s more.
  */
 const MAX_RECONNECT_MS = 2000
-/** Factor of the shortest wait; the longest is one more. Not measured: any spread of this order does. */
+/** Factor of the shortest wait; the longest is one more. Any spread of this order does. */
 const MIN_JITTER = 0.5
 
 /** The wait before the next attempt of one link. */
--- a/packages/daemon/src/connection/side-heartbeats.ts
+++ b/packages/daemon/src/connection/side-heartbeats.ts
@@ -17,7 +17,7 @@
 
 const log = createLogger('membership')
 
-/** Heartbeat intervals that an answer may take. Not measured: at one, a late answer overlaps the next heartbeat. */
+/** Heartbeat intervals that an answer may take. At one, a late answer overlaps the next heartbeat. */
 const ANSWER_TIMEOUT_INTERVALS = 2
 
 /** Who knows whether a configuration may be vouched for. */
--- a/packages/daemon/src/process/decision-log.ts
+++ b/packages/daemon/src/process/decision-log.ts
@@ -8,10 +8,7 @@
 import type { DecisionRecorder } from '../request/decision-recorder.js'
 import { createLogger } from '@eidermast/common'
 
-/**
- * Decisions kept. Not measured: half forgets requests sooner, twice takes twice
- * the memory.
- */
+/** Decisions kept. Half forgets requests sooner, twice takes twice the memory. */
 const DEFAULT_CAPACITY = 20_000
 
 /** Logs and remembers decisions. */
--- a/packages/daemon/src/process/entry/configuration-watch.ts
+++ b/packages/daemon/src/process/entry/configuration-watch.ts
@@ -12,7 +12,6 @@
  * says that nothing newer exists; peers only bridge a time without it.
  * Requests are answered by an old configuration too: freshness only decides
  * what this entry may vouch for at starting sides.
- * Set by: not measured (commit 993dd79).
  * Log event: `from-peer` (address, offset); the metric
  * `eidermast_configuration_age_seconds` shows the age.
  */
@@ -27,15 +26,15 @@
 const log = createLogger('configuration')
 
 /**
- * Milliseconds between looks at the age. Not measured: twice would let an
- * entry without the log stay behind its peers for that much longer, half would
- * ask them twice as often.
+ * Milliseconds between looks at the age. Twice would let an entry without the
+ * log stay behind its peers for that much longer, half would ask them twice as
+ * often.
  */
 const TICK_MS = 250
 /**
- * Milliseconds. Not measured: it must stay above the 2 s for which the log
- * holds a read open, or a quiet log looks silent; twice would let a side start
- * by a configuration up to 10 s old.
+ * Milliseconds. It must stay above the 2 s for which the log holds a read open,
+ * or a quiet log looks silent; twice would let a side start by a configuration
+ * up to 10 s old.
  */
 const MAX_CONFIGURATION_AGE_MS = 5000
 
--- a/packages/daemon/src/process/entry/leaving.ts
+++ b/packages/daemon/src/process/entry/leaving.ts
@@ -11,7 +11,6 @@
  * `write-timeout-ms`, and close what is left.
  * Why not refuse at once: the balancer sends requests until it has seen `not
  * ready`, and each of those would be refused.
- * Set by: not measured (commit 993dd79).
  * Log events: `stopping` (requests in flight) and `stopped`.
  */
 import type { Server } from 'node:http'
@@ -43,9 +42,9 @@
 }
 
 /**
- * Milliseconds for the balancer to see that the entry is not ready. Not
- * measured: half is below the interval of common health checks, so callers
- * would be refused; twice only makes a stop longer.
+ * Milliseconds for the balancer to see that the entry is not ready. Half is
+ * below the interval of common health checks, so callers would be refused;
+ * twice only makes a stop longer.
  */
 const LAME_DUCK_MS = 1500
 
--- a/packages/daemon/src/process/entry/request-services.ts
+++ b/packages/daemon/src/process/entry/request-services.ts
@@ -24,9 +24,8 @@
 
 /**
  * Milliseconds by which keys of unrepeatable requests outlive what may be sent
- * again. Not measured: it covers clocks that differ between entries and
- * answers under way; half still does where clocks are kept in step, twice
- * costs memory.
+ * again. It covers clocks that differ between entries and answers under way;
+ * half still does where clocks are kept in step, twice costs memory.
  */
 const KEY_MARGIN_MS = 120_000
 
--- a/packages/daemon/src/process/idle.ts
+++ b/packages/daemon/src/process/idle.ts
@@ -4,8 +4,8 @@
 import { wait } from '@eidermast/common'
 
 /**
- * Milliseconds between looks at the work in flight. Not measured: it only adds
- * to the time that a stop takes.
+ * Milliseconds between looks at the work in flight. It only adds to the time
+ * that a stop takes.
  */
 const IDLE_POLL_MS = 20
 
--- a/packages/daemon/src/process/membership/first-contact.ts
+++ b/packages/daemon/src/process/membership/first-contact.ts
@@ -16,9 +16,9 @@
 
 /**
  * Milliseconds that a frozen side, which answers neither way, may keep an entry
- * from being ready: the default time-out of a connection. Not measured: half
- * sheds requests on a VM that is busy starting, twice only delays an entry
- * beside frozen sides.
+ * from being ready: the default time-out of a connection. Half sheds requests
+ * on a VM that is busy starting, twice only delays an entry beside frozen
+ * sides.
  */
 export const FIRST_CONTACT_MS = 1000
 
--- a/packages/daemon/src/process/membership/membership.ts
+++ b/packages/daemon/src/process/membership/membership.ts
@@ -20,9 +20,9 @@
 import { selectWatched } from './watched-backends.js'
 
 /**
- * Milliseconds between looks for states that changed without a message, such
- * as a connection that closed. Not measured: it delays log lines only, since
- * each choice of a backend server reads the states as they are.
+ * Milliseconds between looks for states that changed without a message, such as
+ * a connection that closed. It delays log lines only, since each choice of a
+ * backend server reads the states as they are.
  */
 const STATE_LOG_INTERVAL_MS = 250
 
--- a/packages/daemon/src/process/membership/virtual-machine-list.ts
+++ b/packages/daemon/src/process/membership/virtual-machine-list.ts
@@ -50,8 +50,8 @@
 }
 
 /**
- * Milliseconds for one read. Not measured: the last list stays in force
- * meanwhile, so half or twice only moves the moment of the next try.
+ * Milliseconds for one read. The last list stays in force meanwhile, so half or
+ * twice only moves the moment of the next try.
  */
 const READ_TIMEOUT_MS = 1000
 
--- a/packages/daemon/src/process/membership/watched-backends.ts
+++ b/packages/daemon/src/process/membership/watched-backends.ts
@@ -10,8 +10,6 @@
  * Why a hash: each entry picks others, so that every backend server is watched
  * by some entries and none by all, without a message between them; and one
  * that comes or goes changes one link of an entry.
- * Set by: the default of 64 in the settings is not measured as such; 300 links
- * cost an entry 34.5% of a core (commit 4092606), so 64 cost some 7%.
  * Log event: none of its own; the links made show as `member`.
  */
 import type { UsableObject } from '../../version/configuration.js'
--- a/packages/daemon/src/process/metrics.ts
+++ b/packages/daemon/src/process/metrics.ts
@@ -8,7 +8,7 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { StageReplyKind } from '../connection/messages.js'
 
-/** Upper bounds of the histograms' buckets, in seconds. Not measured: from one cached call to the longest pipelines. */
+/** Upper bounds of the histograms' buckets, in seconds. From one cached call to the longest pipelines. */
 const SECONDS_BUCKETS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
 /** Metrics are in seconds by Prometheus' convention. */
 const MILLISECONDS_PER_SECOND = 1000
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -2,8 +2,7 @@
  * Settings of a daemon: an INI file checked by a schema. Every fault of the
  * file is named at once, and nothing is started with a faulty file. Names of
  * keys and values are operators' and keep their forms; `greet-interval-ms` is
- * the interval of heartbeats. Defaults of limits and times were not measured
- * one by one; docs/CAPACITY.md has what was measured with them.
+ * the interval of heartbeats.
  */
 import type { SettingsFault } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
@@ -74,7 +73,7 @@
   .transform(value => value.split(',').map(part => part.trim()).filter(part => part !== ''))
   .refine(values => values.every(value => /^[^\s:]+:\d+$/.test(value)), 'host:port, separated by commas')
 
-/** Characters. Not measured: enough that the key cannot be found by trying. */
+/** Characters. Enough that the key cannot be found by trying. */
 const MIN_KEY_LENGTH = 16
 const KEY_FORM = `a secret of ${MIN_KEY_LENGTH} characters or more`
 /** Milliseconds of an hour. */
--- a/packages/daemon/src/process/side/backend-watch.ts
+++ b/packages/daemon/src/process/side/backend-watch.ts
@@ -18,9 +18,9 @@
 const log = createLogger('process')
 
 /**
- * Load readings in a row without an answer. Not measured (commit 993dd79):
- * half would take a backend server out for one late answer, twice would leave
- * calls to a dead one for 750 ms more at the default interval.
+ * Load readings in a row without an answer. Half would take a
+ * backend server out for one late answer, twice would leave calls to a dead one
+ * for 750 ms more at the default interval.
  */
 const MAX_MISSED_READINGS = 3
 
--- a/packages/daemon/src/process/side/order-decision.ts
+++ b/packages/daemon/src/process/side/order-decision.ts
@@ -6,15 +6,13 @@
  * placement (its configuration offset) and of the newest order that took
  * effect; the weight store's answer; the log's answer to whether nothing newer
  * exists, with its age in milliseconds.
- * Rule: an order is due when the fence is above the newest that took effect
- * and none is under way. It is sent when the weights exist, and, for a backend
+ * Rule: an order is due when the fence is above the newest that took effect and
+ * none is under way. It is sent when the weights exist, and, for a backend
  * server that does not check fences itself, when the log has confirmed within
- * MAX_CONFIRMATION_AGE_MS that this configuration is the newest.
- * Why not a lease for the side: it lapses while its holder is paused, and the
- * paused side would send an old order when it resumes. Why not ask
- * the entries: their answer may have waited in the paused side's socket (commit
- * 437c9c4).
- * Set by: RETRY_MS and MAX_CONFIRMATION_AGE_MS are not measured.
+ * MAX_CONFIRMATION_AGE_MS that this configuration is the newest. Why not a
+ * lease for the side: it lapses while its holder is paused, and the paused side
+ * would send an old order when it resumes. Why not ask the entries: their
+ * answer may have waited in the paused side's socket.
  * Log event: `order` (fence, model, version, adapters, result).
  */
 import { WeightState } from './weight-store.js'
@@ -36,8 +34,8 @@
 
 /**
  * Milliseconds for which the log's confirmation holds; a pause of this process
- * shows as a longer one. Not measured: half would refuse orders while the log
- * answers slowly, twice would let an order out after a pause of up to 2 s.
+ * shows as a longer one. Half would refuse orders while the log answers slowly,
+ * twice would let an order out after a pause of up to 2 s.
  */
 const MAX_CONFIRMATION_AGE_MS = 1000
 
--- a/packages/daemon/src/process/side/order-keeper.ts
+++ b/packages/daemon/src/process/side/order-keeper.ts
@@ -41,9 +41,8 @@
 }
 
 /**
- * Milliseconds between tries of an order that is not in force. Not measured:
- * half doubles the load on the weight store, twice delays a rollout after an
- * outage.
+ * Milliseconds between tries of an order that is not in force. Half doubles the
+ * load on the weight store, twice delays a rollout after an outage.
  */
 const RETRY_MS = 300
 
--- a/packages/daemon/src/process/side/side-configuration.ts
+++ b/packages/daemon/src/process/side/side-configuration.ts
@@ -27,12 +27,12 @@
 
 /**
  * Milliseconds for which a starting side waits for the log before an entry's
- * difference is enough. Not measured (commit 993dd79): half may pass before a
- * loaded log has answered once, twice keeps a backend server out of work for
- * longer while the log is out.
+ * difference is enough. Half may pass before a loaded log has
+ * answered once, twice keeps a backend server out of work for longer while the
+ * log is out.
  */
 const LOG_PATIENCE_MS = 3000
-/** Milliseconds between looks while the configuration is not known. Not measured: it only delays the start. */
+/** Milliseconds between looks while the configuration is not known. It only delays the start. */
 const LEARN_POLL_MS = 20
 
 /** One side's knowledge of the configuration. */
--- a/packages/daemon/src/process/side/side.ts
+++ b/packages/daemon/src/process/side/side.ts
@@ -33,9 +33,9 @@
 const log = createLogger('process')
 
 /**
- * Milliseconds for the last replies to leave before connections close. Not
- * measured: half may cut a large reply on a slow link, which the entry then
- * counts as lost; twice only makes a stop longer.
+ * Milliseconds for the last replies to leave before connections close. Half may
+ * cut a large reply on a slow link, which the entry then counts as lost; twice
+ * only makes a stop longer.
  */
 const FLUSH_MS = 200
 
--- a/packages/daemon/src/process/side/weight-store.ts
+++ b/packages/daemon/src/process/side/weight-store.ts
@@ -25,8 +25,8 @@
 const NOT_FOUND = 404
 
 /**
- * Milliseconds for one question. Not measured: half may fail at a store near
- * its rate, twice delays an order by a second more when the store is out.
+ * Milliseconds for one question. Half may fail at a store near its rate, twice
+ * delays an order by a second more when the store is out.
  */
 const FIND_TIMEOUT_MS = 1000
 
--- a/packages/daemon/src/request/admission.ts
+++ b/packages/daemon/src/request/admission.ts
@@ -14,9 +14,6 @@
  * Why: a request that will miss its deadline takes time from one that would not.
  * Shares bind only under congestion, so that a single busy account may use what
  * nobody else asks for.
- * Set by: commit 791300d measured the candidates together (burst of one account:
- * attainment 0.912 to 0.998, overload 2.0: 0.717 to 0.836, one run of 7 s each);
- * the constants apart were not measured.
  * Log events: `admit`, `shed`.
  */
 import type { RequestError } from '@eidermast/common'
@@ -81,11 +78,11 @@
   }
 }
 
-/** Share of the deadline that waits may take. Not measured: half binds shares before anybody is late, twice only after many are. */
+/** Share of the deadline that waits may take. Half binds shares before anybody is late, twice only after many are. */
 const CONGESTED_SHARE = 0.3
-/** Times its share that an account may have. Not measured: half sheds accounts within their share, twice lets one take all. */
+/** Times its share that an account may have. Half sheds accounts within their share, twice lets one take all. */
 const SHARE_SLACK = 1.25
-/** Requests. Not measured: half sheds small accounts for two requests at once, twice favours many small accounts. */
+/** Requests. Half sheds small accounts for two requests at once, twice favours many small accounts. */
 const MIN_ACCOUNT_IN_FLIGHT = 4
 
 /** Sheds what cannot meet its deadline and, when waits grow, what exceeds an account's share. */
--- a/packages/daemon/src/request/authority/claim-appender.ts
+++ b/packages/daemon/src/request/authority/claim-appender.ts
@@ -21,9 +21,9 @@
 /** Called once for each append with its records and how it failed, if it did. */
 export type AppendListener = (records: readonly ClaimRecord[], failure: CallFailure | undefined) => void
 
-/** Milliseconds. Not measured: half meets the log's rate limit again, twice adds up to 150 ms to a claim under it. */
+/** Milliseconds. Half meets the log's rate limit again, twice adds up to 150 ms to a claim under it. */
 const RATE_RETRY_MS = 15
-/** Appends after the first. Not measured: half refuses claims in a short burst, twice holds callers for up to 0.5 s. */
+/** Appends after the first. Half refuses claims in a short burst, twice holds callers for up to 0.5 s. */
 const MAX_RATE_RETRIES = 4
 /** HTTP status with which the log refuses for its rate. */
 const TOO_MANY_REQUESTS = 429
--- a/packages/daemon/src/request/authority/claims.ts
+++ b/packages/daemon/src/request/authority/claims.ts
@@ -13,8 +13,6 @@
  * Why: with a lease, a paused holder would run a request that another took over.
  * The read-back settles every lost acknowledgement, and the id of the claim
  * keeps a late release from ending a newer claim of the same entry.
- * Set by: the interplay is fuzzed in test/request/authority/claims.test.ts; the constants
- * were not measured apart.
  * Log events: `claim` (decisions of a request), `release`, `append-refused`,
  * `append-in-doubt`, `log-unreadable`, `record-unreadable` (namespace
  * `eidermast:claim`).
@@ -71,15 +69,15 @@
   doubtMs: number
 }
 
-/** Milliseconds for which the log may hold a read open. Not measured: half doubles the idle reads of the log. */
+/** Milliseconds for which the log may hold a read open. Half doubles the idle reads of the log. */
 const READ_WAIT_MS = 2000
-/** Milliseconds since the stream was last read to its end: one read that found nothing, and 500 ms for its answer. Not measured. */
+/** Milliseconds since the stream was last read to its end: one read that found nothing, and 500 ms for its answer. */
 const CURRENT_MS = READ_WAIT_MS + 500
-/** Records a read. Not measured: half doubles the reads of a starting entry, twice doubles the size of each answer. */
+/** Records a read. Half doubles the reads of a starting entry, twice doubles the size of each answer. */
 const READ_LIMIT = 5000
-/** Milliseconds after a read that failed. Not measured: half asks a log that is out twice as often, twice finds it back later. */
+/** Milliseconds after a read that failed. Half asks a log that is out twice as often, twice finds it back later. */
 const READ_RETRY_MS = 100
-/** Claims looked at for each page read, so that expiry never stalls the process. Not measured: fewer than arrive would leave old ones. */
+/** Claims looked at for each page read, so that expiry never stalls the process. Fewer than arrive would leave old ones. */
 const MAX_EXPIRY_STEPS = 32
 /** Claims are kept for this many times `memoryMs`: an id may be that old when it comes, and its repeat as much older. */
 const MEMORY_FACTOR = 2
--- a/packages/daemon/src/request/authority/not-run-proof.ts
+++ b/packages/daemon/src/request/authority/not-run-proof.ts
@@ -10,7 +10,6 @@
  * knows of no claim and no run. One that does not answer disproves it.
  * Why: a majority would not do, because a single entry may hold the claim that
  * this one has not read.
- * Set by: not measured; see LIST_LAG_MS.
  * Log event: `answer`, field `ran`.
  */
 import type { EntryPeers } from '../../connection/entry-peers.js'
@@ -18,7 +17,7 @@
 import type { ClaimRegistry } from './claims.js'
 import { OutcomeState } from '../../connection/messages.js'
 
-/** Milliseconds that the VM list may lag behind. Not measured: half misses an entry that is listed late, twice asks more dead ones. */
+/** Milliseconds that the VM list may lag behind. Half misses an entry that is listed late, twice asks more dead ones. */
 const LIST_LAG_MS = 30_000
 
 /** The entries that the platform's VM list named. */
--- a/packages/daemon/src/request/authority/run-authority.ts
+++ b/packages/daemon/src/request/authority/run-authority.ts
@@ -13,9 +13,6 @@
  * `unknown`.
  * Why: a wrong "nothing ran" makes a caller send the request a second time,
  * which costs more than an answer that the caller must look into.
- * Set by: the clock allowance was not measured; commit a3b81da found that with
- * the log hanging an entry must answer at once instead of trying an append
- * (a retry took 18.4 s before, 3.5 s after).
  * Log events: `claim`, `ask-holder`, `answer` (field `ran`).
  *
  * State: none; claims and outcomes keep theirs.
@@ -49,7 +46,7 @@
 /** Whether this entry may run a request; where not, the answer and what is remembered of the request. */
 export type Authority = { granted: true } | { granted: false, answer: RequestAnswer, state: OutcomeState }
 
-/** Milliseconds that a caller's clock may be ahead. Not measured: half refuses callers with poorer clocks, twice keeps claims longer. */
+/** Milliseconds that a caller's clock may be ahead. Half refuses callers with poorer clocks, twice keeps claims longer. */
 const CLOCK_AHEAD_MS = 60_000
 
 /** What is logged and counted for a claim whose request ended before the log's answer. */
--- a/packages/daemon/src/request/authority/tickets.ts
+++ b/packages/daemon/src/request/authority/tickets.ts
@@ -9,7 +9,6 @@
  * pass it on.
  * Why: a claim needs the log, which may not answer; a process life that ends
  * takes its tickets with it, so no request under one can run twice.
- * Set by: the setting `ticket-lifetime-ms`.
  * Log events: `forward`; refusals show as `ticket-invalid` in `answer`.
  *
  * State: none but the key; a ticket outlives its process only as a refusal.
--- a/packages/daemon/src/request/outcomes.ts
+++ b/packages/daemon/src/request/outcomes.ts
@@ -47,7 +47,7 @@
   unrepeatableLifetimeMs: number
 }
 
-/** Bytes of an answer beside its text. Not measured: half or twice shifts how many short answers fit into the limit. */
+/** Bytes of an answer beside its text. Half or twice shifts how many short answers fit into the limit. */
 const ANSWER_OVERHEAD_BYTES = 300
 
 /** The memory of one entry. */
--- a/packages/daemon/src/request/plan.ts
+++ b/packages/daemon/src/request/plan.ts
@@ -52,7 +52,7 @@
 
 /** Name of a plain service's one stage, in logs, metrics and stage identities. */
 const SERVICE_STAGE = 'call'
-/** Milliseconds, where a plain service's caller set none. Not measured: half fails slow services, twice holds callers of a dead one. */
+/** Milliseconds, where a plain service's caller set none. Half fails slow services, twice holds callers of a dead one. */
 const SERVICE_DEADLINE_MS = 1000
 
 /** Idempotent methods (RFC 9110, section 9.2.2). */
--- a/packages/daemon/src/request/request-runner.ts
+++ b/packages/daemon/src/request/request-runner.ts
@@ -28,9 +28,9 @@
   metrics: RequestMetrics
 }
 
-/** Quantile of a later stage's recent times that is kept free for it. Not measured: the median would leave half of them too little. */
+/** Quantile of a later stage's recent times that is kept free for it. The median would leave half of them too little. */
 const RESERVED_QUANTILE = 0.9
-/** Characters of the input that stand for its prompt prefix. Not measured: half joins unlike prompts, twice parts like ones. */
+/** Characters of the input that stand for its prompt prefix. Half joins unlike prompts, twice parts like ones. */
 const PREFIX_LENGTH = 64
 
 /** Runs requests for one entry. */
--- a/packages/daemon/src/request/side/stage-queue.ts
+++ b/packages/daemon/src/request/side/stage-queue.ts
@@ -11,9 +11,6 @@
  * longer finish when its turn comes is refused as late.
  * Why: a refusal at once lets the entry go elsewhere while it has time; work on
  * a call that will be late anyway delays the others.
- * Set by: the limits are settings (`queue-limit`, `queue-bytes`); commit 791300d
- * measured the candidates together (overload 2.0: attainment 0.717 to 0.836,
- * high priority 0.277 to 0.903, one run of 7 s each).
  * Log event: `refuse`, reasons `full` and `late`.
  *
  * State: calls that wait, in memory; they never ran when the process dies.
--- a/packages/daemon/src/request/side/stage-runner.ts
+++ b/packages/daemon/src/request/side/stage-runner.ts
@@ -55,7 +55,7 @@
   metrics: StageMetrics
 }
 
-/** Milliseconds, at least, after a refusal. Not measured: half doubles the retries at a full side, twice delays what would fit. */
+/** Milliseconds, at least, after a refusal. Half doubles the retries at a full side, twice delays what would fit. */
 const MIN_RETRY_AFTER_MS = 50
 
 /** Runs the stage calls of one side. */
--- a/packages/daemon/src/request/side/stage-table.ts
+++ b/packages/daemon/src/request/side/stage-table.ts
@@ -35,7 +35,7 @@
   started: boolean
 }
 
-/** Spent keys looked at for each change, so that dropping never stalls. Not measured: fewer than come would leave old ones. */
+/** Spent keys looked at for each change, so that dropping never stalls. Fewer than come would leave old ones. */
 const MAX_EVICTION_STEPS = 64
 
 /** The table of stage calls. */
--- a/packages/daemon/src/request/stages/choice.ts
+++ b/packages/daemon/src/request/stages/choice.ts
@@ -12,9 +12,6 @@
  * Why: a choice among all by the newest report sends every entry to the same
  * server until the next report; random ones spread them. The preferred one is
  * always compared, because it is the likeliest to hold the prompt's prefix.
- * Set by: commit 791300d measured the candidates together (one server 10 times
- * slow: attainment 0.888 to 0.951, overload 2.0: 0.717 to 0.836, one run of 7 s
- * each); the constants apart were not measured.
  * Log event: `choose`.
  */
 import type { Load } from '../../connection/messages.js'
@@ -68,11 +65,11 @@
   }
 }
 
-/** Share of the service time that a warm prefix cache saves. Not measured: half leaves a warm one sooner, twice queues behind it longer. */
+/** Share of the service time that a warm prefix cache saves. Half leaves a warm one sooner, twice queues behind it longer. */
 const PREFIX_SAVING = 0.3
-/** Milliseconds, there and back, to another failure domain. Not measured: only breaks ties between servers as busy as each other. */
+/** Milliseconds, there and back, to another failure domain. Only breaks ties between servers as busy as each other. */
 const CROSS_DOMAIN_MS = 1
-/** Milliseconds, before anything ran. Not measured: half or twice only matters until the first load report with a call. */
+/** Milliseconds, before anything ran. Half or twice only matters until the first load report with a call. */
 const UNKNOWN_SERVICE_MS = 10
 
 /** Two random candidates and the one with the likeliest warm cache, by predicted finish. */
--- a/packages/daemon/src/request/stages/retry.ts
+++ b/packages/daemon/src/request/stages/retry.ts
@@ -8,9 +8,6 @@
  * calls at most.
  * Why: with a fixed number of calls for each stage, a failing pool gets several
  * times its load just when it can bear least.
- * Set by: commit 791300d measured the candidates together (one server failing
- * half of its calls: attainment 0.983 to 0.996, wasted cost 0.026 to 0.002, one
- * run of 7 s each); the constants apart were not measured.
  * Log event: `failed`, then `choose` where a retry was permitted; metric
  * `eidermast_retries_total`.
  *
@@ -25,7 +22,7 @@
   take: (attempt: number) => boolean
 }
 
-/** Calls of one stage, the first included. Not measured: half permits no retry, twice loads a failing pool six times over. */
+/** Calls of one stage, the first included. Half permits no retry, twice loads a failing pool six times over. */
 const MAX_FIXED_ATTEMPTS = 3
 
 /** The baseline, for the setting `retry = fixed`: a fixed number of calls for each stage. */
@@ -37,13 +34,13 @@
   }
 }
 
-/** Retries earned by a call. Not measured: half fails requests when a tenth of calls fail, twice adds up to 40% of load. */
+/** Retries earned by a call. Half fails requests when a tenth of calls fail, twice adds up to 40% of load. */
 const RETRIES_PER_CALL = 0.2
-/** Retries. Not measured: lets a new entry retry before it has earned any; twice only matters in its first 50 calls. */
+/** Retries. Lets a new entry retry before it has earned any; twice only matters in its first 50 calls. */
 const START_RETRIES = 10
-/** Retries. Not measured: half covers a shorter burst of failures, twice permits a longer one of extra load. */
+/** Retries. Half covers a shorter burst of failures, twice permits a longer one of extra load. */
 const MAX_SAVED_RETRIES = 50
-/** Calls of one stage, the first included. Not measured: half leaves a single retry, twice seldom ends within a deadline. */
+/** Calls of one stage, the first included. Half leaves a single retry, twice seldom ends within a deadline. */
 const MAX_BUDGET_ATTEMPTS = 5
 
 /** Retries within a share of recent calls, so that a failing pool is not loaded many times over. */
--- a/packages/daemon/src/request/stages/stage-attempt.ts
+++ b/packages/daemon/src/request/stages/stage-attempt.ts
@@ -31,8 +31,8 @@
 }
 
 /**
- * Milliseconds before a lost reply is asked for again. Not measured: half asks
- * a restarting side twice as often, twice adds up to 50 ms to a mended call.
+ * Milliseconds before a lost reply is asked for again. Half asks a restarting
+ * side twice as often, twice adds up to 50 ms to a mended call.
  */
 const ASK_AGAIN_MS = 50
 
--- a/packages/daemon/src/request/stages/stage-budget.ts
+++ b/packages/daemon/src/request/stages/stage-budget.ts
@@ -8,7 +8,6 @@
  * MIN_SHARE of what remains.
  * Why: with the whole time a slow call of an early stage would run on after the
  * request has lost its chance, and its retry would come too late.
- * Set by: not measured apart; commit 791300d measured the candidates together.
  * Log event: `choose`, field `budgetMs`.
  */
 
@@ -29,7 +28,7 @@
   }
 }
 
-/** Share of what remains. Not measured: half starves a stage whose followers were slow once, twice starves those. */
+/** Share of what remains. Half starves a stage whose followers were slow once, twice starves those. */
 const MIN_SHARE = 0.25
 
 /** What remains after the later stages' recent high quantile. */
--- a/packages/daemon/src/version/checkpoint-timing.ts
+++ b/packages/daemon/src/version/checkpoint-timing.ts
@@ -17,14 +17,14 @@
  */
 
 /**
- * Share of the retention after which a checkpoint is due. Not measured: a
- * quarter appends twice as many, nearly all of it leaves no time to append
- * before the log drops records.
+ * Share of the retention after which a checkpoint is due. A quarter appends
+ * twice as many, nearly all of it leaves no time to append before the log drops
+ * records.
  */
 const DUE_SHARE = 0.5
-/** Checks within one due time. Not measured: half still leaves time for two before records are dropped. */
+/** Checks within one due time. Half still leaves time for two before records are dropped. */
 const CHECKS_PER_DUE_TIME = 5
-/** Factor of the shortest wait between checks; the longest is one more. Not measured: any spread of this order does. */
+/** Factor of the shortest wait between checks; the longest is one more. Any spread of this order does. */
 const MIN_JITTER = 0.5
 
 /** Milliseconds after which a checkpoint is due. */
--- a/packages/daemon/src/version/follower.ts
+++ b/packages/daemon/src/version/follower.ts
@@ -30,11 +30,11 @@
   pageSize?: number
 }
 
-/** Milliseconds. Not measured: half reads a quiet log twice as often, twice comes near the age at which a configuration counts as old. */
+/** Milliseconds. Half reads a quiet log twice as often, twice comes near the age at which a configuration counts as old. */
 const READ_WAIT_MS = 2000
-/** Milliseconds. Not measured: half asks a log that is out twice as often, twice delays changes after it returns. */
+/** Milliseconds. Half asks a log that is out twice as often, twice delays changes after it returns. */
 const RETRY_MS = 250
-/** Records. Not measured: half needs more reads to start, twice larger answers. */
+/** Records. Half needs more reads to start, twice larger answers. */
 const PAGE_SIZE = 1000
 
 /** One process's task that tails the configuration stream. */
--- a/packages/daemon/src/version/objects.ts
+++ b/packages/daemon/src/version/objects.ts
@@ -4,10 +4,10 @@
  */
 import * as z from 'zod'
 
-/** Longest accepted object name, in characters. Not measured: a bound that real names do not reach. */
+/** Longest accepted object name, in characters. A bound that real names do not reach. */
 const MAX_NAME_LENGTH = 100
 
-/** Longest accepted deadline, in milliseconds. Not measured: claims are remembered for as long by default. */
+/** Longest accepted deadline, in milliseconds. Claims are remembered for as long by default. */
 export const MAX_DEADLINE_MS = 600_000
 
 const nameSchema = z.string().regex(/^[a-z0-9][\w.-]*$/i, 'letters, digits, dots, underscores and hyphens').max(MAX_NAME_LENGTH)
--- a/packages/daemon/src/version/publisher.ts
+++ b/packages/daemon/src/version/publisher.ts
@@ -54,9 +54,9 @@
   timeoutMs?: number
 }
 
-/** Milliseconds. Not measured: half may report an append as unknown at a loaded log, twice keeps an operator waiting. */
+/** Milliseconds. Half may report an append as unknown at a loaded log, twice keeps an operator waiting. */
 const PUBLISH_TIMEOUT_MS = 5000
-/** Milliseconds between tries. Not measured: half doubles the load on a log that is out, twice delays the answer. */
+/** Milliseconds between tries. Half doubles the load on a log that is out, twice delays the answer. */
 const RETRY_MS = 100
 
 /**
--- a/packages/gateway/src/connection/backends/backend-connections.ts
+++ b/packages/gateway/src/connection/backends/backend-connections.ts
@@ -13,33 +13,33 @@
 import { CallNotSentError, WorkCall } from './work-call.js'
 
 /**
- * Milliseconds until a connection is up. Not measured: half fails while a
- * backend server's VM is busy, twice takes time from the next attempt.
+ * Milliseconds until a connection is up. Half fails while a backend server's VM
+ * is busy, twice takes time from the next attempt.
  */
 const CONNECT_TIMEOUT_MS = 400
 /**
  * Milliseconds that an idle connection is kept where the backend server names
- * no limit. Not measured: twice meets servers that have closed it already.
+ * no limit. Twice meets servers that have closed it already.
  */
 const IDLE_TIMEOUT_MS = 4000
 /**
- * Milliseconds before the backend server's own limit at which an idle connection
- * is closed. Not measured: too little sends requests into connections that are
+ * Milliseconds before the backend server's own limit at which an idle
+ * connection is closed. Too little sends requests into connections that are
  * being closed.
  */
 const IDLE_MARGIN_MS = 700
 /**
  * Connections to one backend server where this process's share is smaller or
- * isn't known yet. Not measured: with one, a probe waits behind a silent call.
+ * isn't known yet. With one, a probe waits behind a silent call.
  */
 const MIN_CONNECTIONS = 2
 /**
- * Milliseconds from the removal of a backend server until its pool closes. Not
- * measured: well above the longest deadline of a request, so that no answer is
- * under way then; its idle connections have closed by themselves long before.
+ * Milliseconds from the removal of a backend server until its pool closes. Well
+ * above the longest deadline of a request, so that no answer is under way then;
+ * its idle connections have closed by themselves long before.
  */
 const CLOSE_DELAY_MS = 60_000
-/** Replaces `ECONNRESET`, which undici takes for the end of an answer that has no length (commit 5ec8c88). */
+/** Replaces `ECONNRESET`, which undici takes for the end of an answer that has no length. */
 const RESET_CODE = 'ERR_BACKEND_RESET'
 
 const connectPlainly = buildConnector({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false })
--- a/packages/gateway/src/connection/backends/presence-check.ts
+++ b/packages/gateway/src/connection/backends/presence-check.ts
@@ -7,7 +7,7 @@
 import { connect } from 'node:net'
 import { isConnectionRefused } from '../error-codes.js'
 
-/** Milliseconds until a connection is up. Not measured: half fails while a VM is busy, twice delays what follows from the answer. */
+/** Milliseconds until a connection is up. Half fails while a VM is busy, twice delays what follows from the answer. */
 const CONNECT_TIMEOUT_MS = 800
 
 /** Whether a process is there. */
--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -18,15 +18,15 @@
 import { readRequest } from './request-reader.js'
 import { ResponseAnswer } from './response-answer.js'
 
-/** Limits until a configuration brings its own. Not measured: ordinary values, in force for the first moments only. */
+/** Limits until a configuration brings its own. Ordinary values, in force for the first moments only. */
 const DEFAULT_LIMITS: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 /** Bytes; Node fixes this at the server's start. Above any limit that is configured, which is checked beside it. */
 const MAX_HEADER_BYTES = 65_536
 /** Milliseconds between Node's looks at overdue heads: they are cut off at most this much late. */
 const CONNECTION_CHECK_MS = 500
 /**
- * Connections that wait to be accepted. Not measured: fewer are refused when a
- * peer's clients all come at once; the kernel may hold it lower.
+ * Connections that wait to be accepted. Fewer are refused when a peer's clients
+ * all come at once; the kernel may hold it lower.
  */
 const LISTEN_BACKLOG = 1024
 
--- a/packages/gateway/src/connection/clients/request-reader.ts
+++ b/packages/gateway/src/connection/clients/request-reader.ts
@@ -9,7 +9,6 @@
  * a body that is of no use isn't read.
  * Why: what is over a limit must not be held in memory, and a gateway that is
  * about to close its listener can't promise an answer.
- * Set by: the limits of the configuration; see also the constants.
  * Log event: none; the kind and message of the error are in the answer.
  */
 import type { RequestError } from '@eidermast/common'
@@ -23,8 +22,8 @@
 import { BodyFailureKind, readBody } from '../body-reader.js'
 
 /**
- * Milliseconds until a client that met a stopping gateway retries. Not
- * measured: short, since another gateway takes it at once.
+ * Milliseconds until a client that met a stopping gateway retries. Short, since
+ * another gateway takes it at once.
  */
 const STOPPING_RETRY_MS = 100
 /** Bytes beside a header's name and value on the wire: colon, space and line end. */
--- a/packages/gateway/src/connection/peers/peer-clients.ts
+++ b/packages/gateway/src/connection/peers/peer-clients.ts
@@ -15,7 +15,7 @@
 import { Agent } from 'undici'
 import { decodeHeartbeatReply, decodeListedBackends, decodePreparationReply, encodeHeartbeat, encodePreparationRequest } from './peer-messages.js'
 
-/** Milliseconds until a connection is up. Not measured: half suspects busy gateways, twice notices dead ones late. */
+/** Milliseconds until a connection is up. Half suspects busy gateways, twice notices dead ones late. */
 const CONNECT_TIMEOUT_MS = 300
 /**
  * Milliseconds that an idle connection is kept: longer than the pause between
@@ -23,17 +23,17 @@
  */
 const IDLE_TIMEOUT_MS = 10_000
 /**
- * Milliseconds for the answer to a heartbeat. Not measured: half suspects busy
- * gateways, twice notices frozen ones late.
+ * Milliseconds for the answer to a heartbeat. Half suspects busy gateways,
+ * twice notices frozen ones late.
  */
 const HEARTBEAT_TIMEOUT_MS = 450
 /**
  * Milliseconds for what a peer holds, its configuration or its list of backend
- * servers. Not measured: both may be large; what is late is asked for again
- * after the next heartbeat.
+ * servers. Both may be large; what is late is asked for again after the next
+ * heartbeat.
  */
 const HELD_STATE_TIMEOUT_MS = 1500
-/** Milliseconds to free results. Not measured: results that aren't freed end by themselves. */
+/** Milliseconds to free results. Results that aren't freed end by themselves. */
 const RELEASE_TIMEOUT_MS = 1000
 
 /** The one status of an answer without an error. */
--- a/packages/gateway/src/connection/peers/peer-handler.ts
+++ b/packages/gateway/src/connection/peers/peer-handler.ts
@@ -14,7 +14,7 @@
 import { getHTTPStatusCodeFromError } from '@trpc/server/http'
 import { readBody } from '../body-reader.js'
 
-/** Bytes of one call. Not measured; far above stage work that is handed over, and a bound on what a broken peer may fill. */
+/** Bytes of one call. Far above stage work that is handed over, and a bound on what a broken peer may fill. */
 const MAX_CALL_BYTES = 4_000_000
 /** Any base completes the path of a request for `URL`. */
 const BASE_URL = 'http://gateway'
--- a/packages/gateway/src/process/backend-list.ts
+++ b/packages/gateway/src/process/backend-list.ts
@@ -20,8 +20,8 @@
 import { OlderCopy } from './older-copy.js'
 
 /**
- * Changes that are kept for peers. Not measured: a site of 236 backend servers
- * has some a second, and a peer that is further behind fetches the whole list.
+ * Changes that are kept for peers. A site of 236 backend servers has some a
+ * second, and a peer that is further behind fetches the whole list.
  */
 const MAX_CHANGES = 200
 
--- a/packages/gateway/src/process/coordinator-reads.ts
+++ b/packages/gateway/src/process/coordinator-reads.ts
@@ -11,7 +11,6 @@
  * from connections that were lost. A gateway whose new read is answered knows:
  * it goes by the list itself, and not by how long the coordinator uses on what
  * has gone.
- * Set by: there are no constants.
  * Log event: `store-failed`, by the reads that were ended.
  */
 
--- a/packages/gateway/src/process/crashes/crash-witness.ts
+++ b/packages/gateway/src/process/crashes/crash-witness.ts
@@ -16,7 +16,7 @@
  * engines the calls of one crash broke within 10 ms at all gateways.
  */
 const COLLECT_MS = 20
-/** Questions where the VM does not answer. Not measured: one is lost with a packet, three in a row seldom. */
+/** Questions where the VM does not answer. One is lost with a packet, three in a row seldom. */
 const MAX_CHECKS = 3
 
 /** A backend server that ended, and the requests that ran there. */
--- a/packages/gateway/src/process/crashes/quarantine.ts
+++ b/packages/gateway/src/process/crashes/quarantine.ts
@@ -14,7 +14,6 @@
  * (look-ups without a body): when a failure domain ends with its backend
  * servers, several of them are under way there at once, and others like them
  * have just been answered elsewhere.
- * Set by: the constants below.
  * Log events: `quarantine`, `quarantine-ended`, `request-ended` (`outcome`, `reason`).
  */
 import type { CrashReport } from './crash-report.js'
@@ -28,13 +27,13 @@
 /**
  * Milliseconds for which an end counts. A request that is sent for ever costs
  * three backend servers an hour; a backend server that was mended takes it
- * again after an hour at the latest. Not measured.
+ * again after an hour at the latest.
  */
 export const REMEMBER_MS = 3_600_000
 /**
  * Milliseconds. Longer than requests run that may share a fingerprint, and than
  * clocks of VMs differ; shorter than an update of backend servers takes, by
- * which an answered request may become one that ends them. Not measured.
+ * which an answered request may become one that ends them.
  */
 const ANSWER_COVERS_MS = 10_000
 
--- a/packages/gateway/src/process/drain/drain-clients.ts
+++ b/packages/gateway/src/process/drain/drain-clients.ts
@@ -7,7 +7,7 @@
 import { wait } from '@eidermast/common'
 import { decideDrainStep, DrainStep } from './drain-plan.js'
 
-/** Milliseconds between looks at the requests under way. Not measured; the process ends at most this much later than it could. */
+/** Milliseconds between looks at the requests under way. The process ends at most this much later than it could. */
 const DRAIN_CHECK_MS = 50
 
 /** Serves clients on until the drain's plan lets the process end. */
--- a/packages/gateway/src/process/drain/drain-plan.ts
+++ b/packages/gateway/src/process/drain/drain-plan.ts
@@ -15,7 +15,6 @@
  * once would fail requests that can still be served; serving for longer delays
  * the restart, so that gateways stopped in turn are all away together. A closed
  * listener is of use only where the next connection finds another gateway.
- * Set by: the constants below.
  * Log events: `stop`, `stopped`.
  */
 
@@ -35,13 +34,13 @@
 export const DRAIN_SERVE_ALONE_MS = 2800
 
 /**
- * Milliseconds from SIGTERM on after which the listener closes; until then a late
- * request gets a refusal that it may retry elsewhere, not a refused connection.
- * Not measured apart; half leaves no time for refusals, twice delays the restart.
+ * Milliseconds from SIGTERM on after which the listener closes; until then a
+ * late request gets a refusal that it may retry elsewhere, not a refused
+ * connection. Half leaves no time for refusals, twice delays the restart.
  */
 export const DRAIN_CLOSE_MS = 2700
 
-/** Milliseconds. Not measured; half may lose the last log lines to SIGKILL, twice cuts off requests that could be answered. */
+/** Milliseconds. Half may lose the last log lines to SIGKILL, twice cuts off requests that could be answered. */
 const END_MARGIN_MS = 400
 
 /** What a stopping gateway does now, in the order of its life. */
--- a/packages/gateway/src/process/evacuation/evacuation-list.ts
+++ b/packages/gateway/src/process/evacuation/evacuation-list.ts
@@ -14,7 +14,6 @@
  * Orders are few and small: they go whole with each heartbeat, and no gateway
  * depends on its own reads for them. An older copy lacks orders that operators
  * were told are in force; sending there breaks them, a pause costs capacity.
- * Set by: there are no constants.
  * Log event: `evacuation`.
  *
  * State: the newest order about each failure domain, in memory. A process that
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -11,7 +11,7 @@
 import type { Members } from './membership/members.js'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
-/** Upper bounds in seconds. Not measured; around the latency targets of routes, which lie between tenths and some seconds. */
+/** Upper bounds in seconds. Around the latency targets of routes, which lie between tenths and some seconds. */
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16]
 /** Converts between seconds and milliseconds. */
 const MILLISECONDS_PER_SECOND = 1000
--- a/packages/gateway/src/process/gateway-share.ts
+++ b/packages/gateway/src/process/gateway-share.ts
@@ -14,12 +14,11 @@
  * the limit better, but need an agreement before each change. Gateways that are
  * cut off from each other each coordinate for those that they hear: their parts
  * add up to no more than the limit.
- * Set by: SPARE_GATEWAYS.
  * Log event: `member-listed` and `member-removed` change the count; the metric
  * `eidermast_gateway_members` shows it.
  */
 
-/** Gateways that may start unlisted. Not measured; with 0 such a one exceeds the limit, with 2 each share is smaller than needed. */
+/** Gateways that may start unlisted. With 0 such a one exceeds the limit, with 2 each share is smaller than needed. */
 const SPARE_GATEWAYS = 1
 
 /** Gateways among which a limit of all gateways is divided. */
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -51,9 +51,9 @@
 import { SuspensionWatch } from './suspension.js'
 
 /**
- * Milliseconds; a call that waits longer for its first byte is logged. Not
- * measured: well above a new connection's time, well below the two seconds
- * after which a leaving backend server may get nothing more.
+ * Milliseconds; a call that waits longer for its first byte is logged. Well
+ * above a new connection's time, well below the two seconds after which a
+ * leaving backend server may get nothing more.
  */
 const LATE_CALL_MS = 300
 
--- a/packages/gateway/src/process/lapse-grace.ts
+++ b/packages/gateway/src/process/lapse-grace.ts
@@ -17,33 +17,30 @@
  * too, without its notice: then for PEER_LAPSE_GRACE_MS.
  * Why: backend servers renew their entries, and cannot while the list is away:
  * an entry that is gone then need not mean that its backend server is. Without
- * this rule all 22 of a day of our own were dropped at once (commit a03d214).
- * Waiting after every failure, or from the moment at which the return is
- * noticed, sends work to backend servers that have left
- * (docs/incidents/2026-12-02-drain-requests-to-leaving-backend-servers.md).
- * Set by: the constants.
+ * this rule all would be dropped at once. Waiting after
+ * every failure, or from the moment at which the return is noticed, sends work
+ * to backend servers that have left.
  * Log events: `backend-lapsed`, `backend-removed`.
  */
 import type { SourceOutage } from './platform-adapter.js'
 
 /**
  * Milliseconds. Entries are renewed within two seconds of the list's return,
- * and a backend server that leaves serves on for at least as long; on a day of
- * our own worth went from 0.746 to 0.762 (one run each, commit a03d214).
+ * and a backend server that leaves serves on for at least as long.
  */
 const LAPSE_GRACE_MS = 1900
 
 /**
  * Milliseconds. An outage that was shorter cannot have hidden the renewal of an
- * entry, which comes about every second and may miss twice. Not measured; twice
- * as much drops backend servers whose entries lapsed in a short outage.
+ * entry, which comes about every second and may miss twice. Twice as much drops
+ * backend servers whose entries lapsed in a short outage.
  */
 const MIN_LAPSE_OUTAGE_MS = 500
 
 /**
  * Milliseconds. With the 0.4 s in which a peer's word comes here it ends within
- * the two seconds that a gateway in touch has. Not measured; half drops backend
- * servers whose entries lapsed for all, twice sends to those that have left.
+ * the two seconds that a gateway in touch has. Half drops backend servers whose
+ * entries lapsed for all, twice sends to those that have left.
  */
 const PEER_LAPSE_GRACE_MS = 1500
 
--- a/packages/gateway/src/process/membership/acquaintance.ts
+++ b/packages/gateway/src/process/membership/acquaintance.ts
@@ -18,8 +18,8 @@
 
 /**
  * Milliseconds from the first reading of the directory: the time in which a
- * member counts as failed. Not measured apart; half of it is too little for VMs
- * that are busy starting, twice as much waits for those that are frozen.
+ * member counts as failed. Half of it is too little for VMs that are busy
+ * starting, twice as much waits for those that are frozen.
  */
 const MAX_ANSWER_WAIT_MS = 600
 /**
--- a/packages/gateway/src/process/membership/coordinator-choice.ts
+++ b/packages/gateway/src/process/membership/coordinator-choice.ts
@@ -12,11 +12,10 @@
  * shard of the stage work is coordinated by a member of its own failure domains
  * by the same rule; by the coordinator of all where there is none.
  * Why: all stage work of a shard goes through its coordinator, and one on a
- * small VM delays it long before its ticks are late. A gateway that restarts is announced last, so it never takes the role
- * from the one at work. A choice by hash did: during a rolling restart two
- * gateways coordinated at a time, and 4,056 inputs were gone (docs/FINDINGS.md;
- * commit c31d827).
- * Set by: no constant.
+ * small VM delays it long before its ticks are late. A gateway that restarts is
+ * announced last, so it never takes the role from the one at work. A choice by
+ * hash did: during a rolling restart two gateways coordinated at a time, and
+ * 4,056 inputs were gone.
  * Log event: `stage-coordinator`.
  */
 import type { Member } from '../../connection/peers/member.js'
--- a/packages/gateway/src/process/membership/division.ts
+++ b/packages/gateway/src/process/membership/division.ts
@@ -12,7 +12,6 @@
  * is divided only where one coordinator would not have the processor time for
  * it, and no gateway that joins or leaves a few others changes that. Failure
  * domains are known to all alike, and results stay within them.
- * Set by: the constants below.
  * Log event: `stage-division`.
  */
 import type { Member } from '../../connection/peers/member.js'
--- a/packages/gateway/src/process/membership/failure-detection.ts
+++ b/packages/gateway/src/process/membership/failure-detection.ts
@@ -8,23 +8,23 @@
  * in which this process itself stood still does not count.
  * Why: several heartbeats may be lost within that time, so that no single one
  * decides. When a single one without an answer (450 ms) used up most of it, a
- * healthy coordinator counted as failed and two of them worked
- * (docs/FINDINGS.md; commit 3ddaec6). Ticks look for failures before answers that
- * came meanwhile are read, so a process that stands still again and again for
- * 0.1 to 0.3 s left a healthy coordinator for 47 to 140 ms.
- * Set by: the constants below.
+ * healthy coordinator counted as failed and two of them worked. Ticks look for
+ * failures before answers that came meanwhile are read, so a process that
+ * stands still again and again for 0.1 to 0.3 s left a healthy coordinator for
+ * 47 to 140 ms.
  * Log events: `member-failed`, `member-recovered`.
  */
 
-/** Milliseconds between heartbeats to a member. Not measured; with twice as much one lost heartbeat is half of FAILED_AFTER_MS. */
+/** Milliseconds between heartbeats to a member. With twice as much one lost heartbeat is half of FAILED_AFTER_MS. */
 export const HEARTBEAT_INTERVAL_MS = 150
 
-/** Milliseconds. Not measured by itself; at half two lost heartbeats make a failure, at twice stage work waits longer for a coordinator. */
+/** Milliseconds. At half two lost heartbeats make a failure, at twice stage work waits longer for a coordinator. */
 const FAILED_AFTER_MS = 600
 
 /**
- * Milliseconds between two ticks from which on no heartbeat in between was heard
- * (commit 3ddaec6). At half every tick looks late, at twice a pause of nearly FAILED_AFTER_MS counts as silence of the others.
+ * Milliseconds between two ticks from which on no heartbeat in between was
+ * heard. At half every tick looks late, at twice a pause of nearly
+ * FAILED_AFTER_MS counts as silence of the others.
  */
 const LATE_TICK_MS = 2 * HEARTBEAT_INTERVAL_MS
 
--- a/packages/gateway/src/process/membership/heartbeat-targets.ts
+++ b/packages/gateway/src/process/membership/heartbeat-targets.ts
@@ -13,19 +13,18 @@
  * none while MAX_PENDING_HEARTBEATS wait for an answer.
  * Why: only the coordinator and its successor matter to a gateway, so the cost
  * does not grow with the number of gateways. The successor is watched before
- * it is needed: one that was last heard at the start counted as failed just as
- * it became coordinator (docs/FINDINGS.md); and a coordinator that becomes slow
- * knows at once whom to leave the work to, where it took 0.5 s to find out.
- * Set by: the constants below.
+ * it is needed: one that was last heard at the start would count as failed just
+ * as it becomes coordinator; and a coordinator that becomes slow knows at once
+ * whom to leave the work to.
  * Log event: none of its own; its effects are `member-failed` and `member-recovered`.
  */
 import type { MemberState } from './member-state.js'
 import { hasFailed, HEARTBEAT_INTERVAL_MS } from './failure-detection.js'
 
 /**
- * Members that were never heard and are asked at a time. Not measured apart; with
- * two, one that does not answer delays the successor by 0.45 s, twice as many
- * cost a starting process more connections.
+ * Members that were never heard and are asked at a time. With two, one that
+ * does not answer delays the successor by 0.45 s, twice as many cost a starting
+ * process more connections.
  */
 const MIN_UNTRIED = 4
 
@@ -34,22 +33,22 @@
 
 /**
  * Milliseconds between heartbeats to the coordinators of shards and their
- * successors: there are several of them, and less depends on each. Not
- * measured; half doubles the heartbeats, twice notices one that froze after 1.8 s.
+ * successors: there are several of them, and less depends on each. Half doubles
+ * the heartbeats, twice notices one that froze after 1.8 s.
  */
 const SHARD_INTERVAL_MS = 300
 
 /**
- * Heartbeats of one member without an answer at a time. An answer is waited
- * for at most 450 ms, three intervals; with one at a time, a single lost
- * heartbeat used up most of the time until a member counts as failed (commit 3ddaec6).
+ * Heartbeats of one member without an answer at a time. An answer is waited for
+ * at most 450 ms, three intervals; with one at a time, a single lost heartbeat
+ * used up most of the time until a member counts as failed.
  */
 const MAX_PENDING_HEARTBEATS = 4
 
-/** Milliseconds between heartbeats to a failed member. Not measured; twice as long, and one that recovers is used that much later. */
+/** Milliseconds between heartbeats to a failed member. Twice as long, and one that recovers is used that much later. */
 const FAILED_HEARTBEAT_INTERVAL_MS = 500
 
-/** Share of the interval: timers fire a little early. Not measured; at 1 such a tick sends nothing, at half failed members get more. */
+/** Share of the interval: timers fire a little early. At 1 such a tick sends nothing, at half failed members get more. */
 const DUE_SHARE = 0.9
 
 /** Members that get heartbeats, and the milliseconds between those to each. */
--- a/packages/gateway/src/process/membership/slowness.ts
+++ b/packages/gateway/src/process/membership/slowness.ts
@@ -13,31 +13,28 @@
  * long, is over when it is noticed; only repeated lateness is slowness. What a
  * process on a small VM always is, is none: there is no better place for the
  * work, and each change of the coordinator costs requests.
- * Set by: the constants below.
  * Log event: `slow`, `no-longer-slow`.
  */
 
 /**
- * Milliseconds. With a fifth of its processor time a coordinator had ticks 20 to
- * 94 ms late, each, from 0.8 s on; on usual days single ones, up to 117 ms, two
- * seconds apart. Half and twice of it not measured: half would hand over for two
- * late ticks, twice would keep a coordinator that is half as slow.
+ * Milliseconds: some late ticks in a row, not a single one. Half would hand over
+ * for two late ticks, twice would keep a coordinator that is half as slow.
  */
 const SLOW_LATENESS_MS = 40
 /**
- * Share of a core on which that was measured: the same work takes as much longer
- * as a VM's share is less. With the one limit for all, seventeen gateways of
- * 0.12 of a core each found themselves slow in turn within 26 s.
+ * Share of a core to which that belongs: the same work takes as much longer as a
+ * VM's share is less. With one limit for all, small gateways would find
+ * themselves slow in turn.
  */
 const USUAL_SHARE = 0.5
-/** Not measured; without a bound one long pause would count as slowness. */
+/** Without a bound one long pause would count as slowness. */
 const MAX_LATENESS_RATIO = 2.5
-/** Weight of the newest tick: the third of three late ticks decides. Not measured apart. */
+/** Weight of the newest tick: the third of three late ticks decides. */
 const LATENESS_WEIGHT = 0.25
 /**
- * Milliseconds. Not measured; half of it lets the role come back to a process
- * that is still slow twice as often, twice as much has no cost where another
- * gateway is as good.
+ * Milliseconds. Half of it lets the role come back to a process that is still
+ * slow twice as often, twice as much has no cost where another gateway is as
+ * good.
  */
 const SLOW_FOR_MS = 30_000
 
--- a/packages/gateway/src/process/older-copy.ts
+++ b/packages/gateway/src/process/older-copy.ts
@@ -11,7 +11,6 @@
  * servers have written their entries anew; work would go to those that have
  * left. An entry that was gone and does not lapse is of one that lives, and may
  * never change again.
- * Set by: the constants below.
  * Log events: `backend-added`, `backend-removed`, `backend-state`.
  *
  * State: lives that have gone, and entries withheld, in memory.
@@ -20,13 +19,13 @@
 import { lifeOf } from '../connection/backends/backend.js'
 import { positionOf } from '../connection/backends/revision.js'
 
-/** Backend servers that have gone and are remembered. Not measured: a copy is some seconds old, and some go in a second. */
+/** Backend servers that have gone and are remembered. A copy is some seconds old, and some go in a second. */
 const MAX_GONE = 500
 /**
  * Milliseconds in which the entry of a backend server that has gone lapses in
- * an older copy: the platform takes entries for gone after three heartbeats (3.6 s
- * at 1.2 s each) and 2 s after its return. Not measured; half brings back
- * backend servers that have ended, twice leaves one that lives without work.
+ * an older copy: the platform takes entries for gone after three heartbeats
+ * (3.6 s at 1.2 s each) and 2 s after its return. Half brings back backend
+ * servers that have ended, twice leaves one that lives without work.
  */
 const LAPSE_MS = 6000
 
--- a/packages/gateway/src/process/peer-fetch.ts
+++ b/packages/gateway/src/process/peer-fetch.ts
@@ -8,10 +8,8 @@
  * caught up after a time in which its own read should have brought it; one
  * fetch at a time. One that fails is tried again with the next heartbeat.
  * Why: a process whose own read was lost does not know it for seconds, while
- * its peers know what it lacks
- * (docs/incidents/2026-12-02-drain-list-known-too-late.md). Without the wait
+ * its peers know what it lacks. Without the wait
  * every change would be fetched by those that are some milliseconds behind.
- * Set by: the times given at construction.
  * Log events: `configuration` and `backend-list` with the peer as their source;
  * `peer-configuration-failed`, `peer-backends-failed`.
  */
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -25,10 +25,8 @@
 /** Milliseconds. A configuration is fetched at once: it changes seldom, and in seconds it must be in force everywhere. */
 const CONFIGURATION_PATIENCE_MS = 0
 /**
- * Milliseconds. A read that is not lost brings a change within some
- * milliseconds (7 on a day of the users' record, one change). Half costs fetches
- * where a process is slow; twice leaves less of the two seconds in which a
- * leaving backend server may get work.
+ * Milliseconds. Half costs fetches where a process is slow; twice leaves less
+ * of the two seconds in which a leaving backend server may get work.
  */
 const BACKENDS_PATIENCE_MS = 200
 
--- a/packages/gateway/src/process/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -18,10 +18,9 @@
  * only the first one can be lost for so long.
  * Why: a read that a silent store has taken never answers and is noticed only
  * when its time is over. With 16.5 s a change was in force 7 to 10 s late, on
- * all gateways alike (commit a03d214). A short wait costs calls to the store:
- * with 2 s at all gateways they cost 0.02 to 0.03 of worth on grown sites
- * (commit 452e740), so only the gateway that the others hear of reads often.
- * Set by: the constants below.
+ * all gateways alike. A short wait costs calls to the store: with 2 s at all
+ * gateways they cost 0.02 to 0.03 of worth on grown sites, so only the gateway
+ * that the others hear of reads often.
  * Log events: `store-failed`, `store-recovered`.
  */
 
@@ -39,28 +38,27 @@
   evacuationMs: number
 }
 
-/** Milliseconds after its wait until a read is abandoned. Not measured; half abandons reads that a slow store still answers. */
+/** Milliseconds after its wait until a read is abandoned. Half abandons reads that a slow store still answers. */
 export const READ_MARGIN_MS = 700
 
 /**
  * Milliseconds for the first pause after a failure (`retry-pause.ts`) and for
- * the next read. Not measured; at half of it a change may be in force too late.
+ * the next read. At half of it a change may be in force too late.
  */
 const NEXT_READ_MS = 400
 
 /**
  * Milliseconds until peers have what this gateway reads: a heartbeat, the time
- * for their own reads, a fetch. Not measured; at half of it they may have it too late.
+ * for their own reads, a fetch. At half of it they may have it too late.
  */
 const PASS_ON_MS = 400
 
-/** Milliseconds. Not measured; at half of it a gateway sends more than three calls a second where the bounds are tight. */
+/** Milliseconds. At half of it a gateway sends more than three calls a second where the bounds are tight. */
 const MIN_READ_WAIT_MS = 1000
 
 /**
- * Milliseconds from the decision to the arrival of the last request. Not
- * measured; half may be too little on a busy VM, twice drops a backend server
- * earlier than needed.
+ * Milliseconds from the decision to the arrival of the last request. Half may
+ * be too little on a busy VM, twice drops a backend server earlier than needed.
  */
 const ARRIVAL_MARGIN_MS = 200
 
@@ -83,7 +81,7 @@
  * with this one (eight random days each).
  */
 const MIN_TOLD_REST_MS = 1000
-/** Part of the time in which a leaving must take effect. Not measured: with all of it a gateway that nobody told would be late. */
+/** Part of the time in which a leaving must take effect. With all of it a gateway that nobody told would be late. */
 const MAX_REST_SHARE = 0.5
 
 /** How long a gateway rests after a read of the list of backend servers that brought changes, in milliseconds; what comes meanwhile comes together. */
@@ -96,8 +94,8 @@
 
 /**
  * Milliseconds. Gateways that start together cost each other one read and not
- * one for each start. With 1500 gateways did not list each other within the second that
- * the tests of two gateways allow (commit a9b2dc3).
+ * one for each start. With 1500 gateways did not list each other within the
+ * second that the tests of two gateways allow.
  */
 const MIN_DIRECTORY_REST_MS = 400
 /** Milliseconds of a process's life in which it rests for no longer: those that start together must soon agree who coordinates. */
--- a/packages/gateway/src/process/readiness.ts
+++ b/packages/gateway/src/process/readiness.ts
@@ -9,7 +9,6 @@
  * Why: the least with which any request can be served. A stricter rule, such as
  * a backend server for each service, would take all gateways out together when one
  * service fails.
- * Set by: no constant.
  * Log event: `readiness`, at each change.
  */
 import type { GatewayLog } from './gateway-log.js'
--- a/packages/gateway/src/process/retry-pause.ts
+++ b/packages/gateway/src/process/retry-pause.ts
@@ -8,20 +8,19 @@
  * that fails waits between MIN_ANNOUNCE_PAUSE_MS and MAX_ANNOUNCE_PAUSE_MS.
  * Why: each call is priced, a refused one too, and gateways that failed
  * together must not call together again.
- * Set by: the constants below.
  * Log events: `store-failed`, `announce-failed`.
  */
 
-/** Milliseconds before the first doubling. Not measured; half of it is felt by a store that is only busy, twice as much delays a change. */
+/** Milliseconds before the first doubling. Half of it is felt by a store that is only busy, twice as much delays a change. */
 const FIRST_PAUSE_MS = 60
 
-/** Milliseconds. Not measured; half doubles the calls to a store that is down, twice puts a change in force later after an outage. */
+/** Milliseconds. Half doubles the calls to a store that is down, twice puts a change in force later after an outage. */
 const MAX_PAUSE_MS = 800
 
-/** Milliseconds. Not measured; half of it may be refused again by a store over its rate. */
+/** Milliseconds. Half of it may be refused again by a store over its rate. */
 const MIN_ANNOUNCE_PAUSE_MS = 200
 
-/** Milliseconds. Not measured; with twice as much a gateway that starts during an outage is listed that much later. */
+/** Milliseconds. With twice as much a gateway that starts during an outage is listed that much later. */
 const MAX_ANNOUNCE_PAUSE_MS = 600
 
 /** Milliseconds to wait after this many failures in a row. */
--- a/packages/gateway/src/process/stages/admission-accuracy.ts
+++ b/packages/gateway/src/process/stages/admission-accuracy.ts
@@ -4,17 +4,14 @@
  * decides. It lives with the coordinator and starts again with the next one.
  *
  * What arrives later and goes first, calls that are not full and lost backend
- * servers are in no plain estimate: in bursts, work took 1.3 to 1.9 times as long
- * as expected (medians of four seconds). With a correction of the whole time the
- * worth of paired days rose by 0.011 +- 0.014 (12 pairs of one deployment) and
- * 0.012 +- 0.010 (8 of another); with one of the wait alone it is as much (ten
- * pairs, 0.003 +- 0.014 more). Without a half-life some days fell by 0.1 and more.
+ * servers are in no plain estimate, so that work takes longer than expected in
+ * bursts. What was learned fades, since nothing is learned while all are refused.
  */
 import type { PreparationRequest } from '../../connection/peers/preparation.js'
 
-/** Weight of the newest request. Not measured; half follows a burst late, twice as much follows single requests. */
+/** Weight of the newest request. Half follows a burst late, twice as much follows single requests. */
 const NEWEST_WEIGHT = 0.1
-/** Bounds of a single request's factor. Not measured; they keep one that lost a backend server from deciding for long. */
+/** Bounds of a single request's factor. They keep one that lost a backend server from deciding for long. */
 const MAX_FACTOR = 2.5
 /** See MAX_FACTOR. */
 const MIN_FACTOR = 0.5
--- a/packages/gateway/src/process/stages/backend/backend-pause.ts
+++ b/packages/gateway/src/process/stages/backend/backend-pause.ts
@@ -8,32 +8,24 @@
  * more reservations than what is freed meanwhile for MEMORY_DISTRUST_MS.
  * Why: a backend server has one slot, so a probing call costs little, but an
  * immediate one repeats the failure. A longer pause after missing memory would
- * also stop calls for memory that this process frees itself (commit 9a957cf).
- * Set by: commits 08a2ee2, 3ac7f7b and 9a957cf, see the constants.
+ * also stop calls for memory that this process frees itself.
  * Log event: `stage-backend-paused`; missing memory shows in `stage-call`.
  */
 
 /**
- * First pause after a failed call, in milliseconds. Not measured; half of it
- * sends more calls into a failure, twice as much idles a healthy server.
+ * First pause after a failed call, in milliseconds. Half of it sends more calls
+ * into a failure, twice as much idles a healthy server.
  */
 const FIRST_PAUSE_MS = 100
 /**
- * Longest pause after failed calls, in milliseconds. Not measured; twice as much
- * leaves a recovered backend server idle for 10 s.
+ * Longest pause after failed calls, in milliseconds. Twice as much leaves a
+ * recovered backend server idle for 10 s.
  */
 const MAX_PAUSE_MS = 5000
 
-/**
- * Pause after a backend server lacked result memory, in milliseconds: commit
- * 08a2ee2; 200 ms was tried in c31d827 and taken back in 3ac7f7b.
- */
+/** Pause after a backend server lacked result memory, in milliseconds: results are freed all the time. */
 export const MEMORY_PAUSE_MS = 60
-/**
- * How long memory that a backend server turned out not to have counts as used,
- * in milliseconds: commit 9a957cf (worth of two days of overload 0.343 to
- * 0.393 and 0.386 to 0.421).
- */
+/** How long memory that a backend server turned out not to have counts as used, in milliseconds. */
 export const MEMORY_DISTRUST_MS = 400
 
 /** Pause after a failed call, in milliseconds; takes the failed calls in a row before it. */
--- a/packages/gateway/src/process/stages/backend/result-memory.ts
+++ b/packages/gateway/src/process/stages/backend/result-memory.ts
@@ -17,8 +17,8 @@
  */
 const USABLE_MEMORY_SHARE = 0.97
 /**
- * Results this near to their expiry are not sent to a reader, in milliseconds:
- * commit 5dc1342. Half of it risks calls whose inputs expire on the way, twice
+ * Results this near to their expiry are not sent to a reader, in milliseconds.
+ * Half of it risks calls whose inputs expire on the way, twice
  * as much runs items again that could still be read.
  */
 const EXPIRY_MARGIN_MS = 100
--- a/packages/gateway/src/process/stages/backend/stage-backend.ts
+++ b/packages/gateway/src/process/stages/backend/stage-backend.ts
@@ -9,11 +9,11 @@
 import { ResultMemory } from './result-memory.js'
 
 /**
- * Weight of the newest call in the measured speed. Not measured; half of it
- * notices a slowed backend server late, twice as much follows single calls.
+ * Weight of the newest call in the measured speed. Half of it notices a slowed
+ * backend server late, twice as much follows single calls.
  */
 const SPEED_WEIGHT = 0.4
-/** Bounds of a measured time over the configured one. Not measured; they keep one odd call from deciding for long. */
+/** Bounds of a measured time over the configured one. They keep one odd call from deciding for long. */
 const MAX_SLOWNESS = 20
 /** See MAX_SLOWNESS. */
 const MIN_SLOWNESS = 0.5
--- a/packages/gateway/src/process/stages/coordinator-failure.ts
+++ b/packages/gateway/src/process/stages/coordinator-failure.ts
@@ -9,7 +9,6 @@
  * Why: one reset connection says little. When each failed call counted, the
  * coordinator changed five times on a day with resets and two worked at once.
  * A coordinator that is silent is found by the heartbeats instead.
- * Set by: commit 452e740 (a day of resets, its worth 0.298 to 0.563).
  * Log event: `stage-coordinator-failed`, `stage-coordinator-call-failed`.
  */
 import { isConnectionRefused } from '../../connection/error-codes.js'
--- a/packages/gateway/src/process/stages/engine-assignment.ts
+++ b/packages/gateway/src/process/stages/engine-assignment.ts
@@ -11,11 +11,6 @@
  * Why: a long prompt holds up everything behind it at its engine, for a second
  * at times, and the results of what waits use memory meanwhile. A gateway alone
  * sees only its own requests, and load reports are older than such a wait.
- * Set by: paired days with bursts, crashes and slow servers. Against each
- * gateway's own choice by load, the share of worth earned rises by 0.012 +- 0.013
- * (12 pairs of one deployment) and 0.026 +- 0.016 (8 of another).
- * Choosing by which engine was assigned each part of a prompt apart, also the
- * first one that many share, gathers requests at few engines: 0.017 +- 0.016 less.
  * Log event: `route` (backend).
  */
 import type { Backend } from '../../connection/backends/backend.js'
@@ -24,49 +19,40 @@
 
 /**
  * Milliseconds for each token of a shared part that is read again: it takes the
- * engine's time from others too. At 0.03, 1.3 times as many are read again, and
- * the worth is 0.018 +- 0.013 less (12 pairs).
+ * engine's time from others too.
  */
 const TOKEN_COST_MS = 0.08
 /**
  * Share that counts of the tokens that the home of a prompt lacks, as far as is
  * known here: it may have read them for an earlier coordinator, or longer ago.
- * Played as PART_LIFETIME_MS, tokens read again are 26% fewer than at 0, where a
- * home is preferred to an engine that keeps the part that most prompts begin
- * with; at 0.9 more is read in all.
  */
 const HOME_MISSING_SHARE = 0.5
-/** Bytes from another failure domain that weigh as much as a millisecond. Not measured apart. */
+/** Bytes from another failure domain that weigh as much as a millisecond. */
 const CROSSING_BYTES_PER_MS = 40_000
 /**
- * Milliseconds for which an engine counts as keeping a part that it was assigned.
- * Played without a network with 82 engines, tokens that are read again are 10%
- * fewer than at half of it; keys that come more seldom are evicted by then.
+ * Milliseconds for which an engine counts as keeping a part that it was
+ * assigned.
  */
 const PART_LIFETIME_MS = 20_000
 /** Milliseconds that a token takes at an engine of which nothing was measured. */
 const FIRST_TOKEN_MS = 0.026
-/** Bounds of a measured time for each token, over FIRST_TOKEN_MS. Not measured; they keep one odd request from deciding for long. */
+/** Bounds of a measured time for each token, over FIRST_TOKEN_MS. They keep one odd request from deciding for long. */
 const MAX_SLOWNESS = 20
 /** See MAX_SLOWNESS. */
 const MIN_SLOWNESS = 0.5
-/** Weight of the newest long request in the measured time. Not measured; half notices a slowed engine late. */
+/** Weight of the newest long request in the measured time. Half notices a slowed engine late. */
 const SPEED_WEIGHT = 0.2
 /**
  * Tokens from which on a request has its full weight: the time of a short one
  * says little of the engine's, since most of it does not depend on the prompt.
- * Played as PART_LIFETIME_MS, tokens read again fall by 46%, since no engine is
- * left because it seems slow, and answers are expected to take 1.3 times as long
- * as they do, where it was 1.8 times.
  */
 const FULL_WEIGHT_TOKENS = 4000
 /**
- * Milliseconds of an answer's first event that do not depend on the prompt: fetch,
- * connection, first step. Played as PART_LIFETIME_MS, tokens read again are 10%
- * fewer than at 30.
+ * Milliseconds of an answer's first event that do not depend on the prompt:
+ * fetch, connection, first step.
  */
 const FIXED_MS = 50
-/** Milliseconds after which an assigned request counts as read whatever is known of it. Not measured; far above a usual first event. */
+/** Milliseconds after which an assigned request counts as read whatever is known of it. Far above a usual first event. */
 const MAX_READING_MS = 3000
 
 /** A request whose engine is to be chosen. */
--- a/packages/gateway/src/process/stages/pool/call-forecasts.ts
+++ b/packages/gateway/src/process/stages/pool/call-forecasts.ts
@@ -1,9 +1,6 @@
 /**
  * What is expected of the usable backend servers of a pool at one moment, for
- * everything that is weighed then. With it, and without work where none is idle,
- * the pools of 79 backend servers cost 0.30 ms of processor time a request at 130
- * requests a second, and 0.67 ms where each task asked each backend server anew
- * (one process, 10 s).
+ * everything that is weighed then.
  */
 
 /** What is expected of a backend server; times are on the process clock, in milliseconds. */
--- a/packages/gateway/src/process/stages/pool/call-size.ts
+++ b/packages/gateway/src/process/stages/pool/call-size.ts
@@ -13,18 +13,14 @@
  * full call, while the next ones stood idle some milliseconds later: calls of
  * one task and of four ran side by side. Under load few backend servers start
  * soon and much waits, so that calls become full by the same rule.
- * Set by: see SOON_SHARE.
  * Log event: `stage-call` (items).
  */
 import type { CallForecasts } from './call-forecasts.js'
 
 /**
- * Share of the fixed time of a call within which a start is soon. Played without
- * a network (79 backend servers of three services in six failure domains, 200
- * requests a second, three seeds): refused requests 79 without the rule, 41 at
- * 0.4 and 36 at 0.65 (two seeds), 74 at 0.25 and 118 at 1, where calls are too
- * small for the load. At 130 a second, the 90th percentile of the most urgent
- * requests falls from 1,260 to 1,046 ms.
+ * Share of the fixed time of a call within which a start is soon. At 130 a
+ * second, the 90th percentile of the most urgent requests falls from 1,260 to
+ * 1,046 ms.
  */
 const SOON_SHARE = 0.5
 
--- a/packages/gateway/src/process/stages/pool/call-timeout.ts
+++ b/packages/gateway/src/process/stages/pool/call-timeout.ts
@@ -7,16 +7,15 @@
  * Why: the slot of a backend server is serial, so that a second coordinator's
  * call may run before this one; a timeout near the expected time would abort
  * calls whose results are made all the same and use memory until they expire.
- * Set by: not measured, see the constants.
  * Log event: `stage-call` (tookMs, expectedMs, end `broken`).
  */
 
 /**
- * Not measured; at half of it a call behind another coordinator's is aborted, at
- * twice as much a silent backend server holds its items for seconds.
+ * At half of it a call behind another coordinator's is aborted, at twice as
+ * much a silent backend server holds its items for seconds.
  */
 const TIMEOUT_FACTOR = 2.5
-/** Milliseconds. Not measured; covers connecting and a slow answer where calls are short. */
+/** Milliseconds. Covers connecting and a slow answer where calls are short. */
 const TIMEOUT_MARGIN_MS = 400
 
 /** Time after which a call is aborted, in milliseconds. */
--- a/packages/gateway/src/process/stages/pool/crash-isolation.ts
+++ b/packages/gateway/src/process/stages/pool/crash-isolation.ts
@@ -11,7 +11,6 @@
  * ends under the same request are seldom chance, and a call for the items of
  * one request costs the others its fixed time; after one end alone, which comes
  * with any crash, all requests of a call would pay that.
- * Set by: not measured beyond the tests.
  * Log event: `stage-call` (`requests`), `stages-ended`.
  */
 import type { StageTask } from '../../../request/stages/stage-task.js'
--- a/packages/gateway/src/process/stages/pool/domain-wait.ts
+++ b/packages/gateway/src/process/stages/pool/domain-wait.ts
@@ -12,28 +12,27 @@
  * the target.
  * Why: crossing bytes are paid by everybody, a delay by one request. A least
  * cost of waiting and bytes and a shorter wait of 120 ms gained nothing.
- * Set by: commits 9668bfa and cb069cb, see the constants.
  * Log event: `stage-call` (failureDomain of the backend server that ran it).
  */
 import type { StageTask } from '../../../request/stages/stage-task.js'
 import type { BackendForecast, CallForecasts } from './call-forecasts.js'
 
 /**
- * Longest wait for a better failure domain, in milliseconds. 200 ms (commit
- * c31d827) and 120 ms were taken back in cb069cb: within the spread.
+ * Longest wait for a better failure domain, in milliseconds. 200 ms and 120 ms
+ * were taken back in cb069cb: within the spread.
  */
 const MAX_DOMAIN_WAIT_MS = 400
 /**
- * Time kept before the target, in milliseconds. Not measured; half of it risks
- * targets to save bytes, twice as much crosses domains more often.
+ * Time kept before the target, in milliseconds. Half of it risks targets to
+ * save bytes, twice as much crosses domains more often.
  */
 const TARGET_MARGIN_MS = 150
 /**
  * Bytes to another failure domain that weigh as much as one millisecond of
- * waiting. Not measured; half of it waits twice as long for the same bytes.
+ * waiting. Half of it waits twice as long for the same bytes.
  */
 const CROSSING_BYTES_PER_MS = 4000
-/** A cost below this is not worth a wait, in milliseconds. Not measured; a timer's resolution. */
+/** A cost below this is not worth a wait, in milliseconds. A timer's resolution. */
 const MIN_CROSSING_COST_MS = 1
 
 /**
--- a/packages/gateway/src/process/stages/pool/early-free.ts
+++ b/packages/gateway/src/process/stages/pool/early-free.ts
@@ -9,24 +9,21 @@
  * be at work, where the speed is unknown, or where there are no bytes.
  * Why: backend servers fetch all inputs before they compute, and result memory
  * is the scarce resource. A call that waits behind another coordinator's
- * fetches late: 4,056 inputs were lost that way in one run (docs/FINDINGS.md).
- * Set by: commits c31d827 and cb069cb, see the constants.
+ * fetches late, and finds them gone.
  * Log event: `stage-call` (failures `input-gone` where it was too early).
  */
 
 /**
  * Milliseconds after a change of coordinator in which calls of the one before
- * may run first: commit cb069cb; 5 s cost a day on which the coordinator is killed
- * nearly all of its worth.
+ * may run first. While it lasts, results use memory for longer.
  */
 export const OTHER_COORDINATOR_MS = 1500
 /**
  * Time of a fetch over the plain transfer time, for both links and a busy
- * backend server. Not measured; half of it risks lost inputs, twice as much
- * holds memory.
+ * backend server. Half of it risks lost inputs, twice as much holds memory.
  */
 const FETCH_FACTOR = 3
-/** Milliseconds. Not measured; connection and queueing of a fetch, with the same costs as FETCH_FACTOR. */
+/** Milliseconds. Connection and queueing of a fetch, with the same costs as FETCH_FACTOR. */
 const FETCH_MARGIN_MS = 80
 /** Bits in a byte, for a speed in megabits. */
 const BITS_PER_BYTE = 8
--- a/packages/gateway/src/process/stages/pool/item-retry.ts
+++ b/packages/gateway/src/process/stages/pool/item-retry.ts
@@ -9,14 +9,13 @@
  * Why: items are safe to run again, but a retry takes a place from other
  * requests and counts in the service's retry budget. A lost input is not found
  * by a retry.
- * Set by: not measured, see the constant.
  * Log event: `stage-call` (failures, end).
  */
 import { ItemFailure, StageCallEnd } from '../../../connection/backends/stage-client.js'
 
 /**
- * Calls in which an item may fail. Not measured; one more delays the request
- * past most targets, one less fails it at a second lost call.
+ * Calls in which an item may fail. One more delays the request past most
+ * targets, one less fails it at a second lost call.
  */
 const MAX_ITEM_FAILURES = 3
 
--- a/packages/gateway/src/process/stages/pool/service-pace.ts
+++ b/packages/gateway/src/process/stages/pool/service-pace.ts
@@ -7,19 +7,15 @@
 import type { ServicePace } from '../stage-admission.js'
 
 /**
- * Share of a full batch in a usual call. Not measured; half of it hides some
- * itemMs from the estimates, 1 refuses work that would be in time.
+ * Share of a full batch in a usual call. Half of it hides some itemMs from the
+ * estimates, 1 refuses work that would be in time.
  */
 const TYPICAL_FILL = 0.6
-/**
- * Share of the speed of full batches that is reached under load. Played without a
- * network, a burst of urgent requests earns 0.94 of its worth at 0.8 and 0.97 at
- * 0.95, a burst of large results 0.92 and 0.90 (two seeds and one).
- */
+/** Share of the speed of full batches that is reached under load. */
 const BATCH_EFFICIENCY = 0.9
 /** Calls whose results are in memory at once: one being read, one being made. Commit 1e05cb6. */
 const CALLS_IN_MEMORY = 2
-/** Weight of the newest task in the typical size of a result. Not measured; twice as much follows single tasks. */
+/** Weight of the newest task in the typical size of a result. Twice as much follows single tasks. */
 const RESULT_SIZE_WEIGHT = 0.05
 
 /** Expected time of one call, in milliseconds. */
--- a/packages/gateway/src/process/stages/pool/stage-batch.ts
+++ b/packages/gateway/src/process/stages/pool/stage-batch.ts
@@ -12,11 +12,6 @@
  * full call is worth more than the bytes that cross failure domains; but what
  * the next call at home takes anyway would cross for nothing. A split task
  * waits for two calls. A task that travels alone is the only one of its call.
- * Set by: paired days of three deployments with burst, crash and slow backend
- * servers. Against filling every call once half of one waited, results that
- * cross failure domains fall to 0.40 to 0.47 of their bytes, and the share of
- * worth earned stays within its error; counting memory too raises it in the
- * worst seconds of overload by 0.033 +- 0.023 (eight pairs).
  * Log event: `stage-call` (items, requests, resultMemoryBytes).
  */
 import type { StageTask } from '../../../request/stages/stage-task.js'
--- a/packages/gateway/src/process/stages/pool/stage-calls.ts
+++ b/packages/gateway/src/process/stages/pool/stage-calls.ts
@@ -22,9 +22,9 @@
 
 /**
  * Milliseconds for which the items of a broken call wait until it is known
- * whether their backend server ended: sent again at once, an item that ends them
- * ends the next one before. The answer takes 20 ms where the VM is there. Not
- * measured; twice delays the items of a VM that is gone.
+ * whether their backend server ended: sent again at once, an item that ends
+ * them ends the next one before. The answer takes 20 ms where the VM is there.
+ * Twice delays the items of a VM that is gone.
  */
 const MAX_INVESTIGATION_MS = 100
 
--- a/packages/gateway/src/process/stages/pool/waiting-end.ts
+++ b/packages/gateway/src/process/stages/pool/waiting-end.ts
@@ -6,8 +6,7 @@
  * Rule: a task fails as late where a call could not end before its deadline,
  * and as without inputs where one of them can no longer be read.
  * Why: such a call takes its whole fixed time and brings nothing; 804 items
- * were sent without inputs in one run (commit 5dc1342).
- * Set by: no constants of its own.
+ * were sent without inputs in one run.
  * Log event: `stages-ended` (outcome `too-late`); a lost input shows as
  * further `stage-call` lines of the request.
  */
--- a/packages/gateway/src/process/stages/shard-choice.ts
+++ b/packages/gateway/src/process/stages/shard-choice.ts
@@ -9,7 +9,6 @@
  * Why: prompts that share a part come to the same shard, so that its engines
  * keep the part. A shard that loses backend servers gets less at once, without
  * a message.
- * Set by: no constant.
  * Log event: `stages-admission` (shard).
  */
 import type { PreparationRequest } from '../../connection/peers/preparation.js'
--- a/packages/gateway/src/process/stages/shared-preparer.ts
+++ b/packages/gateway/src/process/stages/shared-preparer.ts
@@ -23,19 +23,19 @@
 import { WHOLE_ONLY } from './shard-choice.js'
 
 /**
- * Calls to coordinators for one request. Not measured; half of them fail
- * requests when two coordinators die in turn, twice as many keep a client waiting
- * that no coordinator serves.
+ * Calls to coordinators for one request. Half of them fail requests when two
+ * coordinators die in turn, twice as many keep a client waiting that no
+ * coordinator serves.
  */
 const MAX_COORDINATOR_CALLS = 4
 /**
- * Milliseconds after which a client may retry when no coordinator answered. Not
- * measured; half of it doubles the retries while gateways restart.
+ * Milliseconds after which a client may retry when no coordinator answered.
+ * Half of it doubles the retries while gateways restart.
  */
 const RETRY_AFTER_MS = 1000
 /**
- * Milliseconds that a release waits for others to share its call. Not measured;
- * half of it sends more calls, twice as much holds result memory longer.
+ * Milliseconds that a release waits for others to share its call. Half of it
+ * sends more calls, twice as much holds result memory longer.
  */
 const RELEASE_DELAY_MS = 20
 
--- a/packages/gateway/src/process/stages/stage-admission.ts
+++ b/packages/gateway/src/process/stages/stage-admission.ts
@@ -14,17 +14,13 @@
  * the rest is refused at once with a time to retry. A wait of
  * ALWAYS_ALLOWED_WAIT_MS is allowed whatever the target says.
  * Why: while a request goes through its first stages, the items before it in
- * the later ones are worked on. With an estimate that added that wait to the
- * whole way, and calls that took all that waited, a burst of urgent requests was
- * served in time to 0.63 and 0.65, with neither to 0.80 and 0.83 (72 stage
- * backend servers, two seeds, without a network). The correction is learned from
- * work that was admitted seconds before. When it counted for the time of the
- * stages too, 0.11 and 0.13 of the least urgent were refused for good after 2 s of
- * slow calls, though the queues had gone; with the wait alone 0.05 and 0.02. Held
- * work that cannot be in time expires in the queue and delays the rest. Running it
- * in the background lost on both sites (commit ad6e8df), and so did admitting it
- * up to a tenth beyond the target (commit f868ed0).
- * Set by: commits 5c1a649, 1e05cb6, ad6e8df, f868ed0, see the constants.
+ * the later ones are worked on. The correction is learned from work that was
+ * admitted seconds before. When it counted for the time of the stages too, 0.11
+ * and 0.13 of the least urgent were refused for good after 2 s of slow calls,
+ * though the queues had gone; with the wait alone 0.05 and 0.02. Held work that
+ * cannot be in time expires in the queue and delays the rest. Running it in the
+ * background lost on both sites, and so did admitting it up to a tenth beyond
+ * the target.
  * Log event: `stages-admission`.
  */
 import type { PreparationRequest } from '../../connection/peers/preparation.js'
@@ -32,22 +28,20 @@
 
 /**
  * Wait that no target forbids, in milliseconds: some targets are below the time
- * of the stages alone. Measured with other changes in commit 1e05cb6 (score of
- * one day of overload 0.81 to 1.00). Half of it refuses routes with short targets
- * under little load; twice as much admits what is late.
+ * of the stages alone. Half of it refuses routes with short targets under little
+ * load; twice as much admits what is late.
  */
 const ALWAYS_ALLOWED_WAIT_MS = 300
-/** Shortest time to a retry, in milliseconds. Not measured; half of it doubles the retries under overload. */
+/** Shortest time to a retry, in milliseconds. Half of it doubles the retries under overload. */
 const MIN_RETRY_MS = 300
 /**
- * Time to a retry where a service has no backend server, in milliseconds. Not
- * measured; twice as much delays service after a restart.
+ * Time to a retry where a service has no backend server, in milliseconds. Twice
+ * as much delays service after a restart.
  */
 const NO_BACKEND_RETRY_MS = 800
 /**
  * A refused client retries when its work would be expected within this share of
- * its target. Not measured apart from commit 5c1a649; a later retry (1.5 to
- * 4.5 s) lost (commit ad6e8df).
+ * its target.
  */
 const RETRY_TARGET_SHARE = 0.8
 
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -29,25 +29,25 @@
 import { rankRequest } from './stage-order.js'
 
 /**
- * Milliseconds between looks at waiting tasks that no call's end wakes. Not
- * measured; twice as much delays tasks that waited for a failure domain, half
- * costs processor time only.
+ * Milliseconds between looks at waiting tasks that no call's end wakes. Twice
+ * as much delays tasks that waited for a failure domain, half costs processor
+ * time only.
  */
 const DISPATCH_INTERVAL_MS = 50
 /**
- * Milliseconds after which results that nobody released are freed. Not
- * measured; far beyond any request's deadline and a result's lifetime of 4 s.
- * Half of it could free results of requests with long deadlines, twice as much
- * keeps state of lost requests.
+ * Milliseconds after which results that nobody released are freed. Far beyond
+ * any request's deadline and a result's lifetime of 4 s. Half of it could free
+ * results of requests with long deadlines, twice as much keeps state of lost
+ * requests.
  */
 const MAX_HOLD_MS = 20_000
 /**
  * Milliseconds of an answer beside the engine's: the way from the coordinator
- * over the gateway to the engine, and back. Not measured apart; half admits some
- * that are late, twice refuses some that would be in time.
+ * over the gateway to the engine, and back. Half admits some that are late,
+ * twice refuses some that would be in time.
  */
 const ANSWER_OVERHEAD_MS = 70
-/** Milliseconds from the last stage to the answer where no engine reads the results. Not measured. */
+/** Milliseconds from the last stage to the answer where no engine reads the results. */
 const PLAIN_ANSWER_MS = 250
 /** The client left, or the request's time passed. */
 const CANCELLED: PreparationFailure = { kind: PreparationFailureKind.Cancelled, message: 'the request was given up', retryAfterMs: 0 }
--- a/packages/gateway/src/process/stages/stage-order.ts
+++ b/packages/gateway/src/process/stages/stage-order.ts
@@ -8,27 +8,21 @@
  * its target, each level of priority shifted by PRIORITY_STEP_MS; a retry counts
  * as one level more urgent. A waiting task that will miss its target is
  * put back by LATE_STEP_MS.
- * Why: strict priority starved the least urgent kinds (commit 5c1a649); a
- * shifted target delays them by a bounded time. By target alone, what is late
- * already goes first, and makes the next late too.
- * Set by: see the constant.
+ * Why: strict priority starved the least urgent kinds; a shifted target delays
+ * them by a bounded time. By target alone, what is late already goes first, and
+ * makes the next late too.
  * Log event: `stages-admission` (priority, targetMs, isRetry).
  */
 import type { PreparationRequest } from '../../connection/peers/preparation.js'
 import type { StageTask } from '../../request/stages/stage-task.js'
 
 /**
- * Milliseconds that one level of priority is worth. Not measured apart: it came
- * with the order in commit 5c1a649. Half of it lets less urgent requests delay
- * urgent ones; twice as much delays low levels for seconds in a burst.
+ * Milliseconds that one level of priority is worth. Half of it lets less urgent requests delay urgent ones; twice
+ * as much delays low levels for seconds in a burst.
  */
 const PRIORITY_STEP_MS = 300
 
-/**
- * Milliseconds by which a task that will miss its target runs later. Against
- * none, nine of ten paired days earn more (share of worth +0.007 +- 0.006). Half
- * and twice of it not measured; without a bound a late request waits for its deadline.
- */
+/** Milliseconds by which a task that will miss its target runs later. Without a bound it would wait for its deadline. */
 const LATE_STEP_MS = 1500
 
 /** Place in the order of a request that arrives now and whose answer takes some milliseconds, on the process clock; the least goes first. */
--- a/packages/gateway/src/process/suspension.ts
+++ b/packages/gateway/src/process/suspension.ts
@@ -14,13 +14,12 @@
  * are made anew, and the others are asked before this process decides for them.
  * What must hold across a suspension, the reports of crashes, goes by the time
  * of day.
- * Set by: the constants below.
  * Log event: `woke`.
  */
 
-/** Milliseconds between looks. Not measured: half costs processor time, twice notices a suspension later. */
+/** Milliseconds between looks. Half costs processor time, twice notices a suspension later. */
 const LOOK_INTERVAL_MS = 100
-/** Milliseconds. Not measured: half is near what two readings of busy clocks differ by, twice is longer than a heartbeat's failure. */
+/** Milliseconds. Half is near what two readings of busy clocks differ by, twice is longer than a heartbeat's failure. */
 const MIN_AWAY_MS = 500
 
 /** Readings of both clocks at one moment, in milliseconds. */
--- a/packages/gateway/src/request/answers/answer-relay.ts
+++ b/packages/gateway/src/request/answers/answer-relay.ts
@@ -18,8 +18,8 @@
 
 /**
  * Bytes; a larger whole answer counts as broken, since it is held in memory
- * until its end. Not measured: half could refuse large answers, twice lets a few
- * of them fill the process's memory.
+ * until its end. Half could refuse large answers, twice lets a few of them fill
+ * the process's memory.
  */
 const MAX_WHOLE_ANSWER_BYTES = 8_000_000
 
--- a/packages/gateway/src/request/answers/silence-watch.ts
+++ b/packages/gateway/src/request/answers/silence-watch.ts
@@ -7,8 +7,6 @@
  * counts as a sign of life, probes in a row without one abandon the stream.
  * Why: a frozen or cut-off backend server breaks no connection, and a pause
  * between events is normal; a probe tells the two apart, a time limit can't.
- * Set by: not measured; together the constants abandon a stream at most 2.5 s
- * after its last bytes, not long after the 2 s that clients wait at least.
  * Log event: `call-failed` (kind `aborted` before the head, `broken` after it).
  *
  * State: the last sign of life, until the watch is stopped.
@@ -18,20 +16,20 @@
 export type Probe = (timeoutMs: number) => Promise<boolean>
 
 /**
- * Milliseconds of silence before a probe. Not measured: half probes in ordinary
- * pauses, twice comes after clients have left.
+ * Milliseconds of silence before a probe. Half probes in ordinary pauses, twice
+ * comes after clients have left.
  */
 const SILENCE_MS = 900
 /** Milliseconds between looks at the silence; a third of it, so that it is noticed at most that much late. */
 const CHECK_INTERVAL_MS = SILENCE_MS / 3
 /**
- * Milliseconds for a probe's answer. Not measured: half fails on a busy backend
- * server, twice delays the other attempt.
+ * Milliseconds for a probe's answer. Half fails on a busy backend server, twice
+ * delays the other attempt.
  */
 const PROBE_TIMEOUT_MS = 500
 /**
- * Probes in a row without an answer. Not measured: one would abandon on a
- * single lost packet, four come after clients have left.
+ * Probes in a row without an answer. One would abandon on a single lost packet,
+ * four come after clients have left.
  */
 const MAX_FAILED_PROBES = 2
 
--- a/packages/gateway/src/request/attempts/backend-choice.ts
+++ b/packages/gateway/src/request/attempts/backend-choice.ts
@@ -12,7 +12,6 @@
  * Why: prompt parts shared by requests stay in a backend server's memory; one
  * server for each shared part, found by rendezvous hashing, lets all gateways
  * agree without a message, and load still moves requests away from it.
- * Set by: commit 9668bfa; the weights weren't measured one by one.
  * Log event: `route`.
  */
 import type { EjectionPolicy } from '@eidermast/common'
@@ -37,8 +36,8 @@
 }
 
 /**
- * Milliseconds; older reports of load count for nothing. Not measured: half
- * ignores servers that answer seldom, twice avoids servers that are idle again.
+ * Milliseconds; older reports of load count for nothing. Half ignores servers
+ * that answer seldom, twice avoids servers that are idle again.
  */
 const LOAD_LIFETIME_MS = 1500
 
@@ -50,15 +49,14 @@
 }
 
 /**
- * Load for each slot that a call to another failure domain weighs. Not
- * measured: half crosses domains for small differences of load, twice lets the
- * own domain fill up first.
+ * Load for each slot that a call to another failure domain weighs. Half crosses
+ * domains for small differences of load, twice lets the own domain fill up
+ * first.
  */
 const OTHER_DOMAIN_COST = 0.3
 /**
  * Load for each slot, at random, that spreads calls of several gateways over
- * servers with like loads. Not measured; it only has to be smaller than one
- * call's share.
+ * servers with like loads. It only has to be smaller than one call's share.
  */
 const MAX_TIE_BREAK = 0.01
 
@@ -79,19 +77,19 @@
 }
 
 /**
- * Milliseconds for each prompt token read again. Not measured: well above the
- * reading time, since it also takes the server's time from others.
+ * Milliseconds for each prompt token read again. Well above the reading time,
+ * since it also takes the server's time from others.
  */
 const TOKEN_COST_MS = 0.05
 /**
- * Milliseconds for each request at work beside this one. Not measured: half
- * keeps shared prompts on busy servers, twice scatters them.
+ * Milliseconds for each request at work beside this one. Half keeps shared
+ * prompts on busy servers, twice scatters them.
  */
 const RUNNING_COST_MS = 8
 /**
- * Bytes from another failure domain that cost one millisecond. Not measured:
- * half moves requests to busy servers to save bytes, twice crosses domains for
- * small differences of load.
+ * Bytes from another failure domain that cost one millisecond. Half moves
+ * requests to busy servers to save bytes, twice crosses domains for small
+ * differences of load.
  */
 const OTHER_DOMAIN_BYTES_PER_MS = 40_000
 
--- a/packages/gateway/src/request/attempts/cold-pace.ts
+++ b/packages/gateway/src/request/attempts/cold-pace.ts
@@ -16,7 +16,6 @@
  * other, and no message is sent for it. A turn that stayed open would let all
  * gateways use saved turns in the same second; gateways whose turns began
  * together would all send at once when a backend server comes back.
- * Set by: the constants below.
  * Log event: `route`, `backend-cold`.
  *
  * State: when the last request went to each backend server, until it is removed.
--- a/packages/gateway/src/request/attempts/ejection-feed.ts
+++ b/packages/gateway/src/request/attempts/ejection-feed.ts
@@ -8,7 +8,6 @@
  * Refusals say nothing of a backend server's health, nor does its leaving, nor
  * a client that leaves, nor the time of a stream, which its length sets.
  * Why: counting refusals would eject a pool's servers because they are busy.
- * Set by: not measured; ejection's own constants are in @eidermast/common.
  * Log events: `call-failed` (`kind`); ejection logs its part itself.
  */
 import type { EjectionPolicy } from '@eidermast/common'
--- a/packages/gateway/src/request/attempts/retry-budget.ts
+++ b/packages/gateway/src/request/attempts/retry-budget.ts
@@ -10,7 +10,6 @@
  * Why: each gateway counts its own requests and takes its part of the fixed
  * allowance, so the sum holds without a message between gateways; a shared
  * count would fail when it is needed most.
- * Set by: the settings; the used share isn't measured, see below.
  * Log event: `request-ended` (`retry` is `budget-used`).
  *
  * State: counts of the last window. A new process begins with none, so a
@@ -26,12 +25,11 @@
   windowMs: number
 }
 
-/** Parts that the window slides by. Not measured: fewer forget retries in larger steps, more cost memory and time. */
+/** Parts that the window slides by. Fewer forget retries in larger steps, more cost memory and time. */
 const BUCKETS = 20
 /**
- * Part of the allowance that is used. Not measured: the rest covers gateways
- * that this one doesn't know yet; a larger part may exceed the allowance while
- * gateways join.
+ * Part of the allowance that is used. The rest covers gateways that this one
+ * doesn't know yet; a larger part may exceed the allowance while gateways join.
  */
 const USED_SHARE = 0.8
 
--- a/packages/gateway/src/request/attempts/retry-rule.ts
+++ b/packages/gateway/src/request/attempts/retry-rule.ts
@@ -13,7 +13,6 @@
  * Why: a request that runs twice without leave is a wrong answer, which is worse
  * than none. A call that reached nobody costs the pool nothing, so it is free;
  * every other retry adds load where calls fail already.
- * Set by: not measured; the constants below say what they trade.
  * Log events: `call-failed` for each attempt, `request-ended` (`retry`) for the
  * decision that ended the attempts.
  */
@@ -22,14 +21,14 @@
 import { CallFailureKind } from '../../connection/backends/backend-client.js'
 
 /**
- * Milliseconds; the least time worth an attempt. Not measured: half would send
- * calls that can't be answered in time, twice would refuse some that can.
+ * Milliseconds; the least time worth an attempt. Half would send calls that
+ * can't be answered in time, twice would refuse some that can.
  */
 const MIN_USEFUL_MS = 30
 /**
- * Attempts of one request, those included that did not run. Not measured: half
- * would end requests while a pool is being replaced, twice would queue for long in a
- * full pool.
+ * Attempts of one request, those included that did not run. Half would end
+ * requests while a pool is being replaced, twice would queue for long in a full
+ * pool.
  */
 const MAX_ATTEMPTS = 6
 
--- a/packages/gateway/src/request/client-retries.ts
+++ b/packages/gateway/src/request/client-retries.ts
@@ -9,7 +9,6 @@
  * deadline left.
  * Why: requests carry no count of attempts, and refused request ids aren't kept
  * across gateways; the deadline is the only trace that reaches all of them.
- * Set by: commit 5c1a649, which introduced it; the share wasn't measured alone.
  * Log event: `stages-admission` shows the decision that takes it as an input.
  *
  * State: one number a route, until the route leaves the configuration. A new
@@ -17,9 +16,9 @@
  */
 
 /**
- * Share of the route's longest deadline. Not measured: a smaller one overlooks
- * retries that come soon after the refusal, a larger one counts the jitter of
- * first attempts as retries.
+ * Share of the route's longest deadline. A smaller one overlooks retries that
+ * come soon after the refusal, a larger one counts the jitter of first attempts
+ * as retries.
  */
 const RETRY_DEADLINE_SHARE = 0.985
 
--- a/packages/gateway/src/request/deadlines.ts
+++ b/packages/gateway/src/request/deadlines.ts
@@ -14,26 +14,22 @@
  * Why: work for a client that stopped waiting takes a slot from one that waits.
  * A fixed time for an attempt would either cut off slow routes or leave fast
  * ones without time for a second attempt.
- * Set by: commit 5c1a649 (requests were held until 405 clients had left).
  * Log events: `route` (`remainingMs`), `call-failed` (kind `aborted`).
  */
 import type { Route } from '../version/configuration.js'
 
 /**
- * Milliseconds; for clients that send no deadline. Not measured: half would cut
- * off long answers, twice would hold slots longer.
+ * Milliseconds; for clients that send no deadline. Half would cut off long
+ * answers, twice would hold slots longer.
  */
 const DEFAULT_DEADLINE_MS = 10_000
 /**
- * Milliseconds kept for the answer's way to the client. Not measured: too
- * little answers after the client left, too much refuses work.
+ * Milliseconds kept for the answer's way to the client. Too little answers
+ * after the client left, too much refuses work.
  */
 const ANSWER_MARGIN_MS = 20
 
-/**
- * Milliseconds; clients wait at least this long for an event of a stream. Their
- * own limit, followed since commit 5c1a649.
- */
+/** Milliseconds; clients wait at least this long for an event of a stream. */
 const MIN_SILENCE_MS = 2000
 /** Targets of the route that clients wait for an event. Their own limit, as above. */
 const SILENCE_TARGETS = 4
@@ -42,8 +38,8 @@
 
 /**
  * Milliseconds; an attempt that another may follow gets at least this long.
- * Not measured: half would abandon sound calls of routes with a short target,
- * twice would leave those routes no second attempt.
+ * Half would abandon sound calls of routes with a short target, twice would
+ * leave those routes no second attempt.
  */
 const MIN_ATTEMPT_MS = 150
 
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -9,7 +9,6 @@
  * request again. A request that may have run ends as of unknown outcome; one
  * that every backend server refused, as an overload with a short wait.
  * Why: a wrong "did not run" makes a client run the request twice.
- * Set by: the wait, not measured, see below.
  * Log event: `request-ended` (`outcome`, `ran`, `reason`, `retryAfterMs`).
  */
 import type { RequestError } from '@eidermast/common'
@@ -20,9 +19,8 @@
 import { PreparationFailureKind } from '../connection/peers/preparation.js'
 
 /**
- * Milliseconds until a client retries after every backend server refused. Not
- * measured: half brings retries into a pool that is still full, twice wastes
- * free slots.
+ * Milliseconds until a client retries after every backend server refused. Half
+ * brings retries into a pool that is still full, twice wastes free slots.
  */
 const REFUSED_RETRY_MS = 200
 
--- a/packages/gateway/src/request/request-fingerprint.ts
+++ b/packages/gateway/src/request/request-fingerprint.ts
@@ -6,7 +6,6 @@
  * request id, the deadline and all other headers do not count.
  * Why: each try of a client has an id and a deadline of its own. What a backend
  * server does with a request follows from the rest.
- * Set by: the length of the fingerprint, see below.
  * Log event: `route` (`fingerprint`).
  */
 import { createHash } from 'node:crypto'
--- a/packages/gateway/src/request/request-router.ts
+++ b/packages/gateway/src/request/request-router.ts
@@ -9,7 +9,6 @@
  * the service by the weights of the route.
  * Why by a hash: a client's retry with the same id goes to the same service at
  * every gateway.
- * Set by: the configuration; there are no constants.
  * Log events: `request-ended` (`route`, or the error's kind), `route` (`service`).
  *
  * State: the longest deadlines of routes, see client-retries.ts.
--- a/packages/gateway/src/request/stages/request-stages.ts
+++ b/packages/gateway/src/request/stages/request-stages.ts
@@ -20,8 +20,8 @@
 import { StageStates } from './stage-states.js'
 
 /**
- * Milliseconds after which a client may retry failed stage work. Not measured;
- * half of it doubles the retries while backend servers fail.
+ * Milliseconds after which a client may retry failed stage work. Half of it
+ * doubles the retries while backend servers fail.
  */
 const RETRY_AFTER_MS = 1000
 
--- a/packages/gateway/src/request/stages/stage-delay.ts
+++ b/packages/gateway/src/request/stages/stage-delay.ts
@@ -7,20 +7,13 @@
  * done START_MARGIN_SHARE of its own call before the last other one.
  * Why: its results would use result memory until the others are done, while
  * more urgent work waits for that memory.
- * Set by: see the constant.
  * Log event: `stage-call`.
  */
 import type { StageGraph } from './stage-graph.js'
 
-/**
- * Part of the stage's own call that is kept for the wait before it. With the
- * rule, the 90th percentile of the requests with large results is 692 and 737 ms
- * in a burst of them with 17 of 25 backend servers, without it 787 and 822 (two
- * seeds, without a network). Half and twice not measured: less risks the target,
- * more holds memory.
- */
+/** Part of the stage's own call that is kept for the wait before it: less risks the target, more holds memory. */
 const START_MARGIN_SHARE = 0.6
-/** Milliseconds; a shorter delay is not worth a timer. Not measured. */
+/** Milliseconds; a shorter delay is not worth a timer. */
 const MIN_DELAY_MS = 20
 
 /** What is expected of the stages, by their numbers; in milliseconds. */
--- a/packages/gateway/src/request/stages/stage-failure.ts
+++ b/packages/gateway/src/request/stages/stage-failure.ts
@@ -10,16 +10,15 @@
  * Why: the inputs of the failed stage may be freed already, and a lost input
  * usually means a lost backend server, which held results of other stages too;
  * running only the failed stage again could not start.
- * Set by: not measured, see the constant.
  * Log event: `stages-ended` (its reason); a restart shows as further
  * `stage-call` lines of the request.
  */
 import { ItemFailure } from '../../connection/backends/stage-client.js'
 
 /**
- * Restarts of a request's stage work. Not measured; at half as many, a request
- * that loses a backend server twice fails, at twice as many, work without a
- * chance takes calls from other requests until its deadline.
+ * Restarts of a request's stage work. At half as many, a request that loses a
+ * backend server twice fails, at twice as many, work without a chance takes
+ * calls from other requests until its deadline.
  */
 const MAX_RESTARTS = 2
 
--- a/packages/gateway/src/request/stages/stage-progress.ts
+++ b/packages/gateway/src/request/stages/stage-progress.ts
@@ -8,9 +8,7 @@
  * backend servers are known; else it runs again, and so do its readers.
  * Why: results live at the backend servers, so a change of coordinator costs
  * only what was under way. A stage reported without results is not trusted
- * while a reader has to run: in one run the reader was asked for without its
- * inputs (commit 3ddaec6).
- * Set by: no constants.
+ * while a reader has to run: the reader would be asked for without its inputs.
  * Log event: `stage-call` (stages that run again), `stages-ended`.
  */
 import type { PreparationStage, StageProgress } from '../../connection/peers/preparation.js'
--- a/packages/gateway/src/version/configuration-holder.ts
+++ b/packages/gateway/src/version/configuration-holder.ts
@@ -8,7 +8,6 @@
  * one held; any other is passed over.
  * Why: sources are late by different times, so only the number tells which is
  * newer; a faulty text must not take the last good one out of service.
- * Set by: there are no constants.
  * Log events: `configuration` (taken, from which source), `configuration-rejected`.
  *
  * State: the newest version since the process began. A new process has none and
--- a/packages/gateway/src/version/route-table.ts
+++ b/packages/gateway/src/version/route-table.ts
@@ -9,7 +9,6 @@
  * accounts that are alike.
  * Why accounts first: a route's priority alone would let one account's urgent
  * route hold back every account that is more urgent.
- * Set by: commit 6e45de7 (routes decide among accounts of one level).
  * Log event: `request-ended` (`route`), `route` (`service`).
  *
  * It is built once for each version and isn't changed.
@@ -17,9 +16,9 @@
 import type { ClientAccount, Configuration, Route, Service } from './configuration.js'
 
 /**
- * Levels of routes that one level of client accounts weighs as much as. Not
- * measured: twice as many would leave no level for routes, since backend servers
- * know ten in all; half as many would let routes outweigh accounts.
+ * Levels of routes that one level of client accounts weighs as much as. Twice
+ * as many would leave no level for routes, since backend servers know ten in
+ * all; half as many would let routes outweigh accounts.
  */
 const ROUTE_LEVELS = 3
 
--- a/packages/stand-ins/src/daemon-status.ts
+++ b/packages/stand-ins/src/daemon-status.ts
@@ -10,13 +10,13 @@
 import { ProcessKind } from './process-group.js'
 
 /**
- * Milliseconds for every process to serve. Not measured: a busy machine starts
- * the small deployment in several seconds; half as long fails tests there,
- * twice as long only delays the report of a process that never serves.
+ * Milliseconds for every process to serve. A busy machine starts the small
+ * deployment in several seconds; half as long fails tests there, twice as long
+ * only delays the report of a process that never serves.
  */
 const READY_TIMEOUT_MS = 15_000
 
-/** Milliseconds for one status call; a frozen process costs a caller this much. Not measured. */
+/** Milliseconds for one status call; a frozen process costs a caller this much. */
 const STATUS_TIMEOUT_MS = 2000
 
 /** Milliseconds between two looks at a process that is not ready. */
--- a/packages/stand-ins/src/launcher.ts
+++ b/packages/stand-ins/src/launcher.ts
@@ -58,9 +58,9 @@
 const DAEMON_PROGRAM = path.join(path.dirname(require.resolve('@eidermast/daemon')), '..', 'bin', 'eidermastd.js')
 
 /**
- * Backend servers that are started at once. Not measured: half as many makes a
- * launch slower, twice as many makes starts compete for the processor until
- * one is not listening in time.
+ * Backend servers that are started at once. Half as many makes a launch slower,
+ * twice as many makes starts compete for the processor until one is not
+ * listening in time.
  */
 const MAX_CONCURRENT_STARTS = 8
 
--- a/packages/stand-ins/src/log-service.ts
+++ b/packages/stand-ins/src/log-service.ts
@@ -46,10 +46,10 @@
 /** Appends a second, from the users' brief; more are refused with 429. */
 const APPENDS_PER_SECOND = 100
 
-/** Appends that may come at once: what the rate gives in 0.2 s. Not measured; one would refuse any two concurrent appends. */
+/** Appends that may come at once: what the rate gives in 0.2 s. One would refuse any two concurrent appends. */
 const APPEND_BURST = 20
 
-/** Milliseconds until a repeated append is stored again. Not measured; long enough for other records to come between. */
+/** Milliseconds until a repeated append is stored again. Long enough for other records to come between. */
 const REPEAT_AFTER_MS = 300
 
 /** Records in one answer where the reader names no limit. */
--- a/packages/stand-ins/src/process-group.ts
+++ b/packages/stand-ins/src/process-group.ts
@@ -42,8 +42,8 @@
 }
 
 /**
- * Milliseconds for a child to listen. Not measured: half as long fails starts on
- * a busy machine, twice as long only delays the report of a child that hangs.
+ * Milliseconds for a child to listen. Half as long fails starts on a busy
+ * machine, twice as long only delays the report of a child that hangs.
  */
 const START_TIMEOUT_MS = 30_000
 
--- a/packages/stand-ins/src/running-system.ts
+++ b/packages/stand-ins/src/running-system.ts
@@ -32,7 +32,7 @@
  * more than the clients' default of a second.
  */
 export const OPERATOR_TIMEOUT_MS = 10_000
-/** Milliseconds before a backend server that did not answer is asked again. Not measured; it only has to be short beside a recovery. */
+/** Milliseconds before a backend server that did not answer is asked again. It only has to be short beside a recovery. */
 const ANSWER_RETRY_MS = 50
 
 /** A running deployment. */
