--- /dev/null
+++ b/test/platform/clients-that-leave.test.ts
@@ -0,0 +1,152 @@
+/**
+ * What clients may rely on in calm: work for one that left ends soon, a ready
+ * gateway takes new connections however busy it is, and a stream that pauses is
+ * not broken off.
+ */
+import type { ServerResponse } from 'node:http'
+import type { StartedGateway } from './support/in-process-gateway.js'
+import type { SeenRequest } from './support/stand-in-backend.js'
+import { wait } from '@eidermast/common'
+import { request } from 'undici'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import { startGateway } from './support/in-process-gateway.js'
+import { hang, StandInBackend } from './support/stand-in-backend.js'
+import { STAGE_LIMITS } from './support/stand-in-stages.js'
+import { StandInStore } from './support/stand-in-store.js'
+
+/** Milliseconds after a client's leaving within which nothing of its request is sent or worked on any more (the platform's rules). */
+const GONE_MS = 500
+/** Milliseconds until a request is well under way. */
+const UNDER_WAY_MS = 250
+/** Calls of a stage last for longer than that, and end. */
+const STAGE_MS = 500
+const ROUTE = { Host: 'host.example', TimeoutMs: 6000, TargetLatencyMs: 3000, MaxAttempts: 2 }
+const CONFIGURATION = {
+  Version: 3,
+  Routes: [
+    { ...ROUTE, Name: 'plain', PathPrefix: '/plain/', Type: 'idempotent', Service: 'plain' },
+    { ...ROUTE, Name: 'stream', PathPrefix: '/stream/', Type: 'streaming', Service: 'model', MaxAttempts: 1 },
+    { ...ROUTE, Name: 'staged', PathPrefix: '/staged/', Type: 'streaming', Service: 'model', MaxAttempts: 1, Phases: [{ Service: 'encode', WatchRevision: [], SizeBytes: 1000 }] },
+  ],
+  // Two connections to the only backend server: a third request waits for one.
+  Services: [{ Name: 'plain', MaxConnections: 4 }, { Name: 'model', MaxConnections: 40 }, { Name: 'encode', MaxConnections: 40, Segments: STAGE_LIMITS }],
+  Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
+}
+
+let store: StandInStore
+let gateway: StartedGateway
+let plain: StandInBackend
+let model: StandInBackend
+let encode: StandInBackend
+
+beforeEach(async () => {
+  store = new StandInStore()
+  gateway = await startGateway('gateway-a', await store.start())
+  plain = new StandInBackend('plain-a', 'plain')
+  model = new StandInBackend('model-a', 'model')
+  encode = new StandInBackend('encode-a', 'encode')
+  store.put('keyed.op', 'config', CONFIGURATION)
+  for (const backend of [plain, model, encode]) {
+    await backend.start()
+    store.put('keyed.servers', backend.id, backend.entry())
+  }
+  await vi.waitFor(async () => {
+    expect(gateway.gateway.registry.size).toBe(3)
+    expect((await request(gateway.readiness)).statusCode).toBe(200)
+  })
+})
+
+afterEach(async () => {
+  await gateway.gateway.close()
+  await Promise.all([store.stop(), ...[plain, model, encode].map(backend => backend.stop())])
+})
+
+/** Sends a request and reads its answer; rejects where it was aborted. */
+async function send(path: string, signal?: AbortSignal): Promise<number> {
+  const headers = { 'host': 'host.example', 'attempt-id': path, 'deadline-ms': '5000', 'chunk-count': '1', 'chunk-key': 'key' }
+  const response = await request(`${gateway.address}${path}`, { headers, signal })
+  await response.body.text()
+  return response.statusCode
+}
+
+/** Sends a request, and leaves while it is under way. */
+async function sendAndLeave(path: string): Promise<void> {
+  const leaving = new AbortController()
+  const sent = expect(send(path, leaving.signal)).rejects.toThrow()
+  await wait(UNDER_WAY_MS)
+  leaving.abort()
+  await sent
+}
+
+function startStream({ headers }: SeenRequest, response: ServerResponse): void {
+  response.writeHead(200, { 'Attempt-Id': String(headers['attempt-id']), 'Server-Signature': 'signed', 'Content-Type': 'text/event-stream' })
+  response.write('id: 1\ndata: 1\n\n')
+}
+
+describe('for a client that left', () => {
+  test.each([
+    ['that waits for its answer', '/plain/x', () => plain],
+    ['whose stream is under way', '/stream/x', () => model],
+  ])('the work on a request %s ends', async (_name, path, backendOf) => {
+    const left = vi.fn()
+    const backend = backendOf()
+    backend.respond = (seen, response) => {
+      response.on('close', left)
+      if (path.startsWith('/stream/'))
+        startStream(seen, response)
+    }
+    await sendAndLeave(path)
+    await vi.waitFor(() => expect(left).toHaveBeenCalled(), { timeout: GONE_MS })
+    expect(backend.seen).toHaveLength(1)
+  })
+
+  test('nothing is sent to the backend server that would have read its stages', async () => {
+    encode.respond = async (_, response) => {
+      await wait(STAGE_MS)
+      response.end(JSON.stringify({ Items: [{ PromptHandle: 'encoder/1' }] }))
+    }
+    await sendAndLeave('/staged/x')
+    await wait(STAGE_MS + GONE_MS)
+    expect(model.seen.filter(({ path }) => path.startsWith('/staged/'))).toEqual([])
+  })
+
+  test('nothing is sent where its request waited for a connection', async () => {
+    plain.respond = hang(() => {})
+    const occupying = new AbortController()
+    const others = ['/plain/1', '/plain/2'].map(path => expect(send(path, occupying.signal)).rejects.toThrow())
+    await vi.waitFor(() => expect(plain.seen).toHaveLength(2))
+    await sendAndLeave('/plain/waiting')
+    occupying.abort()
+    await Promise.all(others)
+    await wait(GONE_MS)
+    expect(plain.seen.map(({ path }) => path)).not.toContain('/plain/waiting')
+  })
+})
+
+describe('a gateway that is ready', () => {
+  test('takes new connections while many requests hang', async () => {
+    model.respond = hang(() => {})
+    const leaving = new AbortController()
+    const hanging = Array.from({ length: 40 }, (_, number) => expect(send(`/stream/${number}`, leaving.signal)).rejects.toThrow())
+    await vi.waitFor(() => expect(gateway.gateway.clients.activeRequests).toBe(40))
+    const answers = Array.from({ length: 7 }, (_, number) => send(`/plain/${number}`))
+    expect(await Promise.all(answers)).toEqual(answers.map(() => 200))
+    leaving.abort()
+    await Promise.all(hanging)
+  })
+})
+
+describe('a stream in calm', () => {
+  test('is not broken off while it pauses, since its backend server answers probes', async () => {
+    model.respond = async (seen, response) => {
+      if (seen.path.startsWith('/-/'))
+        return void response.end('{}')
+      startStream(seen, response)
+      await wait(2500)
+      response.end('id: 2\ndata: 2\n\n')
+    }
+    expect(await send('/stream/x')).toBe(200)
+    expect(model.seen.filter(({ path }) => path === '/stream/x')).toHaveLength(1)
+    expect(model.seen.some(({ path }) => path.startsWith('/-/'))).toBe(true)
+  })
+})
