--- a/test/soak/domains-soak.test.ts
+++ b/test/soak/domains-soak.test.ts
@@ -37,6 +37,7 @@
   to: number
 }
 
+/** A deployment in failure domains, what happens to it, and what must not have followed. */
 class DomainsRun {
   readonly deployment = new SoakDeployment({
     failureDomains: FAILURE_DOMAINS,
@@ -50,6 +51,8 @@
   readonly evacuations: Evacuation[] = []
   /** When each backend server started cold. */
   private readonly startedCold = new Map<StandInBackend, number>()
+  /** Backend servers that lost power. */
+  private readonly gone = new Set<StandInBackend>()
   private readonly troubles = new SoakTroubles(CONTACT_MS + SLACK_MS)
   private readonly steps: (() => Promise<void> | void)[] = [
     () => this.evacuate(),
@@ -101,7 +104,7 @@
   /** A failure domain loses power: its gateways start again, and so do its plain backend servers, under new ids and cold. */
   private async losePower(): Promise<void> {
     const failureDomain = this.drawDomain()
-    const lost = this.deployment.backends.filter(backend => backend.service === 'plain' && backend.failureDomain === failureDomain && !this.isGone(backend))
+    const lost = this.deployment.backends.filter(backend => backend.service === 'plain' && backend.failureDomain === failureDomain && !this.gone.has(backend))
     lost.forEach(backend => this.gone.add(backend))
     const gateways = this.deployment.gateways.flatMap((_, number) => this.deployment.failureDomainOf(number) === failureDomain ? [number] : [])
     await Promise.all([...lost.map(backend => backend.stop()), ...gateways.map(number => this.replace(number))])
@@ -113,12 +116,6 @@
     }
   }
 
-  private readonly gone = new Set<StandInBackend>()
-
-  private isGone(backend: StandInBackend): boolean {
-    return this.gone.has(backend)
-  }
-
   private async disturbStore(): Promise<void> {
     const trouble = this.troubles.begin()
     const { store } = this.deployment
