Logs say which limit a backend server names, and whether a request was sent after it

The header is decoded in the adapter, noted with each answer (of work, probes and reports), and logged: backend-limit at each change, and the limit and its age in route. No decision goes by it yet.

--- a/packages/gateway/src/connection/backends/backend-client.ts
+++ b/packages/gateway/src/connection/backends/backend-client.ts
@@ -3,6 +3,7 @@
  * answer or failure, and the codec that a platform brings.
  */
 import type { Result } from 'ts-results-es'
+import type { ReadNotice } from './backend-notice.js'
 import type { Backend, BackendLoad } from './backend.js'
 
 /** Header names and values in the order of the wire. */
@@ -97,4 +98,6 @@
   encode: (backend: Backend, call: BackendCall) => HeaderList
   /** What an answer's head says of the call. */
   decode: (status: number, headers: Record<string, string | string[] | undefined>) => AnswerFacts
+  /** What an answer says of the requests that its backend server takes; of any call, stage calls and probes included. */
+  readNotice: ReadNotice
 }
--- a/packages/gateway/src/connection/backends/backend-connections.ts
+++ b/packages/gateway/src/connection/backends/backend-connections.ts
@@ -6,6 +6,7 @@
  * way break.
  */
 import type { Dispatcher } from 'undici'
+import type { NoticeSink } from './backend-notice.js'
 import type { Backend } from './backend.js'
 import type { CallWatch, WorkOptions } from './work-call.js'
 import { buildConnector, Pool } from 'undici'
@@ -67,7 +68,11 @@
   /** Timers that close the pools of removed backend servers, by life. */
   private readonly closing = new Map<string, NodeJS.Timeout>()
 
-  constructor(private readonly share: ConnectionShare, private readonly watch: CallWatch) {}
+  constructor(
+    private readonly share: ConnectionShare,
+    private readonly watch: CallWatch,
+    private readonly notices: NoticeSink,
+  ) {}
 
   /**
    * Sends a call that brings work to a backend server. Rejects as undici's
@@ -81,7 +86,12 @@
     this.waiting.set(backend.life, calls)
     const call = new WorkCall(backend, this.watch, ended => void calls.delete(ended))
     calls.add(call)
-    return call.send(this.of(backend), options)
+    return this.watchAnswer(backend, true, () => call.send(this.of(backend), options))
+  }
+
+  /** Sends a call that brings no work; rejects as undici's `request` does. */
+  async ask(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+    return this.watchAnswer(backend, false, () => this.of(backend).request(options))
   }
 
   /** The backend server takes no more work: calls that wait for it are turned away. */
@@ -90,21 +100,6 @@
       call.turnAway()
   }
 
-  /**
-   * The pool of a backend server, opened at first use; for calls that bring no
-   * work. Throws where a removed backend server has none any more.
-   */
-  of(backend: Backend): Pool {
-    const existing = this.pools.get(backend.life)
-    if (existing)
-      return existing
-    if (backend.removed)
-      throw new CallNotSentError(`${backend.id} was removed`)
-    const pool = createPool(backend.address, Math.max(MIN_CONNECTIONS, this.share(backend.service)))
-    this.pools.set(backend.life, pool)
-    return pool
-  }
-
   /** The backend server was removed: calls that wait are turned away, those under way end. */
   forget(backend: Backend): void {
     this.turnAwayWaiting(backend)
@@ -121,6 +116,26 @@
     await Promise.all([...this.pools.values()].map(pool => pool.destroy().catch(() => {})))
   }
 
+  /** Tells what each answer says of the requests that its backend server takes. */
+  private async watchAnswer(backend: Backend, isWork: boolean, send: () => Promise<Dispatcher.ResponseData>): Promise<Dispatcher.ResponseData> {
+    const calledAt = performance.now()
+    const response = await send()
+    this.notices.noteAnswer(backend, { status: response.statusCode, headers: response.headers, isWork, calledAt })
+    return response
+  }
+
+  /** The pool of a backend server, opened at first use. Throws where a removed backend server has none any more. */
+  private of(backend: Backend): Pool {
+    const existing = this.pools.get(backend.life)
+    if (existing)
+      return existing
+    if (backend.removed)
+      throw new CallNotSentError(`${backend.id} was removed`)
+    const pool = createPool(backend.address, Math.max(MIN_CONNECTIONS, this.share(backend.service)))
+    this.pools.set(backend.life, pool)
+    return pool
+  }
+
   private closePool(life: string): void {
     const pool = this.pools.get(life)
     this.pools.delete(life)
--- /dev/null
+++ b/packages/gateway/src/connection/backends/backend-notice.ts
@@ -0,0 +1,32 @@
+/**
+ * What a backend server says in its answers of the requests that it takes, and
+ * who is told of it. Decoded by the platform's codec.
+ */
+import type { Backend } from './backend.js'
+
+/** What one answer says. */
+export interface BackendNotice {
+  /** Requests a second that it takes from all gateways together; absent where it names no limit. */
+  limitPerSecond?: number
+}
+
+/** Headers of an answer, with names in lower case. */
+export type AnswerHeaders = Record<string, string | string[] | undefined>
+
+/** Reads what the head of an answer says. */
+export type ReadNotice = (status: number, headers: AnswerHeaders) => BackendNotice
+
+/** The head of an answer, and the call that it answers. */
+export interface AnswerHead {
+  status: number
+  headers: AnswerHeaders
+  /** The call brought work: its answer says all that there is to say. */
+  isWork: boolean
+  /** Milliseconds of the process clock. */
+  calledAt: number
+}
+
+/** Takes the head of each answer of a backend server; implemented by the process. */
+export interface NoticeSink {
+  noteAnswer: (backend: Backend, head: AnswerHead) => void
+}
--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -4,6 +4,8 @@
  * with the process and learned again from answers.
  */
 
+import { IntakeState } from './intake-state.js'
+
 /** What the registry holds of a backend server. */
 export interface BackendRecord {
   /** New at each start of the backend server. */
@@ -83,6 +85,9 @@
   /** Its failure domain is evacuated: it gets no work until that is taken back. */
   evacuated = false
 
+  /** What it said of the requests that it takes. */
+  readonly intake = new IntakeState()
+
   /** Since when it is, or was, cold, and until when: milliseconds of the process clock. */
   coldSince = 0
   private coldUntil = 0
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -109,6 +109,11 @@
     this.log.write('backend-cold', { backend: id, service, coldMs: Math.round(coldMs) })
   }
 
+  /** It names a limit of requests a second in its answers, another one, or none any more (absent). */
+  backendLimitChanged({ id, service }: BackendRecord, limitPerSecond: number | undefined, previous: number | undefined): void {
+    this.log.write('backend-limit', { backend: id, service, limitPerSecond, previous })
+  }
+
   /** It began to leave, or takes work again; at most `noticedWithinMs` milliseconds ago. */
   backendStateChanged({ id, service, draining }: BackendRecord, noticedWithinMs: number): void {
     this.log.write('backend-state', { backend: id, service, draining, noticedWithinMs: Math.round(noticedWithinMs) })
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -40,6 +40,7 @@
 import { GatewayLog } from './gateway-log.js'
 import { GatewayMetrics } from './gateway-metrics.js'
 import { coordinatorPart, countSharingGateways, shareOfConnections } from './gateway-share.js'
+import { BackendIntakes } from './intake/backend-intakes.js'
 import { createMetricsServer, createReadinessServer, InternalServers } from './internal-servers.js'
 import { HeardPeers } from './membership/heard-peers.js'
 import { Members } from './membership/members.js'
@@ -73,6 +74,7 @@
   private readonly peerService: GatewayPeerService
   private readonly heardPeers = new HeardPeers()
   private readonly connections: BackendConnections
+  private readonly intakes: BackendIntakes
   private readonly stageCoordinators: StageCoordinators
   private readonly readiness: Readiness
   private readonly internalServers = new InternalServers()
@@ -92,6 +94,7 @@
     this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashBoard = this.createCrashBoard()
     this.members = this.createMembers()
+    this.intakes = new BackendIntakes(platform.backendCodec.readNotice, this.gatewayLog)
     this.connections = this.createConnections()
     this.stageCoordinators = this.createStageCoordinators()
     this.peerService = this.createPeerService()
@@ -177,7 +180,7 @@
       waitingChanged: difference => this.metrics.countWaitingCalls(difference),
       started: start => this.takeCallStart(start),
       turnedAway: start => this.takeTurnedAway(start),
-    })
+    }, this.intakes)
   }
 
   /** This process may have been away: what it knows may be old, and others may have decided meanwhile. */
--- /dev/null
+++ b/packages/gateway/src/process/intake/index.ts
@@ -0,0 +1,1 @@
+export * from './backend-intakes.js'
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -62,6 +62,8 @@
       attempt,
       outstanding: backend.outstanding,
       running: backend.load?.running,
+      limitPerSecond: backend.intake.limitPerSecond,
+      limitAgeMs: backend.intake.limitPerSecond === undefined ? undefined : Math.round(performance.now() - backend.intake.limitNamedAt),
       loadAgeMs: backend.load ? Math.round(performance.now() - backend.loadAt) : undefined,
       remainingMs: Math.round(remainingMs),
       promptTokens: request.head.promptParts.length > 0 ? countTokens(request.head.promptParts) : undefined,
--- a/test/gateway/restarted-backends.test.ts
+++ b/test/gateway/restarted-backends.test.ts
@@ -54,7 +54,7 @@
   })
 
   test('gets connections to its own address', () => {
-    const connections = new BackendConnections(() => 2, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} })
+    const connections = new BackendConnections(() => 2, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} }, { noteAnswer: () => {} })
     registry.listen({ removed: backend => connections.forget(backend) })
     const before = connections.of(registry.find('plain-a')!)
     registry.upsert(SECOND)
--- a/test/platform/backend-client.test.ts
+++ b/test/platform/backend-client.test.ts
@@ -32,7 +32,7 @@
 }
 
 function createClient(): HttpBackendClient {
-  connections = new BackendConnections(() => 4, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} })
+  connections = new BackendConnections(() => 4, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} }, { noteAnswer: () => {} })
   return new HttpBackendClient(connections, new PlatformBackendCodec())
 }
 
