--- /dev/null
+++ b/test/platform/support/spoken-deployment.ts
@@ -0,0 +1,89 @@
+/**
+ * Gateways before a pool of backend servers that say what they take, and
+ * clients that send to the gateways in turn.
+ */
+import type { StartedGateway } from './in-process-gateway.js'
+import type { SpokenBackend } from './spoken-pool.js'
+import { wait } from '@eidermast/common'
+import { request } from 'undici'
+import { expect, vi } from 'vitest'
+import { startGateway } from './in-process-gateway.js'
+import { requestIdAt, startSpokenPool } from './spoken-pool.js'
+import { StandInStore } from './stand-in-store.js'
+
+const SERVICE = 'plain'
+const GATEWAYS = 3
+/** Milliseconds that a backend server works on a request. */
+const WORK_MS = 10
+const DEADLINE_MS = 2000
+const CONFIGURATION = {
+  Version: 3,
+  Routes: [{ Name: 'plain', Host: 'host.example', PathPrefix: '/plain/', Type: 'idempotent', Service: SERVICE, TimeoutMs: 4000, TargetLatencyMs: 1000, MaxAttempts: 2 }],
+  Services: [{ Name: SERVICE, MaxConnections: 60 }],
+  Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
+}
+
+/** An answer as its client got it. */
+export interface Answer {
+  requestId: string
+  status: number
+  /** Seconds; absent where the answer names none. */
+  retryAfter: number | undefined
+  tookMs: number
+}
+
+/** Gateways, their store and the pool. */
+export class SpokenDeployment {
+  readonly store = new StandInStore()
+  pool: SpokenBackend[] = []
+  gateways: StartedGateway[] = []
+  /** When each request was sent by its client, in milliseconds of the test's clock. */
+  readonly sentAt = new Map<string, number>()
+  private sent = 0
+
+  async start(size: number): Promise<void> {
+    const address = await this.store.start()
+    this.pool = await startSpokenPool(this.store, SERVICE, size, WORK_MS)
+    this.store.put('keyed.op', 'config', CONFIGURATION)
+    this.gateways = await Promise.all(Array.from({ length: GATEWAYS }, (_, index) => startGateway(`gateway-${index}`, address)))
+    await vi.waitFor(() => {
+      for (const { gateway } of this.gateways) {
+        expect(gateway.registry.size).toBe(size)
+        expect(gateway.members.count).toBe(GATEWAYS)
+      }
+    }, { timeout: 5000 })
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map(({ gateway }) => gateway.close()))
+    await Promise.all([this.store.stop(), ...this.pool.map(({ stand }) => stand.stop())])
+  }
+
+  /** Sends requests at a rate for some time; returns their answers. */
+  async sendFor(forMs: number, perSecond: number): Promise<Answer[]> {
+    const answers: Promise<Answer>[] = []
+    const endAt = performance.now() + forMs
+    while (performance.now() < endAt) {
+      answers.push(this.send())
+      await wait(1000 / perSecond)
+    }
+    return Promise.all(answers)
+  }
+
+  private async send(): Promise<Answer> {
+    const index = this.sent++ % this.gateways.length
+    const requestId = requestIdAt(`gateway-${index}`, this.sent)
+    const sentAt = performance.now()
+    this.sentAt.set(requestId, sentAt)
+    const headers = { 'host': 'host.example', 'attempt-id': requestId, 'deadline-ms': String(DEADLINE_MS) }
+    const response = await request(`${this.gateways[index].address}/plain/x`, { method: 'POST', headers, body: '' })
+    await response.body.dump()
+    const retryAfter = response.headers['retry-after']
+    return {
+      requestId,
+      status: response.statusCode,
+      retryAfter: retryAfter === undefined ? undefined : Number(retryAfter),
+      tookMs: performance.now() - sentAt,
+    }
+  }
+}
