Gateways keep to the limits that backend servers name, all together

Cause: what a backend server says in its answers of the requests that it takes was no part of any decision. Reading it on the gateway that got it is not enough: the limit is a sum over all gateways.

Change: limit-turns divides time into turns, one gateway after the other by their places among those listed; the gate is asked where a backend server is chosen and again just before the first byte, on every way: first tries, retries, resumed streams, assigned engines, stage calls, deletions of results. A limit ends with an answer to later work that names none; a gateway whose word of it is a second old sends its next turn there to hear. Where all name limits, what has no turn is refused at once with the time of the next one. Admission reckons with what a limited stage backend server takes. What was said outlasts an entry that lapses and comes back.

Ways weighed, by computation (most requests in 4 s at a limit of 1; 11 allowed) at 4, 30, 300 gateways: turns by hash 7, 11, 13; by place 6, 6, 6; a token that each gateway keeps while idle 5, 30, 300. Places it is.

Names that are hop by hop moved from the adapter to the gateway: they are of HTTP, not of the platform.

--- a/packages/gateway/src/connection/backends/backend-client.ts
+++ b/packages/gateway/src/connection/backends/backend-client.ts
@@ -48,6 +48,8 @@
   NotSent = 'not-sent',
   /** The backend server began to leave before the first byte. */
   Leaving = 'leaving',
+  /** The backend server takes no request now, by its own word; no byte reached it. */
+  Withheld = 'withheld',
   /** Abandoned by this process before the first byte, while it waited for a connection. */
   AbandonedUnsent = 'abandoned-unsent',
   /** The backend server says that it did not run the request. */
--- a/packages/gateway/src/connection/backends/backend-connections.ts
+++ b/packages/gateway/src/connection/backends/backend-connections.ts
@@ -6,8 +6,8 @@
  * way break.
  */
 import type { Dispatcher } from 'undici'
-import type { NoticeSink } from './backend-notice.js'
 import type { Backend } from './backend.js'
+import type { IntakeGate } from './intake-gate.js'
 import type { CallWatch, WorkOptions } from './work-call.js'
 import { buildConnector, Pool } from 'undici'
 import { isConnectionReset } from '../error-codes.js'
@@ -71,25 +71,31 @@
   constructor(
     private readonly share: ConnectionShare,
     private readonly watch: CallWatch,
-    private readonly notices: NoticeSink,
+    private readonly intake: IntakeGate,
   ) {}
 
   /**
    * Sends a call that brings work to a backend server. Rejects as undici's
    * `request` does, or with a `CallNotSentError` where the backend server takes
-   * no more work.
+   * no more work, or none now.
    */
   async sendWork(backend: Backend, options: WorkOptions): Promise<Dispatcher.ResponseData> {
     if (!backend.takesWork || options.signal.aborted)
       throw new CallNotSentError(`${backend.id} takes no more work, or the call was abandoned`)
     const calls = this.waiting.get(backend.life) ?? new Set()
     this.waiting.set(backend.life, calls)
-    const call = new WorkCall(backend, this.watch, ended => void calls.delete(ended))
+    const call = new WorkCall(backend, this.watch, this.intake, ended => void calls.delete(ended))
     calls.add(call)
     return this.watchAnswer(backend, true, () => call.send(this.of(backend), options))
   }
 
-  /** Sends a call that brings no work; rejects as undici's `request` does. */
+  /** As `ask`, for a call that its backend server counts among the requests that it takes. */
+  async tell(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+    this.intake.noteSent(backend)
+    return this.ask(backend, options)
+  }
+
+  /** Sends a probe or asks for a report; rejects as undici's `request` does. */
   async ask(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
     return this.watchAnswer(backend, false, () => this.of(backend).request(options))
   }
@@ -100,6 +106,18 @@
       call.turnAway()
   }
 
+  /** The pool of a backend server, opened at first use. Throws where a removed backend server has none any more. */
+  of(backend: Backend): Pool {
+    const existing = this.pools.get(backend.life)
+    if (existing)
+      return existing
+    if (backend.removed)
+      throw new CallNotSentError(`${backend.id} was removed`)
+    const pool = createPool(backend.address, Math.max(MIN_CONNECTIONS, this.share(backend.service)))
+    this.pools.set(backend.life, pool)
+    return pool
+  }
+
   /** The backend server was removed: calls that wait are turned away, those under way end. */
   forget(backend: Backend): void {
     this.turnAwayWaiting(backend)
@@ -120,22 +138,10 @@
   private async watchAnswer(backend: Backend, isWork: boolean, send: () => Promise<Dispatcher.ResponseData>): Promise<Dispatcher.ResponseData> {
     const calledAt = performance.now()
     const response = await send()
-    this.notices.noteAnswer(backend, { status: response.statusCode, headers: response.headers, isWork, calledAt })
+    this.intake.noteAnswer(backend, { status: response.statusCode, headers: response.headers, isWork, calledAt })
     return response
   }
 
-  /** The pool of a backend server, opened at first use. Throws where a removed backend server has none any more. */
-  private of(backend: Backend): Pool {
-    const existing = this.pools.get(backend.life)
-    if (existing)
-      return existing
-    if (backend.removed)
-      throw new CallNotSentError(`${backend.id} was removed`)
-    const pool = createPool(backend.address, Math.max(MIN_CONNECTIONS, this.share(backend.service)))
-    this.pools.set(backend.life, pool)
-    return pool
-  }
-
   private closePool(life: string): void {
     const pool = this.pools.get(life)
     this.pools.delete(life)
--- a/packages/gateway/src/connection/backends/backend-notice.ts
+++ b/packages/gateway/src/connection/backends/backend-notice.ts
@@ -2,8 +2,6 @@
  * What a backend server says in its answers of the requests that it takes, and
  * who is told of it. Decoded by the platform's codec.
  */
-import type { Backend } from './backend.js'
-
 /** What one answer says. */
 export interface BackendNotice {
   /** Requests a second that it takes from all gateways together; absent where it names no limit. */
@@ -25,8 +23,3 @@
   /** Milliseconds of the process clock. */
   calledAt: number
 }
-
-/** Takes the head of each answer of a backend server; implemented by the process. */
-export interface NoticeSink {
-  noteAnswer: (backend: Backend, head: AnswerHead) => void
-}
--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -85,9 +85,6 @@
   /** Its failure domain is evacuated: it gets no work until that is taken back. */
   evacuated = false
 
-  /** What it said of the requests that it takes. */
-  readonly intake = new IntakeState()
-
   /** Since when it is, or was, cold, and until when: milliseconds of the process clock. */
   coldSince = 0
   private coldUntil = 0
@@ -95,7 +92,11 @@
   /** Names this one process, also where a later one has its id. */
   readonly life: string
 
-  constructor(public record: BackendRecord) {
+  constructor(
+    public record: BackendRecord,
+    /** What it said of the requests that it takes. */
+    readonly intake = new IntakeState(),
+  ) {
     this.life = lifeOf(record)
   }
 
--- a/packages/gateway/src/connection/backends/http-backend-client.ts
+++ b/packages/gateway/src/connection/backends/http-backend-client.ts
@@ -95,6 +95,8 @@
 
 function describeFailure(error: unknown, backend: Backend, signal: AbortSignal): CallFailure {
   const message = formatError(error)
+  if (error instanceof CallNotSentError && error.isWithheld)
+    return { kind: CallFailureKind.Withheld, message }
   if (error instanceof CallNotSentError)
     return { kind: backend.takesWork ? CallFailureKind.AbandonedUnsent : CallFailureKind.Leaving, message }
   if (signal.aborted)
--- a/packages/gateway/src/connection/backends/intake-state.ts
+++ b/packages/gateway/src/connection/backends/intake-state.ts
@@ -8,9 +8,16 @@
 export class IntakeState {
   /** Requests a second that it takes from all gateways together; undefined where it names no limit. */
   limitPerSecond: number | undefined
+  /** When a request of this process was last sent there. */
+  lastSentAt = Number.NEGATIVE_INFINITY
   /** When it named a limit last. */
   limitNamedAt = Number.NEGATIVE_INFINITY
 
+  /** Whether it said nothing that holds on. */
+  get isSilent(): boolean {
+    return this.limitPerSecond === undefined
+  }
+
   /**
    * Takes what an answer says. One without a limit ends it only if it answers
    * work, and its call began after the limit was named: answers overtake one
--- a/packages/gateway/src/connection/backends/work-call.ts
+++ b/packages/gateway/src/connection/backends/work-call.ts
@@ -4,8 +4,9 @@
  * connections are taken or one is being set up.
  *
  * The choice rests on what was known of the server then. It is looked at again
- * where it counts: a call whose server takes no more work is turned away just
- * before its first byte, and at once while it waits. So is a call that its
+ * where it counts: a call whose server takes no more work, or none now, is
+ * turned away just before its first byte, and at once while it waits for a
+ * server that leaves. So is a call that its
  * caller abandons while it waits, which undici alone would notice only when a
  * connection is free.
  *
@@ -14,6 +15,7 @@
  */
 import type { Dispatcher } from 'undici'
 import type { Backend } from './backend.js'
+import type { IntakeGate } from './intake-gate.js'
 import { DecoratorHandler } from 'undici'
 import { CALL_NOT_SENT_CODE } from '../error-codes.js'
 
@@ -21,7 +23,11 @@
 export class CallNotSentError extends Error {
   readonly code = CALL_NOT_SENT_CODE
 
-  constructor(reason: string) {
+  constructor(
+    reason: string,
+    /** Its backend server takes work, but no request now. */
+    readonly isWithheld = false,
+  ) {
     super(reason)
     this.name = 'CallNotSentError'
   }
@@ -43,7 +49,7 @@
   waitingChanged: (difference: 1 | -1) => void
   /** The first byte of a call is about to be written. */
   started: (start: CallStart) => void
-  /** A call was turned away because its backend server takes no more work. */
+  /** A call was turned away because its backend server takes no more work, or none now. */
   turnedAway: (start: CallStart) => void
 }
 
@@ -57,6 +63,7 @@
   constructor(
     private readonly backend: Backend,
     private readonly watch: CallWatch,
+    private readonly intake: IntakeGate,
     /** Called when the call no longer waits. */
     private readonly waitEnded: (call: WorkCall) => void,
   ) {
@@ -97,16 +104,24 @@
   private start(): void {
     if (!this.backend.takesWork)
       this.turnAway()
+    else if (this.waiting && this.intake.waitMs(this.backend) > 0)
+      this.withhold()
     if (this.notSent)
       throw this.notSent
     this.endWait()
+    this.intake.noteSent(this.backend)
     this.watch.started(this.describe())
   }
 
-  private endUnsent(reason: string): void {
+  private withhold(): void {
+    this.watch.turnedAway(this.describe())
+    this.endUnsent(`${this.backend.id} takes no request now`, true)
+  }
+
+  private endUnsent(reason: string, isWithheld = false): void {
     if (!this.waiting)
       return
-    this.notSent = new CallNotSentError(reason)
+    this.notSent = new CallNotSentError(reason, isWithheld)
     this.endWait()
     this.rejectWait(this.notSent)
   }
--- a/platform/src/wire/connection-headers.ts
+++ b/packages/gateway/src/connection/connection-headers.ts
@@ -1,6 +1,6 @@
 /**
  * Headers that concern one connection only and are never passed on, in either
- * direction (the protocol, section on requests).
+ * direction (RFC 9110, section 7.6.1).
  */
 
 /** Names in lower case. */
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -7,8 +7,9 @@
 import type { EventLog } from '@eidermast/common'
 import type { BackendRecord, LapsingBackend } from '../connection/backends/backend.js'
 import type { SourceOutage } from './platform-adapter.js'
-import { Backend } from '../connection/backends/backend.js'
+import { Backend, lifeOf } from '../connection/backends/backend.js'
 import { GatewayLog } from './gateway-log.js'
+import { IntakeMemory } from './intake/intake-memory.js'
 import { decideLapseGrace } from './lapse-grace.js'
 
 /** What follows changes of the registry. */
@@ -30,6 +31,7 @@
 export class BackendRegistry {
   private readonly byId = new Map<string, Backend>()
   private readonly byService = new Map<string, Set<Backend>>()
+  private readonly intakeMemory = new IntakeMemory()
   private readonly listeners: BackendListener[] = []
   /** Until when entries that go are used on: milliseconds of the process clock. */
   private graceUntil = 0
@@ -139,6 +141,7 @@
     if (!backend)
       return
     backend.removed = true
+    this.intakeMemory.keep(backend, performance.now())
     this.byId.delete(id)
     this.backendsOf(backend.service).delete(backend)
     this.log.backendRemoved(backend.record, reason, this.noticedWithinMs)
@@ -194,7 +197,7 @@
   }
 
   private add(record: BackendRecord): void {
-    const backend = new Backend(record)
+    const backend = new Backend(record, this.intakeMemory.recall(lifeOf(record)))
     backend.evacuated = this.evacuated.has(backend.failureDomain)
     this.byId.set(record.id, backend)
     this.backendsOf(record.service).add(backend)
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -140,10 +140,10 @@
     this.log.write('work-sent-late', { backend: backend.id, service: backend.service, waitedMs: Math.round(waitedMs) })
   }
 
-  /** Work that waited for its connection was not sent, since its backend server is leaving or removed. */
+  /** Work that waited for its connection was not sent, since its backend server is leaving or removed, or takes no request now by its own word. */
   workTurnedAway({ backend, waitedMs }: CallStart): void {
-    const { id, service, record, removed } = backend
-    this.log.write('work-turned-away', { backend: id, service, waitedMs: Math.round(waitedMs), draining: record.draining, removed })
+    const { id, service, record, removed, intake } = backend
+    this.log.write('work-turned-away', { backend: id, service, waitedMs: Math.round(waitedMs), draining: record.draining, removed, limitPerSecond: intake.limitPerSecond })
   }
 
   /** Its entry went at most `noticedWithinMs` milliseconds before the list's last read. */
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -10,6 +10,7 @@
 import type { Member } from '../connection/peers/member.js'
 import type { HeartbeatReply } from '../connection/peers/peer-messages.js'
 import type { StageShard } from '../connection/peers/stage-shard.js'
+import type { LimitShare } from '../request/attempts/limit-turns.js'
 import type { RetryBudgetSettings } from '../request/attempts/retry-budget.js'
 import type { GatewaySettings } from './gateway-settings.js'
 import type { SelfDescription } from './peer-service.js'
@@ -26,6 +27,7 @@
 import { LeastLoadChoice, PrefixAwareChoice } from '../request/attempts/backend-choice.js'
 import { BackendRunner } from '../request/attempts/backend-runner.js'
 import { coldAllowancePerSecond, ColdPace, COORDINATED_SHARE, OWN_SHARE } from '../request/attempts/cold-pace.js'
+import { LimitTurns } from '../request/attempts/limit-turns.js'
 import { RetryBudget } from '../request/attempts/retry-budget.js'
 import { PassThrough } from '../request/pass-through.js'
 import { ConfigurationHolder } from '../version/configuration-holder.js'
@@ -39,7 +41,7 @@
 import { EvacuationList } from './evacuation/evacuation-list.js'
 import { GatewayLog } from './gateway-log.js'
 import { GatewayMetrics } from './gateway-metrics.js'
-import { coordinatorPart, countSharingGateways, shareOfConnections } from './gateway-share.js'
+import { coordinatorPart, countSharingGateways, shareOfConnections, shareOfLimit } from './gateway-share.js'
 import { BackendIntakes } from './intake/backend-intakes.js'
 import { createMetricsServer, createReadinessServer, InternalServers } from './internal-servers.js'
 import { HeardPeers } from './membership/heard-peers.js'
@@ -94,7 +96,7 @@
     this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashBoard = this.createCrashBoard()
     this.members = this.createMembers()
-    this.intakes = new BackendIntakes(platform.backendCodec.readNotice, this.gatewayLog)
+    this.intakes = new BackendIntakes(platform.backendCodec.readNotice, new LimitTurns(backend => this.limitShare(backend)), this.gatewayLog)
     this.connections = this.createConnections()
     this.stageCoordinators = this.createStageCoordinators()
     this.peerService = this.createPeerService()
@@ -210,7 +212,7 @@
     const client = this.platform.stageClient(this.connections)
     const retryBudget = new RetryBudget({ ...this.retryAllowance(), ratio: 0 }, () => countSharingGateways(this.members.shards.length))
     const coldPace = new ColdPace(this.self.name, service => this.coldRate(service, COORDINATED_SHARE * coordinatorPart(this.heardPeers.count(performance.now()), this.members.count)))
-    return new StageCoordinators({ registry: this.registry, client, retryBudget, crashes: this.crashBoard, coldPace, log: this.log })
+    return new StageCoordinators({ registry: this.registry, client, retryBudget, crashes: this.crashBoard, coldPace, intake: this.intakes, log: this.log })
   }
 
   private createBackendRunner(): BackendRunner {
@@ -225,6 +227,7 @@
       budget: new RetryBudget(this.retryAllowance(), () => countSharingGateways(this.members.count)),
       crashes: this.crashBoard,
       coldPace: new ColdPace(this.self.name, service => this.coldRate(service, OWN_SHARE / countSharingGateways(this.members.count))),
+      intake: this.intakes,
       log: this.log,
       isEngine: service => this.configuration.table?.findService(service)?.engine !== undefined,
     })
@@ -304,6 +307,15 @@
     return withstands === undefined ? undefined : coldAllowancePerSecond(withstands, this.platform.coldAllowance) * part
   }
 
+  private limitShare({ service }: Backend): LimitShare {
+    return shareOfLimit({
+      place: this.members.place,
+      listed: this.members.count,
+      heard: this.heardPeers.count(performance.now()),
+      isCoordinated: this.configuration.table?.findService(service)?.stage !== undefined,
+    })
+  }
+
   private connectionShare(service: string): number {
     const limit = this.configuration.table?.findService(service)?.maxConnections ?? 0
     return shareOfConnections(limit, this.members.count)
--- a/packages/gateway/src/process/intake/backend-intakes.ts
+++ b/packages/gateway/src/process/intake/backend-intakes.ts
@@ -1,15 +1,29 @@
 /**
- * Notes what backend servers say in their answers of the requests that they
- * take. What each said lives with the registry's entry of it; this module owns
- * nothing.
+ * Takes what backend servers say in their answers of the requests that they
+ * take, and says when a request may go to one of them. What each said lives with
+ * the registry's entry of it; this module owns nothing.
  */
-import type { AnswerHead, NoticeSink, ReadNotice } from '../../connection/backends/backend-notice.js'
+import type { AnswerHead, ReadNotice } from '../../connection/backends/backend-notice.js'
 import type { Backend } from '../../connection/backends/backend.js'
+import type { IntakeGate } from '../../connection/backends/intake-gate.js'
+import type { LimitTurns } from '../../request/attempts/limit-turns.js'
 import type { GatewayLog } from '../gateway-log.js'
 
-/** Takes the notices of all backend servers. */
-export class BackendIntakes implements NoticeSink {
-  constructor(private readonly readNotice: ReadNotice, private readonly log: GatewayLog) {}
+/** The gate before all backend servers. */
+export class BackendIntakes implements IntakeGate {
+  constructor(
+    private readonly readNotice: ReadNotice,
+    private readonly limitTurns: LimitTurns,
+    private readonly log: GatewayLog,
+  ) {}
+
+  waitMs(backend: Backend): number {
+    return this.limitTurns.waitMs(backend)
+  }
+
+  noteSent({ intake }: Backend): void {
+    intake.lastSentAt = performance.now()
+  }
 
   noteAnswer(backend: Backend, head: AnswerHead): void {
     const notice = this.readNotice(head.status, head.headers)
--- a/packages/gateway/src/process/intake/index.ts
+++ b/packages/gateway/src/process/intake/index.ts
@@ -1,1 +1,2 @@
 export * from './backend-intakes.js'
+export * from './intake-memory.js'
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -80,6 +80,11 @@
     return this.states.size
   }
 
+  /** Place of this process among the members by their names, from 0; all that know the same members agree on it. */
+  get place(): number {
+    return [...this.states.keys()].filter(name => name < this.self.name).length
+  }
+
   /** The first member that can coordinate: it reads the platform's store for the others, and coordinates what no other can. */
   get coordinator(): Member {
     this.rankIfDue()
--- a/packages/gateway/src/process/stages/backend/result-frees.ts
+++ b/packages/gateway/src/process/stages/backend/result-frees.ts
@@ -4,6 +4,7 @@
  * fails, or is lost with the process, costs memory only until the result
  * expires.
  */
+import type { IntakeGate } from '../../../connection/backends/intake-gate.js'
 import type { StageClient } from '../../../connection/backends/stage-client.js'
 import type { ResultHolder, StageResult } from '../../../request/stages/stage-task.js'
 
@@ -13,13 +14,23 @@
  * used longer, half sends more calls.
  */
 const FREE_DELAY_MS = 5
+/**
+ * The same at a backend server that names a limit, where each deletion takes the
+ * place of a call. Far enough below the lifetime of results, after which they
+ * end by themselves.
+ */
+const LIMITED_FREE_DELAY_MS = 1500
 
 /** Deletes the results of one service. */
 export class ResultFrees {
   private readonly pending = new Map<ResultHolder, string[]>()
 
   /** The listener is called when a backend server has confirmed deletions. */
-  constructor(private readonly client: StageClient, private readonly onFreed: () => void) {}
+  constructor(
+    private readonly client: StageClient,
+    private readonly intake: Pick<IntakeGate, 'waitMs'>,
+    private readonly onFreed: () => void,
+  ) {}
 
   /** Deletes a result soon; one whose deletion is under way is left alone. */
   free({ handle, holder }: StageResult): void {
@@ -32,10 +43,17 @@
     }
     const batch = [handle]
     this.pending.set(holder, batch)
-    setTimeout(() => this.flush(holder, batch), FREE_DELAY_MS)
+    const isLimited = holder.backend.intake.limitPerSecond !== undefined
+    setTimeout(() => this.flush(holder, batch), isLimited ? LIMITED_FREE_DELAY_MS : FREE_DELAY_MS)
   }
 
+  /** Deletions wait where the backend server takes no call now; more may join them meanwhile. */
   private flush(holder: ResultHolder, handles: readonly string[]): void {
+    const waitMs = this.intake.waitMs(holder.backend)
+    if (waitMs > 0) {
+      setTimeout(() => this.flush(holder, handles), waitMs)
+      return
+    }
     this.pending.delete(holder)
     void this.client.free(holder.backend, handles).then((freed) => {
       if (!freed)
--- a/packages/gateway/src/process/stages/backend/stage-backend.ts
+++ b/packages/gateway/src/process/stages/backend/stage-backend.ts
@@ -1,9 +1,10 @@
+import type { Backend } from '../../../connection/backends/backend.js'
 /**
  * One backend server of a stage service as its pool accounts for it: calls
  * under way, pauses, measured speed and result memory. Owns this state while
  * the backend server takes work; nothing is kept when the process dies.
  */
-import type { Backend } from '../../../connection/backends/backend.js'
+import type { IntakeGate } from '../../../connection/backends/intake-gate.js'
 import type { StageLimits } from '../../../version/configuration.js'
 import { failurePauseMs, MEMORY_PAUSE_MS } from './backend-pause.js'
 import { ResultMemory } from './result-memory.js'
@@ -18,6 +19,8 @@
 /** See MAX_SLOWNESS. */
 const MIN_SLOWNESS = 0.5
 
+const MILLISECONDS_PER_SECOND = 1000
+
 /** Accounts for one backend server; times are on the process clock, in milliseconds. */
 export class StageBackend {
   readonly memory: ResultMemory
@@ -28,7 +31,11 @@
   private failures = 0
   private slowness = 1
 
-  constructor(readonly backend: Backend, private limits: StageLimits) {
+  constructor(
+    readonly backend: Backend,
+    private limits: StageLimits,
+    private readonly intake: Pick<IntakeGate, 'waitMs'>,
+  ) {
     this.memory = new ResultMemory(backend, limits)
   }
 
@@ -36,9 +43,13 @@
     return this.backend.failureDomain
   }
 
-  /** Measured time of calls over the configured one. */
+  /** Time between full calls over the configured time of one: as measured, or as its limit of calls a second allows. */
   get slownessFactor(): number {
-    return this.slowness
+    const { limitPerSecond } = this.backend.intake
+    if (limitPerSecond === undefined)
+      return this.slowness
+    const fullCallMs = this.limits.callMs + this.limits.itemMs * this.limits.batch
+    return Math.max(this.slowness, MILLISECONDS_PER_SECOND / limitPerSecond / fullCallMs)
   }
 
   setLimits(limits: StageLimits): void {
@@ -48,7 +59,7 @@
 
   /** Whether a call may be sent now. */
   isIdle(now: number): boolean {
-    return this.callsUnderWay < this.limits.concurrency && now >= this.pausedUntil
+    return this.callsUnderWay < this.limits.concurrency && now >= this.pausedUntil && this.intake.waitMs(this.backend) === 0
   }
 
   /** Whether it gets work at all now, or after the call under way. */
@@ -59,7 +70,7 @@
   /** Milliseconds until it could start another call. */
   startsIn(now: number): number {
     const busy = this.callsUnderWay >= this.limits.concurrency ? Math.max(1, this.busyUntil - now) : 0
-    return Math.max(busy, this.pausedUntil - now, 0)
+    return Math.max(busy, this.pausedUntil - now, this.intake.waitMs(this.backend))
   }
 
   /** Expected time of a call, in milliseconds. */
--- a/packages/gateway/src/process/stages/pool/pool-parts.ts
+++ b/packages/gateway/src/process/stages/pool/pool-parts.ts
@@ -2,6 +2,7 @@
  * What the pools of stage services work with. They live as long as the process.
  */
 import type { EventLog } from '@eidermast/common'
+import type { IntakeGate } from '../../../connection/backends/intake-gate.js'
 import type { StageClient } from '../../../connection/backends/stage-client.js'
 import type { RetryBudget } from '../../../request/attempts/retry-budget.js'
 import type { CrashWatch } from '../../../request/crash-watch.js'
@@ -14,5 +15,7 @@
   client: StageClient
   retryBudget: Pick<RetryBudget, 'takeRetry'>
   crashes: StageCrashWatch
+  /** When a call may go to a backend server that says what it takes. */
+  intake: Pick<IntakeGate, 'waitMs'>
   log: EventLog
 }
--- a/packages/gateway/src/process/stages/pool/stage-pool.ts
+++ b/packages/gateway/src/process/stages/pool/stage-pool.ts
@@ -41,7 +41,7 @@
   ) {
     const { client } = parts
     const dispatch = (): void => this.dispatch()
-    this.frees = new ResultFrees(client, dispatch)
+    this.frees = new ResultFrees(client, parts.intake, dispatch)
     this.queue = new TaskQueue(result => this.free(result))
     this.calls = new StageCalls(service, parts, this.queue, this.frees, dispatch)
   }
@@ -62,7 +62,7 @@
     for (const backend of backends) {
       if (this.backends.has(backend.id))
         continue
-      const added = new StageBackend(backend, this.limits)
+      const added = new StageBackend(backend, this.limits, this.parts.intake)
       this.backends.set(backend.id, added)
       this.readFreeMemoryOf(added)
     }
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -209,10 +209,12 @@
     return { ...inputs, engine: engine.id }
   }
 
-  /** The engines that may answer a request now; none where it has no prompt. */
+  /** The engines that may answer a request now; one that names a limit only where all do, since each gateway waits for its turns there. */
   private enginesFor({ prompt, service }: PreparationRequest, now: number): Backend[] {
     const engines = prompt && service ? this.backends.available(service) : []
-    return engines.filter(engine => this.parts.coldPace.mayTake(engine, now))
+    const open = engines.filter(engine => this.parts.coldPace.mayTake(engine, now))
+    const unlimited = open.filter(({ intake }) => intake.limitPerSecond === undefined)
+    return unlimited.length > 0 ? unlimited : open
   }
 
   /** Gives a service's pool the backend servers that take work. */
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -8,6 +8,7 @@
 import type { Result } from 'ts-results-es'
 import type { BackendCall, BackendClient, CallFailure } from '../../connection/backends/backend-client.js'
 import type { Backend } from '../../connection/backends/backend.js'
+import type { IntakeGate } from '../../connection/backends/intake-gate.js'
 import type { WholeAnswer } from '../answers/answer-relay.js'
 import type { CrashWatch } from '../crash-watch.js'
 import type { RequestLog } from '../request-log.js'
@@ -40,6 +41,8 @@
   ejection: EjectionPolicy
   budget: RetryBudget
   crashes: CrashWatch
+  /** When a request may go to a backend server that says what it takes. */
+  intake: Pick<IntakeGate, 'waitMs'>
   log: RequestLog
   /** Whether a service's backend servers are model engines. */
   isEngine: (service: string) => boolean
@@ -222,10 +225,17 @@
       runs: this.history.runs,
       refusal: this.parts.crashes.refusal(request.fingerprint),
       lastFailure: this.lastFailure,
+      waitMs: this.shortestWaitMs(),
     })
     return { error, retry, firstEventAt: this.firstEventAt }
   }
 
+  /** Milliseconds until some backend server of the service takes a request; Infinity where none takes work. */
+  private shortestWaitMs(): number {
+    const waits = this.parts.registry.available(this.subject.request.service).map(backend => this.parts.intake.waitMs(backend))
+    return Math.min(...waits)
+  }
+
   private remainingMs(): number {
     return this.subject.request.deadlineAt - performance.now()
   }
--- a/packages/gateway/src/request/attempts/backend-runner.ts
+++ b/packages/gateway/src/request/attempts/backend-runner.ts
@@ -5,6 +5,7 @@
  */
 import type { EventLog } from '@eidermast/common'
 import type { Backend } from '../../connection/backends/backend.js'
+import type { IntakeState } from '../../connection/backends/intake-state.js'
 import type { RoutedRequest } from '../routed-request.js'
 import type { BackendChoice } from './backend-choice.js'
 import type { BackendRunParts } from './backend-run.js'
@@ -14,6 +15,13 @@
 import { BackendRun } from './backend-run.js'
 import { NO_INPUTS } from './run-subject.js'
 
+/**
+ * Milliseconds after which a limit is asked about by a request in this gateway's
+ * next turn. Half moves more requests from the engines that hold their prompts,
+ * twice leaves a backend server without work that has ended its limit.
+ */
+const LIMIT_REFRESH_MS = 1000
+
 /** What the runner works with. */
 export interface BackendRunnerParts extends Omit<BackendRunParts, 'log'> {
   /** Failure domain of this process. */
@@ -55,11 +63,13 @@
   /** The best backend server that was not tried. */
   private choose(request: RoutedRequest, inputs: RunInputs, tried: ReadonlySet<string>): Backend | undefined {
     const candidates = this.parts.registry.available(request.service).filter(backend => !tried.has(backend.id))
-    const assigned = candidates.find(backend => backend.id === inputs.engine)
-    if (assigned && this.parts.ejection.filter(candidates).includes(assigned))
-      return assigned
     const now = performance.now()
-    const open = candidates.filter(backend => this.parts.coldPace.mayTake(backend, now))
+    const taking = candidates.filter(backend => this.parts.intake.waitMs(backend) === 0)
+    const usable = this.parts.ejection.filter(taking)
+    const preferred = usable.find(({ intake }) => isLimitOld(intake, now)) ?? usable.find(backend => backend.id === inputs.engine)
+    if (preferred)
+      return preferred
+    const open = taking.filter(backend => this.parts.coldPace.mayTake(backend, now))
     const choice = this.parts.isEngine(request.service) ? this.parts.engineChoice : this.parts.plainChoice
     return choice.order(open, {
       promptParts: request.head.promptParts,
@@ -68,3 +78,8 @@
     })[0]
   }
 }
+
+/** Whether it may have ended its limit since it named it: only the answer to a request tells. */
+function isLimitOld({ limitPerSecond, limitNamedAt }: IntakeState, now: number): boolean {
+  return limitPerSecond !== undefined && now - limitNamedAt > LIMIT_REFRESH_MS
+}
--- a/packages/gateway/src/request/attempts/retry-rule.ts
+++ b/packages/gateway/src/request/attempts/retry-rule.ts
@@ -32,6 +32,9 @@
  */
 const MAX_ATTEMPTS = 6
 
+/** Failures of calls that reached no backend server. */
+const FREE_TO_RETRY: ReadonlySet<CallFailureKind> = new Set([CallFailureKind.NotSent, CallFailureKind.Leaving, CallFailureKind.Withheld])
+
 /** How one attempt ended. */
 export enum AttemptEnd {
   Answered = 'answered',
@@ -82,7 +85,7 @@
 
 /** Whether a call cost its backend server nothing, so that another one needs no retry from the budget. */
 export function isFreeToRetry(failure: CallFailure): boolean {
-  return failure.kind === CallFailureKind.NotSent || failure.kind === CallFailureKind.Leaving
+  return FREE_TO_RETRY.has(failure.kind)
 }
 
 /** Whether the request may run once more if the attempt that begins now brings no answer. */
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -3,11 +3,12 @@
  * whose stages brought no results.
  *
  * Inputs: how often the request ran or may have, the last failure, whether its
- * client left; for stages the kind of their failure and the time after which a
+ * client left, when the first backend server takes a request (ms); for stages the kind of their failure and the time after which a
  * retry is worth while (ms).
  * Rule: "did not run" is said only where it is proved, since clients send such a
  * request again. A request that may have run ends as of unknown outcome; one
- * that every backend server refused, as an overload with a short wait.
+ * that every backend server refused, as an overload with a short wait, and one
+ * that none takes by its own word, as an overload until the first of them does.
  * Why: a wrong "did not run" makes a client run the request twice.
  * Log event: `request-ended` (`outcome`, `ran`, `reason`, `retryAfterMs`).
  */
@@ -33,18 +34,22 @@
   runs: number
   /** Why such requests are sent to no backend server; absent where they are. */
   refusal: string | undefined
+  /** Milliseconds until some backend server of the service takes a request; 0 where one does now, Infinity where none takes work. */
+  waitMs: number
   /** Of the last attempt; absent where there was none or it answered with a failure of its own. */
   lastFailure: CallFailure | undefined
 }
 
 /** Decides the error of a request that no backend server answered. */
-export function errorOfUnanswered({ service, cancelled, runs, refusal, lastFailure }: UnansweredRequest): RequestError {
+export function errorOfUnanswered({ service, cancelled, runs, refusal, lastFailure, waitMs }: UnansweredRequest): RequestError {
   if (cancelled)
     return createError(ErrorKind.Cancelled, 'the client left', { ran: runs > 0 ? Ran.Unknown : Ran.None })
   if (runs > 0)
     return createError(ErrorKind.OutcomeUnknown, lastFailure?.message ?? 'no answer came', { ran: Ran.Unknown })
   if (refusal !== undefined)
     return createError(ErrorKind.Quarantined, refusal)
+  if (waitMs > 0 && Number.isFinite(waitMs))
+    return createError(ErrorKind.Overloaded, `no backend server of ${service} takes a request before ${Math.ceil(waitMs)} ms have passed`, { retryAfterMs: waitMs })
   if (lastFailure && lastFailure.kind !== CallFailureKind.Leaving)
     return createError(ErrorKind.Overloaded, `no backend server took it: ${lastFailure.message}`, { retryAfterMs: REFUSED_RETRY_MS })
   return createError(ErrorKind.NoBackend, `no backend server of ${service} can be used`, { ran: Ran.None })
--- a/test/gateway/attempt-ends.test.ts
+++ b/test/gateway/attempt-ends.test.ts
@@ -29,6 +29,7 @@
     cancelled: false,
     runs: 0,
     refusal: undefined,
+    waitMs: 0,
     lastFailure: { kind: CallFailureKind.Refused, message: 'full' },
   }
 
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -90,3 +90,19 @@
     expect(watched.listAgeMs).toBe(300)
   })
 })
+
+describe('what a backend server said of the requests that it takes', () => {
+  test('holds on where its entry has gone and comes back', () => {
+    registry.find('encode-a')!.intake.limitPerSecond = 2
+    registry.remove('encode-a', 'its entry is gone')
+    registry.upsert(RECORD)
+    expect(registry.find('encode-a')!.intake.limitPerSecond).toBe(2)
+  })
+
+  test('does not hold for a later process of it', () => {
+    registry.upsert({ ...RECORD, born: 1 })
+    registry.find('encode-a')!.intake.limitPerSecond = 2
+    registry.upsert({ ...RECORD, born: 2 })
+    expect(registry.find('encode-a')!.intake.limitPerSecond).toBeUndefined()
+  })
+})
--- a/test/gateway/restarted-backends.test.ts
+++ b/test/gateway/restarted-backends.test.ts
@@ -7,7 +7,7 @@
 import { OutlierEjection } from '@eidermast/common'
 import { BackendConnections, BackendRegistry, EngineAssignments } from '@eidermast/gateway'
 import { beforeEach, describe, expect, test, vi } from 'vitest'
-import { createLog, createRecord } from './support/fakes.js'
+import { createLog, createRecord, OPEN_INTAKE } from './support/fakes.js'
 
 const FIRST = createRecord({ id: 'plain-a', service: 'plain', address: '127.0.0.1:1', born: 1000 })
 const SECOND = { ...FIRST, address: '127.0.0.1:2', born: 2000 }
@@ -54,7 +54,7 @@
   })
 
   test('gets connections to its own address', () => {
-    const connections = new BackendConnections(() => 2, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} }, { noteAnswer: () => {} })
+    const connections = new BackendConnections(() => 2, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} }, OPEN_INTAKE)
     registry.listen({ removed: backend => connections.forget(backend) })
     const before = connections.of(registry.find('plain-a')!)
     registry.upsert(SECOND)
--- a/test/gateway/support/fakes.ts
+++ b/test/gateway/support/fakes.ts
@@ -3,7 +3,7 @@
  * Fakes at the gateway's interfaces: a log that is kept, a stage service in
  * memory, and makers of records.
  */
-import type { BackendRecord, ColdPace, Configuration, CrashWatch, ItemOutcome, Route, StageCallResult, StageClient, StageItem, StageLimits } from '@eidermast/gateway'
+import type { BackendRecord, ColdPace, Configuration, CrashWatch, IntakeGate, ItemOutcome, Route, StageCallResult, StageClient, StageItem, StageLimits } from '@eidermast/gateway'
 import { EventLog } from '@eidermast/common'
 import { Backend, ItemFailure, StageCallEnd } from '@eidermast/gateway'
 
@@ -130,5 +130,8 @@
   }
 }
 
+/** Backend servers say nothing of the requests that they take. */
+export const OPEN_INTAKE: IntakeGate = { waitMs: () => 0, noteSent: () => {}, noteAnswer: () => {} }
+
 /** Cold backend servers take as much as others. */
 export const NO_COLD_BOUND: Pick<ColdPace, 'mayTake' | 'note'> = { mayTake: () => true, note: () => {} }
--- a/test/platform/backend-client.test.ts
+++ b/test/platform/backend-client.test.ts
@@ -1,11 +1,11 @@
-import type { BackendCall } from '@eidermast/gateway'
+import type { BackendCall, IntakeGate } from '@eidermast/gateway'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { createServer } from 'node:net'
 import { wait } from '@eidermast/common'
 import { Backend, BackendConnections, CallFailureKind, HttpBackendClient, StageCallEnd } from '@eidermast/gateway'
 import { HttpStageClient, PlatformBackendCodec, PlatformLog } from '@eidermast/platform'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
-import { createLog, createRecord } from '../gateway/support/fakes.js'
+import { createLog, createRecord, OPEN_INTAKE } from '../gateway/support/fakes.js'
 
 const CALL: BackendCall = {
   requestId: 'id-1',
@@ -19,6 +19,7 @@
 
 let server: Server | undefined
 let connections: BackendConnections | undefined
+let intake: IntakeGate
 
 /** A backend server that writes raw bytes for each request that it gets. */
 async function startBackend(respond: (socket: Socket, request: number) => void): Promise<Backend> {
@@ -32,7 +33,8 @@
 }
 
 function createClient(): HttpBackendClient {
-  connections = new BackendConnections(() => 4, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} }, { noteAnswer: () => {} })
+  intake = { ...OPEN_INTAKE }
+  connections = new BackendConnections(() => 4, { waitingChanged: () => {}, started: () => {}, turnedAway: () => {} }, intake)
   return new HttpBackendClient(connections, new PlatformBackendCodec())
 }
 
@@ -206,6 +208,14 @@
     expect(received).toBe(CONNECTIONS)
   })
 
+  test('is not written where its backend server takes no request at that moment, by its own word', async () => {
+    const waiting = client.run(backend, CALL, NEVER)
+    intake.waitMs = () => 500
+    ending.abort()
+    expect((await waiting).unwrapErr().kind).toBe(CallFailureKind.Withheld)
+    expect(received).toBe(CONNECTIONS)
+  })
+
   test('is not begun at a backend server that is leaving, while probes still reach it', async () => {
     ending.abort()
     backend.record.draining = true
--- a/test/platform/limited-backends.test.ts
+++ b/test/platform/limited-backends.test.ts
@@ -12,6 +12,13 @@
 const PLAY_MS = 9000
 const POOL_SIZE = 10
 const REQUESTS_PER_SECOND = 60
+const REPORT_PATH = '/-/report'
+/** Milliseconds in which each gateway has had a turn at a backend server that named a limit. */
+const RECOVERY_MS = 5000
+/** Part of the limits that is used: one gateway more than there are has its share. */
+const USED_SHARE = 0.6
+/** Milliseconds; far below the deadline of the requests. */
+const REFUSED_WITHIN_MS = 300
 
 /** Requests in a span that a limit allows, from all gateways that were told. */
 function allowedIn(limitPerSecond: number): number {
@@ -41,4 +48,48 @@
     const most = speakers.map(backend => mostWithin(backend.arrivalsOfTold(TOLD_AFTER_MS, namedAt + CONTACT_MS - SPAN_MS), SPAN_MS))
     expect(Math.max(...most)).toBeLessThanOrEqual(allowedIn(limit))
   })
+
+  test('gets no more calls of stage work and deletions of results than it names', async () => {
+    const limit = 1.5
+    const [backend] = deployment.stages
+    backend.speech = { headers: { 'Server-Limit': String(limit) } }
+    await deployment.sendFor(PLAY_MS, 10, '/staged/x')
+    const calls = backend.arrivals.filter(({ path }) => path !== REPORT_PATH)
+    expect(calls.length).toBeGreaterThan(limit * PLAY_MS / 1000 / 2)
+    expect(mostWithin(calls, SPAN_MS)).toBeLessThanOrEqual(allowedIn(limit))
+  })
+
+  test('is used as before soon after it names none any more', async () => {
+    const [backend] = deployment.pool
+    backend.speech = { headers: { 'Server-Limit': '1' } }
+    await deployment.sendFor(CONTACT_MS, REQUESTS_PER_SECOND)
+    backend.speech = undefined
+    await deployment.sendFor(RECOVERY_MS, REQUESTS_PER_SECOND)
+    const seen = backend.arrivals.length
+    await deployment.sendFor(CONTACT_MS, REQUESTS_PER_SECOND)
+    const share = REQUESTS_PER_SECOND * CONTACT_MS / 1000 / POOL_SIZE
+    expect(backend.arrivals.length - seen).toBeGreaterThan(share / 2)
+  })
+
+  test('costs its callers nothing while others have room', async () => {
+    deployment.pool[0].speech = { headers: { 'Server-Limit': '1' } }
+    const answers = await deployment.sendFor(CONTACT_MS, REQUESTS_PER_SECOND)
+    expect(answers.filter(({ status }) => status !== 200)).toEqual([])
+  })
+})
+
+describe('requests to a service whose backend servers all name a limit', () => {
+  test('are served as far as the limits go, and refused at once for others, with a time to come back', async () => {
+    const limit = 3
+    for (const backend of deployment.pool)
+      backend.speech = { headers: { 'Server-Limit': String(limit) } }
+    await deployment.sendFor(CONTACT_MS, REQUESTS_PER_SECOND)
+    const answers = await deployment.sendFor(SPAN_MS, REQUESTS_PER_SECOND)
+    const served = answers.filter(({ status }) => status === 200)
+    const refused = answers.filter(({ status }) => status === 429)
+    expect(served.length + refused.length).toBe(answers.length)
+    expect(served.length).toBeGreaterThan(USED_SHARE * limit * POOL_SIZE * SPAN_MS / 1000)
+    expect(Math.max(...refused.map(({ tookMs }) => tookMs))).toBeLessThan(REFUSED_WITHIN_MS)
+    expect(refused.filter(({ retryAfter }) => !(retryAfter! > 0 && retryAfter! < 1))).toEqual([])
+  })
 })
--- a/test/platform/support/spoken-deployment.ts
+++ b/test/platform/support/spoken-deployment.ts
@@ -9,17 +9,24 @@
 import { expect, vi } from 'vitest'
 import { startGateway } from './in-process-gateway.js'
 import { requestIdAt, startSpokenPool } from './spoken-pool.js'
+import { makeStageResults, STAGE_LIMITS } from './stand-in-stages.js'
 import { StandInStore } from './stand-in-store.js'
 
 const SERVICE = 'plain'
 const GATEWAYS = 3
+const STAGE_BACKENDS = 2
 /** Milliseconds that a backend server works on a request. */
 const WORK_MS = 10
 const DEADLINE_MS = 2000
+const STAGE_SERVICE = 'encode'
+const ROUTE = { Host: 'host.example', Type: 'idempotent', Service: SERVICE, TimeoutMs: 4000, TargetLatencyMs: 1000, MaxAttempts: 2 }
 const CONFIGURATION = {
   Version: 3,
-  Routes: [{ Name: 'plain', Host: 'host.example', PathPrefix: '/plain/', Type: 'idempotent', Service: SERVICE, TimeoutMs: 4000, TargetLatencyMs: 1000, MaxAttempts: 2 }],
-  Services: [{ Name: SERVICE, MaxConnections: 60 }],
+  Routes: [
+    { ...ROUTE, Name: 'plain', PathPrefix: '/plain/' },
+    { ...ROUTE, Name: 'staged', PathPrefix: '/staged/', Phases: [{ Service: STAGE_SERVICE, WatchRevision: [], SizeBytes: 1000 }] },
+  ],
+  Services: [{ Name: SERVICE, MaxConnections: 60 }, { Name: STAGE_SERVICE, MaxConnections: 60, Segments: STAGE_LIMITS }],
   Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
 }
 
@@ -36,6 +43,8 @@
 export class SpokenDeployment {
   readonly store = new StandInStore()
   pool: SpokenBackend[] = []
+  /** The backend servers of the stage service. */
+  stages: SpokenBackend[] = []
   gateways: StartedGateway[] = []
   /** When each request was sent by its client, in milliseconds of the test's clock. */
   readonly sentAt = new Map<string, number>()
@@ -43,12 +52,13 @@
 
   async start(size: number): Promise<void> {
     const address = await this.store.start()
-    this.pool = await startSpokenPool(this.store, SERVICE, size, WORK_MS)
+    this.pool = await startSpokenPool(this.store, { service: SERVICE, size, workMs: WORK_MS })
+    this.stages = await startSpokenPool(this.store, { service: STAGE_SERVICE, size: STAGE_BACKENDS, workMs: 0, respond: makeStageResults() })
     this.store.put('keyed.op', 'config', CONFIGURATION)
     this.gateways = await Promise.all(Array.from({ length: GATEWAYS }, (_, index) => startGateway(`gateway-${index}`, address)))
     await vi.waitFor(() => {
       for (const { gateway } of this.gateways) {
-        expect(gateway.registry.size).toBe(size)
+        expect(gateway.registry.size).toBe(size + STAGE_BACKENDS)
         expect(gateway.members.count).toBe(GATEWAYS)
       }
     }, { timeout: 5000 })
@@ -56,27 +66,27 @@
 
   async stop(): Promise<void> {
     await Promise.all(this.gateways.map(({ gateway }) => gateway.close()))
-    await Promise.all([this.store.stop(), ...this.pool.map(({ stand }) => stand.stop())])
+    await Promise.all([this.store.stop(), ...[...this.pool, ...this.stages].map(({ stand }) => stand.stop())])
   }
 
   /** Sends requests at a rate for some time; returns their answers. */
-  async sendFor(forMs: number, perSecond: number): Promise<Answer[]> {
+  async sendFor(forMs: number, perSecond: number, path = '/plain/x'): Promise<Answer[]> {
     const answers: Promise<Answer>[] = []
     const endAt = performance.now() + forMs
     while (performance.now() < endAt) {
-      answers.push(this.send())
+      answers.push(this.send(path))
       await wait(1000 / perSecond)
     }
     return Promise.all(answers)
   }
 
-  private async send(): Promise<Answer> {
+  private async send(path: string): Promise<Answer> {
     const index = this.sent++ % this.gateways.length
     const requestId = requestIdAt(`gateway-${index}`, this.sent)
     const sentAt = performance.now()
     this.sentAt.set(requestId, sentAt)
-    const headers = { 'host': 'host.example', 'attempt-id': requestId, 'deadline-ms': String(DEADLINE_MS) }
-    const response = await request(`${this.gateways[index].address}/plain/x`, { method: 'POST', headers, body: '' })
+    const headers = { 'host': 'host.example', 'attempt-id': requestId, 'deadline-ms': String(DEADLINE_MS), 'chunk-count': '2', 'chunk-key': 'key' }
+    const response = await request(`${this.gateways[index].address}${path}`, { method: 'POST', headers, body: '' })
     await response.body.dump()
     const retryAfter = response.headers['retry-after']
     return {
--- a/test/platform/support/spoken-pool.ts
+++ b/test/platform/support/spoken-pool.ts
@@ -29,6 +29,7 @@
 export interface Arrival {
   gateway: string
   requestId: string
+  path: string
   /** Milliseconds of the test's clock. */
   at: number
 }
@@ -63,7 +64,7 @@
   private noteArrival(seen: SeenRequest): string {
     const requestId = String(seen.headers['attempt-id'])
     const [gateway] = requestId.split(NAME_END)
-    this.arrivals.push({ gateway, requestId, at: seen.at })
+    this.arrivals.push({ gateway, requestId, path: seen.path, at: seen.at })
     return gateway
   }
 }
@@ -79,12 +80,22 @@
   }, 0)
 }
 
+/** What differs between pools. */
+export interface SpokenPoolOptions {
+  service: string
+  size: number
+  /** Milliseconds of work before an answer. */
+  workMs: number
+  /** @default answerWhole */
+  respond?: Respond
+}
+
 /** Starts backend servers of a service and lists them in the store. */
-export async function startSpokenPool(store: StandInStore, service: string, size: number, workMs: number): Promise<SpokenBackend[]> {
+export async function startSpokenPool(store: StandInStore, { service, size, workMs, respond }: SpokenPoolOptions): Promise<SpokenBackend[]> {
   return Promise.all(Array.from({ length: size }, async (_, index) => {
     const stand = new StandInBackend(`${service}-${index}`, service)
     await stand.start()
     store.put(SERVER_TOPIC, stand.id, stand.entry())
-    return new SpokenBackend(stand, workMs)
+    return new SpokenBackend(stand, workMs, respond)
   }))
 }
