Gateways tell each other limits of backend servers that change, and their end

At 300 gateways each has a turn at a backend server that names 1 a second every five minutes: one that never asked it sends on until its own first answer, and each learns by its own turn only that the limit has ended. Heartbeats and their answers tell what changed within the last two seconds, 64 at most, with its age; an end that a peer tells counts only if it is newer than the newest naming by more than its way may take.

The test of stage work let one of two backend servers name a limit and asked that it gets half of it, which depended on the other's share (4 where 6.75 are asked, once of two plays). Now both name it, and each has to use half of it and keep within it: the same bound, and the lower one holds for both.

--- a/packages/gateway/src/connection/backends/intake-state.ts
+++ b/packages/gateway/src/connection/backends/intake-state.ts
@@ -4,6 +4,20 @@
  */
 import type { AnswerHead, BackendNotice } from './backend-notice.js'
 
+/**
+ * Milliseconds by which a peer's word may be older than it seems: it is dated
+ * when it is sent, and read when it has come.
+ */
+const MAX_TRANSIT_MS = 500
+
+/** A limit, or its end, as a peer tells it. */
+export interface ToldLimit {
+  /** Requests a second; absent where the limit has ended. */
+  limitPerSecond?: number
+  /** Milliseconds since the backend server said so. */
+  ageMs: number
+}
+
 /** What one backend server said last; times are on the process clock, in milliseconds. */
 export class IntakeState {
   /** Requests a second that it takes from all gateways together; undefined where it names no limit. */
@@ -12,12 +26,20 @@
   lastSentAt = Number.NEGATIVE_INFINITY
   /** When it named a limit last. */
   limitNamedAt = Number.NEGATIVE_INFINITY
+  /** When it named none any more. */
+  private limitEndedAt = Number.NEGATIVE_INFINITY
 
   /** Whether it said nothing that holds on. */
   get isSilent(): boolean {
     return this.limitPerSecond === undefined
   }
 
+  /** The limit, or its end, as peers are told; undefined where it never named one. */
+  tellLimit(now: number): ToldLimit | undefined {
+    const saidAt = Math.max(this.limitNamedAt, this.limitEndedAt)
+    return Number.isFinite(saidAt) ? { limitPerSecond: this.limitPerSecond, ageMs: Math.max(0, now - saidAt) } : undefined
+  }
+
   /**
    * Takes what an answer says. One without a limit ends it only if it answers
    * work, and its call began after the limit was named: answers overtake one
@@ -25,12 +47,31 @@
    */
   takeLimit({ limitPerSecond }: BackendNotice, { isWork, calledAt }: Pick<AnswerHead, 'isWork' | 'calledAt'>, now: number): boolean {
     const endsLimit = isWork && calledAt >= this.limitNamedAt
-    if (limitPerSecond === undefined && !endsLimit)
-      return false
-    if (limitPerSecond !== undefined)
-      this.limitNamedAt = now
+    if (limitPerSecond === undefined)
+      return endsLimit && this.endLimit(calledAt)
+    return this.setLimit(limitPerSecond, now)
+  }
+
+  /** Takes what a peer tells, where it is newer than what is known; returns whether the limit changed. */
+  hearLimit({ limitPerSecond, ageMs }: ToldLimit, now: number): boolean {
+    const saidAt = now - ageMs
+    if (limitPerSecond === undefined)
+      return saidAt - MAX_TRANSIT_MS > this.limitNamedAt && this.endLimit(saidAt)
+    return saidAt > Math.max(this.limitNamedAt, this.limitEndedAt) && this.setLimit(limitPerSecond, saidAt)
+  }
+
+  private setLimit(limitPerSecond: number, saidAt: number): boolean {
     const changed = limitPerSecond !== this.limitPerSecond
     this.limitPerSecond = limitPerSecond
+    this.limitNamedAt = saidAt
     return changed
   }
+
+  private endLimit(saidAt: number): boolean {
+    if (this.limitPerSecond === undefined)
+      return false
+    this.limitPerSecond = undefined
+    this.limitEndedAt = saidAt
+    return true
+  }
 }
--- a/packages/gateway/src/connection/peers/index.ts
+++ b/packages/gateway/src/connection/peers/index.ts
@@ -1,4 +1,5 @@
 export * from './crash-exchange.js'
+export * from './intake-message.js'
 export * from './member.js'
 export * from './peer-clients.js'
 export * from './peer-handler.js'
--- /dev/null
+++ b/packages/gateway/src/connection/peers/intake-message.ts
@@ -0,0 +1,22 @@
+/**
+ * What gateways tell each other of the requests that backend servers take, as
+ * heartbeats and their answers carry it.
+ */
+import type { ToldLimit } from '../backends/intake-state.js'
+import * as z from 'zod'
+
+/** The limit of one backend server, or its end. */
+export interface LimitMessage extends ToldLimit {
+  /** Id of the backend server. */
+  backend: string
+  /** Names its process, also where a later one has its id. */
+  life: string
+}
+
+/** Checks the limit of one backend server. */
+export const limitMessageSchema = z.object({
+  backend: z.string(),
+  life: z.string(),
+  limitPerSecond: z.number().nonnegative().optional(),
+  ageMs: z.number().nonnegative(),
+})
--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -7,10 +7,12 @@
 import type { EvacuationOrder } from '../../version/evacuation-order.js'
 import type { BackendChange, ListedBackends } from '../backends/backend.js'
 import type { CrashExchangeMessage } from './crash-exchange.js'
+import type { LimitMessage } from './intake-message.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, StageProgress } from './preparation.js'
 import { Err, Ok } from 'ts-results-es'
 import * as z from 'zod'
 import { positionOf, revisionAt } from '../backends/revision.js'
+import { limitMessageSchema } from './intake-message.js'
 
 const evacuationSchema = z.object({ failureDomain: z.string(), evacuated: z.boolean(), revision: z.number() })
 
@@ -28,6 +30,8 @@
   crashes: z.unknown().optional(),
   /** Orders about failure domains that the sender knows; absent where it knows none, and in releases that do not pass them on. */
   evacuations: z.array(evacuationSchema).optional(),
+  /** Limits of backend servers that changed lately; absent where none did, and in releases that do not pass them on. */
+  limits: z.array(limitMessageSchema).optional(),
 })
 
 /** A gateway's heartbeat to another, as it stands on the wire. */
@@ -42,6 +46,7 @@
   backends?: number
   crashes?: unknown
   evacuations?: EvacuationOrder[]
+  limits?: LimitMessage[]
 }
 
 /** Checks a heartbeat and decodes it. */
@@ -68,6 +73,8 @@
   crashes?: CrashExchangeMessage
   /** Orders about failure domains that the peer knows; absent where it knows none, and in releases that do not pass them on. */
   evacuations?: EvacuationOrder[]
+  /** Limits of backend servers that changed lately; absent where none did, and in releases that do not pass them on. */
+  limits?: LimitMessage[]
   /** Its source of backend servers does not answer; absent where it does, and in releases that do not say so. */
   sourceAway?: boolean
   /** It is stopping: the coordinator's role passes to another gateway. */
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -3,7 +3,7 @@
  * gateways that it knows and the backend servers that are listed.
  */
 import type { EventLog } from '@eidermast/common'
-import type { BackendRecord } from '../connection/backends/backend.js'
+import type { Backend, BackendRecord } from '../connection/backends/backend.js'
 import type { Presence } from '../connection/backends/presence-check.js'
 import type { CallStart } from '../connection/backends/work-call.js'
 import type { Member } from '../connection/peers/member.js'
@@ -109,9 +109,9 @@
     this.log.write('backend-cold', { backend: id, service, coldMs: Math.round(coldMs) })
   }
 
-  /** It names a limit of requests a second in its answers, another one, or none any more (absent). */
-  backendLimitChanged({ id, service }: BackendRecord, limitPerSecond: number | undefined, previous: number | undefined): void {
-    this.log.write('backend-limit', { backend: id, service, limitPerSecond, previous })
+  /** It names a limit of requests a second, another one, or none any more (absent), by an answer to this process or by the word of a peer. */
+  backendLimitChanged({ id, service, intake: { limitPerSecond } }: Backend, previous: number | undefined, source: string): void {
+    this.log.write('backend-limit', { backend: id, service, limitPerSecond, previous, source })
   }
 
   /** It began to leave, or takes work again; at most `noticedWithinMs` milliseconds ago. */
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -96,7 +96,7 @@
     this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashBoard = this.createCrashBoard()
     this.members = this.createMembers()
-    this.intakes = new BackendIntakes(platform.backendCodec.readNotice, new LimitTurns(backend => this.limitShare(backend)), this.gatewayLog)
+    this.intakes = new BackendIntakes(this.registry, platform.backendCodec.readNotice, new LimitTurns(backend => this.limitShare(backend)), this.gatewayLog)
     this.connections = this.createConnections()
     this.stageCoordinators = this.createStageCoordinators()
     this.peerService = this.createPeerService()
@@ -250,6 +250,7 @@
       holder: this.configuration,
       backendList: this.backendList,
       evacuations: this.evacuations,
+      limits: this.intakes.limitExchange,
       heardPeers: this.heardPeers,
       peers: this.peers,
       stageCoordinator: this.stageCoordinators,
--- a/packages/gateway/src/process/intake/backend-intakes.ts
+++ b/packages/gateway/src/process/intake/backend-intakes.ts
@@ -7,15 +7,26 @@
 import type { Backend } from '../../connection/backends/backend.js'
 import type { IntakeGate } from '../../connection/backends/intake-gate.js'
 import type { LimitTurns } from '../../request/attempts/limit-turns.js'
+import type { BackendRegistry } from '../backend-registry.js'
 import type { GatewayLog } from '../gateway-log.js'
+import { LimitExchange } from './limit-exchange.js'
+
+/** Name of this process's own answers in the log. */
+const OWN_ANSWERS = 'answer'
 
 /** The gate before all backend servers. */
 export class BackendIntakes implements IntakeGate {
+  /** What gateways tell each other of limits. */
+  readonly limitExchange: LimitExchange
+
   constructor(
+    registry: Pick<BackendRegistry, 'find'>,
     private readonly readNotice: ReadNotice,
     private readonly limitTurns: LimitTurns,
     private readonly log: GatewayLog,
-  ) {}
+  ) {
+    this.limitExchange = new LimitExchange(registry, (backend, previous, peer) => log.backendLimitChanged(backend, previous, peer))
+  }
 
   waitMs(backend: Backend): number {
     return this.limitTurns.waitMs(backend)
@@ -28,7 +39,9 @@
   noteAnswer(backend: Backend, head: AnswerHead): void {
     const notice = this.readNotice(head.status, head.headers)
     const previous = backend.intake.limitPerSecond
-    if (backend.intake.takeLimit(notice, head, performance.now()))
-      this.log.backendLimitChanged(backend.record, notice.limitPerSecond, previous)
+    if (!backend.intake.takeLimit(notice, head, performance.now()))
+      return
+    this.limitExchange.note(backend)
+    this.log.backendLimitChanged(backend, previous, OWN_ANSWERS)
   }
 }
--- a/test/platform/limited-backends.test.ts
+++ b/test/platform/limited-backends.test.ts
@@ -51,12 +51,14 @@
 
   test('gets no more calls of stage work and deletions of results than it names', async () => {
     const limit = 1.5
-    const [backend] = deployment.stages
-    backend.speech = { headers: { 'Server-Limit': String(limit) } }
-    await deployment.sendFor(PLAY_MS, 10, '/staged/x')
-    const calls = backend.arrivals.filter(({ path }) => path !== REPORT_PATH)
-    expect(calls.length).toBeGreaterThan(limit * PLAY_MS / 1000 / 2)
-    expect(mostWithin(calls, SPAN_MS)).toBeLessThanOrEqual(allowedIn(limit))
+    for (const backend of deployment.stages)
+      backend.speech = { headers: { 'Server-Limit': String(limit) } }
+    await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND, '/staged/x')
+    for (const backend of deployment.stages) {
+      const calls = backend.arrivals.filter(({ path }) => path !== REPORT_PATH)
+      expect(calls.length).toBeGreaterThan(limit * PLAY_MS / 1000 / 2)
+      expect(mostWithin(calls, SPAN_MS)).toBeLessThanOrEqual(allowedIn(limit))
+    }
   })
 
   test('is used as before soon after it names none any more', async () => {
