--- a/packages/gateway/src/connection/backends/backend-notice.ts
+++ b/packages/gateway/src/connection/backends/backend-notice.ts
@@ -6,6 +6,10 @@
 export interface BackendNotice {
   /** Requests a second that it takes from all gateways together; absent where it names no limit. */
   limitPerSecond?: number
+  /** It leaves, and takes no new work. */
+  isLeaving?: boolean
+  /** Milliseconds for which it wants nothing from this process; absent where it asks for no rest. */
+  restMs?: number
 }
 
 /** Headers of an answer, with names in lower case. */
--- a/packages/gateway/src/connection/backends/intake-state.ts
+++ b/packages/gateway/src/connection/backends/intake-state.ts
@@ -10,6 +10,9 @@
  */
 const MAX_TRANSIT_MS = 500
 
+/** Milliseconds; a rest of more would take a backend server away for good by one wrong number. */
+const MAX_REST_MS = 600_000
+
 /** A limit, or its end, as a peer tells it. */
 export interface ToldLimit {
   /** Requests a second; absent where the limit has ended. */
@@ -22,6 +25,10 @@
 export class IntakeState {
   /** Requests a second that it takes from all gateways together; undefined where it names no limit. */
   limitPerSecond: number | undefined
+  /** It said that it leaves; nothing ends that but its own end. */
+  isLeaving = false
+  /** Until when it wants nothing from this process. */
+  restUntil = Number.NEGATIVE_INFINITY
   /** When a request of this process was last sent there. */
   lastSentAt = Number.NEGATIVE_INFINITY
   /** When it named a limit last. */
@@ -34,6 +41,23 @@
     return this.limitPerSecond === undefined
   }
 
+  /** Milliseconds for which it wants nothing from this process; 0 where it takes requests. */
+  restMs(now: number): number {
+    return Math.max(0, this.restUntil - now)
+  }
+
+  /** It says that it leaves; returns whether that is new. */
+  takeLeaving(): boolean {
+    const isNew = !this.isLeaving
+    this.isLeaving = true
+    return isNew
+  }
+
+  /** It asks for rest. An answer that asks for less, to a call of before, ends none that was asked for. */
+  takeRest(milliseconds: number, now: number): void {
+    this.restUntil = Math.max(this.restUntil, now + Math.min(milliseconds, MAX_REST_MS))
+  }
+
   /** The limit, or its end, as peers are told; undefined where it never named one. */
   tellLimit(now: number): ToldLimit | undefined {
     const saidAt = Math.max(this.limitNamedAt, this.limitEndedAt)
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -114,6 +114,16 @@
     this.log.write('backend-limit', { backend: id, service, limitPerSecond, previous, source })
   }
 
+  /** It says in its answers that it leaves, by an answer to this process or by the word of a peer. */
+  backendSaidLeaving({ id, service, record: { draining } }: Backend, source: string): void {
+    this.log.write('backend-leaving', { backend: id, service, source, listedAsDraining: draining })
+  }
+
+  /** It turned a request away and wants nothing more from this process for some time. */
+  backendAskedForRest({ id, service }: Backend, restMs: number): void {
+    this.log.write('backend-rest', { backend: id, service, restMs: Math.round(restMs) })
+  }
+
   /** It began to leave, or takes work again; at most `noticedWithinMs` milliseconds ago. */
   backendStateChanged({ id, service, draining }: BackendRecord, noticedWithinMs: number): void {
     this.log.write('backend-state', { backend: id, service, draining, noticedWithinMs: Math.round(noticedWithinMs) })
--- a/packages/gateway/src/process/intake/backend-intakes.ts
+++ b/packages/gateway/src/process/intake/backend-intakes.ts
@@ -3,7 +3,7 @@
  * take, and says when a request may go to one of them. What each said lives with
  * the registry's entry of it; this module owns nothing.
  */
-import type { AnswerHead, ReadNotice } from '../../connection/backends/backend-notice.js'
+import type { AnswerHead, BackendNotice, ReadNotice } from '../../connection/backends/backend-notice.js'
 import type { Backend } from '../../connection/backends/backend.js'
 import type { IntakeGate } from '../../connection/backends/intake-gate.js'
 import type { LimitTurns } from '../../request/attempts/limit-turns.js'
@@ -38,6 +38,16 @@
 
   noteAnswer(backend: Backend, head: AnswerHead): void {
     const notice = this.readNotice(head.status, head.headers)
+    this.noteLimit(backend, notice, head)
+    if (notice.isLeaving && backend.intake.takeLeaving())
+      this.log.backendSaidLeaving(backend, OWN_ANSWERS)
+    if (notice.restMs !== undefined) {
+      backend.intake.takeRest(notice.restMs, performance.now())
+      this.log.backendAskedForRest(backend, notice.restMs)
+    }
+  }
+
+  private noteLimit(backend: Backend, notice: BackendNotice, head: AnswerHead): void {
     const previous = backend.intake.limitPerSecond
     if (!backend.intake.takeLimit(notice, head, performance.now()))
       return
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -64,6 +64,8 @@
       running: backend.load?.running,
       limitPerSecond: backend.intake.limitPerSecond,
       limitAgeMs: backend.intake.limitPerSecond === undefined ? undefined : Math.round(performance.now() - backend.intake.limitNamedAt),
+      saidLeaving: backend.intake.isLeaving || undefined,
+      restMs: Math.round(backend.intake.restMs(performance.now())) || undefined,
       loadAgeMs: backend.load ? Math.round(performance.now() - backend.loadAt) : undefined,
       remainingMs: Math.round(remainingMs),
       promptTokens: request.head.promptParts.length > 0 ? countTokens(request.head.promptParts) : undefined,
--- a/test/platform/backend-notice.test.ts
+++ b/test/platform/backend-notice.test.ts
@@ -19,3 +19,23 @@
 test('an answer of another backend server at the address names no limit', () => {
   expect(readNotice(421, { 'server-limit': '1' }).limitPerSecond).toBeUndefined()
 })
+
+test.each([
+  { status: 503, header: '3', restMs: 3000 },
+  { status: 503, header: '0.25', restMs: 250 },
+  { status: 503, header: 'Wed, 21 Oct 2026 07:28:00 GMT', restMs: undefined },
+  { status: 503, header: '-1', restMs: undefined },
+  { status: 503, header: undefined, restMs: undefined },
+  { status: 429, header: '3', restMs: undefined },
+  { status: 200, header: '3', restMs: undefined },
+])('status $status with Retry-After $header asks for a rest of $restMs ms', ({ status, header, restMs }) => {
+  expect(readNotice(status, { 'retry-after': header }).restMs).toBe(restMs)
+})
+
+test.each([
+  { header: '1', isLeaving: true },
+  { header: '0', isLeaving: false },
+  { header: undefined, isLeaving: false },
+])('a leaving header $header says that it leaves: $isLeaving', ({ header, isLeaving }) => {
+  expect(readNotice(200, { 'server-leaving': header }).isLeaving).toBe(isLeaving)
+})
