--- a/test/platform/support/spoken-pool.ts
+++ b/test/platform/support/spoken-pool.ts
@@ -39,11 +39,14 @@
   readonly arrivals: Arrival[] = []
   /** When each gateway was first answered with a speech, in milliseconds of the test's clock. */
   readonly toldAt = new Map<string, number>()
+  /** Requests that were turned away, at the time of the answer. */
+  readonly turnedAwayAt: Arrival[] = []
   speech: Speech | undefined
 
   constructor(readonly stand: StandInBackend, workMs: number, respond: Respond = answerWhole()) {
     stand.respond = async (seen, response) => {
-      const gateway = this.noteArrival(seen)
+      const arrival = this.noteArrival(seen)
+      const { gateway } = arrival
       await wait(workMs)
       for (const [name, value] of Object.entries(this.speech?.headers ?? {}))
         response.setHeader(name, value)
@@ -51,6 +54,7 @@
         this.toldAt.set(gateway, performance.now())
       if (!this.speech?.turnsAway)
         return respond(seen, response)
+      this.turnedAwayAt.push({ ...arrival, at: performance.now() })
       response.writeHead(503, { 'Attempt-Id': String(seen.headers['attempt-id']), 'Not-Executed': '1' })
       response.end()
     }
@@ -61,11 +65,12 @@
     return this.arrivals.filter(({ gateway, at }) => at >= fromAt && at >= (this.toldAt.get(gateway) ?? Number.POSITIVE_INFINITY) + toldBeforeMs)
   }
 
-  private noteArrival(seen: SeenRequest): string {
+  private noteArrival(seen: SeenRequest): Arrival {
     const requestId = String(seen.headers['attempt-id'])
     const [gateway] = requestId.split(NAME_END)
-    this.arrivals.push({ gateway, requestId, path: seen.path, at: seen.at })
-    return gateway
+    const arrival = { gateway, requestId, path: seen.path, at: seen.at }
+    this.arrivals.push(arrival)
+    return arrival
   }
 }
 
