--- a/platform/src/wire/error-status.ts
+++ b/packages/gateway/src/connection/clients/error-status.ts
@@ -5,7 +5,7 @@
  * Rule: the status of the kind; 502 in place of a status that promises that
  * the request has not run, where part of it ran or may have run.
  * Why: clients retry any request after such a promise, also one that may run
- * only once (the platform's protocol, section on answers).
+ * only once.
  * Log event: `request-ended`.
  */
 import type { RequestError } from '@eidermast/common'
