A backend server that says in its answers that it leaves gets no new work

Cause: a leaving was known by the list alone, which the store may take for many seconds late. The word of the answers was passed to the client and dropped.

Change: it counts like a leaving of the list, on every way: choices, stage pools and calls that wait for a connection, which are turned away. It holds for the life of the backend server, whatever the list says of that life, and over a lapse of its entry; a later process under its id is not held to it. Gateways tell each other by heartbeats, while the list does not say so itself.

--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -102,7 +102,7 @@
 
   /** Whether new work may be sent there now. */
   get takesWork(): boolean {
-    return !this.removed && !this.record.draining && !this.evacuated
+    return !this.removed && !this.record.draining && !this.intake.isLeaving && !this.evacuated
   }
 
   /** Whether it is cold: it has just started, and withstands few requests. */
--- a/packages/gateway/src/connection/backends/intake-state.ts
+++ b/packages/gateway/src/connection/backends/intake-state.ts
@@ -38,7 +38,7 @@
 
   /** Whether it said nothing that holds on. */
   get isSilent(): boolean {
-    return this.limitPerSecond === undefined
+    return this.limitPerSecond === undefined && !this.isLeaving
   }
 
   /** Milliseconds for which it wants nothing from this process; 0 where it takes requests. */
--- a/packages/gateway/src/connection/peers/intake-message.ts
+++ b/packages/gateway/src/connection/peers/intake-message.ts
@@ -20,3 +20,14 @@
   limitPerSecond: z.number().nonnegative().optional(),
   ageMs: z.number().nonnegative(),
 })
+
+/** A backend server that says in its answers that it leaves. */
+export interface LeavingMessage {
+  /** Id of the backend server. */
+  backend: string
+  /** Names its process, also where a later one has its id. */
+  life: string
+}
+
+/** Checks a backend server that leaves. */
+export const leavingMessageSchema = z.object({ backend: z.string(), life: z.string() })
--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -7,12 +7,12 @@
 import type { EvacuationOrder } from '../../version/evacuation-order.js'
 import type { BackendChange, ListedBackends } from '../backends/backend.js'
 import type { CrashExchangeMessage } from './crash-exchange.js'
-import type { LimitMessage } from './intake-message.js'
+import type { LeavingMessage, LimitMessage } from './intake-message.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, StageProgress } from './preparation.js'
 import { Err, Ok } from 'ts-results-es'
 import * as z from 'zod'
 import { positionOf, revisionAt } from '../backends/revision.js'
-import { limitMessageSchema } from './intake-message.js'
+import { leavingMessageSchema, limitMessageSchema } from './intake-message.js'
 
 const evacuationSchema = z.object({ failureDomain: z.string(), evacuated: z.boolean(), revision: z.number() })
 
@@ -32,6 +32,8 @@
   evacuations: z.array(evacuationSchema).optional(),
   /** Limits of backend servers that changed lately; absent where none did, and in releases that do not pass them on. */
   limits: z.array(limitMessageSchema).optional(),
+  /** Backend servers that say in their answers that they leave; absent where none does, and in releases that do not pass it on. */
+  leaving: z.array(leavingMessageSchema).optional(),
 })
 
 /** A gateway's heartbeat to another, as it stands on the wire. */
@@ -47,6 +49,7 @@
   crashes?: unknown
   evacuations?: EvacuationOrder[]
   limits?: LimitMessage[]
+  leaving?: LeavingMessage[]
 }
 
 /** Checks a heartbeat and decodes it. */
@@ -75,6 +78,8 @@
   evacuations?: EvacuationOrder[]
   /** Limits of backend servers that changed lately; absent where none did, and in releases that do not pass them on. */
   limits?: LimitMessage[]
+  /** Backend servers that say in their answers that they leave; absent where none does, and in releases that do not pass it on. */
+  leaving?: LeavingMessage[]
   /** Its source of backend servers does not answer; absent where it does, and in releases that do not say so. */
   sourceAway?: boolean
   /** It is stopping: the coordinator's role passes to another gateway. */
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -149,6 +149,12 @@
       listener.removed?.(backend)
   }
 
+  /** A backend server says by itself that it leaves, whatever is listed of it. */
+  noteLeaving(backend: Backend): void {
+    if (!backend.removed)
+      this.reportStateChange(backend)
+  }
+
   /** As `remove`, unless its id belongs to a later process of it by now. */
   removeBackend(backend: Backend, reason: string): void {
     if (this.byId.get(backend.id) === backend)
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -251,6 +251,7 @@
       backendList: this.backendList,
       evacuations: this.evacuations,
       limits: this.intakes.limitExchange,
+      leaving: this.intakes.leavingExchange,
       heardPeers: this.heardPeers,
       peers: this.peers,
       stageCoordinator: this.stageCoordinators,
--- a/packages/gateway/src/process/intake/backend-intakes.ts
+++ b/packages/gateway/src/process/intake/backend-intakes.ts
@@ -9,6 +9,7 @@
 import type { LimitTurns } from '../../request/attempts/limit-turns.js'
 import type { BackendRegistry } from '../backend-registry.js'
 import type { GatewayLog } from '../gateway-log.js'
+import { LeavingExchange } from './leaving-exchange.js'
 import { LimitExchange } from './limit-exchange.js'
 
 /** Name of this process's own answers in the log. */
@@ -18,14 +19,17 @@
 export class BackendIntakes implements IntakeGate {
   /** What gateways tell each other of limits. */
   readonly limitExchange: LimitExchange
+  /** What gateways tell each other of backend servers that leave. */
+  readonly leavingExchange: LeavingExchange
 
   constructor(
-    registry: Pick<BackendRegistry, 'find'>,
+    private readonly registry: Pick<BackendRegistry, 'find' | 'noteLeaving'>,
     private readonly readNotice: ReadNotice,
     private readonly limitTurns: LimitTurns,
     private readonly log: GatewayLog,
   ) {
     this.limitExchange = new LimitExchange(registry, (backend, previous, peer) => log.backendLimitChanged(backend, previous, peer))
+    this.leavingExchange = new LeavingExchange(registry, (backend, peer) => this.takeLeaving(backend, peer))
   }
 
   waitMs(backend: Backend): number {
@@ -39,14 +43,21 @@
   noteAnswer(backend: Backend, head: AnswerHead): void {
     const notice = this.readNotice(head.status, head.headers)
     this.noteLimit(backend, notice, head)
-    if (notice.isLeaving && backend.intake.takeLeaving())
-      this.log.backendSaidLeaving(backend, OWN_ANSWERS)
+    if (notice.isLeaving && backend.intake.takeLeaving()) {
+      this.leavingExchange.note(backend)
+      this.takeLeaving(backend, OWN_ANSWERS)
+    }
     if (notice.restMs !== undefined) {
       backend.intake.takeRest(notice.restMs, performance.now())
       this.log.backendAskedForRest(backend, notice.restMs)
     }
   }
 
+  private takeLeaving(backend: Backend, source: string): void {
+    this.log.backendSaidLeaving(backend, source)
+    this.registry.noteLeaving(backend)
+  }
+
   private noteLimit(backend: Backend, notice: BackendNotice, head: AnswerHead): void {
     const previous = backend.intake.limitPerSecond
     if (!backend.intake.takeLimit(notice, head, performance.now()))
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -3,8 +3,8 @@
  * them its configuration and its list of backend servers, exchanges crashes
  * (`crashes/peer-exchange.ts`), and does their stage
  * work while it coordinates. Each heartbeat and its answer tell the versions
- * held, the orders about failure domains and the limits of backend servers that
- * changed, and an answer the changes of the list that the sender lacks. What a peer
+ * held, the orders about failure domains, and which backend servers leave or
+ * changed their limit; an answer also the changes of the list that the sender lacks. What a peer
  * holds beyond that, and the platform's store did not bring, is fetched
  * (`peer-fetch.ts`). It owns no state but that fetches are under way.
  */
@@ -20,6 +20,7 @@
 import type { PeerExchange } from './crashes/peer-exchange.js'
 import type { EvacuationList } from './evacuation/evacuation-list.js'
 import type { GatewayLog } from './gateway-log.js'
+import type { LeavingExchange } from './intake/leaving-exchange.js'
 import type { LimitExchange } from './intake/limit-exchange.js'
 import type { HeardPeers } from './membership/heard-peers.js'
 import { PeerFetch } from './peer-fetch.js'
@@ -38,6 +39,7 @@
   backendList: BackendList
   evacuations: EvacuationList
   limits: LimitExchange
+  leaving: LeavingExchange
   heardPeers: HeardPeers
   peers: Pick<PeerClients, 'configuration' | 'backends'>
   stageCoordinator: Preparer
@@ -48,7 +50,7 @@
 }
 
 /** What a gateway tells of the state that it shares with its peers. */
-export type HeldState = Pick<HeartbeatReply, 'version' | 'backends' | 'backendChanges' | 'evacuations' | 'limits'> & { crashes?: unknown }
+export type HeldState = Pick<HeartbeatReply, 'version' | 'backends' | 'backendChanges' | 'evacuations' | 'limits' | 'leaving'> & { crashes?: unknown }
 
 /** What a gateway tells of itself, beside the state that it shares. */
 export type SelfDescription = Omit<HeartbeatReply, keyof HeldState>
@@ -75,14 +77,15 @@
   }
 
   /** What this process holds, as its heartbeats tell a peer. */
-  heldFor({ address }: Member): Pick<HeartbeatReply, 'version' | 'backends' | 'crashes' | 'evacuations' | 'limits'> {
-    const { holder, backendList, crashes, limits, evacuations: { orders } } = this.parts
+  heldFor({ address }: Member): Pick<HeartbeatReply, 'version' | 'backends' | 'crashes' | 'evacuations' | 'limits' | 'leaving'> {
+    const { holder, backendList, crashes, limits, leaving, evacuations: { orders } } = this.parts
     return {
       version: holder.version,
       backends: backendList.revision,
       crashes: crashes.messageFor(address),
       evacuations: orders.length > 0 ? orders : undefined,
       limits: limits.messages(performance.now()),
+      leaving: leaving.messages(),
     }
   }
 
@@ -110,7 +113,7 @@
   }
 
   /** A peer told what it holds; what is newer and was not told is fetched. */
-  learn({ name, address }: Member, { version, backends, backendChanges, crashes, evacuations, limits }: HeldState): void {
+  learn({ name, address }: Member, { version, backends, backendChanges, crashes, evacuations, limits, leaving }: HeldState): void {
     const member = { name, address }
     if (crashes !== undefined)
       this.parts.crashes.take(address, crashes)
@@ -119,6 +122,7 @@
     if (backends !== undefined && backendChanges)
       this.parts.backendList.adoptChanges(backendChanges, backends, member)
     this.parts.limits.take(limits ?? [], name, performance.now())
+    this.parts.leaving.take(leaving ?? [], name)
     void this.configurationFetch.learn(member, version)
     void this.backendsFetch.learn(member, backends)
   }
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -99,10 +99,21 @@
     expect(registry.find('encode-a')!.intake.limitPerSecond).toBe(2)
   })
 
+  test('keeps work from one that says that it leaves, whatever the list says later of the same process', () => {
+    registry.find('encode-a')!.intake.takeLeaving()
+    registry.upsert({ ...RECORD, capacity: 5 })
+    expect(isUsed()).toBe(false)
+    registry.replaceAll([])
+    registry.replaceAll([RECORD])
+    expect(isUsed()).toBe(false)
+  })
+
   test('does not hold for a later process of it', () => {
     registry.upsert({ ...RECORD, born: 1 })
     registry.find('encode-a')!.intake.limitPerSecond = 2
+    registry.find('encode-a')!.intake.takeLeaving()
     registry.upsert({ ...RECORD, born: 2 })
     expect(registry.find('encode-a')!.intake.limitPerSecond).toBeUndefined()
+    expect(isUsed()).toBe(true)
   })
 })
--- a/test/platform/leaving-answers.test.ts
+++ b/test/platform/leaving-answers.test.ts
@@ -1,9 +1,15 @@
-import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import type { SpokenBackend } from './support/spoken-pool.js'
+import { wait } from '@eidermast/common'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { SpokenDeployment } from './support/spoken-deployment.js'
 
 /** Milliseconds after such an answer from which a gateway that passed it on sends no new request (settings, `drain-ms`). */
 const DRAIN_MS = 2000
 const PLAY_MS = 5000
+/** Milliseconds in which heartbeats have told all gateways. */
+const PASSED_ON_WITHIN_MS = 1000
+/** Milliseconds; far below the deadline of the requests. */
+const REFUSED_WITHIN_MS = 300
 const POOL_SIZE = 4
 const REQUESTS_PER_SECOND = 40
 
@@ -24,4 +30,45 @@
     expect(backend.toldAt.size).toBeGreaterThan(0)
     expect(late).toEqual([])
   })
+
+  test('gets nothing from gateways that it never answered, soon after it answered one of them', async () => {
+    const [backend] = deployment.pool
+    backend.speech = { headers: { 'Server-Leaving': '1' } }
+    await vi.waitFor(async () => {
+      await deployment.sendFor(10, REQUESTS_PER_SECOND)
+      expect(backend.toldAt.size).toBe(1)
+    }, { timeout: 3000 })
+    await wait(PASSED_ON_WITHIN_MS)
+    const seen = backend.arrivals.length
+    await deployment.sendFor(DRAIN_MS, REQUESTS_PER_SECOND)
+    expect(backend.arrivals.length).toBe(seen)
+  })
+
+  test('gets no stage work either, and its results are still read and deleted', async () => {
+    const [backend, other] = deployment.stages
+    backend.speech = { headers: { 'Server-Leaving': '1' } }
+    const answers = await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND / 4, '/staged/x')
+    const callsTo = ({ arrivals }: SpokenBackend): number => arrivals.filter(({ path }) => path === '/-/stage-run').length
+    expect(callsTo(backend)).toBeLessThanOrEqual(1)
+    expect(callsTo(other)).toBeGreaterThan(0)
+    expect(answers.filter(({ status }) => status !== 200)).toEqual([])
+  })
+
+  test('ends no answer that is under way, and costs callers nothing', async () => {
+    const [backend] = deployment.pool
+    backend.speech = { headers: { 'Server-Leaving': '1' } }
+    const answers = await deployment.sendFor(DRAIN_MS, REQUESTS_PER_SECOND)
+    expect(answers.filter(({ status }) => status !== 200)).toEqual([])
+  })
+})
+
+describe('a service whose backend servers all say that they leave', () => {
+  test('answers at once that nothing ran', async () => {
+    for (const backend of deployment.pool)
+      backend.speech = { headers: { 'Server-Leaving': '1' } }
+    await deployment.sendFor(DRAIN_MS, REQUESTS_PER_SECOND)
+    const answers = await deployment.sendFor(DRAIN_MS, REQUESTS_PER_SECOND)
+    expect([...new Set(answers.map(({ status }) => status))]).toEqual([503])
+    expect(Math.max(...answers.map(({ tookMs }) => tookMs))).toBeLessThan(REFUSED_WITHIN_MS)
+  })
 })
