A backend server that turns a gateway away and asks for rest is left alone by it

Cause: a refusal was a fact about one request. It chose another backend server for that request, and said nothing for the next one.

Change: the gate in front of every way asks for the rest too: choices, the last look before the first byte, stage calls, deletions of results. Admission leaves out a stage backend server that rests for longer than a call. Where all of a service rest, a request is refused at once, before its stages, if the first rest ends after its first event is due; Retry-After is what is left of that rest.

--- a/packages/gateway/src/connection/backends/intake-state.ts
+++ b/packages/gateway/src/connection/backends/intake-state.ts
@@ -37,8 +37,8 @@
   private limitEndedAt = Number.NEGATIVE_INFINITY
 
   /** Whether it said nothing that holds on. */
-  get isSilent(): boolean {
-    return this.limitPerSecond === undefined && !this.isLeaving
+  isSilent(now: number): boolean {
+    return this.limitPerSecond === undefined && !this.isLeaving && this.restMs(now) === 0
   }
 
   /** Milliseconds for which it wants nothing from this process; 0 where it takes requests. */
--- a/packages/gateway/src/process/intake/backend-intakes.ts
+++ b/packages/gateway/src/process/intake/backend-intakes.ts
@@ -1,7 +1,20 @@
 /**
- * Takes what backend servers say in their answers of the requests that they
- * take, and says when a request may go to one of them. What each said lives with
- * the registry's entry of it; this module owns nothing.
+ * Decides when a request, a stage call or a deletion of results may go to a
+ * backend server, by what it says of the requests that it takes.
+ *
+ * Inputs: the heads of its answers to this process, and what peers tell of them
+ * (limit, leaving), as of now; the turns of `limit-turns.ts`.
+ * Rule: none while it rests, nor before this gateway's turn where it names a
+ * limit; none ever again once it says that it leaves, for which the registry
+ * counts it out. A rest is asked of one gateway and binds that one alone. Probes
+ * and reports are let through: they show whether streams under way still live.
+ * Why: it is asked where a backend server is chosen and again just before the
+ * first byte, since requests wait between the two.
+ * Log events: `backend-limit`, `backend-rest`, `backend-leaving`,
+ * `work-turned-away`.
+ *
+ * What each backend server said lives with the registry's entry of it; this
+ * module owns nothing.
  */
 import type { AnswerHead, BackendNotice, ReadNotice } from '../../connection/backends/backend-notice.js'
 import type { Backend } from '../../connection/backends/backend.js'
@@ -33,7 +46,7 @@
   }
 
   waitMs(backend: Backend): number {
-    return this.limitTurns.waitMs(backend)
+    return Math.max(backend.intake.restMs(performance.now()), this.limitTurns.waitMs(backend))
   }
 
   noteSent({ intake }: Backend): void {
--- a/packages/gateway/src/process/stages/backend/stage-backend.ts
+++ b/packages/gateway/src/process/stages/backend/stage-backend.ts
@@ -43,12 +43,19 @@
     return this.backend.failureDomain
   }
 
-  /** Time between full calls over the configured time of one: as measured, or as its limit of calls a second allows. */
-  get slownessFactor(): number {
-    const { limitPerSecond } = this.backend.intake
+  /**
+   * Time between full calls over the configured time of one: as measured, or as
+   * its limit of calls a second allows; infinite while it rests for longer than
+   * a call.
+   */
+  slownessFactor(now: number): number {
+    const { intake } = this.backend
+    const { limitPerSecond } = intake
+    const fullCallMs = this.limits.callMs + this.limits.itemMs * this.limits.batch
+    if (intake.restMs(now) > fullCallMs)
+      return Number.POSITIVE_INFINITY
     if (limitPerSecond === undefined)
       return this.slowness
-    const fullCallMs = this.limits.callMs + this.limits.itemMs * this.limits.batch
     return Math.max(this.slowness, MILLISECONDS_PER_SECOND / limitPerSecond / fullCallMs)
   }
 
--- a/packages/gateway/src/process/stages/pool/stage-pool.ts
+++ b/packages/gateway/src/process/stages/pool/stage-pool.ts
@@ -79,7 +79,8 @@
 
   /** Pace of the service with the backend servers that take work. */
   pace(): ServicePace {
-    const slownessFactors = [...this.backends.values()].map(backend => backend.slownessFactor)
+    const now = performance.now()
+    const slownessFactors = [...this.backends.values()].map(backend => backend.slownessFactor(now))
     return estimatePace(this.limits, slownessFactors, this.typicalResultBytes)
   }
 
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -225,18 +225,17 @@
       runs: this.history.runs,
       refusal: this.parts.crashes.refusal(request.fingerprint),
       lastFailure: this.lastFailure,
-      waitMs: this.shortestWaitMs(),
+      waitMs: shortestWaitMs(this.parts, request.service),
     })
     return { error, retry, firstEventAt: this.firstEventAt }
   }
 
-  /** Milliseconds until some backend server of the service takes a request; Infinity where none takes work. */
-  private shortestWaitMs(): number {
-    const waits = this.parts.registry.available(this.subject.request.service).map(backend => this.parts.intake.waitMs(backend))
-    return Math.min(...waits)
-  }
-
   private remainingMs(): number {
     return this.subject.request.deadlineAt - performance.now()
   }
 }
+
+/** Milliseconds until some backend server of a service takes a request, by their own word; Infinity where none takes work. */
+export function shortestWaitMs({ registry, intake }: Pick<BackendRunParts, 'registry' | 'intake'>, service: string): number {
+  return Math.min(...registry.available(service).map(backend => intake.waitMs(backend)))
+}
--- a/packages/gateway/src/request/attempts/backend-runner.ts
+++ b/packages/gateway/src/request/attempts/backend-runner.ts
@@ -12,7 +12,7 @@
 import type { ColdPace } from './cold-pace.js'
 import type { RunEnd, RunInputs, RunSubject } from './run-subject.js'
 import { RequestLog } from '../request-log.js'
-import { BackendRun } from './backend-run.js'
+import { BackendRun, shortestWaitMs } from './backend-run.js'
 import { NO_INPUTS } from './run-subject.js'
 
 /**
@@ -46,6 +46,11 @@
     return this.choose(request, NO_INPUTS, new Set())?.failureDomain ?? this.parts.failureDomain
   }
 
+  /** Milliseconds until some backend server of the request's service takes a request, by their own word; Infinity where none takes work. */
+  shortestWaitMs({ service }: RoutedRequest): number {
+    return shortestWaitMs(this.parts, service)
+  }
+
   /** Answers the request, or says why there is no answer. */
   async run(subject: RunSubject): Promise<RunEnd> {
     this.parts.budget.countRequest(subject.request.service)
--- a/packages/gateway/src/request/pass-through.ts
+++ b/packages/gateway/src/request/pass-through.ts
@@ -16,7 +16,7 @@
 import { createError, ErrorKind } from '@eidermast/common'
 import { NO_INPUTS } from './attempts/run-subject.js'
 import { atLeastOne } from './deadlines.js'
-import { errorOfPreparation } from './request-errors.js'
+import { errorOfPreparation, errorOfWithheld } from './request-errors.js'
 import { outcomeOf, RequestLog } from './request-log.js'
 import { RequestRouter } from './request-router.js'
 
@@ -73,6 +73,9 @@
   private async prepareAndRun(request: RoutedRequest, answer: ClientAnswer, signal: AbortSignal): Promise<RunEnd> {
     const { requestId } = request.head
     const firstEventMs = Math.ceil(request.firstEventBy - performance.now())
+    const waitMs = this.parts.runner.shortestWaitMs(request)
+    if (Number.isFinite(waitMs) && waitMs > firstEventMs)
+      return { error: errorOfWithheld(request.service, waitMs) }
     const stagesSignal = AbortSignal.any([signal, AbortSignal.timeout(atLeastOne(firstEventMs))])
     const prepared = await this.parts.preparer.prepare(this.describe(request), stagesSignal)
     if (prepared.isErr())
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -49,12 +49,17 @@
   if (refusal !== undefined)
     return createError(ErrorKind.Quarantined, refusal)
   if (waitMs > 0 && Number.isFinite(waitMs))
-    return createError(ErrorKind.Overloaded, `no backend server of ${service} takes a request before ${Math.ceil(waitMs)} ms have passed`, { retryAfterMs: waitMs })
+    return errorOfWithheld(service, waitMs)
   if (lastFailure && lastFailure.kind !== CallFailureKind.Leaving)
     return createError(ErrorKind.Overloaded, `no backend server took it: ${lastFailure.message}`, { retryAfterMs: REFUSED_RETRY_MS })
   return createError(ErrorKind.NoBackend, `no backend server of ${service} can be used`, { ran: Ran.None })
 }
 
+/** The error of a request that no backend server takes now, by their own word; takes the time until one does, in milliseconds. */
+export function errorOfWithheld(service: string, waitMs: number): RequestError {
+  return createError(ErrorKind.Overloaded, `no backend server of ${service} takes a request before ${Math.ceil(waitMs)} ms have passed`, { retryAfterMs: waitMs })
+}
+
 /** Decides the error of a request whose stages brought no results. */
 export function errorOfPreparation({ kind, message, retryAfterMs }: PreparationFailure): RequestError {
   return createError(errorKindOf(kind), message, { ran: Ran.None, retryAfterMs })
--- a/test/platform/resting-backends.test.ts
+++ b/test/platform/resting-backends.test.ts
@@ -1,6 +1,7 @@
 import type { Arrival, SpokenBackend } from './support/spoken-pool.js'
-import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { SpokenDeployment } from './support/spoken-deployment.js'
+import { mostWithin } from './support/spoken-pool.js'
 
 /** Seconds of rest that a backend server asks for. */
 const REST_S = 3
@@ -11,6 +12,9 @@
 const PLAY_MS = 8000
 const POOL_SIZE = 10
 const REQUESTS_PER_SECOND = 40
+const REPORT_PATH = '/-/report'
+/** Milliseconds; far below the deadline of the requests. */
+const REFUSED_WITHIN_MS = 300
 
 let deployment: SpokenDeployment
 
@@ -36,4 +40,51 @@
     expect(Math.min(...speakers.map(({ turnedAwayAt }) => turnedAwayAt.length))).toBeGreaterThan(0)
     expect(Math.max(...speakers.map(mostInRest))).toBeLessThanOrEqual(ALLOWED)
   })
+
+  test('gets no call of stage work from the coordinator that it turned away, nor deletions of results', async () => {
+    for (const backend of deployment.stages)
+      backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+    await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND, '/staged/x')
+    for (const { arrivals } of deployment.stages) {
+      const calls = arrivals.filter(({ path }) => path !== REPORT_PATH)
+      expect(calls.length).toBeGreaterThan(1)
+      expect(mostWithin(calls, REST_S * 1000 - BINDS_AFTER_MS)).toBeLessThanOrEqual(ALLOWED)
+    }
+  })
+
+  test('gets requests again when its rest is over', async () => {
+    const [backend] = deployment.pool
+    backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+    await deployment.sendFor(1000, REQUESTS_PER_SECOND)
+    backend.speech = undefined
+    await deployment.sendFor(REST_S * 1000, REQUESTS_PER_SECOND)
+    const seen = backend.arrivals.length
+    await deployment.sendFor(1000, REQUESTS_PER_SECOND)
+    expect(backend.arrivals.length).toBeGreaterThan(seen)
+  })
+
+  test('costs callers nothing while others take their requests, once gateways have been told', async () => {
+    for (const backend of deployment.pool.slice(0, POOL_SIZE / 2))
+      backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+    // Until then the retry budget may end requests that several turn away.
+    await deployment.sendFor(1000, REQUESTS_PER_SECOND)
+    const answers = await deployment.sendFor((REST_S - 1) * 1000 - 500, REQUESTS_PER_SECOND)
+    expect(answers.filter(({ status }) => status !== 200)).toEqual([])
+  })
+})
+
+describe('requests to a service whose backend servers all ask for rest', () => {
+  test.each(['/plain/x', '/staged/x'])('are refused at once, with the time until the first of them takes requests: %s', async (path) => {
+    for (const backend of deployment.pool)
+      backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+    const turnedAwayBy = (gateway: number): number => deployment.pool.filter(({ turnedAwayAt }) => turnedAwayAt.some(answer => answer.gateway === `gateway-${gateway}`)).length
+    await vi.waitFor(async () => {
+      await deployment.sendFor(100, REQUESTS_PER_SECOND)
+      expect([0, 1, 2].map(turnedAwayBy)).toEqual([POOL_SIZE, POOL_SIZE, POOL_SIZE])
+    }, { timeout: 2500 })
+    const answers = await deployment.sendFor(200, REQUESTS_PER_SECOND, path)
+    expect([...new Set(answers.map(({ status }) => status))]).toEqual([429])
+    expect(answers.filter(({ retryAfter }) => !(retryAfter! > 0 && retryAfter! <= REST_S))).toEqual([])
+    expect(Math.max(...answers.map(({ tookMs }) => tookMs))).toBeLessThan(REFUSED_WITHIN_MS)
+  })
 })
