A soak of backend servers that say what they take

Real gateways, beside gateways that are killed, paused and stopped and a store in trouble; backend servers of the plain service and engines name limits from 0 to 5 a second, end them, ask for rest, and leave while they are listed as ready. It checks the three bounds from what each gateway was answered, and that six of ten requests are served.

--- a/test/platform/support/spoken-pool.ts
+++ b/test/platform/support/spoken-pool.ts
@@ -9,6 +9,7 @@
 import { answerWhole, StandInBackend } from './stand-in-backend.js'
 
 const SERVER_TOPIC = 'keyed.servers'
+const REPORT_PATH = '/-/report'
 /** Separates the name of a gateway from the rest of a request's id. */
 const NAME_END = '~'
 
@@ -17,6 +18,11 @@
   return `${gateway}${NAME_END}${number}`
 }
 
+/** The gateway that the id of a request names. */
+function senderById(seen: SeenRequest): string {
+  return String(seen.headers['attempt-id']).split(NAME_END)[0]
+}
+
 /** What a backend server says in an answer. */
 export interface Speech {
   /** Headers beside the usual ones. */
@@ -34,43 +40,81 @@
   at: number
 }
 
+/** A time in which a backend server said the same in all its answers. */
+export interface SpeechPeriod {
+  speech: Speech
+  /** Milliseconds of the test's clock. */
+  from: number
+  to: number
+  /** When each gateway was first answered so, in milliseconds of the test's clock. */
+  toldAt: Map<string, number>
+}
+
+/** How a backend server is wrapped. */
+export interface SpokenBackendOptions {
+  /** Milliseconds of work before an answer. @default 0 */
+  workMs?: number
+  /** @default answerWhole */
+  respond?: Respond
+  /** The gateway that sent a request. @default by the request's id, see `requestIdAt` */
+  senderOf?: (seen: SeenRequest) => string
+}
+
 /** One backend server that speaks. */
 export class SpokenBackend {
   readonly arrivals: Arrival[] = []
-  /** When each gateway was first answered with a speech, in milliseconds of the test's clock. */
-  readonly toldAt = new Map<string, number>()
   /** Requests that were turned away, at the time of the answer. */
   readonly turnedAwayAt: Arrival[] = []
-  speech: Speech | undefined
+  readonly periods: SpeechPeriod[] = []
 
-  constructor(readonly stand: StandInBackend, workMs: number, respond: Respond = answerWhole()) {
+  constructor(readonly stand: StandInBackend, { workMs = 0, respond = answerWhole(), senderOf = senderById }: SpokenBackendOptions = {}) {
     stand.respond = async (seen, response) => {
-      const arrival = this.noteArrival(seen)
-      const { gateway } = arrival
+      const arrival = { gateway: senderOf(seen), requestId: String(seen.headers['attempt-id']), path: seen.path, at: seen.at }
+      this.arrivals.push(arrival)
       await wait(workMs)
-      for (const [name, value] of Object.entries(this.speech?.headers ?? {}))
+      const speech = this.tell(arrival.gateway)
+      for (const [name, value] of Object.entries(speech?.headers ?? {}))
         response.setHeader(name, value)
-      if (this.speech && !this.toldAt.has(gateway))
-        this.toldAt.set(gateway, performance.now())
-      if (!this.speech?.turnsAway)
+      if (!speech?.turnsAway || seen.path === REPORT_PATH)
         return respond(seen, response)
       this.turnedAwayAt.push({ ...arrival, at: performance.now() })
-      response.writeHead(503, { 'Attempt-Id': String(seen.headers['attempt-id']), 'Not-Executed': '1' })
+      response.writeHead(503, { 'Attempt-Id': arrival.requestId, 'Not-Executed': '1' })
       response.end()
     }
   }
 
+  /** What it says in its answers from now on. */
+  set speech(speech: Speech | undefined) {
+    const now = performance.now()
+    const current = this.periods.at(-1)
+    if (current)
+      current.to = Math.min(current.to, now)
+    if (speech)
+      this.periods.push({ speech, from: now, to: Number.POSITIVE_INFINITY, toldAt: new Map() })
+  }
+
+  get speech(): Speech | undefined {
+    const current = this.periods.at(-1)
+    return current?.to === Number.POSITIVE_INFINITY ? current.speech : undefined
+  }
+
+  /** When each gateway was first answered with the newest speech, in milliseconds of the test's clock. */
+  get toldAt(): ReadonlyMap<string, number> {
+    return this.periods.at(-1)?.toldAt ?? new Map()
+  }
+
   /** Requests, later than `fromAt`, of gateways that had been told this long before, in milliseconds. */
   arrivalsOfTold(toldBeforeMs: number, fromAt: number): Arrival[] {
     return this.arrivals.filter(({ gateway, at }) => at >= fromAt && at >= (this.toldAt.get(gateway) ?? Number.POSITIVE_INFINITY) + toldBeforeMs)
   }
 
-  private noteArrival(seen: SeenRequest): Arrival {
-    const requestId = String(seen.headers['attempt-id'])
-    const [gateway] = requestId.split(NAME_END)
-    const arrival = { gateway, requestId, path: seen.path, at: seen.at }
-    this.arrivals.push(arrival)
-    return arrival
+  /** Notes that a gateway is answered with what is said now. */
+  private tell(gateway: string): Speech | undefined {
+    const { speech } = this
+    const told = this.periods.at(-1)?.toldAt
+    if (speech && told && !told.has(gateway))
+      told.set(gateway, performance.now())
+    return speech
   }
 }
 
@@ -101,6 +145,6 @@
     const stand = new StandInBackend(`${service}-${index}`, service)
     await stand.start()
     store.put(SERVER_TOPIC, stand.id, stand.entry())
-    return new SpokenBackend(stand, workMs, respond)
+    return new SpokenBackend(stand, { workMs, respond })
   }))
 }
--- /dev/null
+++ b/test/soak/intake-soak.test.ts
@@ -0,0 +1,127 @@
+import type { SeenRequest } from '../platform/support/stand-in-backend.js'
+import type { Draw } from './support/soak-clients.js'
+import { wait } from '@eidermast/common'
+import { beforeAll, describe, expect, test } from 'vitest'
+import { SpokenBackend } from '../platform/support/spoken-pool.js'
+import { StoreFault } from '../platform/support/stand-in-store.js'
+import { IntakeChecks } from './support/intake-checks.js'
+import { SoakClients } from './support/soak-clients.js'
+import { SoakDeployment } from './support/soak-deployment.js'
+import { createDraw, readSeeds } from './support/soak-seeds.js'
+import { SoakTroubles } from './support/soak-troubles.js'
+import { isWork, senderOf } from './support/soak-work.js'
+
+const STEPS = 24
+const STEP_MS = 500
+const BACKENDS_EACH = 6
+/** Backend servers of each service that say nothing, so that callers can be served. */
+const SILENT_EACH = 2
+const LIMITS = ['0', '0.5', '1', '1.3', '2', '5']
+const RESTS = ['0.8', '1.5', '3']
+/** Part of the requests that is answered well, beside all that is brought about. */
+const SERVED_SHARE = 0.6
+
+class IntakeRun {
+  readonly deployment = new SoakDeployment({ backendsEach: BACKENDS_EACH })
+  readonly spoken: SpokenBackend[] = []
+  private readonly troubles = new SoakTroubles(0)
+  private readonly underWay: Promise<void>[] = []
+
+  constructor(private readonly draw: Draw) {}
+
+  /** Lets backend servers speak whose requests come from clients. */
+  wrap(clients: SoakClients): void {
+    const gatewayOf = (seen: SeenRequest): string => isWork(seen) ? `gateway-${senderOf(seen, clients)}` : 'none'
+    for (const service of ['plain', 'model']) {
+      const backends = this.deployment.backends.filter(backend => backend.service === service)
+      for (const backend of backends.slice(SILENT_EACH))
+        this.spoken.push(new SpokenBackend(backend, { respond: backend.respond, senderOf: gatewayOf }))
+    }
+  }
+
+  step(): void {
+    if (this.draw(3) > 0)
+      return this.speak(this.spoken[this.draw(this.spoken.length)])
+    this.underWay.push(this.bringTrouble())
+  }
+
+  async settle(): Promise<void> {
+    await Promise.all(this.underWay)
+  }
+
+  /** Whether a gateway was restarted or paused between two moments. */
+  isExcused(gateway: string, from: number, to: number): boolean {
+    return this.troubles.overlaps(Number(gateway.split('-')[1]), from, to)
+  }
+
+  /** One that leaves says so to its end; another one changes what it says. */
+  private speak(backend: SpokenBackend): void {
+    if (backend.speech?.headers['Server-Leaving'] !== undefined)
+      return
+    const kind = this.draw(5)
+    if (kind === 0)
+      backend.speech = undefined
+    else if (kind === 1)
+      backend.speech = { headers: { 'Retry-After': RESTS[this.draw(RESTS.length)] }, turnsAway: true }
+    else if (kind === 2 && this.draw(2) === 0)
+      backend.speech = { headers: { 'Server-Leaving': '1' } }
+    else
+      backend.speech = { headers: { 'Server-Limit': LIMITS[this.draw(LIMITS.length)] } }
+  }
+
+  private async bringTrouble(): Promise<void> {
+    const { gateways, store } = this.deployment
+    const number = this.draw(gateways.length)
+    const kind = this.draw(4)
+    if (kind === 0) {
+      store.fault = [StoreFault.Busy, StoreFault.Reset, StoreFault.Silent][this.draw(3)]
+      await wait(500 + this.draw(1500))
+      store.fault = StoreFault.None
+      return
+    }
+    const trouble = this.troubles.begin(number)
+    if (kind === 1) {
+      gateways[number].signal('SIGSTOP')
+      await wait(200 + this.draw(1000))
+      gateways[number].signal('SIGCONT')
+    }
+    else {
+      await gateways[number].replace(kind === 2 ? 'SIGKILL' : 'SIGTERM')
+    }
+    trouble.to = performance.now()
+  }
+}
+
+describe('backend servers that say what they take', () => {
+  beforeAll(async () => {
+    await import('../../platform/build.mjs' as string)
+  })
+
+  test.each(readSeeds())('get no more than that from gateways that were told, beside killed and paused gateways and a store in trouble (seed %i)', async (seed) => {
+    const draw = createDraw(seed)
+    const run = new IntakeRun(draw)
+    await run.deployment.start()
+    const clients = new SoakClients(run.deployment.gateways, draw)
+    run.wrap(clients)
+    try {
+      await run.deployment.waitUntilReady()
+      clients.start()
+      for (let step = 0; step < STEPS; step++) {
+        run.step()
+        await wait(STEP_MS)
+      }
+      await run.settle()
+      await clients.stop()
+      const sentAt = new Map(clients.requests.map(sent => [sent.id, sent.sentAt]))
+      const checks = new IntakeChecks((...excuse) => run.isExcused(...excuse), id => sentAt.get(id))
+      expect(run.spoken.flatMap(({ periods }) => periods).length).toBeGreaterThan(0)
+      expect(run.spoken.flatMap(backend => checks.breaches(backend))).toEqual([])
+      const served = clients.requests.filter(({ status }) => status === 200)
+      expect(served.length).toBeGreaterThan(SERVED_SHARE * clients.requests.length)
+    }
+    finally {
+      await clients.stop()
+      await run.deployment.stop()
+    }
+  })
+})
--- /dev/null
+++ b/test/soak/support/intake-checks.ts
@@ -0,0 +1,78 @@
+/**
+ * What may reach backend servers that name a limit, ask for rest or say that
+ * they leave, after gateways have been told; a restart or a pause of a gateway
+ * since then excuses it.
+ */
+import type { Arrival, SpeechPeriod, SpokenBackend } from '../../platform/support/spoken-pool.js'
+import { mostWithin } from '../../platform/support/spoken-pool.js'
+
+/** Milliseconds after the first naming of a limit from which on it binds (settings, `contact-ms`). */
+const CONTACT_MS = 3000
+/** Milliseconds after its answer from which on a gateway is held to a limit or a rest. */
+const TOLD_AFTER_MS = 500
+/** Milliseconds over which requests are counted against a limit. */
+const SPAN_MS = 4000
+/** Milliseconds after such an answer from which no request that a client sends may reach a backend server that leaves (settings, `drain-ms`). */
+const DRAIN_MS = 2000
+/** Requests that may reach a backend server from one gateway in a rest. */
+const ALLOWED_IN_REST = 2
+/** Milliseconds for the way of a request on a machine that has other work. */
+const SLACK_MS = 150
+
+/** Whether a gateway was restarted or paused between two moments, in milliseconds of the test's clock. */
+export type IsExcused = (gateway: string, from: number, to: number) => boolean
+
+/** Looks up when a client sent a request; undefined where no client did. */
+export type SentAt = (requestId: string) => number | undefined
+
+/** Checks what reached one backend server. */
+export class IntakeChecks {
+  constructor(private readonly isExcused: IsExcused, private readonly sentAt: SentAt) {}
+
+  /** What should not have come, in words; empty where all is well. */
+  breaches(backend: SpokenBackend): string[] {
+    const { id } = backend.stand
+    const ofPeriods = backend.periods.flatMap(period => [...this.overLimit(backend, period), ...this.afterLeaving(backend, period)])
+    return [...ofPeriods, ...this.inRest(backend)].map(breach => `${id}: ${breach}`)
+  }
+
+  private overLimit({ arrivals }: SpokenBackend, { speech, from, to, toldAt }: SpeechPeriod): string[] {
+    const limit = Number(speech.headers['Server-Limit'])
+    if (Number.isNaN(limit))
+      return []
+    const earliest = from + CONTACT_MS - SPAN_MS
+    const counted = arrivals.filter(({ gateway, at }) => at >= earliest && at <= to && this.isBound(toldAt.get(gateway), TOLD_AFTER_MS, gateway, at))
+    const most = mostWithin(counted, SPAN_MS)
+    const allowed = 1.5 * limit * SPAN_MS / 1000 + 5
+    return most > allowed ? [`${most} requests in ${SPAN_MS} ms at a limit of ${limit} a second, allowed ${allowed}`] : []
+  }
+
+  private afterLeaving({ arrivals }: SpokenBackend, { speech, toldAt }: SpeechPeriod): string[] {
+    if (speech.headers['Server-Leaving'] === undefined)
+      return []
+    const late = arrivals.filter(({ gateway, requestId, at }) => {
+      const sentAt = this.sentAt(requestId) ?? Number.NEGATIVE_INFINITY
+      return this.isBound(toldAt.get(gateway), DRAIN_MS + SLACK_MS, gateway, at) && sentAt > toldAt.get(gateway)! + DRAIN_MS
+    })
+    return late.map(({ gateway, at }) => `a request of ${gateway} ${Math.round(at - toldAt.get(gateway)!)} ms after it was told of the leaving`)
+  }
+
+  private inRest({ arrivals, turnedAwayAt, periods }: SpokenBackend): string[] {
+    return turnedAwayAt.flatMap(({ gateway, at }) => {
+      const restMs = restAt(periods, at)
+      const later = arrivals.filter((arrival: Arrival) => arrival.gateway === gateway && arrival.at > at + TOLD_AFTER_MS && arrival.at < at + restMs)
+      const counted = later.filter(arrival => !this.isExcused(gateway, at, arrival.at))
+      return counted.length > ALLOWED_IN_REST ? [`${counted.length} requests of ${gateway} in a rest of ${restMs} ms`] : []
+    })
+  }
+
+  private isBound(toldAt: number | undefined, afterMs: number, gateway: string, at: number): boolean {
+    return toldAt !== undefined && at >= toldAt + afterMs && !this.isExcused(gateway, toldAt, at)
+  }
+}
+
+/** Milliseconds of rest that were asked for at a moment. */
+function restAt(periods: readonly SpeechPeriod[], at: number): number {
+  const period = periods.find(({ from, to }) => from <= at && at <= to + SLACK_MS)
+  return Number(period?.speech.headers['Retry-After'] ?? 0) * 1000
+}
--- a/test/soak/support/soak-clients.ts
+++ b/test/soak/support/soak-clients.ts
@@ -21,6 +21,8 @@
   kind: RequestKind
   /** Number of the gateway that it was sent to. */
   gateway: number
+  /** Milliseconds of the test's clock. */
+  sentAt: number
   /** Undefined where the connection ended without a head. */
   status?: number
   echoedId?: string
@@ -62,7 +64,7 @@
   private send(): void {
     const kind = KINDS[this.draw(KINDS.length)]
     const gateway = this.draw(this.gateways.length)
-    const sentRequest: SentRequest = { id: `${kind}-${this.sentCount++}`, kind, gateway }
+    const sentRequest: SentRequest = { id: `${kind}-${this.sentCount++}`, kind, gateway, sentAt: performance.now() }
     this.requests.push(sentRequest)
     // A call that fails leaves no status or no body; what may be said of it is checked by those.
     const call = this.call(this.gateways[gateway].address, sentRequest).catch(() => {}).finally(() => this.underWay.delete(call))
--- a/test/soak/support/soak-troubles.ts
+++ b/test/soak/support/soak-troubles.ts
@@ -33,4 +33,9 @@
     return !this.troubles.some(trouble => (gateway === undefined || trouble.gateway === undefined || trouble.gateway === gateway)
       && trouble.from < at && trouble.to + this.contactMs > at)
   }
+
+  /** Whether a gateway was in trouble between two moments. */
+  overlaps(gateway: number, from: number, to: number): boolean {
+    return this.troubles.some(trouble => trouble.gateway === gateway && trouble.from < to && trouble.to > from)
+  }
 }
