--- a/test/platform/gateways.test.ts
+++ b/test/platform/gateways.test.ts
@@ -132,6 +132,12 @@
     expect(performance.now() - changedAt).toBeLessThan(500)
   })
 
+  test('list themselves again where the withdrawal of an earlier process of their name is taken late', async () => {
+    store.put('keyed.eidermast-gateways', 'gateway-b', undefined)
+    await vi.waitFor(() => expect(store.newestOf('keyed.eidermast-gateways').has('gateway-b')).toBe(true), { timeout: 5000 })
+    await vi.waitFor(() => expect(gateways.map(({ gateway }) => gateway.members.count)).toEqual([2, 2]), { timeout: 5000 })
+  })
+
   test('never take an older configuration from a peer', async () => {
     store.fault = StoreFault.Busy
     gateways[0].gateway.configuration.offer(JSON.stringify(createConfiguration(9)), 'test')
