--- a/packages/gateway/src/connection/backends/backend-connections.ts
+++ b/packages/gateway/src/connection/backends/backend-connections.ts
@@ -89,14 +89,14 @@
     return this.watchAnswer(backend, true, () => call.send(this.of(backend), options))
   }
 
-  /** As `ask`, for a call that its backend server counts among the requests that it takes. */
-  async tell(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+  /** As `sendProbe`, for a deletion: its backend server counts it among the requests that it takes. */
+  async sendDeletion(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
     this.intake.noteSent(backend)
-    return this.ask(backend, options)
+    return this.sendProbe(backend, options)
   }
 
   /** Sends a probe or asks for a report; rejects as undici's `request` does. */
-  async ask(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+  async sendProbe(backend: Backend, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
     return this.watchAnswer(backend, false, () => this.of(backend).request(options))
   }
 
--- a/packages/gateway/src/connection/backends/http-backend-client.ts
+++ b/packages/gateway/src/connection/backends/http-backend-client.ts
@@ -40,7 +40,7 @@
   async probe(backend: Backend, timeoutMs: number): Promise<boolean> {
     try {
       const signal = AbortSignal.timeout(timeoutMs)
-      const response = await this.connections.ask(backend, { method: 'GET', path: this.codec.probePath, signal })
+      const response = await this.connections.sendProbe(backend, { method: 'GET', path: this.codec.probePath, signal })
       await response.body.dump()
       return true
     }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -10,7 +10,6 @@
 import type { Member } from '../connection/peers/member.js'
 import type { HeartbeatReply } from '../connection/peers/peer-messages.js'
 import type { StageShard } from '../connection/peers/stage-shard.js'
-import type { LimitShare } from '../request/attempts/limit-turns.js'
 import type { RetryBudgetSettings } from '../request/attempts/retry-budget.js'
 import type { GatewaySettings } from './gateway-settings.js'
 import type { SelfDescription } from './peer-service.js'
@@ -26,13 +25,14 @@
 import { createPeerRouter } from '../connection/peers/peer-router.js'
 import { LeastLoadChoice, PrefixAwareChoice } from '../request/attempts/backend-choice.js'
 import { BackendRunner } from '../request/attempts/backend-runner.js'
-import { coldAllowancePerSecond, ColdPace, COORDINATED_SHARE, OWN_SHARE } from '../request/attempts/cold-pace.js'
+import { ColdPace } from '../request/attempts/cold-pace.js'
 import { LimitTurns } from '../request/attempts/limit-turns.js'
 import { RetryBudget } from '../request/attempts/retry-budget.js'
 import { PassThrough } from '../request/pass-through.js'
 import { ConfigurationHolder } from '../version/configuration-holder.js'
 import { BackendList } from './backend-list.js'
 import { BackendRegistry } from './backend-registry.js'
+import { CommonLimits } from './common-limits.js'
 import { CoordinatorReads } from './coordinator-reads.js'
 import { CrashBoard } from './crashes/crash-board.js'
 import { CrashWitness } from './crashes/crash-witness.js'
@@ -41,7 +41,7 @@
 import { EvacuationList } from './evacuation/evacuation-list.js'
 import { GatewayLog } from './gateway-log.js'
 import { GatewayMetrics } from './gateway-metrics.js'
-import { coordinatorPart, countSharingGateways, shareOfConnections, shareOfLimit } from './gateway-share.js'
+import { countSharingGateways } from './gateway-share.js'
 import { BackendIntakes } from './intake/backend-intakes.js'
 import { createMetricsServer, createReadinessServer, InternalServers } from './internal-servers.js'
 import { HeardPeers } from './membership/heard-peers.js'
@@ -75,6 +75,7 @@
   private readonly peers = new PeerClients()
   private readonly peerService: GatewayPeerService
   private readonly heardPeers = new HeardPeers()
+  private readonly commonLimits: CommonLimits
   private readonly connections: BackendConnections
   private readonly intakes: BackendIntakes
   private readonly stageCoordinators: StageCoordinators
@@ -96,7 +97,8 @@
     this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashBoard = this.createCrashBoard()
     this.members = this.createMembers()
-    this.intakes = new BackendIntakes(this.registry, platform.backendCodec.readNotice, new LimitTurns(backend => this.limitShare(backend)), this.gatewayLog)
+    this.commonLimits = this.createCommonLimits()
+    this.intakes = new BackendIntakes(this.registry, platform.backendCodec.readNotice, new LimitTurns(backend => this.commonLimits.ofLimit(backend)), this.gatewayLog)
     this.connections = this.createConnections()
     this.stageCoordinators = this.createStageCoordinators()
     this.peerService = this.createPeerService()
@@ -177,8 +179,17 @@
     return new CrashBoard({ name, ledger: platform.crashLedger, log, witness, restoresOthers: () => !this.members.isTold })
   }
 
+  private createCommonLimits(): CommonLimits {
+    return new CommonLimits({
+      members: this.members,
+      heardGateways: () => this.heardPeers.count(performance.now()),
+      findService: name => this.configuration.table?.findService(name),
+      coldAllowance: this.platform.coldAllowance,
+    })
+  }
+
   private createConnections(): BackendConnections {
-    return new BackendConnections(service => this.connectionShare(service), {
+    return new BackendConnections(service => this.commonLimits.connections(service), {
       waitingChanged: difference => this.metrics.countWaitingCalls(difference),
       started: start => this.takeCallStart(start),
       turnedAway: start => this.takeTurnedAway(start),
@@ -211,7 +222,7 @@
   private createStageCoordinators(): StageCoordinators {
     const client = this.platform.stageClient(this.connections)
     const retryBudget = new RetryBudget({ ...this.retryAllowance(), ratio: 0 }, () => countSharingGateways(this.members.shards.length))
-    const coldPace = new ColdPace(this.self.name, service => this.coldRate(service, COORDINATED_SHARE * coordinatorPart(this.heardPeers.count(performance.now()), this.members.count)))
+    const coldPace = new ColdPace(this.self.name, service => this.commonLimits.coordinatedColdRate(service))
     return new StageCoordinators({ registry: this.registry, client, retryBudget, crashes: this.crashBoard, coldPace, intake: this.intakes, log: this.log })
   }
 
@@ -224,9 +235,9 @@
       ejection,
       plainChoice: new LeastLoadChoice(ejection),
       engineChoice: new PrefixAwareChoice(ejection),
-      budget: new RetryBudget(this.retryAllowance(), () => countSharingGateways(this.members.count)),
+      budget: new RetryBudget(this.retryAllowance(), () => this.commonLimits.sharingGateways()),
       crashes: this.crashBoard,
-      coldPace: new ColdPace(this.self.name, service => this.coldRate(service, OWN_SHARE / countSharingGateways(this.members.count))),
+      coldPace: new ColdPace(this.self.name, service => this.commonLimits.ownColdRate(service)),
       intake: this.intakes,
       log: this.log,
       isEngine: service => this.configuration.table?.findService(service)?.engine !== undefined,
@@ -302,24 +313,4 @@
     const { ratio, extra, 'window-ms': windowMs } = this.settings.retry
     return { ratio, extra, windowMs }
   }
-
-  /** Requests a second that a part of the allowance of all gateways comes to at one cold backend server of a service; undefined where there is no bound. */
-  private coldRate(service: string, part: number): number | undefined {
-    const withstands = this.configuration.table?.findService(service)?.coldPerSecond
-    return withstands === undefined ? undefined : coldAllowancePerSecond(withstands, this.platform.coldAllowance) * part
-  }
-
-  private limitShare({ service }: Backend): LimitShare {
-    return shareOfLimit({
-      place: this.members.place,
-      listed: this.members.count,
-      heard: this.heardPeers.count(performance.now()),
-      isCoordinated: this.configuration.table?.findService(service)?.stage !== undefined,
-    })
-  }
-
-  private connectionShare(service: string): number {
-    const limit = this.configuration.table?.findService(service)?.maxConnections ?? 0
-    return shareOfConnections(limit, this.members.count)
-  }
 }
