--- a/packages/gateway/src/process/common-limits.ts
+++ b/packages/gateway/src/process/common-limits.ts
@@ -9,7 +9,7 @@
 import type { LimitShare } from '../request/attempts/limit-turns.js'
 import type { Service } from '../version/configuration.js'
 import { coldAllowancePerSecond, COORDINATED_SHARE, OWN_SHARE } from '../request/attempts/cold-pace.js'
-import { coordinatorPart, countSharingGateways, shareOfConnections, shareOfLimit } from './gateway-share.js'
+import { coordinatorPart, countSharingGateways, shareOfConnections } from './gateway-share.js'
 
 /** What the parts follow from. */
 export interface CommonLimitsParts {
@@ -47,9 +47,10 @@
 
   /** Place and part of this gateway where a backend server names a limit. */
   ofLimit({ service }: Backend): LimitShare {
-    const { members, heardGateways, findService } = this.parts
+    const { members, findService } = this.parts
     const isCoordinated = findService(service)?.stage !== undefined
-    return shareOfLimit({ place: members.place, listed: members.count, heard: heardGateways(), isCoordinated })
+    const part = isCoordinated ? this.coordinatorPart() : 1 / this.sharingGateways()
+    return { place: members.place / this.sharingGateways(), part }
   }
 
   private coordinatorPart(): number {
--- a/packages/gateway/src/process/gateway-share.ts
+++ b/packages/gateway/src/process/gateway-share.ts
@@ -17,7 +17,6 @@
  * Log event: `member-listed` and `member-removed` change the count; the metric
  * `eidermast_gateway_members` shows it.
  */
-import type { LimitShare } from '../request/attempts/limit-turns.js'
 
 /** Gateways that may start unlisted. With 0 such a one exceeds the limit, with 2 each share is smaller than needed. */
 const SPARE_GATEWAYS = 1
@@ -32,23 +31,6 @@
   return Math.min(1, (heard + 1) / countSharingGateways(listed))
 }
 
-/** What a gateway's share of a backend server's limit follows from. */
-export interface LimitSharers {
-  /** Place of this gateway among those listed, from 0. */
-  place: number
-  listed: number
-  /** Gateways that this one hears. */
-  heard: number
-  /** Coordinators alone send to the backend server. */
-  isCoordinated: boolean
-}
-
-/** Place and part of this gateway among those that share a backend server's limit. */
-export function shareOfLimit({ place, listed, heard, isCoordinated }: LimitSharers): LimitShare {
-  const sharing = countSharingGateways(listed)
-  return { place: place / sharing, part: isCoordinated ? coordinatorPart(heard, listed) : 1 / sharing }
-}
-
 /** Connections that this gateway may hold to one backend server that accepts `limit` from all gateways together. */
 export function shareOfConnections(limit: number, listed: number): number {
   return Math.floor(limit / countSharingGateways(listed))
--- a/packages/gateway/src/process/index.ts
+++ b/packages/gateway/src/process/index.ts
@@ -1,5 +1,6 @@
 export * from './backend-list.js'
 export * from './backend-registry.js'
+export * from './common-limits.js'
 export * from './crashes/index.js'
 export * from './drain/drain-plan.js'
 export * from './evacuation/index.js'
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -34,6 +34,8 @@
   private readonly peerWatch: PeerWatch
   private readonly log: GatewayLog
   private timer: NodeJS.Timeout | undefined
+  /** Place among the members by their names; undefined since members were listed or removed. */
+  private knownPlace: number | undefined
   /** Members were listed or removed since the last ranking. */
   private rankDue = false
 
@@ -82,7 +84,8 @@
 
   /** Place of this process among the members by their names, from 0; all that know the same members agree on it. */
   get place(): number {
-    return [...this.states.keys()].filter(name => name < this.self.name).length
+    this.knownPlace ??= [...this.states.keys()].filter(name => name < this.self.name).length
+    return this.knownPlace
   }
 
   /** The first member that can coordinate: it reads the platform's store for the others, and coordinates what no other can. */
@@ -159,6 +162,7 @@
     state.slow = state.isSelf && existing?.slow === true
     this.log.memberListed(state.member, state.announcementOrder)
     this.states.set(listed.name, state)
+    this.knownPlace = undefined
     this.shardCoordinators.noteListed(listed.name)
     this.rankSoon()
   }
@@ -174,6 +178,7 @@
     if (!state || state.isSelf)
       return
     this.states.delete(name)
+    this.knownPlace = undefined
     this.shardCoordinators.noteDeparted(state.member, performance.now())
     this.log.memberRemoved(name)
     this.rankSoon()
