--- a/packages/gateway/src/connection/backends/intake-state.ts
+++ b/packages/gateway/src/connection/backends/intake-state.ts
@@ -14,7 +14,7 @@
 const MAX_REST_MS = 600_000
 
 /** A limit, or its end, as a peer tells it. */
-export interface ToldLimit {
+export interface ReportedLimit {
   /** Requests a second; absent where the limit has ended. */
   limitPerSecond?: number
   /** Milliseconds since the backend server said so. */
@@ -37,7 +37,7 @@
   private limitEndedAt = Number.NEGATIVE_INFINITY
 
   /** Whether it said nothing that holds on. */
-  isSilent(now: number): boolean {
+  isEmpty(now: number): boolean {
     return this.limitPerSecond === undefined && !this.isLeaving && this.restMs(now) === 0
   }
 
@@ -59,7 +59,7 @@
   }
 
   /** The limit, or its end, as peers are told; undefined where it never named one. */
-  tellLimit(now: number): ToldLimit | undefined {
+  reportLimit(now: number): ReportedLimit | undefined {
     const saidAt = Math.max(this.limitNamedAt, this.limitEndedAt)
     return Number.isFinite(saidAt) ? { limitPerSecond: this.limitPerSecond, ageMs: Math.max(0, now - saidAt) } : undefined
   }
@@ -77,7 +77,7 @@
   }
 
   /** Takes what a peer tells, where it is newer than what is known; returns whether the limit changed. */
-  hearLimit({ limitPerSecond, ageMs }: ToldLimit, now: number): boolean {
+  takeReportedLimit({ limitPerSecond, ageMs }: ReportedLimit, now: number): boolean {
     const saidAt = now - ageMs
     if (limitPerSecond === undefined)
       return saidAt - MAX_TRANSIT_MS > this.limitNamedAt && this.endLimit(saidAt)
--- a/packages/gateway/src/connection/peers/intake-message.ts
+++ b/packages/gateway/src/connection/peers/intake-message.ts
@@ -2,11 +2,11 @@
  * What gateways tell each other of the requests that backend servers take, as
  * heartbeats and their answers carry it.
  */
-import type { ToldLimit } from '../backends/intake-state.js'
+import type { ReportedLimit } from '../backends/intake-state.js'
 import * as z from 'zod'
 
 /** The limit of one backend server, or its end. */
-export interface LimitMessage extends ToldLimit {
+export interface LimitMessage extends ReportedLimit {
   /** Id of the backend server. */
   backend: string
   /** Names its process, also where a later one has its id. */
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -153,7 +153,16 @@
   /** Work that waited for its connection was not sent, since its backend server is leaving or removed, or takes no request now by its own word. */
   workTurnedAway({ backend, waitedMs }: CallStart): void {
     const { id, service, record, removed, intake } = backend
-    this.log.write('work-turned-away', { backend: id, service, waitedMs: Math.round(waitedMs), draining: record.draining, removed, limitPerSecond: intake.limitPerSecond })
+    this.log.write('work-turned-away', {
+      backend: id,
+      service,
+      waitedMs: Math.round(waitedMs),
+      draining: record.draining,
+      saidLeaving: intake.isLeaving,
+      removed,
+      limitPerSecond: intake.limitPerSecond,
+      restMs: Math.round(intake.restMs(performance.now())),
+    })
   }
 
   /** Its entry went at most `noticedWithinMs` milliseconds before the list's last read. */
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -6,7 +6,6 @@
  */
 import type { EventLog } from '@eidermast/common'
 import type { Backend } from '../connection/backends/backend.js'
-import type { CallStart } from '../connection/backends/work-call.js'
 import type { Member } from '../connection/peers/member.js'
 import type { HeartbeatReply } from '../connection/peers/peer-messages.js'
 import type { StageShard } from '../connection/peers/stage-shard.js'
@@ -32,6 +31,7 @@
 import { ConfigurationHolder } from '../version/configuration-holder.js'
 import { BackendList } from './backend-list.js'
 import { BackendRegistry } from './backend-registry.js'
+import { CallReports } from './call-reports.js'
 import { CommonLimits } from './common-limits.js'
 import { CoordinatorReads } from './coordinator-reads.js'
 import { CrashBoard } from './crashes/crash-board.js'
@@ -53,13 +53,6 @@
 import { CoordinatorRole, StageCoordinators } from './stages/stage-coordinators.js'
 import { SuspensionWatch } from './suspension.js'
 
-/**
- * Milliseconds; a call that waits longer for its first byte is logged. Well
- * above a new connection's time, well below the two seconds after which a
- * leaving backend server may get nothing more.
- */
-const LATE_CALL_MS = 300
-
 /** A gateway with all its parts. */
 export class Gateway {
   readonly metrics = new GatewayMetrics()
@@ -98,7 +91,8 @@
     this.crashBoard = this.createCrashBoard()
     this.members = this.createMembers()
     this.commonLimits = this.createCommonLimits()
-    this.intakes = new BackendIntakes(this.registry, platform.backendCodec.readNotice, new LimitTurns(backend => this.commonLimits.ofLimit(backend)), this.gatewayLog)
+    const limitTurns = new LimitTurns(backend => this.commonLimits.ofLimit(backend))
+    this.intakes = new BackendIntakes(this.registry, platform.backendCodec.readNotice, limitTurns, this.gatewayLog)
     this.connections = this.createConnections()
     this.stageCoordinators = this.createStageCoordinators()
     this.peerService = this.createPeerService()
@@ -189,11 +183,8 @@
   }
 
   private createConnections(): BackendConnections {
-    return new BackendConnections(service => this.commonLimits.connections(service), {
-      waitingChanged: difference => this.metrics.countWaitingCalls(difference),
-      started: start => this.takeCallStart(start),
-      turnedAway: start => this.takeTurnedAway(start),
-    }, this.intakes)
+    const reports = new CallReports(this.metrics, this.gatewayLog)
+    return new BackendConnections(service => this.commonLimits.connections(service), reports, this.intakes)
   }
 
   /** This process may have been away: what it knows may be old, and others may have decided meanwhile. */
@@ -208,17 +199,6 @@
       this.connections.turnAwayWaiting(backend)
   }
 
-  private takeCallStart(start: CallStart): void {
-    this.metrics.countCallStart(start.waitedMs)
-    if (start.waitedMs >= LATE_CALL_MS)
-      this.gatewayLog.workSentLate(start)
-  }
-
-  private takeTurnedAway(start: CallStart): void {
-    this.metrics.countTurnedAway()
-    this.gatewayLog.workTurnedAway(start)
-  }
-
   private createStageCoordinators(): StageCoordinators {
     const client = this.platform.stageClient(this.connections)
     const retryBudget = new RetryBudget({ ...this.retryAllowance(), ratio: 0 }, () => countSharingGateways(this.members.shards.length))
--- a/packages/gateway/src/process/intake/intake-memory.ts
+++ b/packages/gateway/src/process/intake/intake-memory.ts
@@ -22,7 +22,7 @@
   /** A backend server was removed. */
   keep({ life, intake }: Backend, now: number): void {
     this.expire(now)
-    if (!intake.isSilent(now))
+    if (!intake.isEmpty(now))
       this.byLife.set(life, { intake, removedAt: now })
   }
 
--- a/packages/gateway/src/process/intake/leaving-exchange.ts
+++ b/packages/gateway/src/process/intake/leaving-exchange.ts
@@ -9,7 +9,7 @@
 import type { BackendRegistry } from '../backend-registry.js'
 
 /** Backend servers that one heartbeat tells; a bound on its size. */
-const MAX_TOLD = 64
+const MAX_REPORTED = 64
 
 /** Tells peers which backend servers leave, and takes what they tell. */
 export class LeavingExchange {
@@ -32,7 +32,7 @@
       if (backend.removed || backend.record.draining)
         this.leaving.delete(backend)
     }
-    const told = [...this.leaving].slice(-MAX_TOLD)
+    const told = [...this.leaving].slice(-MAX_REPORTED)
     return told.length > 0 ? told.map(({ id, life }) => ({ backend: id, life })) : undefined
   }
 
--- a/packages/gateway/src/process/intake/limit-exchange.ts
+++ b/packages/gateway/src/process/intake/limit-exchange.ts
@@ -9,9 +9,9 @@
 import type { BackendRegistry } from '../backend-registry.js'
 
 /** Milliseconds for which a change is told: some heartbeats and their answers may be lost. */
-const TOLD_FOR_MS = 2000
+const REPORTED_FOR_MS = 2000
 /** Changes that one heartbeat tells, the newest ones; a bound on its size. */
-const MAX_TOLD = 64
+const MAX_REPORTED = 64
 
 /** Tells peers which limits changed, and takes what they tell. */
 export class LimitExchange {
@@ -32,7 +32,7 @@
 
   /** What peers are told; undefined where no limit changed lately, which is most of the time. */
   messages(now: number): LimitMessage[] | undefined {
-    const messages = [...this.changed.values()].flatMap(backend => this.messageOf(backend, now)).slice(-MAX_TOLD)
+    const messages = [...this.changed.values()].flatMap(backend => this.messageOf(backend, now)).slice(-MAX_REPORTED)
     return messages.length > 0 ? messages : undefined
   }
 
@@ -43,7 +43,7 @@
       if (backend?.life !== message.life)
         continue
       const previous = backend.intake.limitPerSecond
-      if (!backend.intake.hearLimit(message, now))
+      if (!backend.intake.takeReportedLimit(message, now))
         continue
       this.note(backend)
       this.onChange(backend, previous, peer)
@@ -51,8 +51,8 @@
   }
 
   private messageOf(backend: Backend, now: number): LimitMessage[] {
-    const told = backend.intake.tellLimit(now)
-    if (told && told.ageMs < TOLD_FOR_MS)
+    const told = backend.intake.reportLimit(now)
+    if (told && told.ageMs < REPORTED_FOR_MS)
       return [{ backend: backend.id, life: backend.life, ...told }]
     this.changed.delete(backend.life)
     return []
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -61,6 +61,8 @@
   private firstEventAt: number | undefined
   private lastFailure: CallFailure | undefined
   private fallback: WholeAnswer | undefined
+  /** Milliseconds until some backend server takes a request, as of the last choice that found none; 0 before one. */
+  private waitMs = 0
 
   constructor(
     private readonly parts: BackendRunParts,
@@ -114,12 +116,21 @@
 
   /** The backend server for the next attempt, or why none is made. */
   private chooseForAttempt(): Result<Backend, RetryDecision> {
-    const { request, inputs } = this.subject
-    const backend = this.choose(request, inputs, this.tried)
+    const backend = this.chooseBackend()
     const decision = decideBeforeAttempt({ history: this.history, hasBackend: backend !== undefined, remainingMs: this.remainingMs() })
     return backend && decision === RetryDecision.Proceed ? Ok(backend) : Err(decision)
   }
 
+  /** The best backend server that was not tried. A turn at one may begin between the choice and the look at when there is one. */
+  private chooseBackend(): Backend | undefined {
+    const { request, inputs } = this.subject
+    const backend = this.choose(request, inputs, this.tried)
+    if (backend)
+      return backend
+    this.waitMs = shortestWaitMs(this.parts, request.service)
+    return this.waitMs === 0 ? this.choose(request, inputs, this.tried) : undefined
+  }
+
   /** Makes the stage results again, which an earlier attempt read or lost. */
   private async renewInputs(): Promise<boolean> {
     this.handles = await this.subject.inputs.renew?.()
@@ -225,7 +236,7 @@
       runs: this.history.runs,
       refusal: this.parts.crashes.refusal(request.fingerprint),
       lastFailure: this.lastFailure,
-      waitMs: shortestWaitMs(this.parts, request.service),
+      waitMs: this.waitMs,
     })
     return { error, retry, firstEventAt: this.firstEventAt }
   }
--- a/packages/gateway/src/request/attempts/backend-runner.ts
+++ b/packages/gateway/src/request/attempts/backend-runner.ts
@@ -71,8 +71,8 @@
     const now = performance.now()
     const taking = candidates.filter(backend => this.parts.intake.waitMs(backend) === 0)
     const usable = this.parts.ejection.filter(taking)
-    const unsure = usable.find(backend => isLimitOld(backend.intake, now) && this.parts.coldPace.mayTake(backend, now))
-    const preferred = unsure ?? usable.find(backend => backend.id === inputs.engine)
+    const withOldLimit = usable.find(backend => isLimitOld(backend.intake, now) && this.parts.coldPace.mayTake(backend, now))
+    const preferred = withOldLimit ?? usable.find(backend => backend.id === inputs.engine)
     if (preferred)
       return preferred
     const open = taking.filter(backend => this.parts.coldPace.mayTake(backend, now))
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -57,7 +57,8 @@
 
 /** The error of a request that no backend server takes now, by their own word; takes the time until one does, in milliseconds. */
 export function errorOfWithheld(service: string, waitMs: number): RequestError {
-  return createError(ErrorKind.Overloaded, `no backend server of ${service} takes a request before ${Math.ceil(waitMs)} ms have passed`, { retryAfterMs: waitMs })
+  const message = `no backend server of ${service} takes a request before ${Math.ceil(waitMs)} ms have passed`
+  return createError(ErrorKind.Overloaded, message, { retryAfterMs: waitMs })
 }
 
 /** Decides the error of a request whose stages brought no results. */
--- a/test/gateway/backend-run.test.ts
+++ b/test/gateway/backend-run.test.ts
@@ -1,7 +1,7 @@
 import type { BackendCall, BackendClient, ClientAnswer, RoutedRequest, RunInputs } from '@eidermast/gateway'
 import { Buffer } from 'node:buffer'
-import { OutlierEjection } from '@eidermast/common'
-import { BackendRegistry, BackendRunner, CallFailureKind, LeastLoadChoice, RetryBudget, RetryDecision } from '@eidermast/gateway'
+import { ErrorKind, OutlierEjection } from '@eidermast/common'
+import { BackendRegistry, BackendRunner, CallFailureKind, LeastLoadChoice, NO_INPUTS, RetryBudget, RetryDecision } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
 import { describe, expect, test, vi } from 'vitest'
 import { createLog, createRecord, createRoute, NO_COLD_BOUND, NO_CRASHES, OPEN_INTAKE } from './support/fakes.js'
@@ -120,3 +120,29 @@
     expect(crashes.noteBroken).toHaveBeenCalledTimes(1 - times)
   })
 })
+
+describe('a request whose backend servers all name a limit', () => {
+  /** Runs a request; takes what the looks at the gate find in turn, in milliseconds. */
+  async function runBehindGate(waits: readonly number[]) {
+    const { log } = createLog()
+    const registry = new BackendRegistry(log)
+    registry.upsert(createRecord({ id: 'first', service: SERVICE }))
+    const left = [...waits]
+    const intake = { waitMs: () => left.length > 1 ? left.shift()! : left[0] }
+    const client = new InputGoneOnce()
+    client.called.push('answers from now on')
+    const ejection = new OutlierEjection()
+    const choice = new LeastLoadChoice(ejection)
+    const budget = new RetryBudget({ ratio: 0, extra: 10, windowMs: 10_000 }, () => 1)
+    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainChoice: choice, engineChoice: choice, budget, coldPace: NO_COLD_BOUND, intake, crashes: NO_CRASHES, log, isEngine: () => false })
+    return runner.run({ request: createRequest(), inputs: NO_INPUTS, answer: createAnswer(), signal: new AbortController().signal })
+  }
+
+  test('is sent where a turn begins just after the choice found none', async () => {
+    expect((await runBehindGate([20, 0])).error).toBeUndefined()
+  })
+
+  test('is refused with the time of the next turn where none begins', async () => {
+    expect((await runBehindGate([20])).error).toMatchObject({ kind: ErrorKind.Overloaded, retryAfterMs: 20 })
+  })
+})
--- a/test/platform/leaving-answers.test.ts
+++ b/test/platform/leaving-answers.test.ts
@@ -1,7 +1,7 @@
-import type { SpokenBackend } from './support/spoken-pool.js'
+import type { NoticeBackend } from './support/notice-pool.js'
 import { wait } from '@eidermast/common'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
-import { SpokenDeployment } from './support/spoken-deployment.js'
+import { NoticeDeployment } from './support/notice-deployment.js'
 
 /** Milliseconds after such an answer from which a gateway that passed it on sends no new request (settings, `drain-ms`). */
 const DRAIN_MS = 2000
@@ -13,10 +13,10 @@
 const POOL_SIZE = 4
 const REQUESTS_PER_SECOND = 40
 
-let deployment: SpokenDeployment
+let deployment: NoticeDeployment
 
 beforeEach(() => {
-  deployment = new SpokenDeployment()
+  deployment = new NoticeDeployment()
   return deployment.start(POOL_SIZE)
 })
 afterEach(() => deployment.stop())
@@ -24,7 +24,7 @@
 describe('a backend server that says in its answers that it leaves, while the list holds it ready', () => {
   test('gets no request that a client sent later than the drain bound after such an answer', async () => {
     const [backend] = deployment.pool
-    backend.speech = { headers: { 'Server-Leaving': '1' } }
+    backend.notice = { headers: { 'Server-Leaving': '1' } }
     await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND)
     const late = backend.arrivals.filter(({ gateway, requestId }) => deployment.sentAt.get(requestId)! > backend.toldAt.get(gateway)! + DRAIN_MS)
     expect(backend.toldAt.size).toBeGreaterThan(0)
@@ -33,7 +33,7 @@
 
   test('gets nothing from gateways that it never answered, soon after it answered one of them', async () => {
     const [backend] = deployment.pool
-    backend.speech = { headers: { 'Server-Leaving': '1' } }
+    backend.notice = { headers: { 'Server-Leaving': '1' } }
     await vi.waitFor(async () => {
       await deployment.sendFor(10, REQUESTS_PER_SECOND)
       expect(backend.toldAt.size).toBe(1)
@@ -46,9 +46,9 @@
 
   test('gets no stage work either, and its results are still read and deleted', async () => {
     const [backend, other] = deployment.stages
-    backend.speech = { headers: { 'Server-Leaving': '1' } }
+    backend.notice = { headers: { 'Server-Leaving': '1' } }
     const answers = await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND / 4, '/staged/x')
-    const callsTo = ({ arrivals }: SpokenBackend): number => arrivals.filter(({ path }) => path === '/-/stage-run').length
+    const callsTo = ({ arrivals }: NoticeBackend): number => arrivals.filter(({ path }) => path === '/-/stage-run').length
     expect(callsTo(backend)).toBeLessThanOrEqual(1)
     expect(callsTo(other)).toBeGreaterThan(0)
     expect(answers.filter(({ status }) => status !== 200)).toEqual([])
@@ -56,7 +56,7 @@
 
   test('ends no answer that is under way, and costs callers nothing', async () => {
     const [backend] = deployment.pool
-    backend.speech = { headers: { 'Server-Leaving': '1' } }
+    backend.notice = { headers: { 'Server-Leaving': '1' } }
     const answers = await deployment.sendFor(DRAIN_MS, REQUESTS_PER_SECOND)
     expect(answers.filter(({ status }) => status !== 200)).toEqual([])
   })
@@ -65,7 +65,7 @@
 describe('a service whose backend servers all say that they leave', () => {
   test('answers at once that nothing ran', async () => {
     for (const backend of deployment.pool)
-      backend.speech = { headers: { 'Server-Leaving': '1' } }
+      backend.notice = { headers: { 'Server-Leaving': '1' } }
     await deployment.sendFor(DRAIN_MS, REQUESTS_PER_SECOND)
     const answers = await deployment.sendFor(DRAIN_MS, REQUESTS_PER_SECOND)
     expect([...new Set(answers.map(({ status }) => status))]).toEqual([503])
--- a/test/platform/limited-backends.test.ts
+++ b/test/platform/limited-backends.test.ts
@@ -1,7 +1,7 @@
 import { wait } from '@eidermast/common'
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
-import { SpokenDeployment } from './support/spoken-deployment.js'
-import { mostWithin } from './support/spoken-pool.js'
+import { NoticeDeployment } from './support/notice-deployment.js'
+import { mostWithin } from './support/notice-pool.js'
 
 /** Milliseconds after the first naming of a limit from which on the bound holds (settings, `contact-ms`). */
 const CONTACT_MS = 3000
@@ -25,10 +25,10 @@
   return 1.5 * limitPerSecond * SPAN_MS / 1000 + 5
 }
 
-let deployment: SpokenDeployment
+let deployment: NoticeDeployment
 
 beforeEach(() => {
-  deployment = new SpokenDeployment()
+  deployment = new NoticeDeployment()
   return deployment.start(POOL_SIZE)
 })
 afterEach(() => deployment.stop())
@@ -39,20 +39,20 @@
     { limited: 3, limit: 1.3 },
     { limited: POOL_SIZE, limit: 2 },
   ])('gets no more from all gateways together: $limited of ten name $limit', async ({ limited, limit }) => {
-    const speakers = deployment.pool.slice(0, limited)
+    const named = deployment.pool.slice(0, limited)
     const namedAt = performance.now()
-    for (const backend of speakers)
-      backend.speech = { headers: { 'Server-Limit': String(limit) } }
+    for (const backend of named)
+      backend.notice = { headers: { 'Server-Limit': String(limit) } }
     await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND)
     await wait(TOLD_AFTER_MS)
-    const most = speakers.map(backend => mostWithin(backend.arrivalsOfTold(TOLD_AFTER_MS, namedAt + CONTACT_MS - SPAN_MS), SPAN_MS))
+    const most = named.map(backend => mostWithin(backend.arrivalsOfTold(TOLD_AFTER_MS, namedAt + CONTACT_MS - SPAN_MS), SPAN_MS))
     expect(Math.max(...most)).toBeLessThanOrEqual(allowedIn(limit))
   })
 
   test('gets no more calls of stage work and deletions of results than it names', async () => {
     const limit = 1.5
     for (const backend of deployment.stages)
-      backend.speech = { headers: { 'Server-Limit': String(limit) } }
+      backend.notice = { headers: { 'Server-Limit': String(limit) } }
     await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND, '/staged/x')
     for (const backend of deployment.stages) {
       const calls = backend.arrivals.filter(({ path }) => path !== REPORT_PATH)
@@ -63,9 +63,9 @@
 
   test('is used as before soon after it names none any more', async () => {
     const [backend] = deployment.pool
-    backend.speech = { headers: { 'Server-Limit': '1' } }
+    backend.notice = { headers: { 'Server-Limit': '1' } }
     await deployment.sendFor(CONTACT_MS, REQUESTS_PER_SECOND)
-    backend.speech = undefined
+    backend.notice = undefined
     await deployment.sendFor(RECOVERY_MS, REQUESTS_PER_SECOND)
     const seen = backend.arrivals.length
     await deployment.sendFor(CONTACT_MS, REQUESTS_PER_SECOND)
@@ -74,7 +74,7 @@
   })
 
   test('costs its callers nothing while others have room', async () => {
-    deployment.pool[0].speech = { headers: { 'Server-Limit': '1' } }
+    deployment.pool[0].notice = { headers: { 'Server-Limit': '1' } }
     const answers = await deployment.sendFor(CONTACT_MS, REQUESTS_PER_SECOND)
     expect(answers.filter(({ status }) => status !== 200)).toEqual([])
   })
@@ -84,7 +84,7 @@
   test('are served as far as the limits go, and refused at once for others, with a time to come back', async () => {
     const limit = 3
     for (const backend of deployment.pool)
-      backend.speech = { headers: { 'Server-Limit': String(limit) } }
+      backend.notice = { headers: { 'Server-Limit': String(limit) } }
     await deployment.sendFor(CONTACT_MS, REQUESTS_PER_SECOND)
     const answers = await deployment.sendFor(SPAN_MS, REQUESTS_PER_SECOND)
     const served = answers.filter(({ status }) => status === 200)
--- a/test/platform/resting-backends.test.ts
+++ b/test/platform/resting-backends.test.ts
@@ -1,7 +1,7 @@
-import type { Arrival, SpokenBackend } from './support/spoken-pool.js'
+import type { Arrival, NoticeBackend } from './support/notice-pool.js'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
-import { SpokenDeployment } from './support/spoken-deployment.js'
-import { mostWithin } from './support/spoken-pool.js'
+import { NoticeDeployment } from './support/notice-deployment.js'
+import { mostWithin } from './support/notice-pool.js'
 
 /** Seconds of rest that a backend server asks for. */
 const REST_S = 3
@@ -16,16 +16,16 @@
 /** Milliseconds; far below the deadline of the requests. */
 const REFUSED_WITHIN_MS = 300
 
-let deployment: SpokenDeployment
+let deployment: NoticeDeployment
 
 beforeEach(() => {
-  deployment = new SpokenDeployment()
+  deployment = new NoticeDeployment()
   return deployment.start(POOL_SIZE)
 })
 afterEach(() => deployment.stop())
 
 /** The most requests that a backend server got from one gateway in a rest that it had asked that gateway for. */
-function mostInRest({ arrivals, turnedAwayAt }: SpokenBackend): number {
+function mostInRest({ arrivals, turnedAwayAt }: NoticeBackend): number {
   const inRest = ({ gateway, at }: Arrival): Arrival[] => arrivals.filter(later =>
     later.gateway === gateway && later.at > at + BINDS_AFTER_MS && later.at < at + REST_S * 1000)
   return Math.max(0, ...turnedAwayAt.map(answer => inRest(answer).length))
@@ -33,17 +33,17 @@
 
 describe('a backend server that turns a gateway away and asks for rest', () => {
   test.each([1, 8])('gets two requests from it at most until the rest is over: %i of ten', async (resting) => {
-    const speakers = deployment.pool.slice(0, resting)
-    for (const backend of speakers)
-      backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+    const named = deployment.pool.slice(0, resting)
+    for (const backend of named)
+      backend.notice = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
     await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND)
-    expect(Math.min(...speakers.map(({ turnedAwayAt }) => turnedAwayAt.length))).toBeGreaterThan(0)
-    expect(Math.max(...speakers.map(mostInRest))).toBeLessThanOrEqual(ALLOWED)
+    expect(Math.min(...named.map(({ turnedAwayAt }) => turnedAwayAt.length))).toBeGreaterThan(0)
+    expect(Math.max(...named.map(mostInRest))).toBeLessThanOrEqual(ALLOWED)
   })
 
   test('gets no call of stage work from the coordinator that it turned away, nor deletions of results', async () => {
     for (const backend of deployment.stages)
-      backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+      backend.notice = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
     await deployment.sendFor(PLAY_MS, REQUESTS_PER_SECOND, '/staged/x')
     for (const { arrivals } of deployment.stages) {
       const calls = arrivals.filter(({ path }) => path !== REPORT_PATH)
@@ -54,9 +54,9 @@
 
   test('gets requests again when its rest is over', async () => {
     const [backend] = deployment.pool
-    backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+    backend.notice = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
     await deployment.sendFor(1000, REQUESTS_PER_SECOND)
-    backend.speech = undefined
+    backend.notice = undefined
     await deployment.sendFor(REST_S * 1000, REQUESTS_PER_SECOND)
     const seen = backend.arrivals.length
     await deployment.sendFor(1000, REQUESTS_PER_SECOND)
@@ -65,7 +65,7 @@
 
   test('costs callers nothing while others take their requests, once gateways have been told', async () => {
     for (const backend of deployment.pool.slice(0, POOL_SIZE / 2))
-      backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+      backend.notice = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
     // Until then the retry budget may end requests that several turn away.
     await deployment.sendFor(1000, REQUESTS_PER_SECOND)
     const answers = await deployment.sendFor((REST_S - 1) * 1000 - 500, REQUESTS_PER_SECOND)
@@ -76,7 +76,7 @@
 describe('requests to a service whose backend servers all ask for rest', () => {
   test.each(['/plain/x', '/staged/x'])('are refused at once, with the time until the first of them takes requests: %s', async (path) => {
     for (const backend of deployment.pool)
-      backend.speech = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
+      backend.notice = { headers: { 'Retry-After': String(REST_S) }, turnsAway: true }
     const turnedAwayBy = (gateway: number): number => deployment.pool.filter(({ turnedAwayAt }) => turnedAwayAt.some(answer => answer.gateway === `gateway-${gateway}`)).length
     await vi.waitFor(async () => {
       await deployment.sendFor(100, REQUESTS_PER_SECOND)
--- a/test/platform/support/spoken-deployment.ts
+++ b/test/platform/support/notice-deployment.ts
@@ -3,12 +3,12 @@
  * clients that send to the gateways in turn.
  */
 import type { StartedGateway } from './in-process-gateway.js'
-import type { SpokenBackend } from './spoken-pool.js'
+import type { NoticeBackend } from './notice-pool.js'
 import { wait } from '@eidermast/common'
 import { request } from 'undici'
 import { expect, vi } from 'vitest'
 import { startGateway } from './in-process-gateway.js'
-import { requestIdAt, startSpokenPool } from './spoken-pool.js'
+import { requestIdAt, startNoticePool } from './notice-pool.js'
 import { makeStageResults, STAGE_LIMITS } from './stand-in-stages.js'
 import { StandInStore } from './stand-in-store.js'
 
@@ -40,11 +40,11 @@
 }
 
 /** Gateways, their store and the pool. */
-export class SpokenDeployment {
+export class NoticeDeployment {
   readonly store = new StandInStore()
-  pool: SpokenBackend[] = []
+  pool: NoticeBackend[] = []
   /** The backend servers of the stage service. */
-  stages: SpokenBackend[] = []
+  stages: NoticeBackend[] = []
   gateways: StartedGateway[] = []
   /** When each request was sent by its client, in milliseconds of the test's clock. */
   readonly sentAt = new Map<string, number>()
@@ -52,8 +52,8 @@
 
   async start(size: number): Promise<void> {
     const address = await this.store.start()
-    this.pool = await startSpokenPool(this.store, { service: SERVICE, size, workMs: WORK_MS })
-    this.stages = await startSpokenPool(this.store, { service: STAGE_SERVICE, size: STAGE_BACKENDS, workMs: 0, respond: makeStageResults() })
+    this.pool = await startNoticePool(this.store, { service: SERVICE, size, workMs: WORK_MS })
+    this.stages = await startNoticePool(this.store, { service: STAGE_SERVICE, size: STAGE_BACKENDS, workMs: 0, respond: makeStageResults() })
     this.store.put('keyed.op', 'config', CONFIGURATION)
     this.gateways = await Promise.all(Array.from({ length: GATEWAYS }, (_, index) => startGateway(`gateway-${index}`, address)))
     await vi.waitFor(() => {
--- a/test/platform/support/spoken-pool.ts
+++ b/test/platform/support/notice-pool.ts
@@ -1,5 +1,5 @@
 /**
- * A pool of stand-in backend servers that say in their answers what they take:
+ * A pool of stand-in backend servers whose answers carry notices of what they take:
  * each adds headers of the test's choice, and turns requests away. Every request
  * is kept with the gateway that sent it and the answer that it got.
  */
@@ -24,7 +24,7 @@
 }
 
 /** What a backend server says in an answer. */
-export interface Speech {
+export interface Notice {
   /** Headers beside the usual ones. */
   headers: Record<string, string>
   /** The request is turned away, as not run. @default false */
@@ -41,8 +41,8 @@
 }
 
 /** A time in which a backend server said the same in all its answers. */
-export interface SpeechPeriod {
-  speech: Speech
+export interface NoticePeriod {
+  notice: Notice
   /** Milliseconds of the test's clock. */
   from: number
   to: number
@@ -51,7 +51,7 @@
 }
 
 /** How a backend server is wrapped. */
-export interface SpokenBackendOptions {
+export interface NoticeBackendOptions {
   /** Milliseconds of work before an answer. @default 0 */
   workMs?: number
   /** @default answerWhole */
@@ -60,22 +60,22 @@
   senderOf?: (seen: SeenRequest) => string
 }
 
-/** One backend server that speaks. */
-export class SpokenBackend {
+/** One backend server whose answers carry a notice. */
+export class NoticeBackend {
   readonly arrivals: Arrival[] = []
   /** Requests that were turned away, at the time of the answer. */
   readonly turnedAwayAt: Arrival[] = []
-  readonly periods: SpeechPeriod[] = []
+  readonly periods: NoticePeriod[] = []
 
-  constructor(readonly stand: StandInBackend, { workMs = 0, respond = answerWhole(), senderOf = senderById }: SpokenBackendOptions = {}) {
+  constructor(readonly stand: StandInBackend, { workMs = 0, respond = answerWhole(), senderOf = senderById }: NoticeBackendOptions = {}) {
     stand.respond = async (seen, response) => {
       const arrival = { gateway: senderOf(seen), requestId: String(seen.headers['attempt-id']), path: seen.path, at: seen.at }
       this.arrivals.push(arrival)
       await wait(workMs)
-      const speech = this.tell(arrival.gateway)
-      for (const [name, value] of Object.entries(speech?.headers ?? {}))
+      const notice = this.tell(arrival.gateway)
+      for (const [name, value] of Object.entries(notice?.headers ?? {}))
         response.setHeader(name, value)
-      if (!speech?.turnsAway || seen.path === REPORT_PATH)
+      if (!notice?.turnsAway || seen.path === REPORT_PATH)
         return respond(seen, response)
       this.turnedAwayAt.push({ ...arrival, at: performance.now() })
       response.writeHead(503, { 'Attempt-Id': arrival.requestId, 'Not-Executed': '1' })
@@ -84,21 +84,21 @@
   }
 
   /** What it says in its answers from now on. */
-  set speech(speech: Speech | undefined) {
+  set notice(notice: Notice | undefined) {
     const now = performance.now()
     const current = this.periods.at(-1)
     if (current)
       current.to = Math.min(current.to, now)
-    if (speech)
-      this.periods.push({ speech, from: now, to: Number.POSITIVE_INFINITY, toldAt: new Map() })
+    if (notice)
+      this.periods.push({ notice, from: now, to: Number.POSITIVE_INFINITY, toldAt: new Map() })
   }
 
-  get speech(): Speech | undefined {
+  get notice(): Notice | undefined {
     const current = this.periods.at(-1)
-    return current?.to === Number.POSITIVE_INFINITY ? current.speech : undefined
+    return current?.to === Number.POSITIVE_INFINITY ? current.notice : undefined
   }
 
-  /** When each gateway was first answered with the newest speech, in milliseconds of the test's clock. */
+  /** When each gateway was first answered with the newest notice, in milliseconds of the test's clock. */
   get toldAt(): ReadonlyMap<string, number> {
     return this.periods.at(-1)?.toldAt ?? new Map()
   }
@@ -109,12 +109,12 @@
   }
 
   /** Notes that a gateway is answered with what is said now. */
-  private tell(gateway: string): Speech | undefined {
-    const { speech } = this
+  private tell(gateway: string): Notice | undefined {
+    const { notice } = this
     const told = this.periods.at(-1)?.toldAt
-    if (speech && told && !told.has(gateway))
+    if (notice && told && !told.has(gateway))
       told.set(gateway, performance.now())
-    return speech
+    return notice
   }
 }
 
@@ -130,7 +130,7 @@
 }
 
 /** What differs between pools. */
-export interface SpokenPoolOptions {
+export interface NoticePoolOptions {
   service: string
   size: number
   /** Milliseconds of work before an answer. */
@@ -140,11 +140,11 @@
 }
 
 /** Starts backend servers of a service and lists them in the store. */
-export async function startSpokenPool(store: StandInStore, { service, size, workMs, respond }: SpokenPoolOptions): Promise<SpokenBackend[]> {
+export async function startNoticePool(store: StandInStore, { service, size, workMs, respond }: NoticePoolOptions): Promise<NoticeBackend[]> {
   return Promise.all(Array.from({ length: size }, async (_, index) => {
     const stand = new StandInBackend(`${service}-${index}`, service)
     await stand.start()
     store.put(SERVER_TOPIC, stand.id, stand.entry())
-    return new SpokenBackend(stand, { workMs, respond })
+    return new NoticeBackend(stand, { workMs, respond })
   }))
 }
--- a/test/soak/intake-soak.test.ts
+++ b/test/soak/intake-soak.test.ts
@@ -2,7 +2,7 @@
 import type { Draw } from './support/soak-clients.js'
 import { wait } from '@eidermast/common'
 import { beforeAll, describe, expect, test } from 'vitest'
-import { SpokenBackend } from '../platform/support/spoken-pool.js'
+import { NoticeBackend } from '../platform/support/notice-pool.js'
 import { StoreFault } from '../platform/support/stand-in-store.js'
 import { IntakeChecks } from './support/intake-checks.js'
 import { SoakClients } from './support/soak-clients.js'
@@ -14,7 +14,7 @@
 const STEPS = 24
 const STEP_MS = 500
 const BACKENDS_EACH = 6
-/** Backend servers of each service that say nothing, so that callers can be served. */
+/** Backend servers of each service that give no notice, so that callers can be served. */
 const SILENT_EACH = 2
 const LIMITS = ['0', '0.5', '1', '1.3', '2', '5']
 const RESTS = ['0.8', '1.5', '3']
@@ -23,25 +23,25 @@
 
 class IntakeRun {
   readonly deployment = new SoakDeployment({ backendsEach: BACKENDS_EACH })
-  readonly spoken: SpokenBackend[] = []
+  readonly backends: NoticeBackend[] = []
   private readonly troubles = new SoakTroubles(0)
   private readonly underWay: Promise<void>[] = []
 
   constructor(private readonly draw: Draw) {}
 
-  /** Lets backend servers speak whose requests come from clients. */
+  /** Lets those backend servers give notices whose requests come from clients. */
   wrap(clients: SoakClients): void {
     const gatewayOf = (seen: SeenRequest): string => isWork(seen) ? `gateway-${senderOf(seen, clients)}` : 'none'
     for (const service of ['plain', 'model']) {
       const backends = this.deployment.backends.filter(backend => backend.service === service)
       for (const backend of backends.slice(SILENT_EACH))
-        this.spoken.push(new SpokenBackend(backend, { respond: backend.respond, senderOf: gatewayOf }))
+        this.backends.push(new NoticeBackend(backend, { respond: backend.respond, senderOf: gatewayOf }))
     }
   }
 
   step(): void {
     if (this.draw(3) > 0)
-      return this.speak(this.spoken[this.draw(this.spoken.length)])
+      return this.changeNotice(this.backends[this.draw(this.backends.length)])
     this.underWay.push(this.bringTrouble())
   }
 
@@ -55,18 +55,18 @@
   }
 
   /** One that leaves says so to its end; another one changes what it says. */
-  private speak(backend: SpokenBackend): void {
-    if (backend.speech?.headers['Server-Leaving'] !== undefined)
+  private changeNotice(backend: NoticeBackend): void {
+    if (backend.notice?.headers['Server-Leaving'] !== undefined)
       return
     const kind = this.draw(5)
     if (kind === 0)
-      backend.speech = undefined
+      backend.notice = undefined
     else if (kind === 1)
-      backend.speech = { headers: { 'Retry-After': RESTS[this.draw(RESTS.length)] }, turnsAway: true }
+      backend.notice = { headers: { 'Retry-After': RESTS[this.draw(RESTS.length)] }, turnsAway: true }
     else if (kind === 2 && this.draw(2) === 0)
-      backend.speech = { headers: { 'Server-Leaving': '1' } }
+      backend.notice = { headers: { 'Server-Leaving': '1' } }
     else
-      backend.speech = { headers: { 'Server-Limit': LIMITS[this.draw(LIMITS.length)] } }
+      backend.notice = { headers: { 'Server-Limit': LIMITS[this.draw(LIMITS.length)] } }
   }
 
   private async bringTrouble(): Promise<void> {
@@ -114,8 +114,8 @@
       await clients.stop()
       const sentAt = new Map(clients.requests.map(sent => [sent.id, sent.sentAt]))
       const checks = new IntakeChecks((...excuse) => run.isExcused(...excuse), id => sentAt.get(id))
-      expect(run.spoken.flatMap(({ periods }) => periods).length).toBeGreaterThan(0)
-      expect(run.spoken.flatMap(backend => checks.breaches(backend))).toEqual([])
+      expect(run.backends.flatMap(({ periods }) => periods).length).toBeGreaterThan(0)
+      expect(run.backends.flatMap(backend => checks.breaches(backend))).toEqual([])
       const served = clients.requests.filter(({ status }) => status === 200)
       expect(served.length).toBeGreaterThan(SERVED_SHARE * clients.requests.length)
     }
--- a/test/soak/support/intake-checks.ts
+++ b/test/soak/support/intake-checks.ts
@@ -3,8 +3,8 @@
  * they leave, after gateways have been told; a restart or a pause of a gateway
  * since then excuses it.
  */
-import type { Arrival, SpeechPeriod, SpokenBackend } from '../../platform/support/spoken-pool.js'
-import { mostWithin } from '../../platform/support/spoken-pool.js'
+import type { Arrival, NoticeBackend, NoticePeriod } from '../../platform/support/notice-pool.js'
+import { mostWithin } from '../../platform/support/notice-pool.js'
 
 /** Milliseconds after the first naming of a limit from which on it binds (settings, `contact-ms`). */
 const CONTACT_MS = 3000
@@ -30,14 +30,14 @@
   constructor(private readonly isExcused: IsExcused, private readonly sentAt: SentAt) {}
 
   /** What should not have come, in words; empty where all is well. */
-  breaches(backend: SpokenBackend): string[] {
+  breaches(backend: NoticeBackend): string[] {
     const { id } = backend.stand
     const ofPeriods = backend.periods.flatMap(period => [...this.overLimit(backend, period), ...this.afterLeaving(backend, period)])
     return [...ofPeriods, ...this.inRest(backend)].map(breach => `${id}: ${breach}`)
   }
 
-  private overLimit({ arrivals }: SpokenBackend, { speech, from, to, toldAt }: SpeechPeriod): string[] {
-    const limit = Number(speech.headers['Server-Limit'])
+  private overLimit({ arrivals }: NoticeBackend, { notice, from, to, toldAt }: NoticePeriod): string[] {
+    const limit = Number(notice.headers['Server-Limit'])
     if (Number.isNaN(limit))
       return []
     const earliest = from + CONTACT_MS - SPAN_MS
@@ -47,8 +47,8 @@
     return most > allowed ? [`${most} requests in ${SPAN_MS} ms at a limit of ${limit} a second, allowed ${allowed}`] : []
   }
 
-  private afterLeaving({ arrivals }: SpokenBackend, { speech, toldAt }: SpeechPeriod): string[] {
-    if (speech.headers['Server-Leaving'] === undefined)
+  private afterLeaving({ arrivals }: NoticeBackend, { notice, toldAt }: NoticePeriod): string[] {
+    if (notice.headers['Server-Leaving'] === undefined)
       return []
     const late = arrivals.filter(({ gateway, requestId, at }) => {
       const sentAt = this.sentAt(requestId) ?? Number.NEGATIVE_INFINITY
@@ -57,7 +57,7 @@
     return late.map(({ gateway, at }) => `a request of ${gateway} ${Math.round(at - toldAt.get(gateway)!)} ms after it was told of the leaving`)
   }
 
-  private inRest({ arrivals, turnedAwayAt, periods }: SpokenBackend): string[] {
+  private inRest({ arrivals, turnedAwayAt, periods }: NoticeBackend): string[] {
     return turnedAwayAt.flatMap(({ gateway, at }) => {
       const restMs = restAt(periods, at)
       const later = arrivals.filter((arrival: Arrival) => arrival.gateway === gateway && arrival.at > at + TOLD_AFTER_MS && arrival.at < at + restMs)
@@ -72,7 +72,7 @@
 }
 
 /** Milliseconds of rest that were asked for at a moment. */
-function restAt(periods: readonly SpeechPeriod[], at: number): number {
+function restAt(periods: readonly NoticePeriod[], at: number): number {
   const period = periods.find(({ from, to }) => from <= at && at <= to + SLACK_MS)
-  return Number(period?.speech.headers['Retry-After'] ?? 0) * 1000
+  return Number(period?.notice.headers['Retry-After'] ?? 0) * 1000
 }
