--- a/test/platform/evacuation.test.ts
+++ b/test/platform/evacuation.test.ts
@@ -18,6 +18,8 @@
 /** Milliseconds after its acknowledgement from which an evacuation binds gateways in touch (the platform's bounds). */
 const EVACUATION_MS = 5000
 const SEND_INTERVAL_MS = 50
+/** The stages of one backend server are done in time also where the machine is slow. */
+const STAGED_ONE_IN = 2
 const ROUTE = { Host: 'host.example', TimeoutMs: 6000, TargetLatencyMs: 3000 }
 const CONFIGURATION = {
   Version: 3,
@@ -85,12 +87,15 @@
 /** Sends to all gateways for some time; resolves with the statuses. */
 async function sendFor(milliseconds: number): Promise<number[]> {
   const answers: Promise<number>[] = []
+  let sendings = 0
   const endAt = performance.now() + milliseconds
   while (performance.now() < endAt) {
     for (const gateway of gateways) {
       answers.push(send(gateway, '/plain/x', `plain-${answers.length}`))
-      answers.push(send(gateway, '/staged/x', `staged-${answers.length}`))
+      if (sendings % STAGED_ONE_IN === 0)
+        answers.push(send(gateway, '/staged/x', `staged-${answers.length}`))
     }
+    sendings++
     await wait(SEND_INTERVAL_MS)
   }
   return Promise.all(answers)
