What an answer says while the entry of its backend server is gone is not lost

Found by reading: the state of a backend server that had said nothing was not kept at its removal, so that a leaving or a rest in the answer to a call under way was noted where nobody looked, if the entry came back. It is kept always; the new test fails before.

--- a/packages/gateway/src/connection/backends/backend-notice.ts
+++ b/packages/gateway/src/connection/backends/backend-notice.ts
@@ -1,7 +1,8 @@
 /**
- * What a backend server says in its answers of the requests that it takes, and
- * who is told of it. Decoded by the platform's codec.
+ * What a backend server says in its answers of the requests that it takes.
+ * Decoded by the platform's codec.
  */
+
 /** What one answer says. */
 export interface BackendNotice {
   /** Requests a second that it takes from all gateways together; absent where it names no limit. */
--- a/packages/gateway/src/connection/backends/intake-state.ts
+++ b/packages/gateway/src/connection/backends/intake-state.ts
@@ -36,11 +36,6 @@
   /** When it named none any more. */
   private limitEndedAt = Number.NEGATIVE_INFINITY
 
-  /** Whether it said nothing that holds on. */
-  isEmpty(now: number): boolean {
-    return this.limitPerSecond === undefined && !this.isLeaving && this.restMs(now) === 0
-  }
-
   /** Milliseconds for which it wants nothing from this process; 0 where it takes requests. */
   restMs(now: number): number {
     return Math.max(0, this.restUntil - now)
--- a/packages/gateway/src/process/intake/intake-memory.ts
+++ b/packages/gateway/src/process/intake/intake-memory.ts
@@ -19,11 +19,10 @@
 export class IntakeMemory {
   private readonly byLife = new Map<string, KeptIntake>()
 
-  /** A backend server was removed. */
+  /** A backend server was removed; answers to calls that are under way there may still say something. */
   keep({ life, intake }: Backend, now: number): void {
     this.expire(now)
-    if (!intake.isEmpty(now))
-      this.byLife.set(life, { intake, removedAt: now })
+    this.byLife.set(life, { intake, removedAt: now })
   }
 
   /** What a backend server said that is listed now, in an earlier listing or not at all. */
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -99,6 +99,14 @@
     expect(registry.find('encode-a')!.intake.limitPerSecond).toBe(2)
   })
 
+  test('is heard also from an answer that comes while its entry is gone', () => {
+    const { intake } = registry.find('encode-a')!
+    registry.remove('encode-a', 'its entry is gone')
+    intake.takeLeaving()
+    registry.upsert(RECORD)
+    expect(isUsed()).toBe(false)
+  })
+
   test('keeps work from one that says that it leaves, whatever the list says later of the same process', () => {
     registry.find('encode-a')!.intake.takeLeaving()
     registry.upsert({ ...RECORD, capacity: 5 })
