--- a/packages/gateway/src/process/stages/backend/stage-backend.ts
+++ b/packages/gateway/src/process/stages/backend/stage-backend.ts
@@ -1,9 +1,9 @@
-import type { Backend } from '../../../connection/backends/backend.js'
 /**
  * One backend server of a stage service as its pool accounts for it: calls
  * under way, pauses, measured speed and result memory. Owns this state while
  * the backend server takes work; nothing is kept when the process dies.
  */
+import type { Backend } from '../../../connection/backends/backend.js'
 import type { IntakeGate } from '../../../connection/backends/intake-gate.js'
 import type { StageLimits } from '../../../version/configuration.js'
 import { failurePauseMs, MEMORY_PAUSE_MS } from './backend-pause.js'
