A call that was never written to its connection counts as not sent, not as lost

Callers saw: a repeatable request that arrives just after the last responsive backend server was killed is answered 503 no-backend with `ran: unknown` within milliseconds, although nothing of it left the entry. Unrepeatable ones end as outcome-unknown, which callers must investigate.

Cause: PeerConnection.isOpen follows the `close` event of the WebSocket, some turns after the peer has ended the connection, so that the link still counts as ready; and tRPC queues a call until the next turn and drops the queue of a connection that closes, which callPeer reported as `lost`.

Change: isOpen looks at the state of the socket too. A connection counts the messages handed to its socket; a call that left the count unchanged on a connection that is no longer open is `not-sent`, which retry rules and answers already take for proof. Any other message written meanwhile makes it `lost`. The decision `failed` logs the error of the connection.

--- a/packages/daemon/src/connection/link-call.ts
+++ b/packages/daemon/src/connection/link-call.ts
@@ -11,7 +11,7 @@
 /** Outcome of a stage call over a link. */
 export enum LinkOutcome {
   Replied = 'replied',
-  /** The link was not open: nothing was sent. */
+  /** Nothing was sent: the link was not open, or its connection was lost before the call was written to it. */
   NotSent = 'not-sent',
   /** Sent and possibly received, but no reply arrived. */
   Lost = 'lost',
@@ -32,8 +32,8 @@
   onToken?: LinkTokenListener,
 ): Promise<LinkResult> {
   const result = await callPeer(connection, client => onToken ? readStream(client, call, onToken) : client.run.mutate(call))
-  if (result.state === CallState.Lost)
-    return { outcome: LinkOutcome.Lost, message: result.message }
+  if (result.state !== CallState.Answered)
+    return { outcome: result.state === CallState.NotSent ? LinkOutcome.NotSent : LinkOutcome.Lost, message: result.message }
   const reply = stageReplySchema.safeParse(result.value)
   if (!reply.success)
     return { outcome: LinkOutcome.Lost, message: 'the side sent a reply in an unknown format' }
--- a/packages/daemon/src/connection/peer-connection.ts
+++ b/packages/daemon/src/connection/peer-connection.ts
@@ -30,7 +30,10 @@
   client: Client
   /** Aborts when the connection is lost or closed. */
   closed: AbortSignal
+  /** Whether calls can be sent. False as soon as the peer has ended its side of the connection. */
   isOpen: () => boolean
+  /** Number of messages handed to the socket so far; a call that left it unchanged was not sent. */
+  messagesSent: () => number
   close: () => void
 }
 
@@ -73,15 +76,21 @@
   const opened = await socketConnection.opened
   if (opened.isErr())
     return opened
-  const client = createClient(socketConnection.createLink())
-  return Ok({ client, closed: socketConnection.closed, isOpen: () => socketConnection.isOpen, close: () => socketConnection.close() })
+  return Ok({
+    client: createClient(socketConnection.createLink()),
+    closed: socketConnection.closed,
+    isOpen: () => socketConnection.isOpen,
+    messagesSent: () => socketConnection.messagesSent,
+    close: () => socketConnection.close(),
+  })
 }
 
 /** Lifecycle of one WebSocket, from the connection attempt until it is closed. */
 class SocketConnection {
   /** Resolves when the connection is open or the attempt has failed. */
   readonly opened: Promise<Result<void, ConnectFailure>>
-  isOpen = false
+  messagesSent = 0
+  private isEstablished = false
   private readonly closeController = new AbortController()
   private readonly socketClient: ReturnType<typeof createWSClient>
   private resolveOpened!: (result: Result<void, ConnectFailure>) => void
@@ -92,7 +101,7 @@
     })
     this.socketClient = createWSClient({
       url: `ws://${options.address}`,
-      WebSocket: createSocketClass(options) as unknown as typeof globalThis.WebSocket,
+      WebSocket: createSocketClass(options, () => this.messagesSent++) as unknown as typeof globalThis.WebSocket,
       retryDelayMs: () => MAX_TIMER_MS,
       onOpen: () => this.handleOpen(),
       onClose: () => this.handleClose(ConnectFailure.Failed),
@@ -105,6 +114,11 @@
     return this.closeController.signal
   }
 
+  /** The socket itself is checked as well, because it closes some time after the peer has ended the connection. */
+  get isOpen(): boolean {
+    return this.isEstablished && this.socketClient.connection?.ws?.readyState === WebSocket.OPEN
+  }
+
   createLink(): PeerLink {
     return wsLink({ client: this.socketClient }) as PeerLink
   }
@@ -115,12 +129,12 @@
   }
 
   private handleOpen(): void {
-    this.isOpen = true
+    this.isEstablished = true
     this.resolveOpened(Ok(undefined))
   }
 
   private handleClose(failure: ConnectFailure): void {
-    this.isOpen = false
+    this.isEstablished = false
     this.resolveOpened(Err(failure))
     this.closeController.abort()
     // Rejects if the socket never opened or is already closed: there is nothing left to close.
@@ -128,8 +142,8 @@
   }
 }
 
-/** Creates a WebSocket class that sends the key when it connects. */
-function createSocketClass(options: PeerConnectionOptions) {
+/** Creates a WebSocket class that sends the key when it connects, and reports each message before it is written. */
+function createSocketClass(options: PeerConnectionOptions, onSend: () => void) {
   return class PeerSocket extends WebSocket {
     constructor(url: string) {
       super(url, {
@@ -139,6 +153,11 @@
         perMessageDeflate: false,
       })
     }
+
+    override send(...parameters: [data: WebSocket.Data]): void {
+      onSend()
+      super.send(...parameters)
+    }
   }
 }
 
@@ -149,14 +168,21 @@
 /** Outcome of a call over a connection. */
 export enum CallState {
   Answered = 'answered',
+  /** The connection was lost before any byte of the call was written to it. */
+  NotSent = 'not-sent',
   /** The connection was lost, the call timed out or it returned an error. The call may have been sent. */
   Lost = 'lost',
 }
 
 /** Result of a call over a connection. */
-export type CallResult<Value> = { state: CallState.Answered, value: Value } | { state: CallState.Lost, message: string }
+export type CallResult<Value> = { state: CallState.Answered, value: Value } | { state: CallState.NotSent | CallState.Lost, message: string }
 
-/** Makes one call and stops waiting if the connection is lost or the timeout expires. */
+/**
+ * Makes one call and stops waiting if the connection is lost or the timeout
+ * expires. tRPC queues a call until the next turn of the event loop; if the
+ * connection is lost before that, the call is dropped from the queue and was not
+ * sent.
+ */
 export function callPeer<Client, Value>(
   connection: PeerConnection<Client>,
   call: (client: Client) => Promise<Value>,
@@ -169,10 +195,12 @@
       connection.closed.removeEventListener('abort', onClosed)
       resolve(result)
     }
-    const fail = (message: string): void => settle({ state: CallState.Lost, message })
+    const messagesBefore = connection.messagesSent()
+    const wasNotSent = (): boolean => !connection.isOpen() && connection.messagesSent() === messagesBefore
+    const fail = (message: string): void => settle({ state: wasNotSent() ? CallState.NotSent : CallState.Lost, message })
     // The listener is removed afterwards; a promise would retain every call until the connection closes.
     const onClosed = (): void => fail('the connection was lost')
-    if (connection.closed.aborted)
+    if (!connection.isOpen())
       return fail('the connection was lost')
     connection.closed.addEventListener('abort', onClosed)
     if (timeoutMs !== undefined)
--- a/packages/daemon/src/connection/side-heartbeats.ts
+++ b/packages/daemon/src/connection/side-heartbeats.ts
@@ -88,7 +88,7 @@
   async send(connection: PeerConnection<SideClient>): Promise<boolean> {
     const heartbeat = this.createHeartbeat()
     const result = await callPeer(connection, client => client.greet.mutate(heartbeat), this.replyTimeoutMs)
-    if (result.state === CallState.Lost)
+    if (result.state !== CallState.Answered)
       return this.logMissed(result.message)
     const reply = heartbeatReplySchema.safeParse(result.value)
     if (!reply.success)
--- a/packages/daemon/src/request/stages/stage-caller.ts
+++ b/packages/daemon/src/request/stages/stage-caller.ts
@@ -137,7 +137,8 @@
   private handleFailure(task: StageTask, attempt: StageAttempt, result: LinkResult): FailureDecision {
     const stage = task.stage.name
     const cause = describeCause(result)
-    const failed = { stage, attempt: attempt.number, backend: attempt.backend.backendName, cause }
+    const error = result.outcome === LinkOutcome.Replied ? undefined : result.message
+    const failed = { stage, attempt: attempt.number, backend: attempt.backend.backendName, cause, error }
     this.options.decisions.record('failed', task.requestId, failed)
     if (result.outcome === LinkOutcome.Replied && result.reply.kind === StageReplyKind.Failed)
       this.recordWastedCost(task, attempt, result.reply)
--- a/test/promises/results.test.ts
+++ b/test/promises/results.test.ts
@@ -183,6 +183,7 @@
     expect(answersOf(record).every(answer => answer.ran !== undefined)).toBe(true)
   })
 
+  // Guards against a call that was never written to a closed connection but made the answer say `unknown`.
   test('and is not given to a repeatable request whose last backend server is killed while it runs', async () => {
     await system.setServiceFaults('encoder', { slowFactor: 500 })
     await system.end('encoder-2', 'SIGKILL')
