A stage of a request that may have run waits for a backend server that may return

Callers saw: a repeatable request whose call is lost ends within milliseconds as 503 no-backend, `ran: unknown`, with most of its 20 s left, because the only other backend server is silent for a moment; it answered again 1.5 s after the send. Where earlier stages had run, `ran: part`.

Cause: an entry asks only which backend servers are available, not which are likely to return.

One of which nothing ran is rejected at once, as before: its caller can send it to another entry at no risk, and waiting requests cannot pile up, since only those in progress at the moment of the loss wait. A backend server whose connection was lost before the call was sent can be tried again, like one whose call was lost.

Ruled out: waiting also for processes that are known to have ended; nothing says that they are started again.

--- a/packages/daemon/src/process/membership/membership.ts
+++ b/packages/daemon/src/process/membership/membership.ts
@@ -79,8 +79,12 @@
 
   /** Returns the available backend servers that can serve a stage. */
   candidates(stage: PlannedStage): Member[] {
-    const pool = this.membersByService.get(stage.service) ?? []
-    return pool.filter(member => member.serves(stage) && member.state === MemberState.Available)
+    return this.findMembers(stage, MemberState.Available)
+  }
+
+  /** Whether a backend server that can serve a stage is silent, but its process is not known to have ended. */
+  mayReturn(stage: PlannedStage): boolean {
+    return this.findMembers(stage, MemberState.Silent).some(member => member.link.incarnation !== undefined)
   }
 
   /** Whether a plain service of this name is configured; callers cannot address other backend servers by path. */
@@ -114,6 +118,11 @@
       member.link.close()
   }
 
+  private findMembers(stage: PlannedStage, state: MemberState): Member[] {
+    const pool = this.membersByService.get(stage.service) ?? []
+    return pool.filter(member => member.serves(stage) && member.state === state)
+  }
+
   private removeUnwatched(watched: UsableObject<Backend>[]): void {
     const addresses = new Map(watched.map(({ name, value }) => [name, value.address]))
     for (const [name, member] of this.members) {
--- a/packages/daemon/src/request/stages/call-result.ts
+++ b/packages/daemon/src/request/stages/call-result.ts
@@ -8,8 +8,11 @@
 
 /** Whether a call definitely did not start: it was never sent, or the side refused it. */
 export function isProvablyNotRun(result: LinkResult): boolean {
-  if (result.outcome === LinkOutcome.NotSent)
-    return true
+  return result.outcome === LinkOutcome.NotSent || isRefused(result)
+}
+
+/** Whether the side refused the call. */
+export function isRefused(result: LinkResult): boolean {
   return result.outcome === LinkOutcome.Replied && result.reply.kind === StageReplyKind.Refused
 }
 
--- a/packages/daemon/src/request/stages/linked-backends.ts
+++ b/packages/daemon/src/request/stages/linked-backends.ts
@@ -20,4 +20,6 @@
   list: () => LinkedBackend[]
   /** Returns the available ones that can serve a stage. */
   candidates: (stage: PlannedStage) => LinkedBackend[]
+  /** Whether one that can serve a stage does not respond, but is not known to have ended. */
+  mayReturn: (stage: PlannedStage) => boolean
 }
--- a/packages/daemon/src/request/stages/stage-caller.ts
+++ b/packages/daemon/src/request/stages/stage-caller.ts
@@ -3,9 +3,9 @@
  * failed calls as decided by `stage-failure.ts`. Reports the result of each call
  * to ejection, the retry policy and metrics.
  *
- * `choice.ts`, `tried-backends.ts`, `stage-failure.ts` and `retry.ts` make the
- * decisions; `stage-attempt.ts` performs the call. Log events: `choose`, `done`,
- * `failed`; `eidermast explain` shows them.
+ * `choice.ts`, `tried-backends.ts`, `return-wait.ts`, `stage-failure.ts` and
+ * `retry.ts` make the decisions; `stage-attempt.ts` performs the call. Log events:
+ * `choose`, `wait-for-backend`, `done`, `failed`; `eidermast explain` shows them.
  *
  * State: none beyond the running stage; the policies have their own. If the
  * process dies, its running requests end when the callers' connections close.
@@ -23,10 +23,12 @@
 import type { StageAttempt } from './stage-attempt.js'
 import type { FailureDecision } from './stage-failure.js'
 import type { StageSuccess, StageTask } from './stage-task.js'
+import { wait } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
 import { LinkOutcome } from '../../connection/link-call.js'
 import { StageReplyKind } from '../../connection/messages.js'
 import { describeCause, isProvablyNotRun } from './call-result.js'
+import { shouldWaitForReturn } from './return-wait.js'
 import { sendAttempt } from './stage-attempt.js'
 import { createDeadlineError, createNoBackendError, decideOnFailure, FailureStep } from './stage-failure.js'
 import { describeProgress, hasEnded } from './stage-task.js'
@@ -46,6 +48,9 @@
   offset: () => number
 }
 
+/** Interval at which a waiting stage looks for a backend server; short compared with the time that a lost connection takes to reopen. */
+const RETURN_POLL_INTERVAL_MS = 20
+
 /** Runs stages of requests at one entry. */
 export class StageCaller {
   constructor(private readonly options: StageCallerOptions) {}
@@ -59,9 +64,9 @@
     for (let number = 1; ; number++) {
       if (hasEnded(task))
         return Err(createDeadlineError(describeProgress(task.progress)))
-      const backend = this.choose(task, tried, number)
+      const backend = this.choose(task, tried, number) ?? await this.awaitBackend(task, tried, number)
       if (!backend)
-        return Err(createNoBackendError(task.stage.name, latestRefusal, describeProgress(task.progress)))
+        return Err(this.createUnservedError(task, latestRefusal))
       const attempt = this.createAttempt(task, backend, number)
       const result = await sendAttempt(task, attempt)
       if (result.outcome === LinkOutcome.Replied && result.reply.kind === StageReplyKind.Done)
@@ -74,10 +79,39 @@
     }
   }
 
+  /** Creates the error of a stage without a backend server to call. Its request may have ended while it waited for one. */
+  private createUnservedError(task: StageTask, latestRefusal: RefusedReply | undefined): RequestError {
+    const ran = describeProgress(task.progress)
+    return hasEnded(task) ? createDeadlineError(ran) : createNoBackendError(task.stage.name, latestRefusal, ran)
+  }
+
+  /** Waits until a backend server returns; undefined if none does, or if the stage must not wait. */
+  private async awaitBackend(task: StageTask, tried: TriedBackends, attempt: number): Promise<LinkedBackend | undefined> {
+    const startedAt = performance.now()
+    const shouldWait = (): boolean => shouldWaitForReturn({
+      ran: describeProgress(task.progress),
+      mayReturn: this.options.membership.mayReturn(task.stage),
+      waitedMs: performance.now() - startedAt,
+      ended: hasEnded(task),
+    })
+    if (!shouldWait())
+      return undefined
+    this.options.decisions.record('wait-for-backend', task.requestId, { stage: task.stage.name, attempt, budgetMs: task.budgetMs() })
+    while (shouldWait() && this.findCandidates(task, tried).length === 0)
+      await wait(RETURN_POLL_INTERVAL_MS, task.signal)
+    return hasEnded(task) ? undefined : this.choose(task, tried, attempt)
+  }
+
+  /** Returns the backend servers that the stage can be tried on next. */
+  private findCandidates(task: StageTask, tried: TriedBackends): LinkedBackend[] {
+    const { membership, ejection } = this.options
+    return tried.select(ejection.filter(membership.candidates(task.stage)))
+  }
+
   private choose(task: StageTask, tried: TriedBackends, attempt: number): LinkedBackend | undefined {
-    const { membership, ejection, choice, failureDomain, decisions } = this.options
+    const { membership, choice, failureDomain, decisions } = this.options
     const available = membership.candidates(task.stage)
-    const candidates = tried.select(ejection.filter(available))
+    const candidates = this.findCandidates(task, tried)
     const context = { priority: task.priority, failureDomain, prefixKey: task.prefixKey }
     const chosen = candidates.length === 0 ? undefined : choice.choose(candidates, context)
     decisions.record('choose', task.requestId, {
--- a/packages/daemon/src/request/stages/tried-backends.ts
+++ b/packages/daemon/src/request/stages/tried-backends.ts
@@ -5,8 +5,8 @@
  * stage's earlier calls to them.
  *
  * Candidates that have not been tried come first. If there are none, those whose
- * call failed can be tried again, but never those that refused it or could not be
- * reached: a failure may be transient, whereas the reason for a refusal (full
+ * call failed or was not sent can be tried again, but never those that refused
+ * it: a lost connection may be open again, whereas the reason for a refusal (full
  * queue, leaving, wrong model) rarely changes within the lifetime of a request.
  *
  * Log event: `choose`, field `candidates`.
@@ -15,24 +15,24 @@
  */
 import type { LinkResult } from '../../connection/link-call.js'
 import type { LinkedBackend } from './linked-backends.js'
-import { isProvablyNotRun } from './call-result.js'
+import { isRefused } from './call-result.js'
 
 /** Tracks the backend servers on which a stage has been tried. */
 export class TriedBackends {
-  private readonly notRun = new Set<LinkedBackend>()
+  private readonly refused = new Set<LinkedBackend>()
   private readonly failed = new Set<LinkedBackend>()
 
   /** Records a failed call. */
   add(backend: LinkedBackend, result: LinkResult): void {
-    const group = isProvablyNotRun(result) ? this.notRun : this.failed
+    const group = isRefused(result) ? this.refused : this.failed
     group.add(backend)
   }
 
   /** Returns the candidates that can be tried next. */
   select(candidates: readonly LinkedBackend[]): LinkedBackend[] {
-    const untried = candidates.filter(candidate => !this.notRun.has(candidate) && !this.failed.has(candidate))
+    const untried = candidates.filter(candidate => !this.refused.has(candidate) && !this.failed.has(candidate))
     if (untried.length > 0)
       return untried
-    return candidates.filter(candidate => this.failed.has(candidate) && !this.notRun.has(candidate))
+    return candidates.filter(candidate => this.failed.has(candidate) && !this.refused.has(candidate))
   }
 }
