A gateway exits once its last log lines are written

Cause: EXIT_DELAY_MS, 30 ms, is a time, not the write, which waits for a thread on a busy machine and for the reader of a full pipe.

An exit flushes the log for at most 2 s, and after SIGTERM no longer than 100 ms before SIGKILL; a write that fails ends the wait.

--- a/packages/gateway/src/process/drain/drain-plan.ts
+++ b/packages/gateway/src/process/drain/drain-plan.ts
@@ -16,6 +16,8 @@
  * restart, so that several gateways would be away at the same time in a rolling
  * restart. A closed listener helps only if the next connection reaches another
  * gateway.
+ * The process exits once its log lines are written, and no later than
+ * EXIT_MARGIN_MS before SIGKILL.
  * Log events: `stop`, `stopped`.
  */
 
@@ -44,6 +46,15 @@
 /** Time to write the last log lines before SIGKILL; requests that are still unanswered are cut off this much earlier. */
 const END_MARGIN_MS = 400
 
+/**
+ * Maximum time to write the last log lines. Covers a reader that is late by a
+ * second or two; one that hangs delays the exit by this much.
+ */
+export const MAX_LOG_FLUSH_MS = 2000
+
+/** Time for the process to exit after the last log lines, before SIGKILL. */
+const EXIT_MARGIN_MS = 100
+
 /** The steps of a shutdown, in order. */
 export enum DrainStep {
   Serve = 'serve',
@@ -72,6 +83,11 @@
   return gracePeriodMs - END_MARGIN_MS
 }
 
+/** Time to write the last log lines, `elapsedMs` after SIGTERM. */
+export function logFlushTimeoutMs(elapsedMs: number, gracePeriodMs: number): number {
+  return Math.max(0, Math.min(MAX_LOG_FLUSH_MS, gracePeriodMs - EXIT_MARGIN_MS - elapsedMs))
+}
+
 /** Decides the current step of a shutdown. */
 export function decideDrainStep({ elapsedMs, activeRequests, gracePeriodMs, othersServe }: DrainState): DrainStep {
   const mayEnd = elapsedMs >= (othersServe ? DRAIN_CLOSE_MS : DRAIN_SERVE_ALONE_MS)
