--- a/test/platform/gateway-exit.test.ts
+++ b/test/platform/gateway-exit.test.ts
@@ -108,3 +108,20 @@
     expect(performance.now() - stoppedAt).toBeLessThan(GRACE_PERIOD_MS)
   })
 })
+
+describe('a gateway process that receives SIGTERM', () => {
+  test.each<[string, number[]]>([
+    ['repeatedly while it stops', [0, 50, 1000]],
+    ['in quick succession', [0, 0, 0]],
+  ])('%s stops gracefully once', async (_name, delays) => {
+    await startListening()
+    for (const delayMs of delays) {
+      await delay(delayMs)
+      child.kill('SIGTERM')
+    }
+    expect(await exited).toEqual([0, null])
+    const log = pipe.read()
+    expect(log.match(/"event":"stop"/g)).toHaveLength(1)
+    expect(log.match(/"event":"stopped"/g)).toHaveLength(1)
+  })
+})
