A gateway's call without a connection counts as not sent, whatever the error

Callers saw: by reading; a request whose connection to a backend server cannot be established ends as 502 outcome-unknown if the error is none of a list of codes (ETIMEDOUT, ECONNRESET, EPIPE, ENOTFOUND), although nothing of it was sent; one that may not be repeated is not tried elsewhere.

Evidence: the four rows of gateway/work-call fail without the change, since ConnectionFailedError is not raised; the row of a connection that is reset after the first byte, and that of an abandoned call, hold on both.

Change: WorkCall knows whether the first byte was about to be written. A call that fails before is rejected with ConnectionFailedError, which counts as not sent for requests and for stage calls.

--- a/packages/gateway/src/connection/backends/work-call.ts
+++ b/packages/gateway/src/connection/backends/work-call.ts
@@ -15,8 +15,9 @@
 import type { Dispatcher } from 'undici'
 import type { Backend } from './backend.js'
 import type { IntakeGate } from './intake-gate.js'
+import { formatError } from '@eidermast/common'
 import { DecoratorHandler } from 'undici'
-import { CALL_NOT_SENT_CODE } from '../error-codes.js'
+import { CALL_NOT_SENT_CODE, CONNECTION_FAILED_CODE } from '../error-codes.js'
 
 /** A call that was rejected before its first byte was sent. */
 export class CallNotSentError extends Error {
@@ -32,6 +33,16 @@
   }
 }
 
+/** A call whose connection could not be established, whatever the reason: its first byte was not sent. */
+export class ConnectionFailedError extends Error {
+  readonly code = CONNECTION_FAILED_CODE
+
+  constructor(cause: unknown) {
+    super(`the connection failed before the call was sent: ${formatError(cause)}`, { cause })
+    this.name = 'ConnectionFailedError'
+  }
+}
+
 /** undici's request options with a mandatory signal that aborts the call. */
 export type WorkOptions = Dispatcher.RequestOptions & { signal: AbortSignal }
 
@@ -70,8 +81,8 @@
   }
 
   /**
-   * Sends the call through a pool; rejects like undici's `request`, or with a
-   * `CallNotSentError`. A call that is rejected here also rejects in the pool
+   * Sends the call through a pool; rejects like undici's `request`, with a
+   * `ConnectionFailedError`, or with a `CallNotSentError`. A call that is rejected here also rejects in the pool
    * when it reaches the head of the queue; `Promise.race` handles that rejection.
    */
   async send(pool: Dispatcher, options: WorkOptions): Promise<Dispatcher.ResponseData> {
@@ -84,6 +95,9 @@
     try {
       return await Promise.race([guarded.request(options), rejection])
     }
+    catch (error) {
+      throw this.waiting ? new ConnectionFailedError(error) : error
+    }
     finally {
       options.signal.removeEventListener('abort', abandon)
       this.endWait()
--- a/packages/gateway/src/connection/error-codes.ts
+++ b/packages/gateway/src/connection/error-codes.ts
@@ -6,6 +6,9 @@
 /** Code of the error for a call that this process rejected before sending its first byte. */
 export const CALL_NOT_SENT_CODE = 'ERR_CALL_NOT_SENT'
 
+/** Code of the error for a call whose connection failed before its first byte was sent. */
+export const CONNECTION_FAILED_CODE = 'ERR_CONNECTION_FAILED'
+
 /** Codes of errors that occur before the first byte of a request is sent: no connection could be established, or the pool is closed. */
 const NOT_SENT_CODES = new Set([
   'ECONNREFUSED',
@@ -17,6 +20,7 @@
   'UND_ERR_DESTROYED',
   'UND_ERR_CLOSED',
   CALL_NOT_SENT_CODE,
+  CONNECTION_FAILED_CODE,
 ])
 
 /** The code of an error; undefined if it has none. */
--- /dev/null
+++ b/test/gateway/work-call.test.ts
@@ -0,0 +1,52 @@
+import type { Server } from 'node:net'
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import { CallNotSentError, ConnectionFailedError, WorkCall } from '@eidermast/gateway'
+import { Pool } from 'undici'
+import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { createBackend } from './support/fakes.js'
+
+const OBSERVER = { waitingChanged: () => {}, started: () => {}, rejected: () => {} }
+const INTAKE = { waitMs: () => 0, recordSent: () => {}, handleResponse: () => {} }
+
+let server: Server
+let origin: string
+
+beforeEach(async () => {
+  server = createServer(socket => socket.once('data', () => socket.resetAndDestroy())).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as { port: number }
+  origin = `http://127.0.0.1:${port}`
+})
+
+afterEach(() => {
+  server.close()
+})
+
+/** Sends a call through a pool and returns its error. */
+async function sendAndFail(pool: Pool, signal = new AbortController().signal): Promise<unknown> {
+  const call = new WorkCall(createBackend(), OBSERVER, INTAKE, () => {})
+  const error = await call.send(pool, { method: 'GET', path: '/', signal }).catch((reason: unknown) => reason)
+  await pool.destroy()
+  return error
+}
+
+describe('a call to a backend server', () => {
+  // Guards against requests that may have run, according to the answer, although no connection was ever established.
+  test.each(['ECONNRESET', 'ETIMEDOUT', 'EPIPE', 'ENOTFOUND'])('was not sent if its connection cannot be established, also with %s', async (code) => {
+    const pool = new Pool(origin, { connect: (_, callback) => callback(Object.assign(new Error('no connection'), { code }), null) })
+    expect(await sendAndFail(pool)).toBeInstanceOf(ConnectionFailedError)
+  })
+
+  test('may have run if the connection is reset after its first byte was sent', async () => {
+    const error = await sendAndFail(new Pool(origin))
+    expect(error).toBeInstanceOf(Error)
+    expect(error).not.toBeInstanceOf(ConnectionFailedError)
+    expect(error).not.toBeInstanceOf(CallNotSentError)
+  })
+
+  test('is abandoned, not failed, if it is aborted while it waits for a connection', async () => {
+    const pool = new Pool(origin, { connect: () => {} })
+    expect(await sendAndFail(pool, AbortSignal.timeout(10))).toBeInstanceOf(CallNotSentError)
+  })
+})
