An entry asks another one again when the connection of its question is lost

Callers saw: by reading; a request under a ticket of another entry, or with a claim of another one, ends as outcome-unknown if the connection between the two is lost while the answer is awaited, although the entry that runs it is alive and can be asked; likewise `unknown` where the proof that nothing ran needs the answer of an entry whose connection was just lost.

Cause: EntryPeers made each call once. `unknown` was said for a lack of looking.

Change: a call whose connection is lost is made once more on a new one, within the same time limit. Questions have no effect; a forwarded request is joined with the first submission by the incarnation that it is addressed to, and another incarnation never gets it. A call that times out on an open connection is not repeated.

--- a/packages/daemon/src/connection/entry-peers.ts
+++ b/packages/daemon/src/connection/entry-peers.ts
@@ -2,11 +2,13 @@
  * An entry's connections to other entries, opened on first use and kept until
  * they are lost. Owns them for the lifetime of the process. No periodic
  * heartbeats are sent on them: a frozen entry is detected when a query to it
- * times out.
+ * times out. A call whose connection is lost is sent once more on a new one: a
+ * query has no effect, and the incarnation that a request is forwarded to joins
+ * it with the first submission.
  */
 import type { Configuration, ConfigurationDifference } from '../version/configuration.js'
 import type { ForwardedRequest, HeartbeatReply, OutcomeQuery, OutcomeReply } from './messages.js'
-import type { EntryClient, PeerConnection } from './peer-connection.js'
+import type { CallResult, EntryClient, PeerConnection } from './peer-connection.js'
 import { createLogger } from '@eidermast/common'
 import { ObjectKind } from '../version/objects.js'
 import { differenceSchema, heartbeatReplySchema, outcomeReplySchema } from './messages.js'
@@ -45,6 +47,9 @@
  */
 const DIFFERENCE_TIMEOUT_MS = 5000
 
+/** Attempts of one call, including the first. A second lost connection is not an accident of the moment. */
+const MAX_ATTEMPTS = 2
+
 /** State of a forwarded request. */
 export enum ForwardState {
   Answered = 'answered',
@@ -82,14 +87,11 @@
 
   /** Forwards a request to the only process incarnation that may run it, and waits until the request's deadline. */
   async forward(address: string, incarnation: string, request: ForwardedRequest): Promise<ForwardResult> {
-    const peer = await this.connect(address)
-    if (peer?.heartbeat.incarnation !== incarnation)
+    const isTarget = (peer: ConnectedPeer): boolean => peer.heartbeat.incarnation === incarnation
+    const result = await this.call(address, client => client.forward.mutate(request), request.deadlineMs, isTarget)
+    if (!result)
       return { state: ForwardState.Unreachable, answer: '' }
-    const result = await callPeer(peer.connection, client => client.forward.mutate(request), request.deadlineMs)
-    if (result.state === CallState.Answered)
-      return { state: ForwardState.Answered, answer: result.value }
-    log('entry-unanswered', { address, error: result.message })
-    return { state: ForwardState.Lost, answer: '' }
+    return result.state === CallState.Answered ? { state: ForwardState.Answered, answer: result.value } : { state: ForwardState.Lost, answer: '' }
   }
 
   close(): void {
@@ -97,16 +99,40 @@
       void peer.then(connected => connected?.connection.close())
   }
 
-  /** Returns the unvalidated reply of an entry. Logs the reason and returns undefined if there is none. */
+  /** Returns the unvalidated reply of an entry; undefined if there is none. */
   private async query(address: string, call: (client: EntryClient) => Promise<unknown>, timeoutMs: number): Promise<unknown> {
-    const peer = await this.connect(address)
-    if (!peer)
-      return undefined
-    const result = await callPeer(peer.connection, call, timeoutMs)
-    if (result.state === CallState.Answered)
-      return result.value
-    log('entry-unanswered', { address, error: result.message })
-    return undefined
+    const result = await this.call(address, call, timeoutMs)
+    return result?.state === CallState.Answered ? result.value : undefined
+  }
+
+  /**
+   * Makes a call within a timeout, once more if its connection is lost. Logs why it
+   * was not answered. Returns undefined if the entry cannot be reached or is not
+   * the target, and then nothing was sent.
+   */
+  private async call<Value>(
+    address: string,
+    call: (client: EntryClient) => Promise<Value>,
+    timeoutMs: number,
+    isTarget: (peer: ConnectedPeer) => boolean = () => true,
+  ): Promise<CallResult<Value> | undefined> {
+    const deadlineAt = performance.now() + timeoutMs
+    let result: CallResult<Value> | undefined
+    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+      const peer = await this.connect(address)
+      const remainingMs = deadlineAt - performance.now()
+      if (!peer || !isTarget(peer) || remainingMs <= 0)
+        return result
+      result = await callPeer(peer.connection, call, remainingMs)
+      if (result.state === CallState.Answered)
+        return result
+      log('entry-unanswered', { address, attempt, error: result.message })
+      if (peer.connection.isOpen())
+        return result
+      // The next attempt must not use this connection, which may still be closing.
+      peer.connection.close()
+    }
+    return result
   }
 
   private connect(address: string): Promise<ConnectedPeer | undefined> {
