--- a/test/soak/support/gateway-child.ts
+++ b/test/soak/support/gateway-child.ts
@@ -5,7 +5,7 @@
 import type { ChildProcess } from 'node:child_process'
 import type { SettingsOptions } from '../../platform/support/gateway-settings.js'
 import { spawn } from 'node:child_process'
-import { createWriteStream, writeFileSync } from 'node:fs'
+import { createWriteStream, readFileSync, writeFileSync } from 'node:fs'
 import path from 'node:path'
 import { request } from 'undici'
 import { createSettings, freePorts } from '../../platform/support/gateway-settings.js'
@@ -13,6 +13,12 @@
 /** Bundle built from this checkout. */
 const CURRENT_BUNDLE = path.resolve('target/eidermast-gateway.mjs')
 
+/** A signal to a process that is already terminating. */
+export interface TimedSignal {
+  afterMs: number
+  signal: NodeJS.Signals
+}
+
 /** A gateway; every start uses new ports. */
 export class GatewayChild {
   /** Bundle that the next started process runs. */
@@ -27,12 +33,16 @@
 
   constructor(private readonly name: string, private readonly storeAddress: string, private readonly directory: string, private readonly options: SettingsOptions = {}) {}
 
+  private get logFile(): string {
+    return path.join(this.directory, `${this.name}.log`)
+  }
+
   async start(): Promise<void> {
     const ports = await freePorts()
     const settings = path.join(this.directory, `${this.name}.ini`)
     writeFileSync(settings, createSettings(this.name, ports, this.storeAddress, this.options))
     const child = spawn(process.execPath, [this.bundle], { env: { ...process.env, EIDERMAST_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
-    const log = createWriteStream(path.join(this.directory, `${this.name}.log`), { flags: 'a' })
+    const log = createWriteStream(this.logFile, { flags: 'a' })
     child.stdout.pipe(log)
     child.stderr.pipe(log)
     this.exited = new Promise(resolve => child.once('exit', () => resolve()))
@@ -47,20 +57,28 @@
     return this.replace('SIGTERM')
   }
 
+  /** Returns what all its processes have logged. */
+  readLog(): string {
+    return readFileSync(this.logFile, 'utf8')
+  }
+
   /** Sends a signal to the current process. */
   signal(signal: NodeJS.Signals): void {
     this.child?.kill(signal)
   }
 
-  /** Terminates the process with a signal and starts a new one. */
-  replace(signal: NodeJS.Signals): Promise<void> {
-    this.replacements = this.replacements.then(() => this.replaceNow(signal))
+  /** Terminates the process with a signal and starts a new one. Sends the further signals to the terminating process. */
+  replace(signal: NodeJS.Signals, further: readonly TimedSignal[] = []): Promise<void> {
+    this.replacements = this.replacements.then(() => this.replaceNow(signal, further))
     return this.replacements
   }
 
-  private async replaceNow(signal: NodeJS.Signals): Promise<void> {
+  private async replaceNow(signal: NodeJS.Signals, further: readonly TimedSignal[]): Promise<void> {
+    const { child } = this
     this.signal('SIGCONT')
     this.signal(signal)
+    for (const { afterMs, signal: furtherSignal } of further)
+      setTimeout(() => child?.kill(furtherSignal), afterMs)
     await this.exited
     await this.start()
   }
