A set-up of two gateways that fails says what each gateway has logged

It now carries the events of both gateways: when each announced itself, listed the other, and counted as slow. No check or bound is changed.

--- a/test/platform/gateways.test.ts
+++ b/test/platform/gateways.test.ts
@@ -3,7 +3,7 @@
 import { wait } from '@eidermast/common'
 import { request } from 'undici'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
-import { startGateway } from './support/in-process-gateway.js'
+import { describeEvents, startGateway } from './support/in-process-gateway.js'
 import { StandInBackend, streamEvents } from './support/stand-in-backend.js'
 import { makeStageResults, STAGE_LIMITS } from './support/stand-in-stages.js'
 import { StandInStore, StoreFault } from './support/stand-in-store.js'
@@ -55,9 +55,9 @@
   gateways.push(await startGateway('gateway-b', address))
   await vi.waitFor(() => {
     for (const { gateway } of gateways) {
-      expect(gateway.registry.size).toBe(2)
-      expect(gateway.members.count).toBe(2)
-      expect(gateway.members.coordinator.name).toBe('gateway-a')
+      expect(gateway.registry.size, describeEvents(gateways)).toBe(2)
+      expect(gateway.members.count, describeEvents(gateways)).toBe(2)
+      expect(gateway.members.coordinator.name, describeEvents(gateways)).toBe('gateway-a')
     }
   })
 })
--- a/test/platform/support/in-process-gateway.ts
+++ b/test/platform/support/in-process-gateway.ts
@@ -1,6 +1,7 @@
 /**
  * Starts gateways inside the test process, connected to a stand-in store.
  */
+import type { LogFields } from '@eidermast/common'
 import { Gateway, parseGatewaySettings } from '@eidermast/gateway'
 import { createAdapter } from '@eidermast/platform'
 import { createLog } from '../../gateway/support/fakes.js'
@@ -12,14 +13,21 @@
   /** URL for clients. */
   address: string
   readiness: string
+  /** The events that it has logged. */
+  events: LogFields[]
+}
+
+/** Formats what each gateway has logged, for the message of a failed check. */
+export function describeEvents(gateways: readonly StartedGateway[]): string {
+  return gateways.map(({ events }) => events.map(event => JSON.stringify(event)).join('\n')).join('\n\n')
 }
 
 /** Starts a gateway on free ports. */
 export async function startGateway(name: string, storeAddress: string): Promise<StartedGateway> {
   const ports = await freePorts()
   const settings = parseGatewaySettings(createSettings(name, ports, storeAddress)).unwrap()
-  const { log } = createLog()
+  const { log, lines: events } = createLog()
   const gateway = new Gateway(settings, createAdapter(settings.platform, log).unwrap(), log)
   await gateway.start()
-  return { gateway, address: `http://127.0.0.1:${ports.clients}`, readiness: `http://127.0.0.1:${ports.readiness}` }
+  return { gateway, address: `http://127.0.0.1:${ports.clients}`, readiness: `http://127.0.0.1:${ports.readiness}`, events }
 }
