A daemon exits once its last log lines are written, and bounds the log in memory

Engineers on call saw: with a reader of the log that is late, the last lines of a daemon's graceful stop are missing; by reading, a reader that hangs makes the process keep all later lines in memory.

`debug` writes to Node's stream of standard error, which buffers without limit what a full pipe does not take, and process.exit discards the buffer.

Change: the daemon's log goes through DescriptorWriter, which counts what exceeds its 256 KB, and every exit flushes it for at most 2 s: after a stop, after a failed start, and after an unexpected error, which is logged with its stack. The writer has a module of its own; the gateway's use of it is unchanged.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,9 +1,10 @@
-export * from './duration-window.js'
 /**
  * Code shared by both programs, the platform adapter and the tools: errors,
  * outlier ejection, logging, sliding windows of durations, settings files and
  * timeouts. It depends on none of them.
  */
+export * from './descriptor-writer.js'
+export * from './duration-window.js'
 export * from './ejection.js'
 export * from './errors.js'
 export * from './event-log.js'
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -2,6 +2,8 @@
  * Structured debug logging: one line of key=value pairs for each decision, in
  * `debug` namespaces that start with `eidermast:`.
  */
+import type { LineWriter } from './descriptor-writer.js'
+import { format } from 'node:util'
 import createDebug from 'debug'
 
 export type LogValue = string | number | boolean | undefined
@@ -32,6 +34,11 @@
   createDebug.enable(namespaces)
 }
 
+/** Writes all debug logs of the process to a writer instead of standard error. */
+export function redirectLogs(writer: LineWriter): void {
+  createDebug.log = (...parameters: unknown[]) => writer.write(format(...parameters))
+}
+
 /** Formats one log line; empty values and values with white space, quotes or equals signs are quoted as JSON. */
 export function formatLine(event: string, fields: LogFields): string {
   const parts = [`event=${event}`]
--- a/packages/daemon/src/eidermastd.ts
+++ b/packages/daemon/src/eidermastd.ts
@@ -2,15 +2,13 @@
  * Command-line entry point of the daemon.
  */
 import process from 'node:process'
-import { formatError, formatSettingsError } from '@eidermast/common'
+import { formatSettingsError } from '@eidermast/common'
 import { Command } from 'commander'
 import { runDaemon } from './process/run-daemon.js'
 import { loadSettings } from './process/settings.js'
 
 /** Exit code for invalid settings or arguments. */
 const EXIT_BAD_INPUT = 2
-/** Exit code if the daemon fails to start. */
-const EXIT_FAILED = 1
 
 interface DaemonOptions {
   settings: string
@@ -38,11 +36,5 @@
     console.log('the settings are good')
     return
   }
-  try {
-    await runDaemon(settings.value)
-  }
-  catch (error) {
-    console.error(`eidermastd could not start: ${formatError(error)}`)
-    process.exit(EXIT_FAILED)
-  }
+  await runDaemon(settings.value)
 }
