--- a/test/promises/mixed-faults.test.ts
+++ b/test/promises/mixed-faults.test.ts
@@ -3,6 +3,7 @@
 import { DeploymentName, LogOutage, ProcessKind, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
 import { afterAll, afterEach, beforeAll, describe, expect, test } from 'vitest'
+import { readSeeds } from '../soak/support/soak-seeds.js'
 import { CallerRecord } from '../support/oracle.js'
 
 const PIPELINES = [
@@ -148,7 +149,7 @@
 }
 
 describe('under mixed faults, sequential and concurrent', () => {
-  test.each([1, 2, 3, 4, 5, 6])('no result is lost, duplicated or returned to another caller, and "not run" means that nothing ran (seed %i)', async (seed) => {
+  test.each(readSeeds([1, 2, 3, 4, 5, 6]))('no result is lost, duplicated or returned to another caller, and "not run" means that nothing ran (seed %i)', async (seed) => {
     const run = new FaultRun(seed)
     await run.run()
     await system.recover()
--- a/test/soak/support/soak-seeds.ts
+++ b/test/soak/support/soak-seeds.ts
@@ -8,10 +8,10 @@
 /** Seeds for CI runs; for manual runs `SOAK_SEEDS=100-149` sets a range of others. */
 const DEFAULT_SEEDS = [1, 2]
 
-/** Returns the seeds to run. */
-export function readSeeds(): number[] {
+/** Returns the seeds to run; `defaults` are those of CI. */
+export function readSeeds(defaults = DEFAULT_SEEDS): number[] {
   const [first, last] = (process.env.SOAK_SEEDS ?? '').split('-').map(Number)
-  return first > 0 ? Array.from({ length: (last || first) - first + 1 }, (_, index) => first + index) : DEFAULT_SEEDS
+  return first > 0 ? Array.from({ length: (last || first) - first + 1 }, (_, index) => first + index) : defaults
 }
 
 /** Creates a deterministic random number generator from a seed. */
