--- a/packages/common/src/descriptor-writer.ts
+++ b/packages/common/src/descriptor-writer.ts
@@ -12,6 +12,11 @@
   write: (line: string) => void
 }
 
+/**
+ * Maximum time for an exiting process to write its last lines. Covers a reader
+ * that is late by a second or two; one that hangs delays the exit by this much.
+ */
+export const MAX_LOG_FLUSH_MS = 2000
 /**
  * Characters buffered during a write. Holds the lines of a burst, and limits the
  * memory used while the reader hangs.
--- a/packages/daemon/src/connection/entry-peers.ts
+++ b/packages/daemon/src/connection/entry-peers.ts
@@ -47,7 +47,7 @@
  */
 const DIFFERENCE_TIMEOUT_MS = 5000
 
-/** Attempts of one call, including the first. A second lost connection is not an accident of the moment. */
+/** Attempts of one call, including the first. Limits the time spent on an entry whose connections keep failing. */
 const MAX_ATTEMPTS = 2
 
 /** State of a forwarded request. */
@@ -91,7 +91,9 @@
     const result = await this.call(address, client => client.forward.mutate(request), request.deadlineMs, isTarget)
     if (!result)
       return { state: ForwardState.Unreachable, answer: '' }
-    return result.state === CallState.Answered ? { state: ForwardState.Answered, answer: result.value } : { state: ForwardState.Lost, answer: '' }
+    if (result.state !== CallState.Answered)
+      return { state: ForwardState.Lost, answer: '' }
+    return { state: ForwardState.Answered, answer: result.value }
   }
 
   close(): void {
--- a/packages/daemon/src/process/run-daemon.ts
+++ b/packages/daemon/src/process/run-daemon.ts
@@ -6,7 +6,7 @@
 import type { Daemon } from './daemon.js'
 import type { Settings } from './settings.js'
 import process from 'node:process'
-import { createLogger, DescriptorWriter, enableLogs, formatError, redirectLogs } from '@eidermast/common'
+import { createLogger, DescriptorWriter, enableLogs, formatError, MAX_LOG_FLUSH_MS, redirectLogs } from '@eidermast/common'
 import { Entry } from './entry/entry.js'
 import { ProcessRole } from './settings.js'
 import { Side } from './side/side.js'
@@ -15,8 +15,6 @@
 
 /** Exit code if the daemon fails to start, if its graceful stop fails, or after an unexpected error. */
 const EXIT_FAILED = 1
-/** Maximum time to write the last log lines. Covers a reader that is late by a second or two; one that hangs delays the exit by this much. */
-const MAX_LOG_FLUSH_MS = 2000
 
 function startDaemon(settings: Settings): Promise<Daemon> {
   return settings.process.role === ProcessRole.Entry ? Entry.start(settings) : Side.start(settings)
@@ -26,20 +24,16 @@
 export async function runDaemon(settings: Settings): Promise<void> {
   // Node makes a pipe non-blocking when its stream is created, which DescriptorWriter requires.
   const writer = new DescriptorWriter(process.stderr.fd)
-  const exit = async (code: number): Promise<void> => {
-    await writer.flush(MAX_LOG_FLUSH_MS)
-    process.exit(code)
-  }
   redirectLogs(writer)
   enableLogs(settings.log.namespaces)
   process.on('unhandledRejection', error => log('unhandled', { error: formatError(error) }))
   process.on('uncaughtException', (error) => {
     writer.write(`eidermastd failed: ${error.stack ?? error.message}`)
-    void exit(EXIT_FAILED)
+    void flushAndExit(writer, EXIT_FAILED)
   })
   try {
     const daemon = await startDaemon(settings)
-    const stopOnce = createStopHandler(daemon, code => void exit(code))
+    const stopOnce = createStopHandler(daemon, code => void flushAndExit(writer, code))
     process.on('SIGTERM', stopOnce)
     process.on('SIGINT', stopOnce)
     process.stdout.write(`${JSON.stringify(daemon.info)}\n`)
@@ -47,10 +41,15 @@
   }
   catch (error) {
     writer.write(`eidermastd could not start: ${formatError(error)}`)
-    await exit(EXIT_FAILED)
+    await flushAndExit(writer, EXIT_FAILED)
   }
 }
 
+async function flushAndExit(writer: DescriptorWriter, code: number): Promise<void> {
+  await writer.flush(MAX_LOG_FLUSH_MS)
+  process.exit(code)
+}
+
 /**
  * Creates the handler for stop signals. It stops the daemon on the first signal,
  * ignores further ones, and then exits the process, even if the stop fails.
--- a/packages/gateway/src/process/drain/drain-plan.ts
+++ b/packages/gateway/src/process/drain/drain-plan.ts
@@ -20,6 +20,7 @@
  * EXIT_MARGIN_MS before SIGKILL.
  * Log events: `stop`, `stopped`.
  */
+import { MAX_LOG_FLUSH_MS } from '@eidermast/common'
 
 /**
  * Time from SIGTERM during which new requests are served: two missed checks of
@@ -46,12 +47,6 @@
 /** Time to write the last log lines before SIGKILL; requests that are still unanswered are cut off this much earlier. */
 const END_MARGIN_MS = 400
 
-/**
- * Maximum time to write the last log lines. Covers a reader that is late by a
- * second or two; one that hangs delays the exit by this much.
- */
-export const MAX_LOG_FLUSH_MS = 2000
-
 /** Time for the process to exit after the last log lines, before SIGKILL. */
 const EXIT_MARGIN_MS = 100
 
--- a/packages/gateway/src/process/process-lifecycle.ts
+++ b/packages/gateway/src/process/process-lifecycle.ts
@@ -7,7 +7,8 @@
  * itself only through this class, except for invalid settings.
  */
 import type { Gateway } from './gateway.js'
-import { logFlushTimeoutMs, MAX_LOG_FLUSH_MS } from './drain/drain-plan.js'
+import { MAX_LOG_FLUSH_MS } from '@eidermast/common'
+import { logFlushTimeoutMs } from './drain/drain-plan.js'
 
 /** Exit codes (docs/OPERATIONS.md). */
 export enum ExitCode {
--- a/test/gateway/process-lifecycle.test.ts
+++ b/test/gateway/process-lifecycle.test.ts
@@ -1,4 +1,5 @@
-import { ExitCode, logFlushTimeoutMs, MAX_LOG_FLUSH_MS, ProcessLifecycle } from '@eidermast/gateway'
+import { MAX_LOG_FLUSH_MS } from '@eidermast/common'
+import { ExitCode, logFlushTimeoutMs, ProcessLifecycle } from '@eidermast/gateway'
 import { describe, expect, test, vi } from 'vitest'
 
 const GRACE_PERIOD_MS = 8000
