Logs name the software version of the backend server of each attempt, and which stream a client resumes

Change: both are decoded; `backend-added` and `route` have `version`, `route` also `resumes` and `lastEventId`. `eidermast explain ID` shows the requests that resume the stream ID. No decision changes.

--- a/packages/command-line/src/request-timeline.ts
+++ b/packages/command-line/src/request-timeline.ts
@@ -2,7 +2,8 @@
  * Reconstructs the timeline of one request from structured gateway logs: one
  * JSON object per line, after an optional prefix that a log collector added.
  * Every line must have the fields `time`, `event` and `process`; `request` or
- * `requests` (comma-separated ids) identify the requests that it is about. All
+ * `requests` (comma-separated ids) identify the requests that it is about, and
+ * `resumes` the one whose stream they resume. All
  * other fields are printed unchanged, except the failure domain
  * (`failureDomain`; `zone` in logs of older releases), which is the same in all
  * lines of a process. Only the lines of the request are kept in memory.
@@ -57,10 +58,10 @@
   }
 }
 
-/** Whether a line is about a request, either alone or as part of a batched call. */
+/** Whether a line is about a request: alone, as part of a batched call, or as the one whose stream another request resumes. */
 function mentionsRequest(line: LogLine, requestId: string): boolean {
-  const { request, requests } = line.fields
-  return request === requestId || (typeof requests === 'string' && requests.split(',').includes(requestId))
+  const { request, requests, resumes } = line.fields
+  return request === requestId || resumes === requestId || (typeof requests === 'string' && requests.split(',').includes(requestId))
 }
 
 /** Collects the log lines about a request. */
--- a/packages/gateway/src/connection/backends/backend.ts
+++ b/packages/gateway/src/connection/backends/backend.ts
@@ -15,6 +15,8 @@
   /** `IP:PORT`; may be reused by another backend server later. */
   address: string
   failureDomain: string
+  /** Version of its software; undefined if its entry names none. */
+  softwareVersion?: string
   /** Number of requests that it processes concurrently. */
   capacity: number
   /** It is leaving and is sent no new work. */
@@ -141,6 +143,11 @@
     return this.record.service
   }
 
+  /** Version of its software; undefined if it is not known. */
+  get softwareVersion(): string | undefined {
+    return this.record.softwareVersion
+  }
+
   get failureDomain(): string {
     return this.record.failureDomain
   }
--- a/packages/gateway/src/connection/clients/client-codec.ts
+++ b/packages/gateway/src/connection/clients/client-codec.ts
@@ -28,6 +28,8 @@
   stageKey: string
   /** The client resumes its stream after this event. */
   lastEventId: string | undefined
+  /** Id of the client's request that brought the first event of the stream that it resumes; undefined if it names none. */
+  resumedRequestId: string | undefined
   /** Headers to forward to the backend server. */
   headers: HeaderList
 }
--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -111,8 +111,8 @@
     this.log.write('stage-division', { shards, members })
   }
 
-  backendAdded({ id, service, failureDomain, address, draining }: BackendRecord): void {
-    this.log.write('backend-added', { backend: id, service, failureDomain, address, draining })
+  backendAdded({ id, service, softwareVersion, failureDomain, address, draining }: BackendRecord): void {
+    this.log.write('backend-added', { backend: id, service, version: softwareVersion, failureDomain, address, draining })
   }
 
   /** A backend server is cold for `coldMs` milliseconds: it has just started, or reports it itself. */
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -195,7 +195,7 @@
     const { request, clientResponse, signal } = this.subject
     this.tried.add(backend.id)
     const estimate = this.dependencies.estimator?.estimate(backend, performance.now())
-    this.dependencies.log.attemptStarted({ request, backend, attempt: this.history.attempts, remainingMs: this.remainingMs(), estimate })
+    this.dependencies.log.attemptStarted({ request, backend, attempt: this.history.attempts, lastEventId: this.lastEventId, remainingMs: this.remainingMs(), estimate })
     const attempt = new BackendAttempt({ client: this.dependencies.client, backend, request, clientResponse, onEvent: (id) => {
       this.recordSpeedOfFirstEvent(backend, performance.now() - startedAt, estimate)
       this.recordEvent(id)
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -16,6 +16,8 @@
   backend: Backend
   /** 0 for the first attempt. */
   attempt: number
+  /** The stream goes on after this event; undefined if it begins. */
+  lastEventId?: string
   /** Milliseconds until the request's deadline. */
   remainingMs: number
   /** What was expected of the backend server; undefined if nothing is estimated. */
@@ -61,14 +63,17 @@
   constructor(private readonly log: EventLog) {}
 
   /** Logs the selected backend server with what was known about it, and how old that information was. */
-  attemptStarted({ request, backend, attempt, remainingMs, estimate }: AttemptStart): void {
+  attemptStarted({ request, backend, attempt, lastEventId, remainingMs, estimate }: AttemptStart): void {
     this.log.write('route', {
       request: request.head.requestId,
       fingerprint: request.fingerprint,
       service: request.service,
       backend: backend.id,
+      version: backend.softwareVersion,
       failureDomain: backend.failureDomain,
       attempt,
+      resumes: request.head.resumedRequestId,
+      lastEventId,
       outstanding: backend.outstanding,
       running: backend.load?.running,
       limitPerSecond: backend.intake.limitPerSecond,
--- a/test/command-line/request-timeline.test.ts
+++ b/test/command-line/request-timeline.test.ts
@@ -51,6 +51,11 @@
 })
 
 describe('the timeline of a request', () => {
+  test('contains the lines of a request that resumes its stream', async () => {
+    const resumed = JSON.stringify({ ...COMMON, time: '2026-12-02T10:00:03.000Z', event: 'route', request: 'id-7', resumes: 'id-1', version: 'v1' })
+    expect((await readTimeline('id-1', texts(REFUSED, OTHER, resumed))).lines.map(({ event }) => event)).toEqual(['request-ended', 'route'])
+  })
+
   test('contains only the lines that name it, alone or in a batched call, sorted by time', async () => {
     const timeline = await readTimeline('id-1', texts(CALL, REFUSED, OTHER, 'noise', '', ADMISSION))
     expect(timeline).toMatchObject({ read: 5, skipped: 1 })
--- a/test/gateway/proxy-request-handler.test.ts
+++ b/test/gateway/proxy-request-handler.test.ts
@@ -23,7 +23,7 @@
     metrics: { countRequest: () => {} },
     log,
   } as unknown as ProxyRequestHandlerDependencies)
-  const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: undefined, promptParts: [], stageItems: [], stageKey: '', lastEventId: undefined, headers: [] }
+  const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: undefined, promptParts: [], stageItems: [], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
   const request: ClientRequest = { method: 'GET', path: '/a/', head, body: undefined, arrivedAt: performance.now() }
   await expect(handler.serve(request, CLIENT_RESPONSE, new AbortController().signal)).rejects.toThrow('invalid character')
   expect(release).toHaveBeenCalledTimes(1)
--- a/test/gateway/request-router.test.ts
+++ b/test/gateway/request-router.test.ts
@@ -13,6 +13,7 @@
     stageItems: [],
     stageKey: '',
     lastEventId: undefined,
+    resumedRequestId: undefined,
     headers: [],
   }
   return { method: 'GET', path: '/a/', head, body: undefined, arrivedAt: 0 }
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -53,6 +53,11 @@
     expect(head.stageItems).toEqual([2, 0, 6])
   })
 
+  test('names the request that brought the first event of a stream that the client resumes, and forwards it', () => {
+    const head = clientCodec.readHead(['Attempt-Id', 'id-2', 'Last-Event-Id', '7', 'Resumes', 'id-1']).unwrap()
+    expect(head).toMatchObject({ requestId: 'id-2', lastEventId: '7', resumedRequestId: 'id-1', headers: [['Attempt-Id', 'id-2'], ['Resumes', 'id-1']] })
+  })
+
   test.each([
     ['without a request id', ['Host', 'h']],
     ['with a non-numeric deadline', ['Attempt-Id', 'id', 'Deadline-Ms', 'soon']],
