Failing tests: streams hold events of two software versions

What callers see: a stream whose first events one version wrote goes on with events of another one, which do not fit together. No race and no fault of the list of backend servers is needed.

--- a/test/platform/support/gateway-settings.ts
+++ b/test/platform/support/gateway-settings.ts
@@ -79,10 +79,12 @@
   platform?: readonly string[]
   /** Lines of the section `[load]`. @default none */
   load?: readonly string[]
+  /** Lines of the section `[retry]`. @default none */
+  retry?: readonly string[]
 }
 
 /** Creates the text of a settings file. */
-export function createSettings(name: string, ports: GatewayPorts, storeAddress: string, { failureDomain = 'zone-a', platform = [], load = [] }: SettingsOptions = {}): string {
+export function createSettings(name: string, ports: GatewayPorts, storeAddress: string, { failureDomain = 'zone-a', platform = [], load = [], retry = [] }: SettingsOptions = {}): string {
   return [
     '[process]',
     `name = ${name}`,
@@ -96,6 +98,8 @@
     `metrics-port = ${ports.metrics}`,
     '[load]',
     ...load,
+    '[retry]',
+    ...retry,
     '[platform]',
     `store = ${storeAddress}`,
     ...platform,
--- a/test/platform/support/stand-in-backend.ts
+++ b/test/platform/support/stand-in-backend.ts
@@ -69,6 +69,8 @@
 export class StandInBackend {
   readonly seen: ReceivedRequest[] = []
   respond: RequestHandler = answerCompletely()
+  /** Version of its software; its entry names none if undefined. */
+  softwareVersion: string | undefined
   private readonly server: Server
 
   constructor(readonly id: string, readonly service: string, readonly failureDomain = 'zone-a') {
@@ -95,6 +97,6 @@
 
   /** Creates its entry for the store; `coldMs` is the remaining time of its cold start. */
   entry(state = 'ready', coldMs = 0): object {
-    return { ColdRemainingMs: coldMs, Service: this.service, Address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`, Zone: this.failureDomain, Capacity: 4, State: state }
+    return { ColdRemainingMs: coldMs, Service: this.service, Address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`, Zone: this.failureDomain, Version: this.softwareVersion, Capacity: 4, State: state }
   }
 }
--- /dev/null
+++ b/test/platform/support/stream-client.ts
@@ -0,0 +1,122 @@
+/**
+ * Client of streaming routes that resumes a broken stream at another gateway, as
+ * the platform's clients do.
+ */
+import { wait } from '@eidermast/common'
+import { request } from 'undici'
+
+const MILLISECONDS_PER_SECOND = 1000
+/** Tries of a stream, the first one included. */
+const MAX_TRIES = 4
+const DEADLINE_MS = 5000
+const EVENT = /id: (\d+)\ndata: (\S+)\n\n/g
+
+/** One try of a stream. */
+export interface StreamTry {
+  requestId: string
+  /** Undefined if no response arrived. */
+  status: number | undefined
+  /** Seconds; undefined if the response has no `Retry-After`. */
+  retryAfter: number | undefined
+  tookMs: number
+}
+
+/** A stream as the client received it, over all its tries. */
+export interface ReceivedStream {
+  /** Ids of the events in the order of their arrival. */
+  eventIds: number[]
+  /** Versions that wrote the events, without repetitions. */
+  versions: string[]
+  /** Whether the last response ended as complete. */
+  complete: boolean
+  tries: StreamTry[]
+}
+
+/** Options of a stream. */
+export interface StreamOptions {
+  /** Index of the gateway of the first try. @default the next one in turn */
+  gateway?: number
+  /** @default /stream/x */
+  path?: string
+  /** @default MAX_TRIES */
+  maxTries?: number
+  /** Called after each event. */
+  onEvent?: (id: number) => void
+}
+
+/** Whether a stream holds events of more than one version. */
+export function isMixed({ versions }: ReceivedStream): boolean {
+  return versions.length > 1
+}
+
+/** Whether every event up to `count` arrived once and in order, and the end with them. */
+export function isWhole({ complete, eventIds }: ReceivedStream, count: number): boolean {
+  return complete && eventIds.length === count && eventIds.every((id, index) => id === index + 1)
+}
+
+/** Sends streams to gateways in turn. */
+export class StreamClient {
+  private sent = 0
+
+  constructor(private readonly addresses: () => string[]) {}
+
+  /** Starts a stream, and resumes it until it is complete or no try is left. */
+  async stream({ gateway, path = '/stream/x', maxTries = MAX_TRIES, onEvent }: StreamOptions = {}): Promise<ReceivedStream> {
+    const first = gateway ?? this.sent
+    const received: ReceivedStream = { eventIds: [], versions: [], complete: false, tries: [] }
+    let begunBy: string | undefined
+    while (!received.complete && received.tries.length < maxTries) {
+      const requestId = `stream-${this.sent++}`
+      const addresses = this.addresses()
+      const address = addresses[(first + received.tries.length) % addresses.length]
+      const ended = await this.try(`${address}${path}`, requestId, received, begunBy, onEvent)
+      received.tries.push(ended)
+      if (received.eventIds.length > 0)
+        begunBy ??= requestId
+      await wait((ended.retryAfter ?? 0) * MILLISECONDS_PER_SECOND)
+    }
+    return received
+  }
+
+  private async try(url: string, requestId: string, received: ReceivedStream, begunBy: string | undefined, onEvent?: (id: number) => void): Promise<StreamTry> {
+    const startedAt = performance.now()
+    const resume = begunBy === undefined ? {} : { 'last-event-id': String(received.eventIds.at(-1)), 'resumes': begunBy }
+    const headers = { 'host': 'host.example', 'attempt-id': requestId, 'deadline-ms': String(DEADLINE_MS), 'chunk-count': '1', 'chunk-key': 'key', ...resume }
+    const ended: StreamTry = { requestId, status: undefined, retryAfter: undefined, tookMs: 0 }
+    try {
+      const response = await request(url, { method: 'POST', headers, body: '' })
+      ended.status = response.statusCode
+      const retryAfter = response.headers['retry-after']
+      ended.retryAfter = retryAfter === undefined ? undefined : Number(retryAfter)
+      if (ended.status !== 200)
+        await response.body.dump()
+      else
+        received.complete = await readEvents(response.body, received, onEvent)
+    }
+    catch {
+      // The connection broke or was refused; the result shows what arrived before.
+    }
+    return { ...ended, tookMs: performance.now() - startedAt }
+  }
+}
+
+/** Reads events until the response ends; returns false if the connection breaks. */
+async function readEvents(body: AsyncIterable<Buffer>, received: ReceivedStream, onEvent?: (id: number) => void): Promise<boolean> {
+  let text = ''
+  try {
+    for await (const bytes of body) {
+      text += bytes.toString()
+      for (const [, id, version] of text.matchAll(EVENT)) {
+        received.eventIds.push(Number(id))
+        if (!received.versions.includes(version))
+          received.versions.push(version)
+        onEvent?.(Number(id))
+      }
+      text = text.slice(text.lastIndexOf('\n\n') + 2)
+    }
+    return true
+  }
+  catch {
+    return false
+  }
+}
--- /dev/null
+++ b/test/platform/support/versioned-deployment.ts
@@ -0,0 +1,139 @@
+/**
+ * Gateways in the test process and backend servers of several software versions,
+ * whose events name the version that wrote them.
+ */
+import type { StartedGateway } from './in-process-gateway.js'
+import type { RequestHandler } from './stand-in-backend.js'
+import { wait } from '@eidermast/common'
+import { expect, vi } from 'vitest'
+import { startGateway } from './in-process-gateway.js'
+import { StandInBackend } from './stand-in-backend.js'
+import { makeStageResults, STAGE_LIMITS } from './stand-in-stages.js'
+import { StandInStore } from './stand-in-store.js'
+import { StreamClient } from './stream-client.js'
+
+/** Number of events in a complete stream. */
+export const STREAM_EVENTS = 40
+/** Pause between two events of a stream. */
+const EVENT_PAUSE_MS = 25
+const SERVICE = 'model'
+const STAGE_SERVICE = 'encode'
+const SERVER_TOPIC = 'keyed.servers'
+const FAILURE_DOMAINS = ['zone-a', 'zone-b', 'zone-c']
+const ROUTE = { Host: 'host.example', Type: 'streaming', Service: SERVICE, StreamResume: true, TimeoutMs: 6000, TargetLatencyMs: 1000, TargetGapMs: 400, MaxAttempts: 2 }
+const CONFIGURATION = {
+  Version: 1,
+  Routes: [
+    { ...ROUTE, Name: 'stream', PathPrefix: '/stream/' },
+    { ...ROUTE, Name: 'staged', PathPrefix: '/staged/', Phases: [{ Service: STAGE_SERVICE, WatchRevision: [], SizeBytes: 1000 }] },
+  ],
+  Services: [
+    { Name: SERVICE, MaxConnections: 600, Engine: { Capacity: 64, KvCapacityTokens: 1000 } },
+    { Name: STAGE_SERVICE, MaxConnections: 60, Segments: STAGE_LIMITS },
+  ],
+  Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
+}
+
+/** Streams events that contain the version; `breakAfter` returns the number of events after which the connection breaks. */
+export function streamVersion(version: string, breakAfter: () => number = () => Number.POSITIVE_INFINITY): RequestHandler {
+  return async (seen, response) => {
+    const after = Number(seen.headers['last-event-id'] ?? 0)
+    const last = after + breakAfter()
+    response.writeHead(200, { 'Attempt-Id': String(seen.headers['attempt-id']), 'Server-Signature': 'signed', 'Content-Type': 'text/event-stream' })
+    for (let id = after + 1; id <= STREAM_EVENTS; id++) {
+      if (id > last)
+        return void response.destroy()
+      response.write(`id: ${id}\ndata: ${version}\n\n`)
+      await wait(EVENT_PAUSE_MS)
+    }
+    response.end()
+  }
+}
+
+/** Gateways, their store, and backend servers by software version. */
+export class VersionedDeployment {
+  readonly store = new StandInStore()
+  readonly backends: StandInBackend[] = []
+  gateways: StartedGateway[] = []
+  /** Starts streams at the gateways, and resumes them there. */
+  readonly clients = new StreamClient(() => this.gateways.map(({ address }) => address))
+  private storeAddress = ''
+  private started = 0
+
+  constructor(private readonly gatewayCount = 3) {}
+
+  /** Starts the gateways, and the given number of backend servers of each version. */
+  async start(counts: Record<string, number>): Promise<void> {
+    this.storeAddress = await this.store.start()
+    const stage = await this.startBackend(STAGE_SERVICE, undefined)
+    stage.respond = makeStageResults()
+    this.store.put(SERVER_TOPIC, stage.id, stage.entry())
+    for (const [version, count] of Object.entries(counts))
+      await this.addBackends(version, count)
+    this.store.put('keyed.op', 'config', CONFIGURATION)
+    this.gateways = await Promise.all(Array.from({ length: this.gatewayCount }, (_, index) => this.startGateway(index)))
+    await this.waitUntilListed()
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map(({ gateway }) => gateway.close()))
+    await Promise.all([this.store.stop(), ...this.backends.map(backend => backend.stop())])
+  }
+
+  /** Starts backend servers of a version and lists them. */
+  async addBackends(version: string | undefined, count: number): Promise<StandInBackend[]> {
+    const added = await Promise.all(Array.from({ length: count }, () => this.startBackend(SERVICE, version)))
+    added.forEach(backend => this.list(backend))
+    return added
+  }
+
+  /** Lists a backend server as ready or as draining. */
+  list(backend: StandInBackend, state: 'ready' | 'draining' = 'ready'): void {
+    this.store.put(SERVER_TOPIC, backend.id, backend.entry(state))
+  }
+
+  unlist(backend: StandInBackend): void {
+    this.store.put(SERVER_TOPIC, backend.id, undefined)
+  }
+
+  /** Backend servers of the streaming service with a version. */
+  ofVersion(version: string | undefined): StandInBackend[] {
+    return this.backends.filter(backend => backend.service === SERVICE && backend.softwareVersion === version)
+  }
+
+  /** Ends a gateway without notice; its clients see broken connections. */
+  async kill(index: number): Promise<void> {
+    await this.gateways[index].gateway.close()
+  }
+
+  /** Kills gateways at the same time and starts them again under their names. */
+  async killAndRestart(indexes: readonly number[]): Promise<void> {
+    await Promise.all(indexes.map(index => this.kill(index)))
+    const restarted = await Promise.all(indexes.map(index => this.startGateway(index)))
+    indexes.forEach((index, position) => this.gateways[index] = restarted[position])
+    await this.waitUntilListed()
+  }
+
+  /** Waits until all gateways know all listed backend servers and each other. */
+  async waitUntilListed(): Promise<void> {
+    await vi.waitFor(() => {
+      const listed = this.store.newestOf(SERVER_TOPIC).size
+      expect(this.gateways.map(({ gateway }) => gateway.registry.size)).toEqual(this.gateways.map(() => listed))
+      expect(this.gateways.map(({ gateway }) => gateway.members.count)).toEqual(this.gateways.map(() => this.gatewayCount))
+    }, { timeout: 8000 })
+  }
+
+  private startGateway(index: number): Promise<StartedGateway> {
+    const failureDomain = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]
+    return startGateway(`gateway-${index}`, this.storeAddress, { failureDomain, retry: ['ratio = 1', 'extra = 1000'] })
+  }
+
+  private async startBackend(service: string, version: string | undefined): Promise<StandInBackend> {
+    const backend = new StandInBackend(`${service}-${this.started++}`, service)
+    backend.softwareVersion = version
+    backend.respond = streamVersion(version ?? 'unnamed')
+    await backend.start()
+    this.backends.push(backend)
+    return backend
+  }
+}
