A gateway continues a broken stream only at the software version that began it

Cause: the choice of the next backend server did not know versions. Change: from the first event that is passed on, one filter is given to every way to the next attempt: a limit to be refreshed, the engine of the coordinator, the order of the policy, the waits, the choice after stage results were recreated. The coordinator is told the version for which it chooses an engine. A stream whose servers are all full waits for a place as long as its client still waits for the event. A version that is not named equals none, except in a service that names none; another version under the same id is another process. What remains: clients that resume a stream (the listed tests).

--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -177,6 +177,7 @@
   /** Name of the client account. */
   account: z.string().optional(),
   service: z.string().optional(),
+  softwareVersion: z.string().optional(),
   prompt: z.array(z.object({ id: z.string(), tokens: z.number() })).optional(),
   shard: z.string().optional(),
   progress: z.array(progressSchema).optional(),
--- a/packages/gateway/src/connection/peers/preparation.ts
+++ b/packages/gateway/src/connection/peers/preparation.ts
@@ -56,6 +56,8 @@
   account?: string
   /** The service that the request is for. */
   service?: string
+  /** Software version of the backend server that has to answer it, where it continues a stream. @default any */
+  softwareVersion?: string
   /** Parts of its prompt in order; undefined if it has none. */
   prompt?: PromptPart[]
   /** Name of the shard that does the work, see `stage-shard.ts`. @default all */
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -226,8 +226,8 @@
     const stateChanged = backend.record.draining !== record.draining
     // Reading an unchanged entry again must not extend the cold period.
     const coldMs = record.coldMs === backend.record.coldMs ? 0 : record.coldMs
-    // Older releases do not report the start time of the process.
-    backend.record = { ...record, born: record.born ?? backend.record.born }
+    // Older releases do not report the start time of the process and its software version.
+    backend.record = { ...record, born: record.born ?? backend.record.born, softwareVersion: record.softwareVersion ?? backend.record.softwareVersion }
     this.markCold(backend, coldMs ?? 0)
     if (!stateChanged)
       return
@@ -261,5 +261,10 @@
 
 /** Whether two records describe the same process; state learned about one process does not apply to a later one. */
 function isSameProcess(known: BackendRecord, record: BackendRecord): boolean {
-  return known.born === undefined || record.born === undefined || known.born === record.born
+  return agrees(known.born, record.born) && agrees(known.softwareVersion, record.softwareVersion)
+}
+
+/** Whether two reports of a property may both be true; one that is absent agrees with any. */
+function agrees<Value>(known: Value | undefined, reported: Value | undefined): boolean {
+  return known === undefined || reported === undefined || known === reported
 }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -72,6 +72,7 @@
 import { CoordinatorRole, StageCoordinators } from './stages/stage-coordinators.js'
 import { StartupGate } from './startup-gate.js'
 import { SuspensionDetector } from './suspension.js'
+import { VersionHistory } from './versions/version-history.js'
 
 /** A gateway process with all its components. */
 export class Gateway {
@@ -93,6 +94,7 @@
   private readonly sharedInFlight = new SharedInFlight({ called: () => this.calledPlainly(), isCoordinator: () => this.members.isCoordinator })
   private readonly loadExchange: LoadExchange
   private readonly sharedLimits: SharedLimits
+  private readonly versionHistory: VersionHistory
   private readonly connections: BackendConnections
   private readonly intakes: BackendIntakes
   private readonly estimator: LoadEstimator
@@ -113,6 +115,7 @@
     this.directoryLag = new DirectoryLagWatch(this.gatewayLog, () => platform.restartReads())
     this.configuration = new ConfigurationHolder(platform.decodeConfiguration, log)
     this.registry = new BackendRegistry(log, service => this.configuration.table?.findService(service)?.coldStartMs ?? 0)
+    this.versionHistory = new VersionHistory(this.registry)
     this.backendList = new BackendList(this.registry, log)
     this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashTracker = this.createCrashTracker()
@@ -317,6 +320,7 @@
       intake: this.intakes,
       log: this.log,
       isEngine: service => this.configuration.table?.findService(service)?.engine !== undefined,
+      namesVersions: service => this.versionHistory.namesVersions(service),
     })
   }
 
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -229,9 +229,10 @@
   }
 
   /** Engines that may answer a request now. Rate-limited ones only if all are, since a request to them waits for its gateway's next time slot. */
-  private eligibleEngines({ prompt, service }: PreparationRequest, now: number): Backend[] {
+  private eligibleEngines({ prompt, service, softwareVersion }: PreparationRequest, now: number): Backend[] {
     const engines = prompt && service ? this.backends.available(service) : []
-    const eligible = engines.filter(engine => this.dependencies.coldStartLimiter.mayTake(engine, now))
+    const ofVersion = engines.filter(engine => softwareVersion === undefined || engine.softwareVersion === softwareVersion)
+    const eligible = ofVersion.filter(engine => this.dependencies.coldStartLimiter.mayTake(engine, now))
     const unlimited = eligible.filter(({ intake }) => intake.limitPerSecond === undefined)
     return unlimited.length > 0 ? unlimited : eligible
   }
--- /dev/null
+++ b/packages/gateway/src/process/versions/index.ts
@@ -0,0 +1,1 @@
+export * from './version-history.js'
--- a/packages/gateway/src/request/admission/adaptive-admission.ts
+++ b/packages/gateway/src/request/admission/adaptive-admission.ts
@@ -10,6 +10,7 @@
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
 import type { Backend } from '../../connection/backends/backend.js'
+import type { RequestTarget } from '../attempts/backend-runner.js'
 import type { BackendEstimate, LoadEstimator } from '../load/load-estimator.js'
 import type { ArrivalKind } from '../returns/refusal-memory.js'
 import type { RoutedRequest } from '../routed-request.js'
@@ -34,10 +35,10 @@
 
 /** The backend servers that requests can be sent to; implemented by the runner. */
 export interface AdmissionBackends {
-  /** Backend servers to which a request of the service can be sent now. */
-  candidates: (service: string) => Backend[]
-  /** Milliseconds until a backend server of a service accepts a request, as the servers report; Infinity if none accepts work. */
-  shortestWaitMs: (request: Pick<RoutedRequest, 'service'>) => number
+  /** Backend servers to which a request can be sent now. */
+  candidates: (request: RequestTarget) => Backend[]
+  /** Milliseconds until a backend server that may answer the request accepts it, as the servers report; Infinity if none accepts work. */
+  shortestWaitMs: (request: RequestTarget) => number
 }
 
 /** Dependencies of the admission. */
@@ -174,7 +175,7 @@
     if (hasSent)
       return
     const order = queue.inOrder()
-    this.carryOut(entry, this.decide(entry, order.slice(0, order.indexOf(entry)), this.situationOf(service, order)))
+    this.carryOut(entry, this.decide(entry, order.slice(0, order.indexOf(entry)), this.situationOf({ service }, order)))
     this.scheduleRecheck(service)
   }
 
@@ -184,7 +185,7 @@
     const order = queue.inOrder()
     if (hasSent || order.length === 0)
       return
-    const decided = this.decide(order[0], [], this.situationOf(service, order))
+    const decided = this.decide(order[0], [], this.situationOf({ service }, order))
     if (decided.decision.action === AdmissionAction.Send)
       this.carryOut(order[0], decided)
   }
@@ -195,7 +196,7 @@
     clearTimeout(state.recheck)
     state.recheck = undefined
     const order = state.queue.inOrder()
-    const situation = this.situationOf(service, order)
+    const situation = this.situationOf({ service }, order)
     const ahead: WaitingRequest[] = []
     for (const entry of order) {
       const decided = this.decide(entry, ahead, situation)
@@ -214,22 +215,23 @@
       state.recheck ??= setTimeout(() => this.recheck(service), RECHECK_INTERVAL_MS).unref()
   }
 
-  /** The load of a service now; `order` are its waiting requests. */
-  private situationOf(service: string, order: readonly WaitingRequest[]): Situation {
+  /** The load of the backend servers that may answer a request; `order` are the waiting requests of its service. */
+  private situationOf(target: RequestTarget, order: readonly WaitingRequest[]): Situation {
     const now = performance.now()
-    const estimates = this.dependencies.backends.candidates(service).map(backend => this.dependencies.estimator.estimate(backend, now))
+    const estimates = this.dependencies.backends.candidates(target).map(backend => this.dependencies.estimator.estimate(backend, now))
     const best = estimates.reduce<BackendEstimate | undefined>((first, estimate) => first && compareEstimates(first, estimate) <= 0 ? first : estimate, undefined)
     return {
       best,
       slotsPerGateway: estimates.reduce((sum, { slots }) => sum + slots, 0) / Math.max(1, this.dependencies.gateways()),
-      opensInMs: best ? 0 : this.dependencies.backends.shortestWaitMs({ service }),
-      pace: this.stateOf(service).pace.describe(Math.min(now, ...order.map(entry => entry.enqueuedAt)), now),
+      opensInMs: best ? 0 : this.dependencies.backends.shortestWaitMs(target),
+      pace: this.stateOf(target.service).pace.describe(Math.min(now, ...order.map(entry => entry.enqueuedAt)), now),
     }
   }
 
-  /** Decides on a waiting request; `ahead` are those that go before it. */
-  private decide({ request, account, isOverShare }: WaitingRequest, ahead: readonly WaitingRequest[], situation: Situation): DecidedRequest {
+  /** Decides on a waiting request by the situation of its service, or of the backend servers that may continue its stream; `ahead` are those that go before it. */
+  private decide({ request, account, isOverShare }: WaitingRequest, ahead: readonly WaitingRequest[], serviceSituation: Situation): DecidedRequest {
     const now = performance.now()
+    const situation = request.origin ? this.situationOf(request, ahead) : serviceSituation
     const decision = decideRequestAdmission({
       ...situation,
       targetLatencyMs: request.route.targetLatencyMs,
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -9,6 +9,7 @@
 import type { BackendCall, BackendClient, CallFailure } from '../../connection/backends/backend-client.js'
 import type { Backend } from '../../connection/backends/backend.js'
 import type { IntakeGate } from '../../connection/backends/intake-gate.js'
+import type { StreamOrigin } from '../continuation/stream-origin.js'
 import type { CrashMonitor } from '../crash-monitor.js'
 import type { BackendEstimate, LoadEstimator } from '../load/load-estimator.js'
 import type { RequestLog } from '../request-log.js'
@@ -21,7 +22,9 @@
 import { wait } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
 import { CallFailureKind } from '../../connection/backends/backend-client.js'
-import { atLeastOneMs, decideHeadTimeoutMs, isExplainedByLoad } from '../deadlines.js'
+import { decideContinuationWaitMs } from '../continuation/continuation-wait.js'
+import { mayContinueAt } from '../continuation/stream-origin.js'
+import { atLeastOneMs, decideHeadTimeoutMs, isExplainedByLoad, maxEventWaitMs } from '../deadlines.js'
 import { countTokens } from '../prompt-parts.js'
 import { errorOfUnanswered } from '../request-errors.js'
 import { sendBuffered } from '../responses/response-relay.js'
@@ -54,10 +57,15 @@
   log: RequestLog
   /** Whether a service's backend servers are model engines. */
   isEngine: (service: string) => boolean
+  /** Whether an entry of a service has named a software version. */
+  namesVersions: (service: string) => boolean
 }
 
-/** Selects the preferred backend server that was not tried; returns undefined if there is none. */
-export type SelectBackend = (request: RoutedRequest, inputs: RunInputs, tried: ReadonlySet<string>) => Backend | undefined
+/** Whether a backend server may get the next attempt of a request. */
+export type BackendFilter = (backend: Backend) => boolean
+
+/** Selects the preferred one of the eligible backend servers; returns undefined if there is none. */
+export type SelectBackend = (request: RoutedRequest, inputs: RunInputs, isEligible: BackendFilter) => Backend | undefined
 
 /** An attempt that has ended. */
 interface EndedAttempt {
@@ -77,6 +85,9 @@
   private inputsRead = false
   private lastEventId: string | undefined
   private firstEventAt: number | undefined
+  private lastEventAt: number | undefined
+  /** Where the stream began; undefined before its first event. */
+  private origin: StreamOrigin | undefined
   private lastFailure: CallFailure | undefined
   private fallback: BufferedResponse | undefined
   /** Milliseconds until a backend server accepts a request, as of the last selection that found none; 0 before that. */
@@ -91,6 +102,7 @@
   ) {
     this.handles = subject.inputs.handles
     this.lastEventId = subject.request.head.lastEventId
+    this.origin = subject.request.origin
   }
 
   /** Answers the request, or returns why it could not be answered. */
@@ -119,7 +131,7 @@
     if (!this.dependencies.waitsUnderLoad)
       return
     for (;;) {
-      const opensInMs = shortestWaitMs(this.dependencies, request.service, this.tried)
+      const opensInMs = shortestWaitMs(this.dependencies, request.service, this.isEligible)
       if (signal.aborted || !mayAwaitBackend({ history: this.history, opensInMs, remainingMs: this.remainingMs() }))
         return
       this.dependencies.log.attemptWaits({ request, attempt: this.history.attempts, opensInMs, remainingMs: this.remainingMs() })
@@ -127,10 +139,12 @@
     }
   }
 
-  /** Waits for room after a full backend server refused the request, which may then go to any of them. A stream that its client receives already is continued without a wait: what admission knows of its time ends with the first event. */
+  /** Waits for room after a full backend server refused the request, which may then go to any of them. What admission knows of the time of a stream ends with its first event. */
   private async awaitRoom(refusedBy: Backend): Promise<RetryDecision> {
     const { awaitRoom, request } = this.subject
-    if (!awaitRoom || this.firstEventAt !== undefined)
+    if (this.lastEventAt !== undefined)
+      return this.awaitRoomToContinue(refusedBy, this.lastEventAt)
+    if (!awaitRoom)
       return RetryDecision.Proceed
     if (!this.dependencies.budget.hasRetry(request.service))
       return RetryDecision.BudgetUsed
@@ -143,6 +157,28 @@
     return RetryDecision.Proceed
   }
 
+  /** Waits until a stream that its client receives already can be continued, unless an untried backend server accepts it now. */
+  private async awaitRoomToContinue(refusedBy: Backend, lastEventAt: number): Promise<RetryDecision> {
+    const { request, signal } = this.subject
+    const untriedOpensInMs = shortestWaitMs(this.dependencies, request.service, this.isEligible)
+    if (untriedOpensInMs === 0)
+      return RetryDecision.Proceed
+    const opensInMs = Math.min(untriedOpensInMs, this.dependencies.intake.waitMs(refusedBy))
+    const waitMs = decideContinuationWaitMs({
+      opensInMs,
+      silentForMs: performance.now() - lastEventAt,
+      eventWaitMs: maxEventWaitMs(request.route),
+      targetLatencyMs: request.route.targetLatencyMs,
+      remainingMs: this.remainingMs(),
+    })
+    if (waitMs === undefined)
+      return RetryDecision.Proceed
+    this.dependencies.log.attemptWaits({ request, attempt: this.history.attempts, opensInMs: waitMs, remainingMs: this.remainingMs() })
+    await wait(waitMs, signal)
+    this.tried.delete(refusedBy.id)
+    return signal.aborted ? RetryDecision.Cancelled : RetryDecision.Proceed
+  }
+
   /**
    * Selects the backend server for the next attempt and recreates the inputs if
    * needed, or returns why there is no further attempt. The retry is taken from
@@ -177,16 +213,21 @@
   /** Selects the preferred backend server that was not tried. Selects again if a wait has ended between the selection and the look-up of the shortest wait. */
   private selectBackend(): Backend | undefined {
     const { request, inputs } = this.subject
-    const backend = this.select(request, inputs, this.tried)
+    const backend = this.select(request, inputs, this.isEligible)
     if (backend)
       return backend
-    this.waitMs = shortestWaitMs(this.dependencies, request.service)
-    return this.waitMs === 0 ? this.select(request, inputs, this.tried) : undefined
+    this.waitMs = shortestWaitMs(this.dependencies, request.service, this.mayContinueAt)
+    return this.waitMs === 0 ? this.select(request, inputs, this.isEligible) : undefined
   }
 
+  /** Whether a backend server was not tried and may continue the stream. */
+  private readonly isEligible: BackendFilter = backend => !this.tried.has(backend.id) && this.mayContinueAt(backend)
+
+  private readonly mayContinueAt: BackendFilter = backend => mayContinueAt(this.origin, backend, this.dependencies.namesVersions)
+
   /** Recreates the stage results that an earlier attempt consumed or lost. */
   private async recreateInputs(): Promise<boolean> {
-    this.handles = await this.subject.inputs.recreate?.()
+    this.handles = await this.subject.inputs.recreate?.(this.origin)
     this.inputsRead = false
     return this.handles !== undefined
   }
@@ -198,7 +239,7 @@
     this.dependencies.log.attemptStarted({ request, backend, attempt: this.history.attempts, lastEventId: this.lastEventId, remainingMs: this.remainingMs(), estimate })
     const attempt = new BackendAttempt({ client: this.dependencies.client, backend, request, clientResponse, onEvent: (id) => {
       this.recordSpeedOfFirstEvent(backend, performance.now() - startedAt, estimate)
-      this.recordEvent(id)
+      this.recordEvent(backend, id)
     } })
     const startedAt = performance.now()
     const expectedMs = this.expectedMs(estimate)
@@ -241,8 +282,10 @@
   }
 
   /** The first event shows that the backend server has fetched its inputs; the last event id is where a resumed stream continues. */
-  private recordEvent(id: string | undefined): void {
-    this.firstEventAt ??= performance.now()
+  private recordEvent(backend: Backend, id: string | undefined): void {
+    this.lastEventAt = performance.now()
+    this.firstEventAt ??= this.lastEventAt
+    this.origin ??= { version: backend.softwareVersion }
     if (!this.inputsRead && this.subject.inputs.handles) {
       this.inputsRead = true
       this.subject.inputs.onRead?.()
@@ -332,8 +375,8 @@
   }
 }
 
-/** Milliseconds until a backend server of a service that is not excluded accepts a request, as the servers report; Infinity if none accepts work. */
-export function shortestWaitMs({ registry, intake }: Pick<BackendRunDependencies, 'registry' | 'intake'>, service: string, excluded: ReadonlySet<string> = new Set()): number {
-  const backends = registry.available(service).filter(backend => !excluded.has(backend.id))
+/** Milliseconds until one of the eligible backend servers of a service accepts a request, as the servers report; Infinity if none accepts work. */
+export function shortestWaitMs({ registry, intake }: Pick<BackendRunDependencies, 'registry' | 'intake'>, service: string, isEligible: BackendFilter): number {
+  const backends = registry.available(service).filter(isEligible)
   return Math.min(...backends.map(backend => intake.waitMs(backend)))
 }
--- a/packages/gateway/src/request/attempts/backend-runner.ts
+++ b/packages/gateway/src/request/attempts/backend-runner.ts
@@ -7,10 +7,11 @@
 import type { Backend } from '../../connection/backends/backend.js'
 import type { IntakeState } from '../../connection/backends/intake-state.js'
 import type { RoutedRequest } from '../routed-request.js'
-import type { BackendRunDependencies } from './backend-run.js'
+import type { BackendFilter, BackendRunDependencies } from './backend-run.js'
 import type { ColdStartLimiter } from './cold-start-limiter.js'
 import type { LoadBalancingPolicy } from './load-balancing.js'
 import type { RunInputs, RunResult, RunSubject } from './run-subject.js'
+import { mayContinueAt } from '../continuation/stream-origin.js'
 import { RequestLog } from '../request-log.js'
 import { BackendRun, shortestWaitMs } from './backend-run.js'
 import { NO_INPUTS } from './run-subject.js'
@@ -23,6 +24,9 @@
  */
 const LIMIT_REFRESH_MS = 1000
 
+/** What decides which backend servers may answer a request. */
+export type RequestTarget = Pick<RoutedRequest, 'service' | 'origin'>
+
 /** Dependencies of the runner. */
 export interface BackendRunnerDependencies extends Omit<BackendRunDependencies, 'log'> {
   /** Failure domain of this process. */
@@ -44,19 +48,25 @@
 
   /** Failure domain of the backend server that would be selected now. */
   preferredFailureDomain(request: RoutedRequest): string {
-    return this.select(request, NO_INPUTS, new Set())?.failureDomain ?? this.dependencies.failureDomain
+    return this.select(request, NO_INPUTS, this.filterFor(request))?.failureDomain ?? this.dependencies.failureDomain
+  }
+
+  /** Milliseconds until a backend server that may answer the request accepts it, as the servers report; Infinity if none accepts work. */
+  shortestWaitMs(request: RequestTarget): number {
+    return shortestWaitMs(this.dependencies, request.service, this.filterFor(request))
   }
 
-  /** Milliseconds until a backend server of the request's service accepts a request, as the servers report; Infinity if none accepts work. */
-  shortestWaitMs({ service }: Pick<RoutedRequest, 'service'>): number {
-    return shortestWaitMs(this.dependencies, service)
+  /** Whether a backend server that may answer the request accepts work, now or later. */
+  hasBackend(request: RequestTarget): boolean {
+    return this.dependencies.registry.available(request.service).some(this.filterFor(request))
   }
 
-  /** Backend servers to which a request of a service can be sent now. */
-  candidates(service: string): Backend[] {
+  /** Backend servers to which a request can be sent now. */
+  candidates(request: RequestTarget): Backend[] {
     const { registry, intake, coldStartLimiter, ejection } = this.dependencies
     const now = performance.now()
-    return ejection.filter(registry.available(service).filter(backend => intake.waitMs(backend) === 0 && coldStartLimiter.mayTake(backend, now)))
+    const eligible = registry.available(request.service).filter(this.filterFor(request))
+    return ejection.filter(eligible.filter(backend => intake.waitMs(backend) === 0 && coldStartLimiter.mayTake(backend, now)))
   }
 
   /** Answers the request, or returns why it could not be answered. */
@@ -66,16 +76,21 @@
   }
 
   /** Selects a backend server for a call and counts the call against the cold start limit. */
-  private selectForCall(request: RoutedRequest, inputs: RunInputs, tried: ReadonlySet<string>): Backend | undefined {
-    const backend = this.select(request, inputs, tried)
+  private selectForCall(request: RoutedRequest, inputs: RunInputs, isEligible: BackendFilter): Backend | undefined {
+    const backend = this.select(request, inputs, isEligible)
     if (backend && backend.id !== inputs.engine)
       this.dependencies.coldStartLimiter.note(backend, performance.now())
     return backend
   }
 
-  /** The preferred backend server among those that were not tried. */
-  private select(request: RoutedRequest, inputs: RunInputs, tried: ReadonlySet<string>): Backend | undefined {
-    const candidates = this.dependencies.registry.available(request.service).filter(backend => !tried.has(backend.id))
+  /** Accepts the backend servers that may answer a request that was not tried yet. */
+  private filterFor({ origin }: RequestTarget): BackendFilter {
+    return backend => mayContinueAt(origin, backend, this.dependencies.namesVersions)
+  }
+
+  /** The preferred one of the eligible backend servers. */
+  private select(request: RoutedRequest, inputs: RunInputs, isEligible: BackendFilter): Backend | undefined {
+    const candidates = this.dependencies.registry.available(request.service).filter(isEligible)
     const now = performance.now()
     const accepting = candidates.filter(backend => this.dependencies.intake.waitMs(backend) === 0)
     const usable = this.dependencies.ejection.filter(accepting)
--- a/packages/gateway/src/request/attempts/run-subject.ts
+++ b/packages/gateway/src/request/attempts/run-subject.ts
@@ -4,6 +4,7 @@
 import type { RequestError } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
 import type { ClientResponse } from '../../connection/clients/client-response.js'
+import type { StreamOrigin } from '../continuation/stream-origin.js'
 import type { RoutedRequest } from '../routed-request.js'
 import type { RetryDecision } from './retry-rule.js'
 
@@ -17,8 +18,8 @@
   engine?: string
   /** Called when the backend server has read them. */
   onRead?: () => void
-  /** Recreates them; resolves with undefined if that fails. */
-  recreate?: () => Promise<readonly string[] | undefined>
+  /** Recreates them for a request or, with its origin, for a stream that has begun; resolves with undefined if that fails. */
+  recreate?: (origin: StreamOrigin | undefined) => Promise<readonly string[] | undefined>
 }
 
 /** Inputs of a request without stages. */
--- /dev/null
+++ b/packages/gateway/src/request/continuation/index.ts
@@ -0,0 +1,2 @@
+export * from './continuation-wait.js'
+export * from './stream-origin.js'
--- a/packages/gateway/src/request/deadlines.ts
+++ b/packages/gateway/src/request/deadlines.ts
@@ -66,7 +66,7 @@
 }
 
 /** How long clients wait for an event of a route, in milliseconds. */
-function maxEventWaitMs(route: Route): number {
+export function maxEventWaitMs(route: Route): number {
   if (!route.streaming)
     return route.timeoutMs
   return Math.max(MIN_EVENT_WAIT_MS, EVENT_WAIT_TARGET_FACTOR * route.targetLatencyMs, EVENT_WAIT_GAP_FACTOR * route.targetGapMs)
--- a/packages/gateway/src/request/index.ts
+++ b/packages/gateway/src/request/index.ts
@@ -1,6 +1,7 @@
 export * from './admission/index.js'
 export * from './attempts/index.js'
 export * from './client-retry-detector.js'
+export * from './continuation/index.js'
 export * from './crash-monitor.js'
 export * from './deadlines.js'
 export * from './load/index.js'
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -130,7 +130,7 @@
     const inputs: RunInputs = {
       ...prepared.value,
       onRead: () => this.dependencies.preparer.release(requestId),
-      recreate: () => this.recreateInputs(request, stagesSignal),
+      recreate: origin => this.recreateInputs({ ...request, origin }, stagesSignal),
     }
     try {
       return await this.dependencies.runner.run({ request, inputs, clientResponse, signal })
@@ -160,6 +160,7 @@
       deadlineMs: request.firstEventBy - now,
       isRetry: request.isRetry,
       service: request.service,
+      softwareVersion: request.origin?.version,
       prompt: request.head.promptParts.length > 0 ? request.head.promptParts : undefined,
       failureDomain: this.dependencies.runner.preferredFailureDomain(request),
     }
--- a/packages/gateway/src/request/routed-request.ts
+++ b/packages/gateway/src/request/routed-request.ts
@@ -4,6 +4,7 @@
  */
 import type { ClientRequest } from '../connection/clients/client-request.js'
 import type { ClientAccount, Route } from '../version/configuration.js'
+import type { StreamOrigin } from './continuation/stream-origin.js'
 import type { ArrivalKind } from './returns/refusal-memory.js'
 
 /** A request whose route, client account and service are known. */
@@ -25,4 +26,6 @@
   isRetry: boolean
   /** How it relates to earlier attempts of its client (`returns/return-detector.ts`). */
   arrivalKind: ArrivalKind
+  /** Where the stream began that the client resumes; undefined for a request that resumes none. */
+  origin?: StreamOrigin
 }
--- a/test/gateway/backend-run.test.ts
+++ b/test/gateway/backend-run.test.ts
@@ -51,7 +51,7 @@
   const ejection = new OutlierEjection()
   const policy = new LeastLoadPolicy(ejection)
   const budget = new RetryBudget({ ratio: 0, extra: budgetExtra, windowMs: 10_000 }, () => 1)
-  const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes: NO_CRASHES, log, isEngine: () => false })
+  const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes: NO_CRASHES, log, isEngine: () => false, namesVersions: () => false })
   const recreate = vi.fn(async () => recreateHandles(registry))
   const inputs: RunInputs = { handles: ['lost'], failureDomain: undefined, bytes: 0, engine, recreate }
   const run = () => runner.run({ request: createRequest(), inputs, clientResponse: createClientResponse(), signal: new AbortController().signal })
@@ -114,7 +114,7 @@
     const policy = new LeastLoadPolicy(ejection)
     const budget = new RetryBudget({ ratio: 0, extra: 0, windowMs: 10_000 }, () => 1)
     const crashes = { ...NO_CRASHES, noteAnswered: vi.fn(), noteBroken: vi.fn(async () => {}) }
-    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes, log, isEngine: () => false })
+    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes, log, isEngine: () => false, namesVersions: () => false })
     await runner.run({ request: createRequest(), inputs: { handles: undefined, failureDomain: undefined, bytes: 0 }, clientResponse: createClientResponse(), signal: new AbortController().signal })
     expect(crashes.noteAnswered).toHaveBeenCalledTimes(times)
     expect(crashes.noteBroken).toHaveBeenCalledTimes(1 - times)
@@ -134,7 +134,7 @@
     const ejection = new OutlierEjection()
     const policy = new LeastLoadPolicy(ejection)
     const budget = new RetryBudget({ ratio: 0, extra: 10, windowMs: 10_000 }, () => 1)
-    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake, crashes: NO_CRASHES, log, isEngine: () => false })
+    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake, crashes: NO_CRASHES, log, isEngine: () => false, namesVersions: () => false })
     return runner.run({ request: createRequest(), inputs: NO_INPUTS, clientResponse: createClientResponse(), signal: new AbortController().signal })
   }
 
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -1,4 +1,4 @@
-import type { ReceivedStream } from './support/stream-client.js'
+import type { ReceivedStream, StreamOptions } from './support/stream-client.js'
 import { wait } from '@eidermast/common'
 import { afterEach, describe, expect, test } from 'vitest'
 import { isMixed, isWhole } from './support/stream-client.js'
@@ -19,8 +19,15 @@
   await deployment.start(counts)
 }
 
-function startStreams(count: number, gateway?: number, path?: string): Promise<ReceivedStream[]> {
-  return Promise.all(Array.from({ length: count }, () => deployment.clients.stream({ gateway, path })))
+function startStreams(count: number, options: StreamOptions = {}): Promise<ReceivedStream[]> {
+  return Promise.all(Array.from({ length: count }, () => deployment.clients.stream(options)))
+}
+
+/** Lets every third run of a stream break at its backend server after some events. */
+function breakEveryThirdRun(): void {
+  let runs = 0
+  for (const backend of deployment.backends.filter(({ service }) => service === 'model'))
+    backend.respond = streamVersion(backend.softwareVersion!, () => runs++ % 3 === 0 ? 10 : Number.POSITIVE_INFINITY)
 }
 
 /** Whether the client had to resume the stream after its first event. */
@@ -28,20 +35,28 @@
   return tries.length > 1
 }
 
+describe.each([['without stages', '/stream/x'], ['with stages', '/staged/x']])('a stream %s that breaks at its backend server', (_name, path) => {
+  test('is continued by its gateway only at the version that began it, and is continued', async () => {
+    await startDeployment({ v1: EACH, v2: EACH })
+    breakEveryThirdRun()
+    const streams = await startStreams(STREAMS * 2, { path, maxTries: 1 })
+    expect(streams.filter(isMixed)).toEqual([])
+    expect(streams.filter(stream => isWhole(stream, STREAM_EVENTS)).length).toBeGreaterThan(streams.length / 2)
+  })
+})
+
 describe.each([['without stages', '/stream/x']])('streams %s of a service of two software versions', (_name, path) => {
   test('go on within one answer at the version that began them, and go on', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
-    let runs = 0
-    for (const backend of deployment.backends.filter(({ service }) => service === 'model'))
-      backend.respond = streamVersion(backend.softwareVersion!, () => runs++ % 3 === 0 ? 10 : Number.POSITIVE_INFINITY)
-    const streams = await startStreams(STREAMS * 2, undefined, path)
+    breakEveryThirdRun()
+    const streams = await startStreams(STREAMS * 2, { path })
     expect(streams.filter(isMixed)).toEqual([])
     expect(streams.filter(stream => isWhole(stream, STREAM_EVENTS)).length).toBeGreaterThan(streams.length / 2)
   })
 
   test('go on at the version that began them when a gateway is killed and clients resume them at others', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
-    const running = startStreams(STREAMS, 0, path)
+    const running = startStreams(STREAMS, { gateway: 0, path })
     await wait(HALF_WAY_MS)
     await deployment.kill(0)
     const streams = await running
@@ -53,7 +68,7 @@
 
   test('hold events of one version only when all gateways are killed and started again', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
-    const running = startStreams(STREAMS, undefined, path)
+    const running = startStreams(STREAMS, { path })
     await wait(HALF_WAY_MS)
     await deployment.killAndRestart([0, 1, 2])
     expect((await running).filter(isMixed)).toEqual([])
