--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -43,6 +43,12 @@
   NoBackend = 'no-backend',
   /** Requests with the same fingerprint crashed the backend servers that ran them. */
   Quarantined = 'quarantined',
+  /** Several software versions serve, and it is not known yet at which one the stream began. */
+  StreamVersionUnknown = 'stream-version-unknown',
+  /** Several software versions serve, and it will not be known at which one the stream began. */
+  StreamVersionLost = 'stream-version-lost',
+  /** No backend server of the software version is left at which the stream began. */
+  StreamVersionGone = 'stream-version-gone',
   NotReady = 'not-ready',
   Stopping = 'stopping',
   LogUnavailable = 'log-unavailable',
@@ -88,6 +94,10 @@
   [ErrorKind.NoBackend]: { status: 503, ran: ANY, retryAfter: true },
   // A retry would crash another backend server, so no retry delay is included.
   [ErrorKind.Quarantined]: { status: 503, ran: NONE, retryAfter: false },
+  [ErrorKind.StreamVersionUnknown]: { status: 503, ran: NONE, retryAfter: true },
+  // Waiting does not help, so no retry delay is included.
+  [ErrorKind.StreamVersionLost]: { status: 503, ran: NONE, retryAfter: false },
+  [ErrorKind.StreamVersionGone]: { status: 503, ran: NONE, retryAfter: false },
   [ErrorKind.NotReady]: { status: 503, ran: NONE, retryAfter: true },
   [ErrorKind.Stopping]: { status: 503, ran: NONE, retryAfter: true },
   [ErrorKind.LogUnavailable]: { status: 503, ran: [Ran.None, Ran.Unknown], retryAfter: true },
--- a/packages/gateway/src/connection/peers/peer-clients.ts
+++ b/packages/gateway/src/connection/peers/peer-clients.ts
@@ -11,9 +11,11 @@
 import type { Heartbeat, HeartbeatReply } from './peer-messages.js'
 import type { PeerRouter } from './peer-router.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs } from './preparation.js'
+import type { StreamAnswer, StreamMessage, StreamQuestion } from './stream-message.js'
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { Agent } from 'undici'
 import { decodeHeartbeatReply, decodeListedBackends, decodePreparationReply, encodeHeartbeat, encodePreparationRequest } from './peer-messages.js'
+import { streamAnswerSchema } from './stream-message.js'
 
 /** Timeout for establishing a connection. Long enough for a busy gateway; delays the detection of a dead one. */
 const CONNECT_TIMEOUT_MS = 300
@@ -36,6 +38,11 @@
 /** Timeout for the release of results. Results that are not released expire. */
 const RELEASE_TIMEOUT_MS = 1000
 
+/** Timeout of a report about streams; it is then sent to another gateway. */
+const STREAM_REPORT_TIMEOUT_MS = 1000
+/** Timeout of a question about a stream. Long enough for a busy gateway; delays a resumed stream if a gateway is frozen. */
+const STREAM_QUESTION_TIMEOUT_MS = 400
+
 /** Status of successful responses. */
 const OK_STATUS = 200
 
@@ -90,6 +97,17 @@
     await this.clientFor(member).release.mutate(requestIds, { signal: AbortSignal.timeout(RELEASE_TIMEOUT_MS) })
   }
 
+  /** Tells a peer which software versions began streams of this gateway. */
+  async noteStreams(member: Member, streams: StreamMessage[]): Promise<void> {
+    await this.clientFor(member).noteStreams.mutate(streams, { signal: AbortSignal.timeout(STREAM_REPORT_TIMEOUT_MS) })
+  }
+
+  /** What a peer knows of a stream. */
+  async findStream(member: Member, question: StreamQuestion): Promise<StreamAnswer> {
+    const signal = AbortSignal.timeout(STREAM_QUESTION_TIMEOUT_MS)
+    return streamAnswerSchema.parse(await this.clientFor(member).findStream.mutate(question, { signal }))
+  }
+
   async close(): Promise<void> {
     await this.agent.destroy()
   }
--- a/packages/gateway/src/connection/peers/peer-router.ts
+++ b/packages/gateway/src/connection/peers/peer-router.ts
@@ -9,10 +9,12 @@
 import type { ListedBackends } from '../backends/backend.js'
 import type { Heartbeat, HeartbeatReply, PreparationReplyMessage } from './peer-messages.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs } from './preparation.js'
+import type { StreamAnswer, StreamMessage, StreamQuestion } from './stream-message.js'
 import { NEVER_ABORTED } from '@eidermast/common'
 import { initTRPC } from '@trpc/server'
 import * as z from 'zod'
 import { encodeHeartbeatReply, encodeListedBackends, encodePreparationReply, heartbeatSchema, preparationRequestSchema } from './peer-messages.js'
+import { streamQuestionSchema, streamReportSchema } from './stream-message.js'
 
 const trpc = initTRPC.create()
 
@@ -27,6 +29,10 @@
   prepare: (request: PreparationRequest, signal: AbortSignal) => Promise<Result<PreparedInputs, PreparationFailure>>
   /** Releases the results of requests; unknown ids are ignored. */
   release: (requestIds: string[]) => void
+  /** Records which software versions began streams of the calling gateway. */
+  noteStreams: (streams: readonly StreamMessage[]) => void
+  /** What this gateway knows of a stream. */
+  findStream: (question: StreamQuestion) => StreamAnswer
 }
 
 /** Creates the router with the procedures of one gateway. */
@@ -41,6 +47,8 @@
       return encodePreparationReply(result)
     }),
     release: trpc.procedure.input(z.array(z.string())).mutation(({ input }) => service.release(input)),
+    noteStreams: trpc.procedure.input(streamReportSchema).mutation(({ input }) => service.noteStreams(input)),
+    findStream: trpc.procedure.input(streamQuestionSchema).mutation(({ input }) => service.findStream(input)),
   })
 }
 
--- a/packages/gateway/src/process/backend-list.ts
+++ b/packages/gateway/src/process/backend-list.ts
@@ -87,6 +87,10 @@
   }
 
   upsert({ record, revision }: ListedBackend): void {
+    const known = this.entries.get(record.id)
+    // A peer of an earlier release passes entries on without the version.
+    if (known?.revision === revision && known.record.softwareVersion === undefined && record.softwareVersion !== undefined)
+      return this.setEntry({ record, revision })
     this.applyChange({ id: record.id, record, revision })
   }
 
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -172,6 +172,11 @@
       this.upsert(record)
   }
 
+  /** Whether a whole list was loaded, so that any backend server added from now on has just started. */
+  get isWholeListLoaded(): boolean {
+    return this.hasWholeList
+  }
+
   /** A whole list was loaded, from the source or from a peer. */
   markWholeListLoaded(): void {
     this.hasWholeList = true
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -8,6 +8,7 @@
 import type { RoomReason } from '../connection/held/room-decision.js'
 import type { Demand, DemandEnd } from '../request/admission/account-shares.js'
 import type { LimitedAccount } from '../request/admission/max-min-shares.js'
+import type { OriginSource } from '../request/continuation/origin-decision.js'
 import type { ConfigurationHolder } from '../version/configuration-holder.js'
 import type { BackendRegistry } from './backend-registry.js'
 import type { CrashTracker } from './crashes/crash-tracker.js'
@@ -101,6 +102,29 @@
     registers: [this.registry],
   })
 
+  private readonly streamsResumed = new Counter({
+    name: 'eidermast_gateway_streams_resumed_total',
+    help: 'Streams that clients resumed, by how the software version that began them was found; those with source unknown or lost were refused',
+    labelNames: ['source'],
+    registers: [this.registry],
+  })
+
+  private readonly streamReports = new Counter({
+    name: 'eidermast_gateway_stream_reports_total',
+    help: 'Streams reported to other gateways, once for each gateway, while several software versions serve',
+    registers: [this.registry],
+  })
+
+  /** Counts a stream that its client resumes. */
+  countStreamResumed(source: OriginSource): void {
+    this.streamsResumed.inc({ source })
+  }
+
+  /** Counts streams in a report to another gateway. */
+  countStreamReports(streams: number): void {
+    this.streamReports.inc(streams)
+  }
+
   /** Counts a body or a part of an answer that has to wait for memory. */
   countHeldWait(kind: HeldKind): void {
     this.heldWaits.inc({ kind })
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -72,7 +72,12 @@
 import { CoordinatorRole, StageCoordinators } from './stages/stage-coordinators.js'
 import { StartupGate } from './startup-gate.js'
 import { SuspensionDetector } from './suspension.js'
+import { OriginFinder } from './versions/origin-finder.js'
+import { maxStreamLifeMs, resumableServices } from './versions/stream-life.js'
+import { StreamReporter } from './versions/stream-reporter.js'
+import { StreamVersions } from './versions/stream-versions.js'
 import { VersionHistory } from './versions/version-history.js'
+import { VersionLedger } from './versions/version-ledger.js'
 
 /** A gateway process with all its components. */
 export class Gateway {
@@ -95,6 +100,8 @@
   private readonly loadExchange: LoadExchange
   private readonly sharedLimits: SharedLimits
   private readonly versionHistory: VersionHistory
+  private readonly versionLedger: VersionLedger
+  private readonly streamVersions: StreamVersions
   private readonly connections: BackendConnections
   private readonly intakes: BackendIntakes
   private readonly estimator: LoadEstimator
@@ -115,11 +122,13 @@
     this.directoryLag = new DirectoryLagWatch(this.gatewayLog, () => platform.restartReads())
     this.configuration = new ConfigurationHolder(platform.decodeConfiguration, log)
     this.registry = new BackendRegistry(log, service => this.configuration.table?.findService(service)?.coldStartMs ?? 0)
-    this.versionHistory = new VersionHistory(this.registry)
+    this.versionHistory = new VersionHistory(this.registry, service => this.streamVersions.reportIfNeeded(service))
     this.backendList = new BackendList(this.registry, log)
     this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashTracker = this.createCrashTracker()
     this.members = this.createMembers()
+    this.versionLedger = this.createVersionLedger()
+    this.streamVersions = this.createStreamVersions()
     this.sharedLimits = this.createSharedLimits()
     this.accountSharing = this.createAccountSharing()
     this.loadExchange = new LoadExchange({ ...this.accountSharing.exchanges, inFlight: this.usesSpeed ? this.sharedInFlight : new NoInFlightExchange() })
@@ -215,6 +224,38 @@
     return new CrashTracker({ name, ledger: platform.crashLedger, log, detector, restoresOthers: () => !this.members.receivesPeerUpdates })
   }
 
+  private createVersionLedger(): VersionLedger {
+    const { platform, members, versionHistory, log } = this
+    return new VersionLedger({
+      store: platform.records,
+      isCoordinator: () => members.isCoordinator,
+      services: () => resumableServices(this.configuration.table?.configuration),
+      recentVersions: service => versionHistory.recent(service, this.streamLifeMs(service), performance.now()),
+      onRecord: (service, version) => versionHistory.noteServed(service, version, performance.now()),
+      log,
+    })
+  }
+
+  private createStreamVersions(): StreamVersions {
+    const { members, peers, metrics, registry, versionHistory: history, versionLedger, log } = this
+    const gateways = (): Member[] => members.others
+    return new StreamVersions({
+      history,
+      reporter: new StreamReporter({ gateways, send: (gateway, streams) => peers.noteStreams(gateway, streams), countReports: streams => metrics.countStreamReports(streams) }),
+      finder: new OriginFinder({ gateways, ask: (gateway, question) => peers.findStream(gateway, question) }),
+      lifeMs: service => this.streamLifeMs(service),
+      isHistoryRead: () => versionLedger.isRead,
+      listAgeMs: () => registry.listAgeMs,
+      whenPeersDiscovered: () => members.whenPeersDiscovered(),
+      metrics,
+      log,
+    })
+  }
+
+  private streamLifeMs(service: string): number {
+    return maxStreamLifeMs(this.configuration.table?.configuration, service)
+  }
+
   private createSharedLimits(): SharedLimits {
     return new SharedLimits({
       members: this.members,
@@ -257,6 +298,7 @@
       crashes: this.crashTracker,
       coldStartLimiter,
       intake: this.intakes,
+      versionAgeMs: backend => this.versionHistory.ageMs(backend, performance.now()),
       slowdowns: this.usesSpeed ? this.estimator : undefined,
       createSharing: isFair ? () => new FairStageSharing() : undefined,
       minSharingAccounts: this.settings.load['stage-sharing-accounts'],
@@ -320,7 +362,7 @@
       intake: this.intakes,
       log: this.log,
       isEngine: service => this.configuration.table?.findService(service)?.engine !== undefined,
-      namesVersions: service => this.versionHistory.namesVersions(service),
+      streams: this.streamVersions,
     })
   }
 
@@ -350,6 +392,7 @@
       shares: this.accountSharing.shares,
       returns: this.accountSharing.returns,
       runner,
+      streams: this.streamVersions,
       crashes: this.crashTracker,
       metrics: this.metrics,
       log: this.log,
@@ -370,6 +413,7 @@
       peers: this.peers,
       stageCoordinator: this.stageCoordinators,
       crashes: this.crashTracker.crashExchange,
+      streams: this.streamVersions,
       describeSelf: () => this.describeSelf(),
       log: this.gatewayLog,
     })
@@ -398,6 +442,7 @@
     void backendSource.follow(this.backendList, this.members, signal)
     void memberDirectory.follow(this.members, signal)
     void crashLedger.follow(this.crashTracker, this.members, signal)
+    void this.versionLedger.start(signal)
     void memberDirectory.announce(this.self, signal)
   }
 
--- a/packages/gateway/src/process/keyed-topic.ts
+++ b/packages/gateway/src/process/keyed-topic.ts
@@ -41,3 +41,8 @@
   /** Reads records from an offset; waits up to `waitMs` milliseconds for the first one. */
   read: (topic: string, offset: number, signal: AbortSignal, waitMs?: number) => Promise<ReadRecords>
 }
+
+/** Topics that belong to the gateways. Calls reject if the store does not respond. */
+export interface RecordStore extends Pick<TopicReader, 'readLatest'> {
+  append: (topic: string, record: KeyedRecord) => Promise<void>
+}
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -82,6 +82,11 @@
     return this.states.size
   }
 
+  /** The listed members except this process. */
+  get others(): Member[] {
+    return [...this.states.values()].filter(({ isSelf }) => !isSelf).map(({ member }) => member)
+  }
+
   /** Index of this process among the members sorted by name. All processes with the same list agree on it. */
   get index(): number {
     this.cachedIndex ??= [...this.states.keys()].filter(name => name < this.self.name).length
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -15,6 +15,7 @@
 import type { Heartbeat, HeartbeatReply } from '../connection/peers/peer-messages.js'
 import type { PeerService } from '../connection/peers/peer-router.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../connection/peers/preparation.js'
+import type { StreamAnswer, StreamMessage, StreamQuestion } from '../connection/peers/stream-message.js'
 import type { ConfigurationHolder, ConfigurationRecord } from '../version/configuration-holder.js'
 import type { BackendList } from './backend-list.js'
 import type { CrashExchange } from './crashes/crash-exchange.js'
@@ -24,6 +25,7 @@
 import type { LimitExchange } from './intake/limit-exchange.js'
 import type { LoadExchange } from './load/load-exchange.js'
 import type { ActivePeers } from './membership/active-peers.js'
+import type { StreamVersions } from './versions/stream-versions.js'
 import { PeerFetch } from './peer-fetch.js'
 
 /** Configurations are fetched without delay: they change rarely and must be in force everywhere within seconds. */
@@ -46,6 +48,7 @@
   peers: Pick<PeerClients, 'configuration' | 'backends'>
   stageCoordinator: Preparer
   crashes: CrashExchange
+  streams: Pick<StreamVersions, 'noteReported' | 'answer'>
   /** This process's own status in heartbeat replies, without the shared state. */
   describeSelf: () => SelfDescription
   log: GatewayLog
@@ -117,6 +120,14 @@
       this.parts.stageCoordinator.release(id)
   }
 
+  noteStreams(streams: readonly StreamMessage[]): void {
+    this.parts.streams.noteReported(streams)
+  }
+
+  findStream(question: StreamQuestion): StreamAnswer {
+    return this.parts.streams.answer(question)
+  }
+
   /** Applies the state that a peer sent, and fetches what is newer but was not included. */
   applyPeerState({ name, address }: Member, { version, backends, backendChanges, crashes, evacuations, limits, leaving }: SharedState): void {
     const member = { name, address }
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -14,6 +14,7 @@
 import type { ConfigurationDecoder } from '../version/configuration-holder.js'
 import type { EvacuationOrder, EvacuationOrders } from '../version/evacuation-order.js'
 import type { CrashReports } from './crashes/crash-report.js'
+import type { RecordStore } from './keyed-topic.js'
 
 /** Cluster state that affects this gateway's reads of the store. */
 export interface PeerView {
@@ -131,6 +132,8 @@
   backendSource: BackendSource
   memberDirectory: MemberDirectory
   crashLedger: CrashLedger
+  /** Topics that belong to the gateways. */
+  records: RecordStore
   /** Request rate that a cold backend server may get from all gateways together. */
   coldAllowance: ColdAllowance
   /** Whether the deployment calls for a limit on bytes held for slow readers, where the settings give none. */
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -20,6 +20,7 @@
 import type { AdmissionCandidate } from './stage-admission.js'
 import { Err } from 'ts-results-es'
 import { PreparationFailureKind } from '../../connection/peers/preparation.js'
+import { withoutNewVersions } from '../../request/continuation/version-introduction.js'
 import { RequestStages } from '../../request/stages/request-stages.js'
 import { AdmissionAccuracy } from './admission-accuracy.js'
 import { EngineAssignments } from './engine-assignment.js'
@@ -59,6 +60,8 @@
 export interface StageCoordinatorDependencies extends StagePoolDependencies {
   /** Limits how often this coordinator may assign cold engines. */
   coldStartLimiter: Pick<ColdStartLimiter, 'mayTake' | 'note'>
+  /** Milliseconds for which the version of a backend server has been listed. @default Infinity */
+  versionAgeMs?: (backend: Backend) => number
   /** Creates the rule by which requests of a coordinator share its stage work. @default UnsharedStages */
   createSharing?: () => StageSharing
   /** Client accounts in the configuration from which on that rule applies. @default 0 */
@@ -229,12 +232,13 @@
   }
 
   /** Engines that may answer a request now. Rate-limited ones only if all are, since a request to them waits for its gateway's next time slot. */
-  private eligibleEngines({ prompt, service, softwareVersion }: PreparationRequest, now: number): Backend[] {
+  private eligibleEngines({ prompt, service, softwareVersion }: PreparationRequest, now: number): readonly Backend[] {
     const engines = prompt && service ? this.backends.available(service) : []
     const ofVersion = engines.filter(engine => softwareVersion === undefined || engine.softwareVersion === softwareVersion)
     const eligible = ofVersion.filter(engine => this.dependencies.coldStartLimiter.mayTake(engine, now))
-    const unlimited = eligible.filter(({ intake }) => intake.limitPerSecond === undefined)
-    return unlimited.length > 0 ? unlimited : eligible
+    const introduced = withoutNewVersions(eligible, this.dependencies.versionAgeMs ?? (() => Number.POSITIVE_INFINITY))
+    const unlimited = introduced.filter(({ intake }) => intake.limitPerSecond === undefined)
+    return unlimited.length > 0 ? unlimited : introduced
   }
 
   /** Shares stage work as configured, where there are enough client accounts. */
--- /dev/null
+++ b/packages/gateway/src/process/versions/origin-finder.ts
@@ -0,0 +1,74 @@
+/**
+ * Asks the gateways that keep the record of a stream where it began. Holds no
+ * state beyond the questions in flight.
+ */
+import type { Member } from '../../connection/peers/member.js'
+import type { StreamAnswer, StreamQuestion, VersionMessage } from '../../connection/peers/stream-message.js'
+import type { OriginReply, ServingVersion } from '../../request/continuation/origin-decision.js'
+import { wait } from '@eidermast/common'
+import { ASKED, rankHolders } from './stream-holders.js'
+
+/** Time for the other replies after one that agrees with what this process knows. */
+const SETTLE_MS = 50
+
+/** What the finder works with. */
+export interface OriginFinderDependencies {
+  /** The listed gateways except this one. */
+  gateways: () => readonly Member[]
+  ask: (gateway: Member, question: StreamQuestion) => Promise<StreamAnswer>
+}
+
+/** The replies to a question, and how many gateways were asked. */
+export interface OriginReplies {
+  asked: number
+  replies: OriginReply[]
+}
+
+/** Asks peers where streams began. */
+export class OriginFinder {
+  constructor(private readonly dependencies: OriginFinderDependencies) {}
+
+  /**
+   * Resolves once a peer knows the stream, once all have answered or failed, or,
+   * if `isExpected` accepts a reply, a moment after it.
+   */
+  async find(question: StreamQuestion, isExpected: (reply: OriginReply) => boolean): Promise<OriginReplies> {
+    const holders = rankHolders(question.key, this.dependencies.gateways()).slice(0, ASKED)
+    const replies: OriginReply[] = []
+    await new Promise<void>((resolve) => {
+      const questions = holders.map(async (holder) => {
+        const reply = await this.ask(holder, question)
+        if (!reply)
+          return
+        replies.push(reply)
+        if (reply.record)
+          resolve()
+        else if (isExpected(reply))
+          void wait(SETTLE_MS).then(resolve)
+      })
+      void Promise.all(questions).then(() => resolve())
+    })
+    return { asked: holders.length, replies: [...replies] }
+  }
+
+  /** The reply of one peer; undefined if it does not answer, or runs a release that does not keep records. */
+  private async ask(holder: Member, question: StreamQuestion): Promise<OriginReply | undefined> {
+    try {
+      const { known, version, versions, complete } = await this.dependencies.ask(holder, question)
+      return { peer: holder.name, record: known ? { version } : undefined, versions: versions.map(decodeVersion), isComplete: complete }
+    }
+    catch {
+      // Counted as not answered; the number is logged with the decision.
+      return undefined
+    }
+  }
+}
+
+/** Encodes a version; the age is left out if it is not known since when the version has been listed. */
+export function encodeVersion({ version, ageMs }: ServingVersion): VersionMessage {
+  return Number.isFinite(ageMs) ? { version, ageMs } : { version }
+}
+
+function decodeVersion({ version, ageMs = Number.POSITIVE_INFINITY }: VersionMessage): ServingVersion {
+  return { version, ageMs }
+}
--- /dev/null
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -0,0 +1,194 @@
+/**
+ * Keeps the software version at which each stream began, for clients that resume
+ * it at any gateway. While one version of a service serves, this gateway only
+ * remembers its own streams. Once several serve, or it does not know whether they
+ * do, it also reports each stream that begins to some peers (`stream-holders.ts`),
+ * and those that began before. A resumed stream goes on as `origin-decision.ts`
+ * says. State in memory; after a restart the peers have the reports.
+ */
+import type { EventLog, RequestError } from '@eidermast/common'
+import type { Result } from 'ts-results-es'
+import type { Backend } from '../../connection/backends/backend.js'
+import type { StreamAnswer, StreamMessage, StreamQuestion } from '../../connection/peers/stream-message.js'
+import type { OriginDecision, VersionView } from '../../request/continuation/origin-decision.js'
+import type { StreamContinuations } from '../../request/continuation/stream-continuations.js'
+import type { StreamOrigin } from '../../request/continuation/stream-origin.js'
+import type { RoutedRequest } from '../../request/routed-request.js'
+import type { OriginFinder, OriginReplies } from './origin-finder.js'
+import type { StreamReporter } from './stream-reporter.js'
+import type { VersionHistory } from './version-history.js'
+import { createError, ErrorKind } from '@eidermast/common'
+import { Err, Ok } from 'ts-results-es'
+import { decideOrigin, OriginSource } from '../../request/continuation/origin-decision.js'
+import { streamKeyOf } from '../../request/continuation/stream-key.js'
+import { encodeVersion } from './origin-finder.js'
+import { StreamMemory } from './stream-memory.js'
+import { UNNAMED_VERSION } from './version-history.js'
+
+/** Time in which all gateways have read a change of the list and reported their streams, unless they are cut off. */
+const CHANGE_SPREADS_WITHIN_MS = 3000
+/** Retry delay for clients whose stream may become known: time for a report, or for a peer that does not answer at the moment. */
+const UNKNOWN_RETRY_AFTER_MS = 500
+/** Asked about where a client names no request: no stream has this key, but peers tell which versions serve. */
+const NO_KEY = ''
+
+/** Counts resumed streams for the metrics endpoint; implemented by the process. */
+export interface StreamMetrics {
+  countStreamResumed: (source: OriginSource) => void
+}
+
+/** What the records work with. Times are in milliseconds. */
+export interface StreamVersionsDependencies {
+  history: VersionHistory
+  reporter: Pick<StreamReporter, 'report'>
+  finder: Pick<OriginFinder, 'find'>
+  /** Longest life of a stream of a service. */
+  lifeMs: (service: string) => number
+  /** Whether the versions that served before this process started are known. */
+  isHistoryRead: () => boolean
+  /** Age of the list of backend servers. */
+  listAgeMs: () => number
+  /** Resolves once this process knows its peers. */
+  whenPeersDiscovered: () => Promise<void>
+  metrics: StreamMetrics
+  log: EventLog
+}
+
+/** Records and finds the versions of streams. */
+export class StreamVersions implements StreamContinuations {
+  private readonly memory = new StreamMemory()
+  /** Streams that this gateway began and has not reported, by service. */
+  private readonly unreported = new Map<string, StreamMemory>()
+  private readonly startedAt = performance.now()
+
+  constructor(private readonly dependencies: StreamVersionsDependencies) {}
+
+  namesVersions(service: string): boolean {
+    return this.dependencies.history.namesVersions(service)
+  }
+
+  versionAgeMs(backend: Backend): number {
+    return this.dependencies.history.ageMs(backend, performance.now())
+  }
+
+  recordBegun(request: RoutedRequest, version: string = UNNAMED_VERSION): void {
+    const { route, service } = request
+    const key = streamKeyOf(request)
+    if (!route.streaming || !route.resumable || key === undefined || !this.namesVersions(service))
+      return
+    const now = performance.now()
+    this.memory.expire(this.dependencies.lifeMs(service), now)
+    this.memory.record(key, version, now)
+    this.unreportedOf(service).record(key, version, now)
+    this.reportIfNeeded(service)
+  }
+
+  /** Reports the streams of a service that began before, if several versions may serve. */
+  reportIfNeeded(service: string): void {
+    const now = performance.now()
+    const unreported = this.unreportedOf(service)
+    unreported.expire(this.dependencies.lifeMs(service), now)
+    const { versions, isComplete } = this.viewOf(service, now)
+    if (versions.length < 2 && isComplete)
+      return
+    this.unreported.delete(service)
+    for (const stream of unreported.entries())
+      this.dependencies.reporter.report(stream)
+  }
+
+  async findOrigin(request: RoutedRequest): Promise<Result<StreamOrigin | undefined, RequestError>> {
+    const { head, route } = request
+    if (!route.streaming || !route.resumable || head.lastEventId === undefined)
+      return Ok(undefined)
+    const startedAt = performance.now()
+    const replies = await this.ask(request)
+    const decision = this.decide(request, replies)
+    this.dependencies.metrics.countStreamResumed(decision.source)
+    this.logResumed(request, decision, replies, performance.now() - startedAt)
+    return toResult(request.service, decision)
+  }
+
+  /** Records the streams that a peer reports. */
+  noteReported(streams: readonly StreamMessage[]): void {
+    const now = performance.now()
+    for (const { key, version } of streams)
+      this.memory.record(key, version, now)
+  }
+
+  /** Answers a peer's question where a stream began. */
+  answer({ key, service }: StreamQuestion): StreamAnswer {
+    const record = this.memory.find(key)
+    const { versions, isComplete } = this.viewOf(service, performance.now())
+    return { known: record !== undefined, version: record?.version, versions: versions.map(encodeVersion), complete: isComplete }
+  }
+
+  /** Asks the peers, unless this gateway has a record of the stream. */
+  private async ask(request: RoutedRequest): Promise<OriginReplies> {
+    const key = streamKeyOf(request) ?? NO_KEY
+    if (this.memory.find(key))
+      return { asked: 0, replies: [] }
+    await this.dependencies.whenPeersDiscovered()
+    const own = this.viewOf(request.service, performance.now()).versions
+    return this.dependencies.finder.find({ key, service: request.service }, ({ versions, isComplete }) => isComplete && own.length === 1 && versions.length === 1 && own[0].version === versions[0].version)
+  }
+
+  private decide(request: RoutedRequest, { asked, replies }: OriginReplies): OriginDecision {
+    const now = performance.now()
+    return decideOrigin({
+      record: this.memory.find(streamKeyOf(request) ?? NO_KEY),
+      replies,
+      asked,
+      view: this.viewOf(request.service, now),
+      listAgeMs: this.dependencies.listAgeMs(),
+      hasJustChanged: this.dependencies.history.changedForMs(request.service, now) <= CHANGE_SPREADS_WITHIN_MS,
+    })
+  }
+
+  private viewOf(service: string, now: number): VersionView {
+    const lifeMs = this.dependencies.lifeMs(service)
+    return {
+      versions: this.dependencies.history.serving(service, lifeMs, now),
+      isComplete: this.dependencies.isHistoryRead() || now - this.startedAt > lifeMs,
+    }
+  }
+
+  private unreportedOf(service: string): StreamMemory {
+    const known = this.unreported.get(service)
+    if (known)
+      return known
+    const created = new StreamMemory()
+    this.unreported.set(service, created)
+    return created
+  }
+
+  private logResumed({ head, service }: RoutedRequest, { source, version }: OriginDecision, { asked, replies }: OriginReplies, tookMs: number): void {
+    this.dependencies.log.write('stream-resumed', {
+      request: head.requestId,
+      resumes: head.resumedRequestId,
+      lastEventId: head.lastEventId,
+      service,
+      source,
+      version,
+      reportedBy: replies.find(({ record }) => record)?.peer,
+      asked,
+      answered: replies.length,
+      versions: this.viewOf(service, performance.now()).versions.map(({ version: serving }) => serving).join(','),
+      tookMs: Math.round(tookMs),
+    })
+  }
+}
+
+function toResult(service: string, { source, version }: OriginDecision): Result<StreamOrigin | undefined, RequestError> {
+  switch (source) {
+    case OriginSource.Recorded:
+    case OriginSource.Reported:
+    case OriginSource.OnlyVersion:
+      return Ok({ version: version === UNNAMED_VERSION ? undefined : version })
+    case OriginSource.Unversioned:
+      return Ok(undefined)
+    case OriginSource.Unknown:
+      return Err(createError(ErrorKind.StreamVersionUnknown, `several software versions of service ${service} serve, and it is not known yet which one began the stream`, { retryAfterMs: UNKNOWN_RETRY_AFTER_MS }))
+    case OriginSource.Lost:
+      return Err(createError(ErrorKind.StreamVersionLost, `several software versions of service ${service} serve, and no gateway knows which one began the stream: begin it again`))
+  }
+}
--- a/packages/gateway/src/process/versions/version-history.ts
+++ b/packages/gateway/src/process/versions/version-history.ts
@@ -4,42 +4,104 @@
  * registry of backend servers.
  */
 import type { Backend } from '../../connection/backends/backend.js'
+import type { ServingVersion } from '../../request/continuation/origin-decision.js'
 import type { BackendListener } from '../backend-registry.js'
 
 /** Stands for backend servers whose entries name no version. */
-const UNNAMED_VERSION = ''
+export const UNNAMED_VERSION = ''
 
 /** The part of the registry that is followed. */
 export interface VersionedBackends {
   readonly all: Iterable<Backend>
+  /** Whether a whole list was loaded, so that any backend server added from now on has just started. */
+  readonly isWholeListLoaded: boolean
   listen: (listener: BackendListener) => void
 }
 
+/** What is known of one service besides its listed backend servers. */
+class ServiceVersions {
+  /** When each version was first listed; negative infinity if that was before this process started. */
+  readonly listedAt = new Map<string, number>()
+  /** When the last backend server of a version was removed. */
+  readonly removedAt = new Map<string, number>()
+  /** When a version was first listed that was not the first one. */
+  changedAt = Number.NEGATIVE_INFINITY
+}
+
 /** The versions of all services. Times are on the monotonic clock, in milliseconds. */
 export class VersionHistory {
-  /** When a backend server of a version was last removed, by service and version. */
-  private readonly removedAt = new Map<string, Map<string, number>>()
+  private readonly services = new Map<string, ServiceVersions>()
 
-  constructor(private readonly backends: VersionedBackends) {
-    backends.listen({ removed: backend => this.noteServed(backend.service, versionOf(backend), performance.now()) })
+  /** Calls `onChange` with a service when a further version of it is listed. */
+  constructor(private readonly backends: VersionedBackends, private readonly onChange: (service: string) => void = () => {}) {
+    backends.listen({
+      added: backend => this.noteListed(backend.service, versionOf(backend), performance.now()),
+      removed: backend => this.noteServed(backend.service, versionOf(backend), performance.now()),
+    })
   }
 
   /** Records that a version served until `now`. */
   noteServed(service: string, version: string, now: number): void {
-    const versions = this.removedAt.get(service) ?? new Map<string, number>()
-    this.removedAt.set(service, versions.set(version, now))
+    const state = this.stateOf(service)
+    if (!state.listedAt.has(version))
+      state.listedAt.set(version, Number.NEGATIVE_INFINITY)
+    state.removedAt.set(version, now)
   }
 
   /** Whether any entry of a service has named a version since this process started. */
   namesVersions(service: string): boolean {
-    return this.recent(service, Number.POSITIVE_INFINITY, 0).some(version => version !== UNNAMED_VERSION)
+    const listedAt = this.services.get(service)?.listedAt
+    return listedAt !== undefined && (listedAt.size > 1 || !listedAt.has(UNNAMED_VERSION))
+  }
+
+  /** Milliseconds since the version of a backend server was first listed. */
+  ageMs(backend: Backend, now: number): number {
+    return now - (this.services.get(backend.service)?.listedAt.get(versionOf(backend)) ?? now)
+  }
+
+  /** Versions of a service that are listed, or were within the last `withinMs`, with the time since each was first listed. */
+  serving(service: string, withinMs: number, now: number): ServingVersion[] {
+    const listedAt = this.services.get(service)?.listedAt
+    return this.recent(service, withinMs, now).map(version => ({ version, ageMs: now - (listedAt?.get(version) ?? now) }))
   }
 
   /** Versions of a service that are listed, or were within the last `withinMs`; sorted. */
   recent(service: string, withinMs: number, now: number): string[] {
-    const listed = [...this.backends.all].filter(backend => backend.service === service).map(versionOf)
-    const removed = [...this.removedAt.get(service) ?? []].filter(([, at]) => now - at < withinMs).map(([version]) => version)
-    return [...new Set([...listed, ...removed])].sort()
+    const versions = new Set<string>()
+    for (const backend of this.backends.all) {
+      if (backend.service === service)
+        versions.add(versionOf(backend))
+    }
+    for (const [version, at] of this.services.get(service)?.removedAt ?? []) {
+      if (now - at < withinMs)
+        versions.add(version)
+    }
+    return [...versions].sort()
+  }
+
+  /** Milliseconds since a further version of a service was first listed; Infinity if there was none. */
+  changedForMs(service: string, now: number): number {
+    return now - (this.services.get(service)?.changedAt ?? Number.NEGATIVE_INFINITY)
+  }
+
+  private noteListed(service: string, version: string, now: number): void {
+    const state = this.stateOf(service)
+    if (state.listedAt.has(version))
+      return
+    state.listedAt.set(version, this.backends.isWholeListLoaded ? now : Number.NEGATIVE_INFINITY)
+    if (state.listedAt.size === 1)
+      return
+    state.changedAt = now
+    this.onChange(service)
+  }
+
+  private stateOf(service: string): ServiceVersions {
+    const known = this.services.get(service)
+    if (known)
+      return known
+    const created = new ServiceVersions()
+    this.services.set(service, created)
+    return created
   }
 }
 
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -9,6 +9,7 @@
 import type { BackendCall, BackendClient, CallFailure } from '../../connection/backends/backend-client.js'
 import type { Backend } from '../../connection/backends/backend.js'
 import type { IntakeGate } from '../../connection/backends/intake-gate.js'
+import type { StreamContinuations } from '../continuation/stream-continuations.js'
 import type { StreamOrigin } from '../continuation/stream-origin.js'
 import type { CrashMonitor } from '../crash-monitor.js'
 import type { BackendEstimate, LoadEstimator } from '../load/load-estimator.js'
@@ -57,8 +58,8 @@
   log: RequestLog
   /** Whether a service's backend servers are model engines. */
   isEngine: (service: string) => boolean
-  /** Whether an entry of a service has named a software version. */
-  namesVersions: (service: string) => boolean
+  /** Records where streams begin. */
+  streams: Pick<StreamContinuations, 'namesVersions' | 'versionAgeMs' | 'recordBegun'>
 }
 
 /** Whether a backend server may get the next attempt of a request. */
@@ -223,7 +224,7 @@
   /** Whether a backend server was not tried and may continue the stream. */
   private readonly isEligible: BackendFilter = backend => !this.tried.has(backend.id) && this.mayContinueAt(backend)
 
-  private readonly mayContinueAt: BackendFilter = backend => mayContinueAt(this.origin, backend, this.dependencies.namesVersions)
+  private readonly mayContinueAt: BackendFilter = backend => mayContinueAt(this.origin, backend, service => this.dependencies.streams.namesVersions(service))
 
   /** Recreates the stage results that an earlier attempt consumed or lost. */
   private async recreateInputs(): Promise<boolean> {
@@ -284,8 +285,8 @@
   /** The first event shows that the backend server has fetched its inputs; the last event id is where a resumed stream continues. */
   private recordEvent(backend: Backend, id: string | undefined): void {
     this.lastEventAt = performance.now()
-    this.firstEventAt ??= this.lastEventAt
-    this.origin ??= { version: backend.softwareVersion }
+    if (this.firstEventAt === undefined)
+      this.recordBegin(backend, this.lastEventAt)
     if (!this.inputsRead && this.subject.inputs.handles) {
       this.inputsRead = true
       this.subject.inputs.onRead?.()
@@ -293,6 +294,13 @@
     this.lastEventId = id ?? this.lastEventId
   }
 
+  /** The first event of the answer fixes the version of the stream. */
+  private recordBegin(backend: Backend, firstEventAt: number): void {
+    this.firstEventAt = firstEventAt
+    this.origin ??= { version: backend.softwareVersion }
+    this.dependencies.streams.recordBegun(this.subject.request, this.origin.version)
+  }
+
   /** Only the first event of the whole run is a sample: a resumed stream starts elsewhere. */
   private recordSpeedOfFirstEvent(backend: Backend, tookMs: number, estimate: BackendEstimate | undefined): void {
     const { promptParts } = this.subject.request.head
@@ -361,6 +369,7 @@
     const unanswered = this.history.runs === 0 && !signal.aborted ? this.refusedForRoom : undefined
     const error = unanswered ?? errorOfUnanswered({
       service: request.service,
+      origin: request.origin,
       cancelled: signal.aborted,
       runs: this.history.runs,
       refusal: this.dependencies.crashes.refusal(request.fingerprint),
--- a/packages/gateway/src/request/attempts/backend-runner.ts
+++ b/packages/gateway/src/request/attempts/backend-runner.ts
@@ -12,6 +12,7 @@
 import type { LoadBalancingPolicy } from './load-balancing.js'
 import type { RunInputs, RunResult, RunSubject } from './run-subject.js'
 import { mayContinueAt } from '../continuation/stream-origin.js'
+import { withoutNewVersions } from '../continuation/version-introduction.js'
 import { RequestLog } from '../request-log.js'
 import { BackendRun, shortestWaitMs } from './backend-run.js'
 import { NO_INPUTS } from './run-subject.js'
@@ -85,14 +86,19 @@
 
   /** Accepts the backend servers that may answer a request that was not tried yet. */
   private filterFor({ origin }: RequestTarget): BackendFilter {
-    return backend => mayContinueAt(origin, backend, this.dependencies.namesVersions)
+    return backend => mayContinueAt(origin, backend, service => this.dependencies.streams.namesVersions(service))
+  }
+
+  /** Keeps streams that clients can resume away from versions that were just listed. */
+  private withoutNewVersions({ route }: RoutedRequest, accepting: readonly Backend[]): readonly Backend[] {
+    return route.streaming && route.resumable ? withoutNewVersions(accepting, backend => this.dependencies.streams.versionAgeMs(backend)) : accepting
   }
 
   /** The preferred one of the eligible backend servers. */
   private select(request: RoutedRequest, inputs: RunInputs, isEligible: BackendFilter): Backend | undefined {
     const candidates = this.dependencies.registry.available(request.service).filter(isEligible)
     const now = performance.now()
-    const accepting = candidates.filter(backend => this.dependencies.intake.waitMs(backend) === 0)
+    const accepting = this.withoutNewVersions(request, candidates.filter(backend => this.dependencies.intake.waitMs(backend) === 0))
     const usable = this.dependencies.ejection.filter(accepting)
     const withStaleLimit = usable.find(backend => isLimitStale(backend.intake, now) && this.dependencies.coldStartLimiter.mayTake(backend, now))
     const preferred = withStaleLimit ?? usable.find(backend => backend.id === inputs.engine)
--- a/packages/gateway/src/request/continuation/index.ts
+++ b/packages/gateway/src/request/continuation/index.ts
@@ -1,2 +1,6 @@
 export * from './continuation-wait.js'
+export * from './origin-decision.js'
+export * from './stream-continuations.js'
+export * from './stream-key.js'
 export * from './stream-origin.js'
+export * from './version-introduction.js'
--- /dev/null
+++ b/packages/gateway/src/request/continuation/origin-decision.ts
@@ -0,0 +1,119 @@
+/**
+ * Decides where a stream began that a client resumes.
+ *
+ * Inputs: what this process has recorded of the stream; the replies of the peers
+ * to which beginning streams are reported (asked for this request); the versions
+ * that serve, or did within the longest life of a stream, as this process and the
+ * peers know them, how long each has been listed (ms), and whether they know that
+ * period completely; the age of this process's list of backend servers (ms).
+ * Rule: a recorded or reported version is taken. Without one, the version is
+ * known where only one has served for as long as a stream lives, apart from those
+ * that are too new for streams (`version-introduction.ts`); the own list counts
+ * alone only while it is recent or nobody else is listed. Contradicting records
+ * and everything else leave it unknown. It may still become known while a peer
+ * has not answered, or while versions have just changed.
+ * Why: a stream that goes on at the wrong version cannot be told from a good one,
+ * while a refused one can be begun again. What the client says is no proof of
+ * where its stream began.
+ * Log event: `stream-resumed`.
+ */
+
+import { TRUSTED_MS } from './version-introduction.js'
+
+/** Longer than the longest wait of a read of the list, so that a connected process always has a recent list. */
+const MAX_LIST_AGE_MS = 12_000
+
+/** How the origin of a stream was found. */
+export enum OriginSource {
+  /** This process began it or was told. */
+  Recorded = 'recorded',
+  /** A peer began it or was told. */
+  Reported = 'reported',
+  /** No other version has served since it can have begun. */
+  OnlyVersion = 'only-version',
+  /** The service names no versions. */
+  Unversioned = 'unversioned',
+  /** Unknown, and may become known. */
+  Unknown = 'unknown',
+  /** Unknown for good. */
+  Lost = 'lost',
+}
+
+/** What is recorded of one stream. */
+export interface StreamRecord {
+  /** Version that began it, empty if it is not named; undefined if records contradict each other. */
+  version: string | undefined
+}
+
+/** A software version of a service. */
+export interface ServingVersion {
+  /** Empty for backend servers whose version is not named. */
+  version: string
+  /** Milliseconds since it was first listed; Infinity if it was before the process started that tells. */
+  ageMs: number
+}
+
+/** Versions of a service that serve, or did within the longest life of a stream. */
+export interface VersionView {
+  versions: readonly ServingVersion[]
+  /** Whether the whole period is known. */
+  isComplete: boolean
+}
+
+/** A peer's reply about a stream. */
+export interface OriginReply extends VersionView {
+  /** Name of the peer. */
+  peer: string
+  record: StreamRecord | undefined
+}
+
+/** Inputs of the decision. */
+export interface OriginInputs {
+  record: StreamRecord | undefined
+  replies: readonly OriginReply[]
+  /** Number of peers that were asked. */
+  asked: number
+  view: VersionView
+  /** Age of this process's list of backend servers, in milliseconds. */
+  listAgeMs: number
+  /** Whether another version was first listed so recently that reports may still be under way. */
+  hasJustChanged: boolean
+}
+
+/** Where a stream began, and how that is known. */
+export interface OriginDecision {
+  source: OriginSource
+  /** Set for the sources `Recorded`, `Reported` and `OnlyVersion`; empty if the version is not named. */
+  version?: string
+}
+
+/** Decides where a stream began. */
+export function decideOrigin(inputs: OriginInputs): OriginDecision {
+  const { record, replies, asked, view, listAgeMs } = inputs
+  const records = [record, ...replies.map(reply => reply.record)].filter(known => known !== undefined)
+  const recorded = new Set(records.map(({ version }) => version))
+  if (recorded.size > 1 || recorded.has(undefined))
+    return { source: OriginSource.Lost }
+  if (recorded.size === 1)
+    return { source: record ? OriginSource.Recorded : OriginSource.Reported, version: [...recorded][0] }
+  const views = [view, ...replies]
+  const version = onlyVersionWithStreams(views.flatMap(({ versions }) => versions))
+  const isConfirmed = asked === 0 || replies.length > 0 || listAgeMs <= MAX_LIST_AGE_MS
+  const isComplete = views.some(known => known.isComplete)
+  if (version !== undefined && isConfirmed && isComplete) {
+    return version === '' ? { source: OriginSource.Unversioned } : { source: OriginSource.OnlyVersion, version }
+  }
+  return { source: mayBecomeKnown(inputs, isComplete) ? OriginSource.Unknown : OriginSource.Lost }
+}
+
+/** The only version, or the only one that is old enough to have streams; undefined if there are several. */
+function onlyVersionWithStreams(known: readonly ServingVersion[]): string | undefined {
+  const versions = new Set(known.map(({ version }) => version))
+  const withStreams = new Set(known.filter(({ ageMs }) => ageMs >= TRUSTED_MS).map(({ version }) => version))
+  const [only, ...others] = versions.size === 1 ? versions : withStreams
+  return others.length === 0 ? only : undefined
+}
+
+function mayBecomeKnown({ replies, asked, hasJustChanged }: OriginInputs, isComplete: boolean): boolean {
+  return replies.length < asked || hasJustChanged || !isComplete
+}
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -5,6 +5,7 @@
  * process exits, it is lost and the client's connection breaks.
  */
 import type { EventLog, RequestError } from '@eidermast/common'
+import type { Result } from 'ts-results-es'
 import type { ClientRequest, RequestHandler } from '../connection/clients/client-request.js'
 import type { ClientResponse } from '../connection/clients/client-response.js'
 import type { PreparationRequest, Preparer } from '../connection/peers/preparation.js'
@@ -13,15 +14,17 @@
 import type { AdmissionTicket, RequestAdmission } from './admission/request-admission.js'
 import type { BackendRunner } from './attempts/backend-runner.js'
 import type { RunInputs, RunResult, RunSubject } from './attempts/run-subject.js'
+import type { StreamContinuations } from './continuation/stream-continuations.js'
 import type { CrashMonitor } from './crash-monitor.js'
 import type { ReturnDetector } from './returns/return-detector.js'
 import type { RoutedRequest } from './routed-request.js'
 import type { StartGate } from './start-wait.js'
 import { createError, ErrorKind } from '@eidermast/common'
+import { Err, Ok } from 'ts-results-es'
 import { DemandEnd } from './admission/account-shares.js'
 import { NO_INPUTS } from './attempts/run-subject.js'
 import { atLeastOneMs } from './deadlines.js'
-import { errorOfPreparation, errorOfWithheld } from './request-errors.js'
+import { errorOfPreparation, errorOfRemovedVersion, errorOfWithheld } from './request-errors.js'
 import { outcomeOf, RequestLog } from './request-log.js'
 import { RequestRouter } from './request-router.js'
 import { decideStartWaitMs } from './start-wait.js'
@@ -48,6 +51,7 @@
   /** Finds out which requests without stages were refused before. */
   returns: ReturnDetector
   runner: BackendRunner
+  streams: Pick<StreamContinuations, 'findOrigin'>
   crashes: Pick<CrashMonitor, 'refusal'>
   metrics: RequestMetrics
   log: EventLog
@@ -70,11 +74,25 @@
     const routed = this.router.route(request)
     if (routed.isErr())
       return this.finish(request, undefined, clientResponse, { error: routed.error })
-    const refused = this.refuse(routed.value)
-    const end = refused ? { error: refused } : await this.run(routed.value, clientResponse, signal)
+    const accepted = await this.accept(routed.value)
+    const end = accepted.isErr() ? { error: accepted.error } : await this.run(accepted.value, clientResponse, signal)
     this.finish(request, routed.value.route.name, clientResponse, end)
   }
 
+  /** Finds where the stream began that a request resumes; returns the error for one that must not be sent to any backend server. */
+  private async accept(request: RoutedRequest): Promise<Result<RoutedRequest, RequestError>> {
+    const refused = this.refuse(request)
+    if (refused)
+      return Err(refused)
+    const origin = await this.dependencies.streams.findOrigin(request)
+    return origin.andThen((found) => {
+      if (found === undefined)
+        return Ok(request)
+      const resumed = { ...request, origin: found }
+      return this.dependencies.runner.hasBackend(resumed) ? Ok(resumed) : Err(errorOfRemovedVersion(request.service, found))
+    })
+  }
+
   /** Returns the error for a request that must not be sent to any backend server; undefined for others. */
   private refuse({ fingerprint }: RoutedRequest): RequestError | undefined {
     const refusal = this.dependencies.crashes.refusal(fingerprint)
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -10,12 +10,15 @@
  * a request again. A request that may have run ends with an unknown outcome. One
  * that every backend server refused ends as overload with a short retry delay;
  * one that no backend server accepts yet, as overload until the first one does.
+ * One that resumes a stream of whose version no server is left is told so, without
+ * a delay.
  * Why: a wrong "did not run" makes a client run the request twice.
  * Log event: `request-ended` (`outcome`, `ran`, `reason`, `retryAfterMs`).
  */
 import type { RequestError } from '@eidermast/common'
 import type { CallFailure } from '../connection/backends/backend-client.js'
 import type { PreparationFailure } from '../connection/peers/preparation.js'
+import type { StreamOrigin } from './continuation/stream-origin.js'
 import { createError, ErrorKind, Ran } from '@eidermast/common'
 import { CallFailureKind } from '../connection/backends/backend-client.js'
 import { PreparationFailureKind } from '../connection/peers/preparation.js'
@@ -30,6 +33,8 @@
 /** A request that was not answered. */
 export interface UnansweredRequest {
   service: string
+  /** Where the stream began that it resumes. @default it resumes none */
+  origin?: StreamOrigin
   /** Its client disconnected. */
   cancelled: boolean
   /** Attempts that ran or may have run. */
@@ -43,13 +48,15 @@
 }
 
 /** Decides the error of a request that no backend server answered. */
-export function errorOfUnanswered({ service, cancelled, runs, refusal, lastFailure, waitMs }: UnansweredRequest): RequestError {
+export function errorOfUnanswered({ service, origin, cancelled, runs, refusal, lastFailure, waitMs }: UnansweredRequest): RequestError {
   if (cancelled)
     return createError(ErrorKind.Cancelled, 'client disconnected', { ran: runs > 0 ? Ran.Unknown : Ran.None })
   if (runs > 0)
     return createError(ErrorKind.OutcomeUnknown, lastFailure?.message ?? 'backend server sent no response', { ran: Ran.Unknown })
   if (refusal !== undefined)
     return createError(ErrorKind.Quarantined, refusal)
+  if (origin !== undefined && waitMs === Number.POSITIVE_INFINITY)
+    return errorOfRemovedVersion(service, origin)
   if (waitMs > 0 && Number.isFinite(waitMs))
     return errorOfWithheld(service, waitMs)
   if (lastFailure && lastFailure.kind !== CallFailureKind.Leaving)
@@ -63,6 +70,11 @@
   return createError(ErrorKind.Overloaded, message, { retryAfterMs: waitMs })
 }
 
+/** The error of a request that resumes a stream while no backend server of its version accepts work. */
+export function errorOfRemovedVersion(service: string, { version }: StreamOrigin): RequestError {
+  return createError(ErrorKind.StreamVersionGone, `the stream began at software version ${version ?? '(not named)'} of service ${service}, of which no backend server is left: begin it again`)
+}
+
 /** Decides the error of a request whose stages produced no results. */
 export function errorOfPreparation({ kind, message, retryAfterMs }: PreparationFailure): RequestError {
   return createError(errorKindOf(kind), message, { ran: Ran.None, retryAfterMs })
--- a/packages/gateway/src/request/request-router.ts
+++ b/packages/gateway/src/request/request-router.ts
@@ -6,7 +6,8 @@
  * look-ups are in version/route-table.
  * Rule: a request needs a route, and the key of a client account unless the
  * route is public or no accounts are configured. A hash of the request id selects
- * the service by the weights of the route.
+ * the service by the weights of the route; for a stream that a client resumes, the
+ * id of the request that began it.
  * Why a hash: a client's retry with the same id goes to the same service at every
  * gateway.
  * Log events: `request-ended` (`route`, or the error's kind), `route` (`service`).
@@ -25,6 +26,7 @@
 import { Err, Ok } from 'ts-results-es'
 import { pickService } from '../version/route-table.js'
 import { ClientRetryDetector } from './client-retry-detector.js'
+import { beginningRequestId } from './continuation/stream-key.js'
 import { decideDeadlines } from './deadlines.js'
 import { HASH_RANGE, hashText } from './rendezvous.js'
 import { fingerprintOf } from './request-fingerprint.js'
@@ -62,7 +64,7 @@
     route: Route,
     account: ClientAccount | undefined,
   ): Result<RoutedRequest, RequestError> {
-    const service = pickService(route, hashText(request.head.requestId) / HASH_RANGE)
+    const service = pickService(route, hashText(beginningRequestId(request.head) ?? request.head.requestId) / HASH_RANGE)
     if (!service)
       return Err(createError(ErrorKind.NoBackend, `route ${route.name} has no service`))
     const fingerprint = fingerprintOf({ method: request.method, host: request.head.host, path: request.path, account: account?.name, body: request.body })
--- a/test/gateway/attempts-under-load.test.ts
+++ b/test/gateway/attempts-under-load.test.ts
@@ -4,7 +4,7 @@
 import { BackendRegistry, BackendRunner, CallFailureKind, LeastLoadPolicy, NO_INPUTS, ReportedLoadEstimator, RetryBudget, RetryDecision } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
-import { createLog, createRecord, createRoute, NO_CRASHES, UNLIMITED_COLD_STARTS } from './support/fakes.js'
+import { createLog, createRecord, createRoute, NO_CRASHES, NO_STREAMS, UNLIMITED_COLD_STARTS } from './support/fakes.js'
 
 const SERVICE = 'plain'
 const TARGET_MS = 300
@@ -83,7 +83,7 @@
   const policy = new LeastLoadPolicy(ejection)
   const startedAt = performance.now()
   const intake = { waitMs: () => client.called.length === 0 ? 0 : Math.max(0, startedAt + backoffMs - performance.now()) }
-  const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, estimator: new FixedEstimator(waitMs), waitsUnderLoad, plainPolicy: policy, enginePolicy: policy, budget: new RetryBudget({ ratio: 0, extra: budget, windowMs: 10_000 }, () => 1), coldStartLimiter: UNLIMITED_COLD_STARTS, intake, crashes: NO_CRASHES, log, isEngine: () => false, namesVersions: () => false })
+  const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, estimator: new FixedEstimator(waitMs), waitsUnderLoad, plainPolicy: policy, enginePolicy: policy, budget: new RetryBudget({ ratio: 0, extra: budget, windowMs: 10_000 }, () => 1), coldStartLimiter: UNLIMITED_COLD_STARTS, intake, crashes: NO_CRASHES, log, isEngine: () => false, streams: NO_STREAMS })
   const route = createRoute({ targetLatencyMs: TARGET_MS, maxAttempts: 2, streaming, resumable: streaming })
   const head = { requestId: 'id', host: route.host, promptParts: [], stageItems: [], headers: [] }
   const request = { method: 'POST', path: '/a/', head, route, service: SERVICE, priority: 0, deadlineAt: startedAt + DEADLINE_MS, firstEventBy: startedAt + DEADLINE_MS, isRetry: false } as unknown as RoutedRequest
--- a/test/gateway/backend-run.test.ts
+++ b/test/gateway/backend-run.test.ts
@@ -4,7 +4,7 @@
 import { BackendRegistry, BackendRunner, CallFailureKind, LeastLoadPolicy, NO_INPUTS, RetryBudget, RetryDecision } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
 import { describe, expect, test, vi } from 'vitest'
-import { createLog, createRecord, createRoute, NO_CRASHES, OPEN_INTAKE, UNLIMITED_COLD_STARTS } from './support/fakes.js'
+import { createLog, createRecord, createRoute, NO_CRASHES, NO_STREAMS, OPEN_INTAKE, UNLIMITED_COLD_STARTS } from './support/fakes.js'
 
 const SERVICE = 'plain'
 
@@ -51,7 +51,7 @@
   const ejection = new OutlierEjection()
   const policy = new LeastLoadPolicy(ejection)
   const budget = new RetryBudget({ ratio: 0, extra: budgetExtra, windowMs: 10_000 }, () => 1)
-  const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes: NO_CRASHES, log, isEngine: () => false, namesVersions: () => false })
+  const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes: NO_CRASHES, log, isEngine: () => false, streams: NO_STREAMS })
   const recreate = vi.fn(async () => recreateHandles(registry))
   const inputs: RunInputs = { handles: ['lost'], failureDomain: undefined, bytes: 0, engine, recreate }
   const run = () => runner.run({ request: createRequest(), inputs, clientResponse: createClientResponse(), signal: new AbortController().signal })
@@ -114,7 +114,7 @@
     const policy = new LeastLoadPolicy(ejection)
     const budget = new RetryBudget({ ratio: 0, extra: 0, windowMs: 10_000 }, () => 1)
     const crashes = { ...NO_CRASHES, noteAnswered: vi.fn(), noteBroken: vi.fn(async () => {}) }
-    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes, log, isEngine: () => false, namesVersions: () => false })
+    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes, log, isEngine: () => false, streams: NO_STREAMS })
     await runner.run({ request: createRequest(), inputs: { handles: undefined, failureDomain: undefined, bytes: 0 }, clientResponse: createClientResponse(), signal: new AbortController().signal })
     expect(crashes.noteAnswered).toHaveBeenCalledTimes(times)
     expect(crashes.noteBroken).toHaveBeenCalledTimes(1 - times)
@@ -134,7 +134,7 @@
     const ejection = new OutlierEjection()
     const policy = new LeastLoadPolicy(ejection)
     const budget = new RetryBudget({ ratio: 0, extra: 10, windowMs: 10_000 }, () => 1)
-    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake, crashes: NO_CRASHES, log, isEngine: () => false, namesVersions: () => false })
+    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake, crashes: NO_CRASHES, log, isEngine: () => false, streams: NO_STREAMS })
     return runner.run({ request: createRequest(), inputs: NO_INPUTS, clientResponse: createClientResponse(), signal: new AbortController().signal })
   }
 
--- a/test/gateway/peer-calls.test.ts
+++ b/test/gateway/peer-calls.test.ts
@@ -28,6 +28,8 @@
   backends: vi.fn<PeerService['backends']>(() => BACKENDS),
   prepare: vi.fn<PeerService['prepare']>(async () => Err(OVERLOADED)),
   release: vi.fn<PeerService['release']>(),
+  noteStreams: vi.fn<PeerService['noteStreams']>(),
+  findStream: vi.fn<PeerService['findStream']>(() => ({ known: true, version: 'v1', versions: [{ version: 'v1' }, { version: 'v2', ageMs: 7 }], complete: true })),
 }
 
 let server: ReturnType<typeof createServer>
@@ -54,6 +56,17 @@
     expect(service.heartbeat).toHaveBeenCalledWith(HEARTBEAT)
   })
 
+  test('reports streams with their versions, and finds a stream', async () => {
+    await clients.noteStreams(peer, [{ key: 'k', version: 'v1' }])
+    expect(service.noteStreams).toHaveBeenCalledWith([{ key: 'k', version: 'v1' }])
+    expect(await clients.findStream(peer, { key: 'k', service: 's' })).toEqual({ known: true, version: 'v1', versions: [{ version: 'v1' }, { version: 'v2', ageMs: 7 }], complete: true })
+    expect(service.findStream).toHaveBeenCalledWith({ key: 'k', service: 's' })
+  })
+
+  test('rejects a report about streams with texts of any length', async () => {
+    await expect(clients.noteStreams(peer, [{ key: 'k'.repeat(10_000), version: 'v1' }])).rejects.toThrow()
+  })
+
   test('returns the configuration, or null if there is none', async () => {
     expect(await clients.configuration(peer)).toBeNull()
     service.configuration.mockReturnValueOnce({ version: 4, text: '{}' } as never)
--- a/test/gateway/proxy-request-handler.test.ts
+++ b/test/gateway/proxy-request-handler.test.ts
@@ -20,6 +20,7 @@
     returns: new DeadlineReturnDetector(),
     runner: { run: () => Promise.reject(new Error('invalid character in a header of the response')) },
     crashes: NO_CRASHES,
+    streams: { findOrigin: async () => Ok(undefined) },
     metrics: { countRequest: () => {} },
     log,
   } as unknown as ProxyRequestHandlerDependencies)
--- a/test/gateway/stream-continuation.test.ts
+++ b/test/gateway/stream-continuation.test.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es'
 import { Buffer } from 'node:buffer'
 import { OutlierEjection } from '@eidermast/common'
-import { BackendRegistry, BackendRunner, CallFailureKind, decideContinuationWaitMs, LeastLoadPolicy, mayContinueAt, NO_INPUTS, RetryBudget, VersionHistory } from '@eidermast/gateway'
+import { BackendRegistry, BackendRunner, CallFailureKind, decideContinuationWaitMs, LeastLoadPolicy, mayContinueAt, NO_INPUTS, RetryBudget, VersionHistory, withoutNewVersions } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
 import { describe, expect, test, vi } from 'vitest'
 import { createBackend, createLog, createRecord, createRoute, NO_CRASHES, OPEN_INTAKE, UNLIMITED_COLD_STARTS } from './support/fakes.js'
@@ -24,6 +24,19 @@
   })
 })
 
+describe('a stream that begins', () => {
+  const ages: Record<string, number> = { old: Number.POSITIVE_INFINITY, settled: 3000, new: 2999 }
+  const backends = Object.keys(ages).map(id => createBackend({ id }))
+
+  test.each([
+    { title: 'goes to no version that was just listed', accepting: ['old', 'settled', 'new'], expected: ['old', 'settled'] },
+    { title: 'goes to a version that was just listed if no other one accepts it', accepting: ['new'], expected: ['new'] },
+  ])('$title', ({ accepting, expected }) => {
+    const chosen = withoutNewVersions(backends.filter(({ id }) => accepting.includes(id)), ({ id }) => ages[id])
+    expect(chosen.map(({ id }) => id)).toEqual(expected)
+  })
+})
+
 describe('a broken stream whose backend servers are all full', () => {
   const inputs = { opensInMs: 0, silentForMs: 100, eventWaitMs: 4000, targetLatencyMs: 1000, remainingMs: 9000 }
 
@@ -119,7 +132,7 @@
     crashes: NO_CRASHES,
     log,
     isEngine: () => true,
-    namesVersions: service => history.namesVersions(service),
+    streams: { namesVersions: service => history.namesVersions(service), versionAgeMs: () => Number.POSITIVE_INFINITY, recordBegun: () => {} },
     ...dependencies,
   })
   const response = createClientResponse()
--- a/test/gateway/support/fakes.ts
+++ b/test/gateway/support/fakes.ts
@@ -3,7 +3,7 @@
  * stage service, and factories for records.
  */
 import type { LogFields } from '@eidermast/common'
-import type { BackendRecord, ColdStartLimiter, Configuration, CrashMonitor, IntakeGate, ItemOutcome, Route, StageCallResult, StageClient, StageItem, StageLimits } from '@eidermast/gateway'
+import type { BackendRecord, ColdStartLimiter, Configuration, CrashMonitor, IntakeGate, ItemOutcome, Route, StageCallResult, StageClient, StageItem, StageLimits, StreamContinuations } from '@eidermast/gateway'
 import { EventLog } from '@eidermast/common'
 import { Backend, ItemFailure, StageCallEnd } from '@eidermast/gateway'
 
@@ -59,6 +59,9 @@
 /** A crash monitor that knows of no crashes and records none. */
 export const NO_CRASHES: CrashMonitor = { noteBroken: async () => {}, noteAnswered: () => {}, crashCount: () => 0, refusal: () => undefined }
 
+/** Records no streams, in services that name no versions. */
+export const NO_STREAMS: Pick<StreamContinuations, 'namesVersions' | 'versionAgeMs' | 'recordBegun'> = { namesVersions: () => false, versionAgeMs: () => Number.POSITIVE_INFINITY, recordBegun: () => {} }
+
 /** A call received by a fake stage backend server. */
 export interface FakeStageCall {
   backendId: string
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -1,6 +1,6 @@
 import type { ReceivedStream, StreamOptions } from './support/stream-client.js'
 import { wait } from '@eidermast/common'
-import { afterEach, describe, expect, test } from 'vitest'
+import { afterEach, beforeAll, describe, expect, test } from 'vitest'
 import { isMixed, isWhole } from './support/stream-client.js'
 import { STREAM_EVENTS, streamVersion, VersionedDeployment } from './support/versioned-deployment.js'
 
@@ -12,10 +12,13 @@
 
 let deployment: VersionedDeployment
 
+beforeAll(async () => {
+  await import('../../platform/build.mjs' as string)
+}, 60_000)
 afterEach(() => deployment.stop())
 
-async function startDeployment(counts: Record<string, number>): Promise<void> {
-  deployment = new VersionedDeployment()
+async function startDeployment(counts: Record<string, number>, gateways?: number): Promise<void> {
+  deployment = new VersionedDeployment(gateways)
   await deployment.start(counts)
 }
 
@@ -45,7 +48,7 @@
   })
 })
 
-describe.each([['without stages', '/stream/x']])('streams %s of a service of two software versions', (_name, path) => {
+describe.each([['without stages', '/stream/x'], ['with stages', '/staged/x']])('streams %s of a service of two software versions', (_name, path) => {
   test('go on within one answer at the version that began them, and go on', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
     breakEveryThirdRun()
@@ -74,3 +77,86 @@
     expect((await running).filter(isMixed)).toEqual([])
   })
 })
+
+describe('a stream that its client resumes', () => {
+  /** Starts streams, lets them run half way, changes the deployment, and returns the streams that were resumed. */
+  async function resumeAfter(change: () => Promise<void> | void, gateway?: number): Promise<ReceivedStream[]> {
+    const running = startStreams(STREAMS, { gateway, maxTries: 2 })
+    await wait(HALF_WAY_MS)
+    await change()
+    const resumed = (await running).filter(isTakenUp)
+    expect(resumed.length).toBeGreaterThan(STREAMS / 2)
+    return resumed
+  }
+
+  const wholeOf = (streams: readonly ReceivedStream[]): ReceivedStream[] => streams.filter(stream => isWhole(stream, STREAM_EVENTS))
+  const statusesOf = (streams: readonly ReceivedStream[]): (number | undefined)[] => [...new Set(streams.map(({ tries }) => tries.at(-1)!.status))]
+
+  test.each([['that names its version', 'v1'], ['that names none', undefined]])('goes on after all gateways were killed, in a service of one version %s', async (_name, version) => {
+    await startDeployment({})
+    await deployment.addBackends(version, EACH)
+    await deployment.waitUntilListed()
+    const resumed = await resumeAfter(() => deployment.killAndRestart([0, 1, 2]))
+    expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
+  })
+
+  test('goes on at its version where two of seven gateways are killed, though most of the others were not told', async () => {
+    await startDeployment({ v1: EACH, v2: EACH }, 7)
+    const resumed = await resumeAfter(async () => {
+      await Promise.all([deployment.kill(0), deployment.kill(1)])
+    }, 0)
+    expect(resumed.filter(isMixed)).toEqual([])
+    expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
+    const sources = deployment.gateways.flatMap(gateway => [...gateway.readLog().matchAll(/"event":"stream-resumed".*"source":"([a-z-]+)"/g)].map(([, source]) => source))
+    expect(sources).toContain('reported')
+  })
+
+  test('is refused after all gateways were killed, if its version has left and another one serves alone', async () => {
+    await startDeployment({ v1: EACH, v2: EACH })
+    const resumed = await resumeAfter(async () => {
+      deployment.ofVersion('v1').forEach(backend => deployment.unlist(backend))
+      await deployment.waitUntilListed()
+      await deployment.killAndRestart([0, 1, 2])
+    })
+    expect(resumed.filter(isMixed)).toEqual([])
+  })
+
+  test('goes on at its version if another one is first listed while its gateway is killed', async () => {
+    await startDeployment({ v1: EACH })
+    const resumed = await resumeAfter(async () => {
+      const listed = deployment.addBackends('v2', EACH)
+      await deployment.kill(0)
+      await listed
+    }, 0)
+    expect(resumed.filter(isMixed)).toEqual([])
+    expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
+  })
+
+  test('goes on at its version though it began before another one was listed', async () => {
+    await startDeployment({ v1: EACH })
+    const resumed = await resumeAfter(async () => {
+      await deployment.addBackends('v2', EACH)
+      await deployment.waitUntilListed()
+      await wait(100)
+      await deployment.kill(0)
+    }, 0)
+    expect(resumed.filter(isMixed)).toEqual([])
+    expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
+  })
+
+  test('is refused at once and without a retry delay if no server of its version is left', async () => {
+    await startDeployment({ v1: EACH, v2: EACH })
+    deployment.ofVersion('v2').forEach(backend => deployment.list(backend, 'draining'))
+    await deployment.waitUntilListed()
+    await wait(HALF_WAY_MS)
+    const resumed = await resumeAfter(async () => {
+      deployment.ofVersion('v1').forEach(backend => deployment.list(backend, 'draining'))
+      deployment.ofVersion('v2').forEach(backend => deployment.list(backend))
+      await wait(HALF_WAY_MS)
+      await deployment.kill(0)
+    }, 0)
+    expect(statusesOf(resumed)).toEqual([503])
+    expect(resumed.map(({ tries }) => tries[1].retryAfter).filter(Boolean)).toEqual([])
+    expect(Math.max(...resumed.map(({ tries }) => tries[1].tookMs))).toBeLessThan(1000)
+  })
+})
--- a/test/platform/support/stream-client.ts
+++ b/test/platform/support/stream-client.ts
@@ -9,6 +9,10 @@
 /** Tries of a stream, the first one included. */
 const MAX_TRIES = 4
 const DEADLINE_MS = 5000
+/** Pause after a connection that was refused. */
+const RECONNECT_PAUSE_MS = 200
+/** Connections that may be refused, which count as no tries. */
+const MAX_REFUSED_CONNECTIONS = 20
 const EVENT = /id: (\d+)\ndata: (\S+)\n\n/g
 
 /** One try of a stream. */
@@ -19,6 +23,8 @@
   /** Seconds; undefined if the response has no `Retry-After`. */
   retryAfter: number | undefined
   tookMs: number
+  /** Whether no connection was made. */
+  isConnectionRefused: boolean
 }
 
 /** A stream as the client received it, over all its tries. */
@@ -65,11 +71,16 @@
     const first = gateway ?? this.sent
     const received: ReceivedStream = { eventIds: [], versions: [], complete: false, tries: [] }
     let begunBy: string | undefined
+    let refused = 0
     while (!received.complete && received.tries.length < maxTries) {
       const requestId = `stream-${this.sent++}`
       const addresses = this.addresses()
-      const address = addresses[(first + received.tries.length) % addresses.length]
+      const address = addresses[(first + received.tries.length + refused) % addresses.length]
       const ended = await this.try(`${address}${path}`, requestId, received, begunBy, onEvent)
+      if (ended.isConnectionRefused && refused++ < MAX_REFUSED_CONNECTIONS) {
+        await wait(RECONNECT_PAUSE_MS)
+        continue
+      }
       received.tries.push(ended)
       if (received.eventIds.length > 0)
         begunBy ??= requestId
@@ -82,9 +93,9 @@
     const startedAt = performance.now()
     const resume = begunBy === undefined ? {} : { 'last-event-id': String(received.eventIds.at(-1)), 'resumes': begunBy }
     const headers = { 'host': 'host.example', 'attempt-id': requestId, 'deadline-ms': String(DEADLINE_MS), 'chunk-count': '1', 'chunk-key': 'key', ...resume }
-    const ended: StreamTry = { requestId, status: undefined, retryAfter: undefined, tookMs: 0 }
+    const ended: StreamTry = { requestId, status: undefined, retryAfter: undefined, tookMs: 0, isConnectionRefused: false }
     try {
-      const response = await request(url, { method: 'POST', headers, body: '' })
+      const response = await request(url, { method: 'POST', headers, body: '', signal: AbortSignal.timeout(DEADLINE_MS) })
       ended.status = response.statusCode
       const retryAfter = response.headers['retry-after']
       ended.retryAfter = retryAfter === undefined ? undefined : Number(retryAfter)
@@ -93,8 +104,9 @@
       else
         received.complete = await readEvents(response.body, received, onEvent)
     }
-    catch {
-      // The connection broke or was refused; the result shows what arrived before.
+    catch (error) {
+      // The connection broke or was refused, or the deadline passed; the result shows what arrived before.
+      ended.isConnectionRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED'
     }
     return { ...ended, tookMs: performance.now() - startedAt }
   }
--- a/test/platform/support/versioned-deployment.ts
+++ b/test/platform/support/versioned-deployment.ts
@@ -1,12 +1,14 @@
 /**
- * Gateways in the test process and backend servers of several software versions,
+ * Gateways as child processes and backend servers of several software versions,
  * whose events name the version that wrote them.
  */
-import type { StartedGateway } from './in-process-gateway.js'
 import type { RequestHandler } from './stand-in-backend.js'
+import { mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
 import { wait } from '@eidermast/common'
 import { expect, vi } from 'vitest'
-import { startGateway } from './in-process-gateway.js'
+import { GatewayChild } from '../../soak/support/gateway-child.js'
 import { StandInBackend } from './stand-in-backend.js'
 import { makeStageResults, STAGE_LIMITS } from './stand-in-stages.js'
 import { StandInStore } from './stand-in-store.js'
@@ -54,29 +56,30 @@
 export class VersionedDeployment {
   readonly store = new StandInStore()
   readonly backends: StandInBackend[] = []
-  gateways: StartedGateway[] = []
+  gateways: GatewayChild[] = []
+  private readonly directory = mkdtempSync(path.join(tmpdir(), 'eidermast-versions-'))
   /** Starts streams at the gateways, and resumes them there. */
   readonly clients = new StreamClient(() => this.gateways.map(({ address }) => address))
-  private storeAddress = ''
   private started = 0
 
   constructor(private readonly gatewayCount = 3) {}
 
   /** Starts the gateways, and the given number of backend servers of each version. */
   async start(counts: Record<string, number>): Promise<void> {
-    this.storeAddress = await this.store.start()
+    const storeAddress = await this.store.start()
     const stage = await this.startBackend(STAGE_SERVICE, undefined)
     stage.respond = makeStageResults()
     this.store.put(SERVER_TOPIC, stage.id, stage.entry())
     for (const [version, count] of Object.entries(counts))
       await this.addBackends(version, count)
     this.store.put('keyed.op', 'config', CONFIGURATION)
-    this.gateways = await Promise.all(Array.from({ length: this.gatewayCount }, (_, index) => this.startGateway(index)))
+    this.gateways = Array.from({ length: this.gatewayCount }, (_, index) => this.createGateway(index, storeAddress))
+    await Promise.all(this.gateways.map(gateway => gateway.start()))
     await this.waitUntilListed()
   }
 
   async stop(): Promise<void> {
-    await Promise.all(this.gateways.map(({ gateway }) => gateway.close()))
+    await Promise.all(this.gateways.map(gateway => gateway.end()))
     await Promise.all([this.store.stop(), ...this.backends.map(backend => backend.stop())])
   }
 
@@ -101,31 +104,32 @@
     return this.backends.filter(backend => backend.service === SERVICE && backend.softwareVersion === version)
   }
 
-  /** Ends a gateway without notice; its clients see broken connections. */
+  /** Kills a gateway, which does not come back. */
   async kill(index: number): Promise<void> {
-    await this.gateways[index].gateway.close()
+    await this.gateways[index].end()
   }
 
   /** Kills gateways at the same time and starts them again under their names. */
   async killAndRestart(indexes: readonly number[]): Promise<void> {
-    await Promise.all(indexes.map(index => this.kill(index)))
-    const restarted = await Promise.all(indexes.map(index => this.startGateway(index)))
-    indexes.forEach((index, position) => this.gateways[index] = restarted[position])
-    await this.waitUntilListed()
+    await Promise.all(indexes.map(index => this.gateways[index].replace('SIGKILL')))
   }
 
-  /** Waits until all gateways know all listed backend servers and each other. */
+  /** Waits until all gateways are ready and know all listed backend servers and each other. */
   async waitUntilListed(): Promise<void> {
-    await vi.waitFor(() => {
+    await vi.waitFor(async () => {
       const listed = this.store.newestOf(SERVER_TOPIC).size
-      expect(this.gateways.map(({ gateway }) => gateway.registry.size)).toEqual(this.gateways.map(() => listed))
-      expect(this.gateways.map(({ gateway }) => gateway.members.count)).toEqual(this.gateways.map(() => this.gatewayCount))
-    }, { timeout: 8000 })
+      const known = await Promise.all(this.gateways.map(async (gateway) => {
+        const metrics = await gateway.readMetrics()
+        return [readGauge(metrics, 'eidermast_gateway_replicas'), readGauge(metrics, 'eidermast_gateway_members')]
+      }))
+      expect(known).toEqual(this.gateways.map(() => [listed, this.gatewayCount]))
+      expect(await Promise.all(this.gateways.map(gateway => gateway.isReady()))).not.toContain(false)
+    }, { timeout: 10_000, interval: 50 })
   }
 
-  private startGateway(index: number): Promise<StartedGateway> {
+  private createGateway(index: number, storeAddress: string): GatewayChild {
     const failureDomain = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]
-    return startGateway(`gateway-${index}`, this.storeAddress, { failureDomain, retry: ['ratio = 1', 'extra = 1000'] })
+    return new GatewayChild(`gateway-${index}`, storeAddress, this.directory, { failureDomain, load: ['start-wait-ms = 1000'], retry: ['ratio = 1', 'extra = 1000'] })
   }
 
   private async startBackend(service: string, version: string | undefined): Promise<StandInBackend> {
@@ -137,3 +141,7 @@
     return backend
   }
 }
+
+function readGauge(metrics: string, name: string): number {
+  return Number(new RegExp(`^${name} (\\d+)$`, 'm').exec(metrics)?.[1])
+}
