--- a/test/platform/support/stream-client.ts
+++ b/test/platform/support/stream-client.ts
@@ -18,6 +18,14 @@
 /** One try of a stream. */
 export interface StreamTry {
   requestId: string
+  /** Index of the gateway. */
+  gateway: number
+  /** Whether it resumes the stream after an event. */
+  resumes: boolean
+  /** When it was sent, in milliseconds of the test's clock. */
+  startedAt: number
+  /** Number of events that it brought. */
+  events: number
   /** Undefined if no response arrived. */
   status: number | undefined
   /** Seconds; undefined if the response has no `Retry-After`. */
@@ -50,6 +58,12 @@
   onEvent?: (id: number) => void
 }
 
+/** One try to be made. */
+interface TryOptions extends Pick<StreamTry, 'requestId' | 'gateway'> {
+  /** Id of the try that brought the first event; undefined if there was none. */
+  begunBy: string | undefined
+}
+
 /** Whether a stream holds events of more than one version. */
 export function isMixed({ versions }: ReceivedStream): boolean {
   return versions.length > 1
@@ -75,8 +89,8 @@
     while (!received.complete && received.tries.length < maxTries) {
       const requestId = `stream-${this.sent++}`
       const addresses = this.addresses()
-      const address = addresses[(first + received.tries.length + refused) % addresses.length]
-      const ended = await this.try(`${address}${path}`, requestId, received, begunBy, onEvent)
+      const index = (first + received.tries.length + refused) % addresses.length
+      const ended = await this.try(`${addresses[index]}${path}`, { requestId, gateway: index, begunBy }, received, onEvent)
       if (ended.isConnectionRefused && refused++ < MAX_REFUSED_CONNECTIONS) {
         await wait(RECONNECT_PAUSE_MS)
         continue
@@ -89,11 +103,12 @@
     return received
   }
 
-  private async try(url: string, requestId: string, received: ReceivedStream, begunBy: string | undefined, onEvent?: (id: number) => void): Promise<StreamTry> {
+  private async try(url: string, { requestId, gateway, begunBy }: TryOptions, received: ReceivedStream, onEvent?: (id: number) => void): Promise<StreamTry> {
     const startedAt = performance.now()
+    const eventsBefore = received.eventIds.length
     const resume = begunBy === undefined ? {} : { 'last-event-id': String(received.eventIds.at(-1)), 'resumes': begunBy }
     const headers = { 'host': 'host.example', 'attempt-id': requestId, 'deadline-ms': String(DEADLINE_MS), 'chunk-count': '1', 'chunk-key': 'key', ...resume }
-    const ended: StreamTry = { requestId, status: undefined, retryAfter: undefined, tookMs: 0, isConnectionRefused: false }
+    const ended: StreamTry = { requestId, gateway, resumes: begunBy !== undefined, startedAt, events: 0, status: undefined, retryAfter: undefined, tookMs: 0, isConnectionRefused: false }
     try {
       const response = await request(url, { method: 'POST', headers, body: '', signal: AbortSignal.timeout(DEADLINE_MS) })
       ended.status = response.statusCode
@@ -108,7 +123,7 @@
       // The connection broke or was refused, or the deadline passed; the result shows what arrived before.
       ended.isConnectionRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED'
     }
-    return { ...ended, tookMs: performance.now() - startedAt }
+    return { ...ended, events: received.eventIds.length - eventsBefore, tookMs: performance.now() - startedAt }
   }
 }
 
