Streams that begin before a gateway knows its peers are reported once it does

Cause: a report went to the gateways listed at that moment; a gateway that has just started lists none yet, so that nobody got it. Change: such reports wait until the peers are discovered. Evidence: 'is reported once this process knows its peers, if it began before' fails without.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -157,6 +157,7 @@
     this.metrics.addGauges(this)
     this.followPlatform()
     this.members.start()
+    void this.streamVersions.start()
     this.suspensionDetector.start()
     this.gatewayLog.listening()
   }
--- a/packages/gateway/src/process/versions/stream-versions.ts
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -3,7 +3,7 @@
  * it at any gateway. While one version of a service serves, this gateway only
  * remembers its own streams. Once several serve, or it does not know whether they
  * do, it also reports each stream that begins to some peers (`stream-holders.ts`),
- * and those that began before. A resumed stream goes on as `origin-decision.ts`
+ * and those that began before, or before it knew its peers. A resumed stream goes on as `origin-decision.ts`
  * says. State in memory; after a restart the peers have the reports.
  */
 import type { EventLog, RequestError } from '@eidermast/common'
@@ -60,9 +60,18 @@
   /** Streams that this gateway began and has not reported, by service. */
   private readonly unreported = new Map<string, StreamMemory>()
   private readonly startedAt = performance.now()
+  private knowsPeers = false
 
   constructor(private readonly dependencies: StreamVersionsDependencies) {}
 
+  /** Reports the streams that began before this process knew its peers, once it does. */
+  async start(): Promise<void> {
+    await this.dependencies.whenPeersDiscovered()
+    this.knowsPeers = true
+    for (const service of [...this.unreported.keys()])
+      this.reportIfNeeded(service)
+  }
+
   namesVersions(service: string): boolean {
     return this.dependencies.history.namesVersions(service)
   }
@@ -89,7 +98,7 @@
     const unreported = this.unreportedOf(service)
     unreported.expire(this.dependencies.lifeMs(service), now)
     const { versions, isComplete } = this.viewOf(service, now)
-    if (versions.length < 2 && isComplete)
+    if (!this.knowsPeers || (versions.length < 2 && isComplete))
       return
     this.unreported.delete(service)
     for (const stream of unreported.entries())
--- /dev/null
+++ b/test/gateway/stream-versions.test.ts
@@ -0,0 +1,152 @@
+import type { OriginReplies, RoutedRequest, StreamMessage, StreamVersionsDependencies } from '@eidermast/gateway'
+import { ErrorKind } from '@eidermast/common'
+import { BackendRegistry, OriginSource, StreamVersions, VersionHistory } from '@eidermast/gateway'
+import { describe, expect, test, vi } from 'vitest'
+import { createLog, createRecord, createRoute } from './support/fakes.js'
+
+const SERVICE = 'model'
+const NOBODY: OriginReplies = { asked: 0, replies: [] }
+
+interface StreamsOptions extends Partial<StreamVersionsDependencies> {
+  versions?: (string | undefined)[]
+}
+
+async function createStreams({ versions = ['v1', 'v2'], ...change }: StreamsOptions = {}) {
+  const { log, lines } = createLog()
+  const registry = new BackendRegistry(log)
+  let streams: StreamVersions | undefined
+  const history = new VersionHistory(registry, service => streams?.reportIfNeeded(service))
+  versions.forEach((softwareVersion, index) => registry.upsert(createRecord({ id: `model-${index}`, service: SERVICE, softwareVersion })))
+  registry.markWholeListLoaded()
+  const reported: StreamMessage[] = []
+  const find = vi.fn(async () => NOBODY)
+  const countStreamResumed = vi.fn()
+  streams = new StreamVersions({
+    history,
+    reporter: { report: stream => reported.push(stream) },
+    finder: { find },
+    lifeMs: () => 10_000,
+    isHistoryRead: () => true,
+    listAgeMs: () => 0,
+    whenPeersDiscovered: async () => {},
+    metrics: { countStreamResumed },
+    log,
+    ...change,
+  })
+  const started = streams.start()
+  return { streams, registry, reported, find, countStreamResumed, lines, started }
+}
+
+function createRequest(head: Partial<RoutedRequest['head']> = {}, route = createRoute({ streaming: true, resumable: true })): RoutedRequest {
+  return { route, service: SERVICE, account: undefined, head: { requestId: 'id-1', lastEventId: undefined, resumedRequestId: undefined, ...head } } as unknown as RoutedRequest
+}
+
+const RESUMED = createRequest({ requestId: 'id-2', lastEventId: '4', resumedRequestId: 'id-1' })
+
+describe('a stream that begins', () => {
+  test('is reported while several versions serve', async () => {
+    const { streams, reported, started } = await createStreams()
+    await started
+    streams.recordBegun(createRequest(), 'v1')
+    expect(reported).toMatchObject([{ version: 'v1' }])
+  })
+
+  test('is not reported while one version serves, but once a second one is listed', async () => {
+    const { streams, reported, registry, started } = await createStreams({ versions: ['v1'] })
+    await started
+    streams.recordBegun(createRequest(), 'v1')
+    expect(reported).toEqual([])
+    registry.upsert(createRecord({ id: 'other', service: SERVICE, softwareVersion: 'v2' }))
+    expect(reported).toMatchObject([{ version: 'v1' }])
+  })
+
+  test('is reported if it is not known which versions served before', async () => {
+    const { streams, reported, started } = await createStreams({ versions: ['v1'], isHistoryRead: () => false })
+    await started
+    streams.recordBegun(createRequest(), 'v1')
+    expect(reported).toHaveLength(1)
+  })
+
+  test('is reported once this process knows its peers, if it began before', async () => {
+    let discover = (): void => {}
+    const discovered = new Promise<void>(resolve => discover = resolve)
+    const { streams, reported, started } = await createStreams({ whenPeersDiscovered: () => discovered })
+    streams.recordBegun(createRequest(), 'v1')
+    expect(reported).toEqual([])
+    discover()
+    await started
+    expect(reported).toHaveLength(1)
+  })
+
+  test.each([
+    ['of a service that names no versions', [undefined], createRequest()],
+    ['that clients cannot resume', ['v1', 'v2'], createRequest({}, createRoute({ streaming: true }))],
+  ])('%s is not reported', async (_name, versions, request) => {
+    const { streams, reported, started } = await createStreams({ versions })
+    await started
+    streams.recordBegun(request, versions[0])
+    expect(reported).toEqual([])
+  })
+})
+
+describe('a stream that its client resumes', () => {
+  test('goes on as this process recorded it, without a question', async () => {
+    const { streams, find, countStreamResumed, lines } = await createStreams()
+    streams.recordBegun(createRequest(), 'v2')
+    expect((await streams.findOrigin(RESUMED)).unwrap()).toEqual({ version: 'v2' })
+    expect(find).not.toHaveBeenCalled()
+    expect(countStreamResumed).toHaveBeenCalledWith(OriginSource.Recorded)
+    expect(lines.find(({ event }) => event === 'stream-resumed')).toMatchObject({ request: 'id-2', resumes: 'id-1', source: 'recorded', version: 'v2', versions: 'v1,v2' })
+  })
+
+  test('goes on as a peer reported it to this process', async () => {
+    const { streams, reported, started } = await createStreams()
+    await started
+    streams.recordBegun(createRequest(), 'v2')
+    const other = await createStreams()
+    other.streams.noteReported(reported)
+    expect((await other.streams.findOrigin(RESUMED)).unwrap()).toEqual({ version: 'v2' })
+  })
+
+  test('is known to peers under the request that began it, however often it is resumed', async () => {
+    const { streams, reported, started } = await createStreams()
+    await started
+    streams.recordBegun(createRequest(), 'v1')
+    streams.recordBegun(RESUMED, 'v1')
+    expect(new Set(reported.map(({ key }) => key)).size).toBe(1)
+  })
+
+  test.each([
+    ['of another service', { ...RESUMED, service: 'other' }],
+    ['of another client account', { ...RESUMED, account: { name: 'other', keys: [] } }],
+    ['that never existed', createRequest({ requestId: 'id-2', lastEventId: '4', resumedRequestId: 'invented' })],
+    ['that the client does not name', createRequest({ requestId: 'id-2', lastEventId: '4' })],
+  ])('is refused if it names a stream %s', async (_name, request) => {
+    const { streams, registry } = await createStreams()
+    for (const softwareVersion of ['v1', 'v2'])
+      registry.upsert(createRecord({ id: softwareVersion, service: 'other', softwareVersion }))
+    streams.recordBegun(createRequest(), 'v2')
+    const found = await streams.findOrigin(request)
+    expect(found.isErr() && [ErrorKind.StreamVersionLost, ErrorKind.StreamVersionUnknown].includes(found.error.kind)).toBe(true)
+  })
+
+  test('is refused with a retry delay while it may become known', async () => {
+    const { streams } = await createStreams({ finder: { find: async () => ({ asked: 3, replies: [] }) } })
+    expect((await streams.findOrigin(RESUMED)).unwrapErr()).toMatchObject({ kind: ErrorKind.StreamVersionUnknown, retryAfterMs: 500 })
+  })
+
+  test.each([
+    ['that begins', createRequest()],
+    ['that names a stream but no event', createRequest({ resumedRequestId: 'id-1' })],
+    ['on a route whose streams cannot be resumed', { ...RESUMED, route: createRoute({ streaming: true }) }],
+  ])('is not looked for by a request %s', async (_name, request) => {
+    const { streams, find } = await createStreams()
+    expect((await streams.findOrigin(request)).unwrap()).toBeUndefined()
+    expect(find).not.toHaveBeenCalled()
+  })
+
+  test('goes on anywhere in a service that names no versions', async () => {
+    const { streams } = await createStreams({ versions: [undefined] })
+    expect((await streams.findOrigin(RESUMED)).unwrap()).toBeUndefined()
+  })
+})
