--- a/packages/gateway/src/process/versions/stream-life.ts
+++ b/packages/gateway/src/process/versions/stream-life.ts
@@ -1,5 +1,6 @@
 /**
- * How long a stream can last over all its answers, by the configuration.
+ * How long a stream can last over all its answers, by the configuration. Keeps
+ * the times of each configuration as long as the configuration itself.
  */
 import type { Configuration } from '../../version/configuration.js'
 
@@ -8,20 +9,33 @@
  * Its clients count one deadline over all their tries, so that twice is enough.
  */
 const LIFE_TIMEOUTS = 2
-/** Of streams whose route is no longer configured. */
+/** Of streams whose route is not configured any more. */
 const DEFAULT_LIFE_MS = 60_000
 
+const livesByConfiguration = new WeakMap<Configuration, ReadonlyMap<string, number>>()
+
 /** Longest life of a stream that a service answers, in milliseconds. */
 export function maxStreamLifeMs(configuration: Configuration | undefined, service: string): number {
-  const timeouts = resumableRoutes(configuration).filter(({ services }) => services.some(weighted => weighted.service === service)).map(({ timeoutMs }) => timeoutMs)
-  return timeouts.length === 0 ? DEFAULT_LIFE_MS : Math.max(...timeouts) * LIFE_TIMEOUTS
+  return livesOf(configuration).get(service) ?? DEFAULT_LIFE_MS
 }
 
 /** Services whose streams clients can resume. */
 export function resumableServices(configuration: Configuration | undefined): string[] {
-  return [...new Set(resumableRoutes(configuration).flatMap(({ services }) => services.map(({ service }) => service)))]
+  return [...livesOf(configuration).keys()]
 }
 
-function resumableRoutes(configuration: Configuration | undefined): Configuration['routes'] {
-  return configuration?.routes.filter(({ streaming, resumable }) => streaming && resumable) ?? []
+/** The longest life of a stream by service. */
+function livesOf(configuration: Configuration | undefined): ReadonlyMap<string, number> {
+  if (!configuration)
+    return new Map()
+  const known = livesByConfiguration.get(configuration)
+  if (known)
+    return known
+  const lives = new Map<string, number>()
+  for (const { streaming, resumable, services, timeoutMs } of configuration.routes) {
+    for (const { service } of streaming && resumable ? services : [])
+      lives.set(service, Math.max(lives.get(service) ?? 0, timeoutMs * LIFE_TIMEOUTS))
+  }
+  livesByConfiguration.set(configuration, lives)
+  return lives
 }
