--- a/packages/gateway/src/request/attempts/backend-runner.ts
+++ b/packages/gateway/src/request/attempts/backend-runner.ts
@@ -84,7 +84,7 @@
     return backend
   }
 
-  /** Accepts the backend servers that may answer a request that was not tried yet. */
+  /** Accepts the backend servers that may answer a request, whichever were tried. */
   private filterFor({ origin }: RequestTarget): BackendFilter {
     return backend => mayContinueAt(origin, backend, service => this.dependencies.streams.namesVersions(service))
   }
--- a/packages/gateway/src/request/continuation/version-introduction.ts
+++ b/packages/gateway/src/request/continuation/version-introduction.ts
@@ -17,9 +17,9 @@
  */
 import type { Backend } from '../../connection/backends/backend.js'
 
-/** Costs the first servers of a release some seconds of such streams, in which they are cold anyway. */
+/** Time for which a new version gets no such streams; costs the first servers of a release some seconds of them, in which they are cold anyway. */
 const INTRODUCTION_MS = 3000
-/** See above. */
+/** Age from which on a version may have streams that no gateway knows of. */
 export const TRUSTED_MS = 1500
 
 /** The backend servers that may get a stream that begins. */
