A version that an entry names later belongs to the history of versions

What callers could see: during an upgrade from a release that passes entries on without their version, a resumed stream that nobody knows counted as begun at another version; or it was refused though its version served. Cause: the own read fills the version in by an update, of which the history of versions heard nothing. A version without a time of its first listing counted as listed just now, that is as too new to have streams: not known was taken for new. Evidence: two tests of the history fail before ('an entry names later', 'names one later'). Change: the registry reports a version that it learns of a known process; its age counts as unknown, like every version without a time, which means old.

--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -18,6 +18,8 @@
   removed?: (backend: Backend) => void
   /** The backend server started or stopped draining, or its failure domain was evacuated or restored. */
   stateChanged?: (backend: Backend) => void
+  /** The entry of a known backend server names the version of its software for the first time. */
+  versionLearned?: (backend: Backend) => void
 }
 
 /** Scheduled removal of a backend server whose entry has expired. */
@@ -229,11 +231,16 @@
 
   private update(backend: Backend, record: BackendRecord): void {
     const stateChanged = backend.record.draining !== record.draining
+    const isVersionLearned = backend.softwareVersion === undefined && record.softwareVersion !== undefined
     // Reading an unchanged entry again must not extend the cold period.
     const coldMs = record.coldMs === backend.record.coldMs ? 0 : record.coldMs
     // Older releases do not report the start time of the process and its software version.
     backend.record = { ...record, born: record.born ?? backend.record.born, softwareVersion: record.softwareVersion ?? backend.record.softwareVersion }
     this.markCold(backend, coldMs ?? 0)
+    if (isVersionLearned) {
+      for (const listener of this.listeners)
+        listener.versionLearned?.(backend)
+    }
     if (!stateChanged)
       return
     this.log.backendStateChanged(record, this.noticedWithinMs)
--- a/packages/gateway/src/process/versions/version-history.ts
+++ b/packages/gateway/src/process/versions/version-history.ts
@@ -20,7 +20,7 @@
 
 /** What is known of one service besides its listed backend servers. */
 class ServiceVersions {
-  /** When each version was first listed; negative infinity if that was before this process started. */
+  /** When each version was first listed; negative infinity if that is not known. */
   readonly listedAt = new Map<string, number>()
   /** When the last backend server of a version was removed. */
   readonly removedAt = new Map<string, number>()
@@ -35,7 +35,9 @@
   /** Calls `onChange` with a service when a further version of it is listed. */
   constructor(private readonly backends: VersionedBackends, private readonly onChange: (service: string) => void = () => {}) {
     backends.listen({
-      added: backend => this.noteListed(backend.service, versionOf(backend), performance.now()),
+      added: backend => this.noteListed(backend.service, versionOf(backend), this.backends.isWholeListLoaded ? performance.now() : Number.NEGATIVE_INFINITY),
+      // It has had the version all the time.
+      versionLearned: backend => this.noteListed(backend.service, versionOf(backend), Number.NEGATIVE_INFINITY),
       removed: backend => this.noteServed(backend.service, versionOf(backend), performance.now()),
     })
   }
@@ -56,13 +58,12 @@
 
   /** Milliseconds since the version of a backend server was first listed. */
   ageMs(backend: Backend, now: number): number {
-    return now - (this.services.get(backend.service)?.listedAt.get(versionOf(backend)) ?? now)
+    return this.versionAgeMs(backend.service, versionOf(backend), now)
   }
 
   /** Versions of a service that are listed, or were within the last `withinMs`, with the time since each was first listed. */
   serving(service: string, withinMs: number, now: number): ServingVersion[] {
-    const listedAt = this.services.get(service)?.listedAt
-    return this.recent(service, withinMs, now).map(version => ({ version, ageMs: now - (listedAt?.get(version) ?? now) }))
+    return this.recent(service, withinMs, now).map(version => ({ version, ageMs: this.versionAgeMs(service, version, now) }))
   }
 
   /** Versions of a service that are listed, or were within the last `withinMs`; sorted. */
@@ -84,14 +85,20 @@
     return now - (this.services.get(service)?.changedAt ?? Number.NEGATIVE_INFINITY)
   }
 
-  private noteListed(service: string, version: string, now: number): void {
+  /** Milliseconds since a version was first listed; Infinity if it is not known when that was. */
+  private versionAgeMs(service: string, version: string, now: number): number {
+    return now - (this.services.get(service)?.listedAt.get(version) ?? Number.NEGATIVE_INFINITY)
+  }
+
+  /** Records a listed version; `since` is negative infinity if it is not known when it was first listed. */
+  private noteListed(service: string, version: string, since: number): void {
     const state = this.stateOf(service)
     if (state.listedAt.has(version))
       return
-    state.listedAt.set(version, this.backends.isWholeListLoaded ? now : Number.NEGATIVE_INFINITY)
+    state.listedAt.set(version, since)
     if (state.listedAt.size === 1)
       return
-    state.changedAt = now
+    state.changedAt = performance.now()
     this.onChange(service)
   }
 
--- a/test/gateway/stream-records.test.ts
+++ b/test/gateway/stream-records.test.ts
@@ -227,6 +227,29 @@
     expect(history.serving('encode', 1000, performance.now())).toMatchObject([{ version: 'v1', ageMs: Number.POSITIVE_INFINITY }, { version: 'v2', ageMs: expect.closeTo(0, -2) }])
   })
 
+  test('contains a version that an entry names later, as one that has served for an unknown time', () => {
+    const registry = new BackendRegistry(createLog().log)
+    const onChange = vi.fn()
+    const history = new VersionHistory(registry, onChange)
+    registry.upsert(createRecord({ id: 'a', softwareVersion: 'v1' }))
+    registry.upsert(createRecord({ id: 'b' }))
+    registry.markWholeListLoaded()
+    onChange.mockClear()
+    registry.upsert(createRecord({ id: 'b', softwareVersion: 'v2' }))
+    expect(onChange.mock.calls).toEqual([['encode']])
+    expect(history.ageMs(registry.find('b')!, performance.now())).toBe(Number.POSITIVE_INFINITY)
+    expect(history.serving('encode', 1000, performance.now())).toMatchObject([{ version: 'v1' }, { version: 'v2', ageMs: Number.POSITIVE_INFINITY }])
+  })
+
+  test('names versions once the entry of the only backend server names one later', () => {
+    const registry = new BackendRegistry(createLog().log)
+    const history = new VersionHistory(registry)
+    registry.upsert(createRecord())
+    expect(history.namesVersions('encode')).toBe(false)
+    registry.upsert(createRecord({ softwareVersion: 'v1' }))
+    expect(history.namesVersions('encode')).toBe(true)
+  })
+
   test('does not take a version that the ledger names for a new one', () => {
     const registry = new BackendRegistry(createLog().log)
     const history = new VersionHistory(registry)
