A version that comes back counts as a change of versions

What callers could see: streams that began while one version served were refused after a kill, if a version that had left was listed again just before. Cause: only the first listing of a version made gateways report the streams that had begun; its return did not. Evidence: both rows of 'reports a version that comes back' fail before. Change: the return of a version, once none of its backend servers was listed, is reported like its first listing. After the life of all its streams it counts as new, so that it gets no resumable streams for the time of an introduction. Found by reading the change.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -122,7 +122,10 @@
     this.directoryLag = new DirectoryLagWatch(this.gatewayLog, () => platform.restartReads())
     this.configuration = new ConfigurationHolder(platform.decodeConfiguration, log)
     this.registry = new BackendRegistry(log, service => this.configuration.table?.findService(service)?.coldStartMs ?? 0)
-    this.versionHistory = new VersionHistory(this.registry, service => this.streamVersions.reportIfNeeded(service))
+    this.versionHistory = new VersionHistory(this.registry, {
+      onChange: service => this.streamVersions.reportIfNeeded(service),
+      lifeMs: service => this.streamLifeMs(service),
+    })
     this.backendList = new BackendList(this.registry, log)
     this.evacuations = new EvacuationList(this.gatewayLog, evacuated => this.registry.setEvacuated(evacuated))
     this.crashTracker = this.createCrashTracker()
--- a/packages/gateway/src/process/versions/version-history.ts
+++ b/packages/gateway/src/process/versions/version-history.ts
@@ -18,6 +18,14 @@
   listen: (listener: BackendListener) => void
 }
 
+/** Options of the history. */
+export interface VersionHistoryOptions {
+  /** Called with a service when a further version of it is listed, for the first time or again. */
+  onChange?: (service: string) => void
+  /** Longest life of a stream of a service, in milliseconds. @default Infinity */
+  lifeMs?: (service: string) => number
+}
+
 /** What is known of one service besides its listed backend servers. */
 class ServiceVersions {
   /** When each version was first listed; negative infinity if that is not known. */
@@ -32,8 +40,7 @@
 export class VersionHistory {
   private readonly services = new Map<string, ServiceVersions>()
 
-  /** Calls `onChange` with a service when a further version of it is listed. */
-  constructor(private readonly backends: VersionedBackends, private readonly onChange: (service: string) => void = () => {}) {
+  constructor(private readonly backends: VersionedBackends, private readonly options: VersionHistoryOptions = {}) {
     backends.listen({
       added: backend => this.noteListed(backend.service, versionOf(backend), this.backends.isWholeListLoaded ? performance.now() : Number.NEGATIVE_INFINITY),
       // It has had the version all the time.
@@ -93,13 +100,25 @@
   /** Records a listed version; `since` is negative infinity if it is not known when it was first listed. */
   private noteListed(service: string, version: string, since: number): void {
     const state = this.stateOf(service)
-    if (state.listedAt.has(version))
+    if (!state.listedAt.has(version) || this.hasNoStreamLeft(service, version))
+      state.listedAt.set(version, since)
+    else if (this.countListed(service, version) > 1)
       return
-    state.listedAt.set(version, since)
     if (state.listedAt.size === 1)
       return
     state.changedAt = performance.now()
-    this.onChange(service)
+    this.options.onChange?.(service)
+  }
+
+  /** Whether all streams of a version have ended, since none of its backend servers was listed for the life of a stream. */
+  private hasNoStreamLeft(service: string, version: string): boolean {
+    const removedAt = this.services.get(service)?.removedAt.get(version) ?? Number.POSITIVE_INFINITY
+    const lifeMs = this.options.lifeMs?.(service) ?? Number.POSITIVE_INFINITY
+    return this.countListed(service, version) === 1 && performance.now() - removedAt > lifeMs
+  }
+
+  private countListed(service: string, version: string): number {
+    return [...this.backends.all].filter(backend => backend.service === service && versionOf(backend) === version).length
   }
 
   private stateOf(service: string): ServiceVersions {
--- a/test/gateway/stream-records.test.ts
+++ b/test/gateway/stream-records.test.ts
@@ -216,7 +216,7 @@
   test('reports the first listing of a further version, once', () => {
     const registry = new BackendRegistry(createLog().log)
     const onChange = vi.fn()
-    const history = new VersionHistory(registry, onChange)
+    const history = new VersionHistory(registry, { onChange })
     registry.upsert(createRecord({ id: 'a', softwareVersion: 'v1' }))
     registry.markWholeListLoaded()
     for (const [id, softwareVersion] of [['b', 'v1'], ['c', 'v2'], ['d', 'v2']])
@@ -230,7 +230,7 @@
   test('contains a version that an entry names later, as one that has served for an unknown time', () => {
     const registry = new BackendRegistry(createLog().log)
     const onChange = vi.fn()
-    const history = new VersionHistory(registry, onChange)
+    const history = new VersionHistory(registry, { onChange })
     registry.upsert(createRecord({ id: 'a', softwareVersion: 'v1' }))
     registry.upsert(createRecord({ id: 'b' }))
     registry.markWholeListLoaded()
@@ -250,6 +250,29 @@
     expect(history.namesVersions('encode')).toBe(true)
   })
 
+  test.each([
+    { title: 'soon, as one that may have streams', lifeMs: 60_000, ageMs: Number.POSITIVE_INFINITY },
+    { title: 'after the life of all its streams, as a new one', lifeMs: 0, ageMs: 0 },
+  ])('reports a version that comes back $title', ({ lifeMs, ageMs }) => {
+    vi.useFakeTimers()
+    const registry = new BackendRegistry(createLog().log)
+    const onChange = vi.fn()
+    const history = new VersionHistory(registry, { onChange, lifeMs: () => lifeMs })
+    for (const [id, softwareVersion] of [['a', 'v1'], ['b', 'v2'], ['c', 'v2']])
+      registry.upsert(createRecord({ id, softwareVersion }))
+    registry.markWholeListLoaded()
+    registry.remove('b', 'test')
+    registry.remove('c', 'test')
+    vi.advanceTimersByTime(100)
+    onChange.mockClear()
+    registry.upsert(createRecord({ id: 'd', softwareVersion: 'v2' }))
+    registry.upsert(createRecord({ id: 'e', softwareVersion: 'v2' }))
+    expect(onChange.mock.calls).toEqual([['encode']])
+    expect(history.changedForMs('encode', performance.now())).toBe(0)
+    expect(history.ageMs(registry.find('d')!, performance.now())).toBe(ageMs)
+    vi.useRealTimers()
+  })
+
   test('does not take a version that the ledger names for a new one', () => {
     const registry = new BackendRegistry(createLog().log)
     const history = new VersionHistory(registry)
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -15,7 +15,7 @@
   const { log, lines } = createLog()
   const registry = new BackendRegistry(log)
   let streams: StreamVersions | undefined
-  const history = new VersionHistory(registry, service => streams?.reportIfNeeded(service))
+  const history = new VersionHistory(registry, { onChange: service => streams?.reportIfNeeded(service) })
   versions.forEach((softwareVersion, index) => registry.upsert(createRecord({ id: `model-${index}`, service: SERVICE, softwareVersion })))
   registry.markWholeListLoaded()
   const reported: StreamMessage[] = []
