Records of streams expire by the longest life of a stream of any service

What callers could see: a stream was refused though its version served, where another service has shorter time-outs. Cause: all records lie in one memory, and each stream that began expired them by the life of its own service. Records that peers reported were expired by nothing but their number. Evidence: 'is not forgotten with the streams of a service whose streams are shorter' and 'is forgotten after the longest life of a stream' fail before. Change: both ways to a record expire the memory by the longest life of all.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -73,7 +73,7 @@
 import { StartupGate } from './startup-gate.js'
 import { SuspensionDetector } from './suspension.js'
 import { OriginFinder } from './versions/origin-finder.js'
-import { maxStreamLifeMs, resumableServices } from './versions/stream-life.js'
+import { longestStreamLifeMs, maxStreamLifeMs, resumableServices } from './versions/stream-life.js'
 import { StreamReporter } from './versions/stream-reporter.js'
 import { StreamVersions } from './versions/stream-versions.js'
 import { VersionHistory } from './versions/version-history.js'
@@ -248,6 +248,7 @@
       reporter: new StreamReporter({ gateways, send: (gateway, streams) => peers.noteStreams(gateway, streams), countReports: streams => metrics.countStreamReports(streams) }),
       finder: new OriginFinder({ gateways, ask: (gateway, question) => peers.findStream(gateway, question) }),
       lifeMs: service => this.streamLifeMs(service),
+      longestLifeMs: () => longestStreamLifeMs(this.configuration.table?.configuration),
       isHistoryRead: () => versionLedger.isRead,
       listAgeMs: () => registry.listAgeMs,
       whenPeersDiscovered: () => members.whenPeersDiscovered(),
--- a/packages/gateway/src/process/versions/stream-life.ts
+++ b/packages/gateway/src/process/versions/stream-life.ts
@@ -4,10 +4,7 @@
  */
 import type { Configuration } from '../../version/configuration.js'
 
-/**
- * A stream that is resumed as late as possible still lasts one more time-out.
- * Its clients count one deadline over all their tries, so that twice is enough.
- */
+/** Time-outs of its route that a stream lasts at most: it is resumed within the first one, and ends within another. */
 const LIFE_TIMEOUTS = 2
 /** Of streams whose route is not configured any more. */
 const DEFAULT_LIFE_MS = 60_000
@@ -19,6 +16,11 @@
   return livesOf(configuration).get(service) ?? DEFAULT_LIFE_MS
 }
 
+/** Longest life of a stream of any service, in milliseconds. */
+export function longestStreamLifeMs(configuration: Configuration | undefined): number {
+  return Math.max(DEFAULT_LIFE_MS, ...livesOf(configuration).values())
+}
+
 /** Services whose streams clients can resume. */
 export function resumableServices(configuration: Configuration | undefined): string[] {
   return [...livesOf(configuration).keys()]
--- a/packages/gateway/src/process/versions/stream-versions.ts
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -44,6 +44,8 @@
   finder: Pick<OriginFinder, 'find'>
   /** Longest life of a stream of a service. */
   lifeMs: (service: string) => number
+  /** Longest life of a stream of any service. */
+  longestLifeMs: () => number
   /** Whether the versions that served before this process started are known. */
   isHistoryRead: () => boolean
   /** Age of the list of backend servers. */
@@ -86,8 +88,7 @@
     if (!route.streaming || !route.resumable || key === undefined || !this.namesVersions(service))
       return
     const now = performance.now()
-    this.memory.expire(this.dependencies.lifeMs(service), now)
-    this.memory.record(key, version, now)
+    this.remember({ key, version }, now)
     this.unreportedOf(service).record(key, version, now)
     this.reportIfNeeded(service)
   }
@@ -120,8 +121,8 @@
   /** Records the streams that a peer reports. */
   noteReported(streams: readonly StreamMessage[]): void {
     const now = performance.now()
-    for (const { key, version } of streams)
-      this.memory.record(key, version, now)
+    for (const stream of streams)
+      this.remember(stream, now)
   }
 
   /** Answers a peer's question where a stream began. */
@@ -131,6 +132,12 @@
     return { known: record !== undefined, version: record?.version, versions: versions.map(encodeVersion), complete: isComplete }
   }
 
+  /** Records a stream, whose service is not known if a peer reported it. */
+  private remember({ key, version }: StreamMessage, now: number): void {
+    this.memory.expire(this.dependencies.longestLifeMs(), now)
+    this.memory.record(key, version, now)
+  }
+
   /** Asks the peers, unless this gateway has a record of the stream. */
   private async ask(request: RoutedRequest): Promise<OriginReplies> {
     const key = streamKeyOf(request) ?? NO_KEY
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -1,6 +1,6 @@
 import type { OriginReplies, RoutedRequest, StreamMessage, StreamVersionsDependencies } from '@eidermast/gateway'
-import { ErrorKind } from '@eidermast/common'
-import { BackendRegistry, OriginSource, StreamVersions, VersionHistory } from '@eidermast/gateway'
+import { ErrorKind, wait } from '@eidermast/common'
+import { BackendRegistry, OriginSource, streamKeyOf, StreamVersions, VersionHistory } from '@eidermast/gateway'
 import { describe, expect, test, vi } from 'vitest'
 import { createLog, createRecord, createRoute } from './support/fakes.js'
 
@@ -26,6 +26,7 @@
     reporter: { report: stream => reported.push(stream) },
     finder: { find },
     lifeMs: () => 10_000,
+    longestLifeMs: () => 10_000,
     isHistoryRead: () => true,
     listAgeMs: () => 0,
     whenPeersDiscovered: async () => {},
@@ -108,6 +109,25 @@
     expect((await other.streams.findOrigin(RESUMED)).unwrap()).toEqual({ version: 'v2' })
   })
 
+  test('is not forgotten with the streams of a service whose streams are shorter', async () => {
+    const { streams, registry } = await createStreams({ lifeMs: service => service === SERVICE ? 10_000 : 0, longestLifeMs: () => 10_000 })
+    registry.upsert(createRecord({ id: 'short', service: 'short', softwareVersion: 'v1' }))
+    streams.recordBegun(createRequest(), 'v2')
+    await wait(5)
+    streams.recordBegun({ ...createRequest({ requestId: 'id-3' }), service: 'short' }, 'v1')
+    expect((await streams.findOrigin(RESUMED)).unwrap()).toEqual({ version: 'v2' })
+  })
+
+  test('is forgotten after the longest life of a stream, also if only peers report streams', async () => {
+    vi.useFakeTimers()
+    const { streams } = await createStreams()
+    streams.noteReported([{ key: streamKeyOf(createRequest())!, version: 'v2' }])
+    vi.advanceTimersByTime(20_000)
+    streams.noteReported([{ key: 'other', version: 'v1' }])
+    vi.useRealTimers()
+    expect(streams.answer({ key: streamKeyOf(createRequest())!, service: SERVICE }).known).toBe(false)
+  })
+
   test('is known to peers under the request that began it, however often it is resumed', async () => {
     const { streams, reported, started } = await createStreams()
     await started
