Silent peers, and not those that have ended, leave open where a stream began

What callers could see: gateways that are cut off together took the only version of their old lists for the only one, as soon as one of them answered another. And a refusal told clients to return where nothing could become known: an ended process, which refuses connections, has lost its records. Cause: any reply confirmed the own list, whatever its age; every peer that did not reply counted as one that may still know. Change: peers are silent if they neither answer nor refuse the connection nor are of an earlier release. An old list is confirmed only by no fewer replies than silent peers, and is not settled by the first one. Only silence, a change of the last seconds, an unknown time before the start or an empty list give a retry delay; the versions of the first list are no change. The messages name the versions that serve. Found by reading the change.

--- a/packages/gateway/src/connection/peers/peer-clients.ts
+++ b/packages/gateway/src/connection/peers/peer-clients.ts
@@ -12,8 +12,9 @@
 import type { PeerRouter } from './peer-router.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs } from './preparation.js'
 import type { StreamAnswer, StreamMessage, StreamQuestion } from './stream-message.js'
-import { createTRPCClient, httpLink } from '@trpc/client'
+import { createTRPCClient, httpLink, TRPCClientError } from '@trpc/client'
 import { Agent } from 'undici'
+import { isConnectionRefused } from '../error-codes.js'
 import { decodeHeartbeatReply, decodeListedBackends, decodePreparationReply, encodeHeartbeat, encodePreparationRequest } from './peer-messages.js'
 import { streamAnswerSchema } from './stream-message.js'
 
@@ -61,6 +62,12 @@
   json: () => Promise<unknown>
 }
 
+/** Whether a failed call leaves open if the peer's process runs: it neither responded with an error nor refused the connection. */
+export function isSilent(error: unknown): boolean {
+  const hasResponded = error instanceof TRPCClientError && Boolean(error.data)
+  return !hasResponded && !isConnectionRefused(error)
+}
+
 /** Clients by peer address, created on first use and kept until the process ends. */
 export class PeerClients {
   private readonly agent = new Agent({
--- a/packages/gateway/src/process/versions/origin-finder.ts
+++ b/packages/gateway/src/process/versions/origin-finder.ts
@@ -6,11 +6,15 @@
 import type { StreamAnswer, StreamQuestion, VersionMessage } from '../../connection/peers/stream-message.js'
 import type { OriginReply, ServingVersion } from '../../request/continuation/origin-decision.js'
 import { wait } from '@eidermast/common'
+import { isSilent } from '../../connection/peers/peer-clients.js'
 import { ASKED, rankHolders } from './stream-holders.js'
 
 /** Time for the other replies after one that agrees with what this process knows. */
 const SETTLE_MS = 50
 
+/** Stands for the reply of a peer that may run and does not answer. */
+const SILENCE = Symbol('silence')
+
 /** What the finder works with. */
 export interface OriginFinderDependencies {
   /** The listed gateways except this one. */
@@ -21,6 +25,8 @@
 /** The replies to a question, and how many gateways were asked. */
 export interface OriginReplies {
   asked: number
+  /** Gateways that run, as far as known, and have not answered. */
+  silent: number
   replies: OriginReply[]
 }
 
@@ -35,10 +41,13 @@
   async find(question: StreamQuestion, isExpected: (reply: OriginReply) => boolean): Promise<OriginReplies> {
     const holders = rankHolders(question.key, this.dependencies.gateways()).slice(0, ASKED)
     const replies: OriginReply[] = []
+    let silent = holders.length
     await new Promise<void>((resolve) => {
       const questions = holders.map(async (holder) => {
         const reply = await this.ask(holder, question)
-        if (!reply)
+        if (reply !== SILENCE)
+          silent--
+        if (reply === SILENCE || reply === undefined)
           return
         replies.push(reply)
         if (reply.record)
@@ -48,18 +57,18 @@
       })
       void Promise.all(questions).then(() => resolve())
     })
-    return { asked: holders.length, replies: [...replies] }
+    return { asked: holders.length, silent, replies: [...replies] }
   }
 
-  /** The reply of one peer; undefined if it does not answer, or runs a release that does not keep records. */
-  private async ask(holder: Member, question: StreamQuestion): Promise<OriginReply | undefined> {
+  /** The reply of one peer; undefined if it has ended, or runs a release that does not keep records. */
+  private async ask(holder: Member, question: StreamQuestion): Promise<OriginReply | typeof SILENCE | undefined> {
     try {
       const { known, version, versions, complete } = await this.dependencies.ask(holder, question)
       return { peer: holder.name, record: known ? { version } : undefined, versions: versions.map(decodeVersion), isComplete: complete }
     }
-    catch {
-      // Counted as not answered; the number is logged with the decision.
-      return undefined
+    catch (error) {
+      // Both are logged with the decision, as numbers.
+      return isSilent(error) ? SILENCE : undefined
     }
   }
 }
--- a/packages/gateway/src/process/versions/stream-versions.ts
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -3,14 +3,15 @@
  * it at any gateway. While one version of a service serves, this gateway only
  * remembers its own streams. Once several serve, or it does not know whether they
  * do, it also reports each stream that begins to some peers (`stream-holders.ts`),
- * and those that began before, or before it knew its peers. A resumed stream goes on as `origin-decision.ts`
- * says. State in memory; after a restart the peers have the reports.
+ * and those that began before, or before it knew its peers. A resumed stream goes
+ * on as `origin-decision.ts` says. State in memory; after a restart the peers have
+ * the reports.
  */
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
 import type { Backend } from '../../connection/backends/backend.js'
 import type { StreamAnswer, StreamMessage, StreamQuestion } from '../../connection/peers/stream-message.js'
-import type { OriginDecision, VersionView } from '../../request/continuation/origin-decision.js'
+import type { OriginDecision, OriginReply, VersionView } from '../../request/continuation/origin-decision.js'
 import type { StreamContinuations } from '../../request/continuation/stream-continuations.js'
 import type { StreamOrigin } from '../../request/continuation/stream-origin.js'
 import type { RoutedRequest } from '../../request/routed-request.js'
@@ -19,7 +20,7 @@
 import type { VersionHistory } from './version-history.js'
 import { createError, ErrorKind } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
-import { decideOrigin, OriginSource } from '../../request/continuation/origin-decision.js'
+import { decideOrigin, isListRecent, OriginSource } from '../../request/continuation/origin-decision.js'
 import { streamKeyOf } from '../../request/continuation/stream-key.js'
 import { encodeVersion } from './origin-finder.js'
 import { StreamMemory } from './stream-memory.js'
@@ -115,7 +116,7 @@
     const decision = this.decide(request, replies)
     this.dependencies.metrics.countStreamResumed(decision.source)
     this.logResumed(request, decision, replies, performance.now() - startedAt)
-    return toResult(request.service, decision)
+    return this.toResult(request.service, decision)
   }
 
   /** Records the streams that a peer reports. */
@@ -142,18 +143,24 @@
   private async ask(request: RoutedRequest): Promise<OriginReplies> {
     const key = streamKeyOf(request) ?? NO_KEY
     if (this.memory.find(key))
-      return { asked: 0, replies: [] }
+      return { asked: 0, silent: 0, replies: [] }
     await this.dependencies.whenPeersDiscovered()
-    const own = this.viewOf(request.service, performance.now()).versions
-    return this.dependencies.finder.find({ key, service: request.service }, ({ versions, isComplete }) => isComplete && own.length === 1 && versions.length === 1 && own[0].version === versions[0].version)
+    return this.dependencies.finder.find({ key, service: request.service }, reply => this.agrees(request.service, reply))
   }
 
-  private decide(request: RoutedRequest, { asked, replies }: OriginReplies): OriginDecision {
+  /** Whether a peer knows the same only version as this process, whose list is recent. */
+  private agrees(service: string, { versions, isComplete }: OriginReply): boolean {
+    const own = this.viewOf(service, performance.now()).versions
+    const isSame = own.length === 1 && versions.length === 1 && own[0].version === versions[0].version
+    return isSame && isComplete && isListRecent(this.dependencies.listAgeMs())
+  }
+
+  private decide(request: RoutedRequest, { silent, replies }: OriginReplies): OriginDecision {
     const now = performance.now()
     return decideOrigin({
       record: this.memory.find(streamKeyOf(request) ?? NO_KEY),
       replies,
-      asked,
+      silent,
       view: this.viewOf(request.service, now),
       listAgeMs: this.dependencies.listAgeMs(),
       hasJustChanged: this.dependencies.history.changedForMs(request.service, now) <= CHANGE_SPREADS_WITHIN_MS,
@@ -177,7 +184,7 @@
     return created
   }
 
-  private logResumed({ head, service }: RoutedRequest, { source, version }: OriginDecision, { asked, replies }: OriginReplies, tookMs: number): void {
+  private logResumed({ head, service }: RoutedRequest, { source, version }: OriginDecision, { asked, silent, replies }: OriginReplies, tookMs: number): void {
     this.dependencies.log.write('stream-resumed', {
       request: head.requestId,
       resumes: head.resumedRequestId,
@@ -188,23 +195,34 @@
       reportedBy: replies.find(({ record }) => record)?.peer,
       asked,
       answered: replies.length,
-      versions: this.viewOf(service, performance.now()).versions.map(({ version: serving }) => serving).join(','),
+      silent,
+      versions: this.describeVersions(service),
       tookMs: Math.round(tookMs),
     })
   }
-}
 
-function toResult(service: string, { source, version }: OriginDecision): Result<StreamOrigin | undefined, RequestError> {
-  switch (source) {
-    case OriginSource.Recorded:
-    case OriginSource.Reported:
-    case OriginSource.OnlyVersion:
-      return Ok({ version: version === UNNAMED_VERSION ? undefined : version })
-    case OriginSource.Unversioned:
-      return Ok(undefined)
-    case OriginSource.Unknown:
-      return Err(createError(ErrorKind.StreamVersionUnknown, `several software versions of service ${service} serve, and it is not known yet which one began the stream`, { retryAfterMs: UNKNOWN_RETRY_AFTER_MS }))
-    case OriginSource.Lost:
-      return Err(createError(ErrorKind.StreamVersionLost, `several software versions of service ${service} serve, and no gateway knows which one began the stream: begin it again`))
+  private toResult(service: string, { source, version }: OriginDecision): Result<StreamOrigin | undefined, RequestError> {
+    switch (source) {
+      case OriginSource.Recorded:
+      case OriginSource.Reported:
+      case OriginSource.OnlyVersion:
+        return Ok({ version: version === UNNAMED_VERSION ? undefined : version })
+      case OriginSource.Unversioned:
+        return Ok(undefined)
+      case OriginSource.Unknown: {
+        const message = `it is not known yet which software version of service ${service} began the stream (${this.describeVersions(service)})`
+        return Err(createError(ErrorKind.StreamVersionUnknown, message, { retryAfterMs: UNKNOWN_RETRY_AFTER_MS }))
+      }
+      case OriginSource.Lost: {
+        const message = `no gateway knows which software version of service ${service} began the stream (${this.describeVersions(service)}): begin it again`
+        return Err(createError(ErrorKind.StreamVersionLost, message))
+      }
+    }
+  }
+
+  /** The versions that serve, or did within the longest life of a stream, for logs and messages. */
+  private describeVersions(service: string): string {
+    const { versions } = this.viewOf(service, performance.now())
+    return versions.map(({ version }) => version || 'unnamed').join(', ') || 'none listed'
   }
 }
--- a/packages/gateway/src/process/versions/version-history.ts
+++ b/packages/gateway/src/process/versions/version-history.ts
@@ -32,7 +32,7 @@
   readonly listedAt = new Map<string, number>()
   /** When the last backend server of a version was removed. */
   readonly removedAt = new Map<string, number>()
-  /** When a version was first listed that was not the first one. */
+  /** When a version was last listed, for the first time or again, that was not the only one. */
   changedAt = Number.NEGATIVE_INFINITY
 }
 
@@ -106,7 +106,8 @@
       return
     if (state.listedAt.size === 1)
       return
-    state.changedAt = performance.now()
+    if (Number.isFinite(since))
+      state.changedAt = since
     this.options.onChange?.(service)
   }
 
--- a/packages/gateway/src/request/continuation/origin-decision.ts
+++ b/packages/gateway/src/request/continuation/origin-decision.ts
@@ -8,13 +8,14 @@
  * period completely; the age of this process's list of backend servers (ms).
  * Rule: a recorded or reported version is taken. Without one, the version is
  * known where only one has served for as long as a stream lives, apart from those
- * that are too new for streams (`version-introduction.ts`); the own list counts
- * alone only while it is recent or nobody else is listed. Contradicting records
+ * that are too new for streams (`version-introduction.ts`), as long as the own
+ * list is recent or no fewer peers answer than are silent. Contradicting records
  * and everything else leave it unknown. It may still become known while a peer
- * has not answered, or while versions have just changed.
+ * is silent, or while versions have just changed.
  * Why: a stream that goes on at the wrong version cannot be told from a good one,
  * while a refused one can be begun again. What the client says is no proof of
- * where its stream began.
+ * where its stream began. A few gateways that are cut off together have lists of
+ * the same age.
  * Log event: `stream-resumed`.
  */
 
@@ -23,6 +24,11 @@
 /** Longer than the longest wait of a read of the list, so that a connected process always has a recent list. */
 const MAX_LIST_AGE_MS = 12_000
 
+/** Whether a list of backend servers is recent. */
+export function isListRecent(listAgeMs: number): boolean {
+  return listAgeMs <= MAX_LIST_AGE_MS
+}
+
 /** How the origin of a stream was found. */
 export enum OriginSource {
   /** This process began it or was told. */
@@ -71,8 +77,8 @@
 export interface OriginInputs {
   record: StreamRecord | undefined
   replies: readonly OriginReply[]
-  /** Number of peers that were asked. */
-  asked: number
+  /** Peers that were asked, run as far as known, and have not answered. */
+  silent: number
   view: VersionView
   /** Age of this process's list of backend servers, in milliseconds. */
   listAgeMs: number
@@ -89,7 +95,7 @@
 
 /** Decides where a stream began. */
 export function decideOrigin(inputs: OriginInputs): OriginDecision {
-  const { record, replies, asked, view, listAgeMs } = inputs
+  const { record, replies, silent, view, listAgeMs } = inputs
   const records = [record, ...replies.map(reply => reply.record)].filter(known => known !== undefined)
   const recorded = new Set(records.map(({ version }) => version))
   if (recorded.size > 1 || recorded.has(undefined))
@@ -97,13 +103,14 @@
   if (recorded.size === 1)
     return { source: record ? OriginSource.Recorded : OriginSource.Reported, version: [...recorded][0] }
   const views = [view, ...replies]
-  const version = onlyVersionWithStreams(views.flatMap(({ versions }) => versions))
-  const isConfirmed = asked === 0 || replies.length > 0 || listAgeMs <= MAX_LIST_AGE_MS
+  const serving = views.flatMap(({ versions }) => versions)
+  const version = onlyVersionWithStreams(serving)
+  const isConfirmed = isListRecent(listAgeMs) || replies.length >= silent
   const isComplete = views.some(known => known.isComplete)
-  if (version !== undefined && isConfirmed && isComplete) {
+  if (version !== undefined && isConfirmed && isComplete)
     return version === '' ? { source: OriginSource.Unversioned } : { source: OriginSource.OnlyVersion, version }
-  }
-  return { source: mayBecomeKnown(inputs, isComplete) ? OriginSource.Unknown : OriginSource.Lost }
+  const mayBecomeKnown = silent > 0 || inputs.hasJustChanged || !isComplete || serving.length === 0
+  return { source: mayBecomeKnown ? OriginSource.Unknown : OriginSource.Lost }
 }
 
 /** The only version, or the only one that is old enough to have streams; undefined if there are several. */
@@ -113,7 +120,3 @@
   const [only, ...others] = versions.size === 1 ? versions : withStreams
   return others.length === 0 ? only : undefined
 }
-
-function mayBecomeKnown({ replies, asked, hasJustChanged }: OriginInputs, isComplete: boolean): boolean {
-  return replies.length < asked || hasJustChanged || !isComplete
-}
--- a/test/gateway/stream-records.test.ts
+++ b/test/gateway/stream-records.test.ts
@@ -1,7 +1,8 @@
-import type { KeyedRecord, Member, OriginReply, StreamAnswer, StreamMessage, VersionLedgerDependencies } from '@eidermast/gateway'
+import type { KeyedRecord, Member, OriginReplies, OriginReply, StreamAnswer, StreamMessage, VersionLedgerDependencies } from '@eidermast/gateway'
 import { Buffer } from 'node:buffer'
 import { wait } from '@eidermast/common'
 import { BackendList, BackendRegistry, maxStreamLifeMs, OriginFinder, rankHolders, resumableServices, StreamMemory, StreamReporter, VersionHistory, VersionLedger } from '@eidermast/gateway'
+import { TRPCClientError } from '@trpc/client'
 import { afterEach, describe, expect, test, vi } from 'vitest'
 import { createConfiguration, createLog, createRecord, createRoute } from './support/fakes.js'
 
@@ -71,11 +72,11 @@
   const agreed: StreamAnswer = { known: false, versions: [{ version: 'v1' }], complete: true }
   const isExpected = ({ versions }: OriginReply): boolean => versions.length === 1
 
-  async function ask(answers: (name: string) => Promise<StreamAnswer>): Promise<{ replies: OriginReply[], tookMs: number }> {
+  async function ask(answers: (name: string) => Promise<StreamAnswer>): Promise<OriginReplies & { tookMs: number }> {
     const startedAt = performance.now()
     const finder = new OriginFinder({ gateways: () => gateways, ask: ({ name }) => answers(name) })
-    const { replies } = await finder.find({ key: 'key', service: 's' }, isExpected)
-    return { replies, tookMs: performance.now() - startedAt }
+    const found = await finder.find({ key: 'key', service: 's' }, isExpected)
+    return { ...found, tookMs: performance.now() - startedAt }
   }
 
   test('is answered by the first one that knows it, while others are silent', async () => {
@@ -100,9 +101,15 @@
     expect(replies).toHaveLength(5)
   })
 
-  test('leaves out those that fail or run an earlier release', async () => {
-    const { replies } = await ask(async name => name === 'gateway-0' ? agreed : Promise.reject(new Error('No "mutation"-procedure on path "findStream"')))
-    expect(replies).toHaveLength(1)
+  test.each([
+    { title: 'leaves out those that run an earlier release', error: new TRPCClientError('No "mutation"-procedure on path "findStream"', { result: { error: { code: -32004, message: 'not found', data: { code: 'NOT_FOUND' } } } }), silent: 0 },
+    { title: 'leaves out those whose process has ended', error: Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }), silent: 0 },
+    { title: 'counts those as silent that do not answer in time', error: new TRPCClientError('aborted', { cause: new DOMException('aborted', 'TimeoutError') }), silent: 4 },
+    { title: 'counts those as silent whose connection breaks', error: Object.assign(new Error('reset'), { code: 'ECONNRESET' }), silent: 4 },
+  ])('$title', async ({ error, silent }) => {
+    const found = await ask(async name => name === 'gateway-0' ? agreed : Promise.reject(error))
+    expect(found).toMatchObject({ asked: 5, silent })
+    expect(found.replies).toHaveLength(1)
   })
 })
 
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -1,11 +1,11 @@
-import type { OriginReplies, RoutedRequest, StreamMessage, StreamVersionsDependencies } from '@eidermast/gateway'
+import type { OriginReplies, OriginReply, RoutedRequest, StreamMessage, StreamVersionsDependencies } from '@eidermast/gateway'
 import { ErrorKind, wait } from '@eidermast/common'
 import { BackendRegistry, OriginSource, streamKeyOf, StreamVersions, VersionHistory } from '@eidermast/gateway'
 import { describe, expect, test, vi } from 'vitest'
 import { createLog, createRecord, createRoute } from './support/fakes.js'
 
 const SERVICE = 'model'
-const NOBODY: OriginReplies = { asked: 0, replies: [] }
+const NOBODY: OriginReplies = { asked: 0, silent: 0, replies: [] }
 
 interface StreamsOptions extends Partial<StreamVersionsDependencies> {
   versions?: (string | undefined)[]
@@ -97,7 +97,7 @@
     expect((await streams.findOrigin(RESUMED)).unwrap()).toEqual({ version: 'v2' })
     expect(find).not.toHaveBeenCalled()
     expect(countStreamResumed).toHaveBeenCalledWith(OriginSource.Recorded)
-    expect(lines.find(({ event }) => event === 'stream-resumed')).toMatchObject({ request: 'id-2', resumes: 'id-1', source: 'recorded', version: 'v2', versions: 'v1,v2' })
+    expect(lines.find(({ event }) => event === 'stream-resumed')).toMatchObject({ request: 'id-2', resumes: 'id-1', source: 'recorded', version: 'v2', versions: 'v1, v2' })
   })
 
   test('goes on as a peer reported it to this process', async () => {
@@ -151,10 +151,27 @@
   })
 
   test('is refused with a retry delay while it may become known', async () => {
-    const { streams } = await createStreams({ finder: { find: async () => ({ asked: 3, replies: [] }) } })
+    const { streams } = await createStreams({ finder: { find: async () => ({ asked: 3, silent: 1, replies: [] }) } })
     expect((await streams.findOrigin(RESUMED)).unwrapErr()).toMatchObject({ kind: ErrorKind.StreamVersionUnknown, retryAfterMs: 500 })
   })
 
+  test('is refused without a retry delay if the peers that could know it have ended', async () => {
+    const { streams } = await createStreams({ finder: { find: async () => ({ asked: 3, silent: 0, replies: [] }) } })
+    const refusal = (await streams.findOrigin(RESUMED)).unwrapErr()
+    expect(refusal).toMatchObject({ kind: ErrorKind.StreamVersionLost, message: expect.stringContaining('v1, v2') })
+    expect(refusal.retryAfterMs).toBeUndefined()
+  })
+
+  test.each([
+    { title: 'waits for all peers if its list of backend servers is old', listAgeMs: 15_000, isExpected: false },
+    { title: 'settles with a peer that agrees with its recent list', listAgeMs: 100, isExpected: true },
+  ])('$title', async ({ listAgeMs, isExpected }) => {
+    const find = vi.fn(async (_question: unknown, _isExpected: (reply: OriginReply) => boolean) => NOBODY)
+    const { streams } = await createStreams({ versions: ['v1'], listAgeMs: () => listAgeMs, finder: { find } })
+    await streams.findOrigin(RESUMED)
+    expect(find.mock.calls[0][1]({ peer: 'gateway-b', record: undefined, versions: [{ version: 'v1', ageMs: Number.POSITIVE_INFINITY }], isComplete: true })).toBe(isExpected)
+  })
+
   test.each([
     ['that begins', createRequest()],
     ['that names a stream but no event', createRequest({ resumedRequestId: 'id-1' })],
