A stream with stages is continued also if it breaks late

What callers saw: a stream that broke later after its arrival than clients wait for a first event (8 s where the target is 2 s) was ended by its gateway, though its version served. Cause: its stage results were made again only until the first event was due, counted from the arrival of the request; the stage work was aborted at once. Evidence: 'have until the client gives up waiting for the next event of a stream that broke long after its first one' fails before. Change: once events were passed on, target and time of the stage work count from the last of them. Before the first event nothing changes.

--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -228,7 +228,7 @@
 
   /** Recreates the stage results that an earlier attempt consumed or lost. */
   private async recreateInputs(): Promise<boolean> {
-    this.handles = await this.subject.inputs.recreate?.(this.origin)
+    this.handles = await this.subject.inputs.recreate?.({ origin: this.origin, lastEventAt: this.lastEventAt })
     this.inputsRead = false
     return this.handles !== undefined
   }
--- a/packages/gateway/src/request/attempts/run-subject.ts
+++ b/packages/gateway/src/request/attempts/run-subject.ts
@@ -8,6 +8,14 @@
 import type { RoutedRequest } from '../routed-request.js'
 import type { RetryDecision } from './retry-rule.js'
 
+/** How far a request has come whose stage results are recreated. */
+export interface RecreationProgress {
+  /** Where its stream began; undefined if it has not, or is no stream. */
+  origin: StreamOrigin | undefined
+  /** When the last event was passed on, on the monotonic clock in milliseconds; undefined before the first one. */
+  lastEventAt: number | undefined
+}
+
 /** Stage results that the request's backend server reads. */
 export interface RunInputs {
   handles: readonly string[] | undefined
@@ -18,8 +26,8 @@
   engine?: string
   /** Called when the backend server has read them. */
   onRead?: () => void
-  /** Recreates them for a request or, with its origin, for a stream that has begun; resolves with undefined if that fails. */
-  recreate?: (origin: StreamOrigin | undefined) => Promise<readonly string[] | undefined>
+  /** Recreates them; resolves with undefined if that fails. */
+  recreate?: (progress: RecreationProgress) => Promise<readonly string[] | undefined>
 }
 
 /** Inputs of a request without stages. */
--- a/packages/gateway/src/request/deadlines.ts
+++ b/packages/gateway/src/request/deadlines.ts
@@ -57,6 +57,13 @@
   firstEventBy: number
 }
 
+/** A request whose stream goes on. */
+export interface ContinuedRequest {
+  route: Route
+  /** When its response has to be complete, on the monotonic clock in milliseconds. */
+  deadlineAt: number
+}
+
 /** Computes the deadlines of a request; `arrivedAt` is on the monotonic clock in milliseconds. */
 export function decideDeadlines(arrivedAt: number, clientDeadlineMs: number | undefined, route: Route): RequestDeadlines {
   const allowedMs = Math.min(clientDeadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs)
@@ -65,6 +72,15 @@
   return { deadlineAt, firstEventBy: Math.min(deadlineAt, firstEventBy) }
 }
 
+/**
+ * The limits of the stage work for a stream that broke off after an event, on the
+ * monotonic clock in milliseconds: its target counts from that event, and its
+ * client waits for the next one as long as for the first.
+ */
+export function decideContinuationLimits(lastEventAt: number, { route, deadlineAt }: ContinuedRequest): { arrivedAt: number, firstEventBy: number } {
+  return { arrivedAt: lastEventAt, firstEventBy: Math.min(deadlineAt, lastEventAt + maxEventWaitMs(route) - RESPONSE_MARGIN_MS) }
+}
+
 /** How long clients wait for an event of a route, in milliseconds. */
 export function maxEventWaitMs(route: Route): number {
   if (!route.streaming)
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -13,7 +13,7 @@
 import type { AccountShares, Demand } from './admission/account-shares.js'
 import type { AdmissionTicket, RequestAdmission } from './admission/request-admission.js'
 import type { BackendRunner } from './attempts/backend-runner.js'
-import type { RunInputs, RunResult, RunSubject } from './attempts/run-subject.js'
+import type { RecreationProgress, RunInputs, RunResult, RunSubject } from './attempts/run-subject.js'
 import type { StreamContinuations } from './continuation/stream-continuations.js'
 import type { CrashMonitor } from './crash-monitor.js'
 import type { ReturnDetector } from './returns/return-detector.js'
@@ -23,7 +23,7 @@
 import { Err, Ok } from 'ts-results-es'
 import { DemandEnd } from './admission/account-shares.js'
 import { NO_INPUTS } from './attempts/run-subject.js'
-import { atLeastOneMs } from './deadlines.js'
+import { atLeastOneMs, decideContinuationLimits } from './deadlines.js'
 import { errorOfPreparation, errorOfRemovedVersion, errorOfWithheld } from './request-errors.js'
 import { outcomeOf, RequestLog } from './request-log.js'
 import { RequestRouter } from './request-router.js'
@@ -148,7 +148,7 @@
     const inputs: RunInputs = {
       ...prepared.value,
       onRead: () => this.dependencies.preparer.release(requestId),
-      recreate: origin => this.recreateInputs({ ...request, origin }, stagesSignal),
+      recreate: progress => this.recreateInputs(request, progress, signal),
     }
     try {
       return await this.dependencies.runner.run({ request, inputs, clientResponse, signal })
@@ -158,9 +158,12 @@
     }
   }
 
-  /** Recreates the inputs after the first ones were consumed or lost. */
-  private async recreateInputs(request: RoutedRequest, signal: AbortSignal): Promise<readonly string[] | undefined> {
-    const prepared = await this.dependencies.preparer.prepare(this.describeStageWork(request), signal)
+  /** Recreates the inputs after the first ones were consumed or lost. A stream that has begun has the time in which its client waits for the next event. */
+  private async recreateInputs(request: RoutedRequest, { origin, lastEventAt }: RecreationProgress, signal: AbortSignal): Promise<readonly string[] | undefined> {
+    const limits = lastEventAt === undefined ? {} : decideContinuationLimits(lastEventAt, request)
+    const continued = { ...request, origin, ...limits }
+    const stagesSignal = AbortSignal.any([signal, AbortSignal.timeout(atLeastOneMs(Math.ceil(continued.firstEventBy - performance.now())))])
+    const prepared = await this.dependencies.preparer.prepare(this.describeStageWork(continued), stagesSignal)
     // The coordinator logged the reason as `stages-ended`; the run ends with the result of its attempt.
     return prepared.isOk() ? prepared.value.handles : undefined
   }
