Admission decides on a resumed stream by its own backend servers and the whole queue

Cause: for a request that resumes a stream, the time for which the service has sent nothing was counted from the requests ahead of it, and never for the first one. Change: the load of the backend servers and the pace of the service are separate, and only the first is taken for the version. Two tests for such requests, which had none in admission; both pass before the change, so they guard the filter only. Found by reading the change.

--- a/packages/gateway/src/request/admission/adaptive-admission.ts
+++ b/packages/gateway/src/request/admission/adaptive-admission.ts
@@ -71,8 +71,11 @@
   settle: (result: Result<void, RequestError>) => void
 }
 
+/** The load of some backend servers of a service at one time. */
+type BackendsLoad = Pick<AdmissionInputs, 'best' | 'opensInMs' | 'slotsPerGateway'>
+
 /** The load of a service at one time. */
-type Situation = Pick<AdmissionInputs, 'best' | 'opensInMs' | 'pace' | 'slotsPerGateway'>
+type Situation = BackendsLoad & Pick<AdmissionInputs, 'pace'>
 
 /** A decision on a waiting request, with what it was based on. */
 interface DecidedRequest {
@@ -175,7 +178,7 @@
     if (hasSent)
       return
     const order = queue.inOrder()
-    this.carryOut(entry, this.decide(entry, order.slice(0, order.indexOf(entry)), this.situationOf({ service }, order)))
+    this.carryOut(entry, this.decide(entry, order.slice(0, order.indexOf(entry)), this.situationOf(service, order)))
     this.scheduleRecheck(service)
   }
 
@@ -185,7 +188,7 @@
     const order = queue.inOrder()
     if (hasSent || order.length === 0)
       return
-    const decided = this.decide(order[0], [], this.situationOf({ service }, order))
+    const decided = this.decide(order[0], [], this.situationOf(service, order))
     if (decided.decision.action === AdmissionAction.Send)
       this.carryOut(order[0], decided)
   }
@@ -196,7 +199,7 @@
     clearTimeout(state.recheck)
     state.recheck = undefined
     const order = state.queue.inOrder()
-    const situation = this.situationOf({ service }, order)
+    const situation = this.situationOf(service, order)
     const ahead: WaitingRequest[] = []
     for (const entry of order) {
       const decided = this.decide(entry, ahead, situation)
@@ -215,8 +218,15 @@
       state.recheck ??= setTimeout(() => this.recheck(service), RECHECK_INTERVAL_MS).unref()
   }
 
-  /** The load of the backend servers that may answer a request; `order` are the waiting requests of its service. */
-  private situationOf(target: RequestTarget, order: readonly WaitingRequest[]): Situation {
+  /** The load of a service now; `order` are its waiting requests. */
+  private situationOf(service: string, order: readonly WaitingRequest[]): Situation {
+    const now = performance.now()
+    const pace = this.stateOf(service).pace.describe(Math.min(now, ...order.map(entry => entry.enqueuedAt)), now)
+    return { ...this.loadOf({ service }), pace }
+  }
+
+  /** The load of the backend servers that may answer a request. */
+  private loadOf(target: RequestTarget): BackendsLoad {
     const now = performance.now()
     const estimates = this.dependencies.backends.candidates(target).map(backend => this.dependencies.estimator.estimate(backend, now))
     const best = estimates.reduce<BackendEstimate | undefined>((first, estimate) => first && compareEstimates(first, estimate) <= 0 ? first : estimate, undefined)
@@ -224,14 +234,13 @@
       best,
       slotsPerGateway: estimates.reduce((sum, { slots }) => sum + slots, 0) / Math.max(1, this.dependencies.gateways()),
       opensInMs: best ? 0 : this.dependencies.backends.shortestWaitMs(target),
-      pace: this.stateOf(target.service).pace.describe(Math.min(now, ...order.map(entry => entry.enqueuedAt)), now),
     }
   }
 
-  /** Decides on a waiting request by the situation of its service, or of the backend servers that may continue its stream; `ahead` are those that go before it. */
+  /** Decides on a waiting request; `ahead` are those that go before it. For one that resumes a stream, only the backend servers count that may continue it. */
   private decide({ request, account, isOverShare }: WaitingRequest, ahead: readonly WaitingRequest[], serviceSituation: Situation): DecidedRequest {
     const now = performance.now()
-    const situation = request.origin ? this.situationOf(request, ahead) : serviceSituation
+    const situation = request.origin ? { ...serviceSituation, ...this.loadOf(request) } : serviceSituation
     const decision = decideRequestAdmission({
       ...situation,
       targetLatencyMs: request.route.targetLatencyMs,
--- a/test/gateway/adaptive-admission.test.ts
+++ b/test/gateway/adaptive-admission.test.ts
@@ -1,4 +1,4 @@
-import type { AccountShares, BackendEstimate, LoadEstimator, RoutedRequest } from '@eidermast/gateway'
+import type { AccountShares, BackendEstimate, LoadEstimator, RequestTarget, RoutedRequest } from '@eidermast/gateway'
 import { ErrorKind } from '@eidermast/common'
 import { AdaptiveAdmission, ArrivalKind, ReportedLoadEstimator } from '@eidermast/gateway'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
@@ -20,16 +20,16 @@
 
 function createDeployment(admittedShare: AccountShares['admittedShare'] = () => 1) {
   const backend = createBackend({ service: SERVICE })
-  const backends = { candidates: vi.fn(() => [backend]), shortestWaitMs: vi.fn(() => Number.POSITIVE_INFINITY) }
+  const backends = { candidates: vi.fn((_target: RequestTarget) => [backend]), shortestWaitMs: vi.fn(() => Number.POSITIVE_INFINITY) }
   const metrics = { countWaiting: vi.fn(), countWait: vi.fn(), countRefusal: vi.fn() }
   const { log, lines } = createLog()
   const admission = new AdaptiveAdmission({ backends, estimator: new OneSlotEstimator(), shares: { admittedShare }, gateways: () => 10, metrics, log })
   /** Admits a request and calls the backend server with it; resolves when it was sent or refused. */
-  const admit = async ({ account = 'a', signal = new AbortController().signal, targetLatencyMs = TARGET_MS, deadlineMs = DEADLINE_MS, isRetry = false, arrivalKind = ArrivalKind.New } = {}) => {
+  const admit = async ({ account = 'a', signal = new AbortController().signal, targetLatencyMs = TARGET_MS, deadlineMs = DEADLINE_MS, isRetry = false, arrivalKind = ArrivalKind.New, origin = undefined as RoutedRequest['origin'] } = {}) => {
     const arrivedAt = performance.now()
     const head = { requestId: 'id' }
     const route = createRoute({ targetLatencyMs })
-    const request = { head, route, service: SERVICE, account: { name: account, keys: [] }, priority: 0, arrivedAt, deadlineAt: arrivedAt + deadlineMs, firstEventBy: arrivedAt + deadlineMs, isRetry, arrivalKind } as unknown as RoutedRequest
+    const request = { head, route, service: SERVICE, account: { name: account, keys: [] }, priority: 0, arrivedAt, deadlineAt: arrivedAt + deadlineMs, firstEventBy: arrivedAt + deadlineMs, isRetry, arrivalKind, origin } as unknown as RoutedRequest
     const admitted = await admission.admit(request, signal)
     if (admitted.isOk())
       backend.outstanding++
@@ -45,6 +45,26 @@
 /** Lets a turn of the event loop pass, after which the call of a request that was sent shows in the estimates. */
 const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
 
+describe('a request that resumes a stream', () => {
+  test('is refused if no backend server of its version is left, while other requests are sent', async () => {
+    const { admit, backend, backends } = createDeployment()
+    backends.candidates.mockImplementation(({ origin }) => origin ? [] : [backend])
+    expect((await admit({ origin: { version: 'v1' } })).isErr()).toBe(true)
+    expect((await admit()).isOk()).toBe(true)
+  })
+
+  test('is sent to a free backend server of its version, while other requests wait', async () => {
+    const { admit, backend, backends, countWaiting } = createDeployment()
+    const free = createBackend({ service: SERVICE, softwareVersion: 'v1' })
+    backend.outstanding = 1
+    backends.candidates.mockImplementation(({ origin }) => origin ? [free] : [backend])
+    expect((await admit({ origin: { version: 'v1' } })).isOk()).toBe(true)
+    await nextTurn()
+    void admit({ targetLatencyMs: TARGET_MS })
+    expect(countWaiting()).toBe(1)
+  })
+})
+
 describe('adaptive admission', () => {
   test('sends requests while their wait is short, and the next ones as room is returned', async () => {
     const { admit, backend, countWaiting, lines } = createDeployment()
