Reports of streams are repeated to a gateway that starts again

What callers saw: streams that clients resumed were refused although their version served, where the three gateways that kept their record had started again before their own gateway was killed. Cause: a record is reported once. A gateway that starts again has lost what it kept for others, so that after all holders of a stream have restarted, one after the other or together, only the gateway that began it knows it. Ruled out: the soak's kills of all gateways at once, which remain (nobody knows). Change: the reporter remembers for the life of a stream what it reported to which gateway, and repeats it when that gateway is listed as a new process. Why it works: the gateway that began the stream lives until its client has to resume it, so it can repeat its reports until then.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -243,12 +243,20 @@
   private createStreamVersions(): StreamVersions {
     const { members, peers, metrics, registry, versionHistory: history, versionLedger, log } = this
     const gateways = (): Member[] => members.others
+    const longestLifeMs = (): number => longestStreamLifeMs(this.configuration.table?.configuration)
+    const reporter = new StreamReporter({
+      gateways,
+      send: (gateway, streams) => peers.noteStreams(gateway, streams),
+      longestLifeMs,
+      countReports: streams => metrics.countStreamReports(streams),
+    })
+    members.onNewProcess(gateway => reporter.repeatTo(gateway))
     return new StreamVersions({
       history,
-      reporter: new StreamReporter({ gateways, send: (gateway, streams) => peers.noteStreams(gateway, streams), countReports: streams => metrics.countStreamReports(streams) }),
+      reporter,
       finder: new OriginFinder({ gateways, ask: (gateway, question) => peers.findStream(gateway, question) }),
       lifeMs: service => this.streamLifeMs(service),
-      longestLifeMs: () => longestStreamLifeMs(this.configuration.table?.configuration),
+      longestLifeMs,
       isHistoryRead: () => versionLedger.isRead,
       listAgeMs: () => registry.listAgeMs,
       whenPeersDiscovered: () => members.whenPeersDiscovered(),
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -32,6 +32,7 @@
   private currentCoordinator: Member
   private readonly shardCoordinators: ShardCoordinators
   private readonly peerMonitor: PeerMonitor
+  private readonly processListeners: ((member: Member) => void)[] = []
   private readonly log: GatewayLog
   private timer: NodeJS.Timeout | undefined
   /** Cached `place`; undefined after members were listed or removed. */
@@ -124,6 +125,11 @@
     this.shardCoordinators.onChange(listener)
   }
 
+  /** Calls the listener with each member that is listed for the first time or has started again. */
+  onNewProcess(listener: (member: Member) => void): void {
+    this.processListeners.push(listener)
+  }
+
   get isCoordinator(): boolean {
     return this.coordinator.name === this.self.name
   }
@@ -177,6 +183,7 @@
     this.cachedIndex = undefined
     this.shardCoordinators.noteListed(listed.name)
     this.scheduleRanking()
+    this.reportNewProcess(state)
   }
 
   /** Called after a read of the directory, once all members in it have been listed. */
@@ -239,6 +246,12 @@
     state.announcementOrder = announcementOrder
     this.log.memberListed(state.member, announcementOrder)
     this.rank()
+    this.reportNewProcess(state)
+  }
+
+  private reportNewProcess({ member, isSelf }: MemberState): void {
+    for (const listener of isSelf ? [] : this.processListeners)
+      listener(member)
   }
 
   /**
--- a/packages/gateway/src/process/versions/stream-reporter.ts
+++ b/packages/gateway/src/process/versions/stream-reporter.ts
@@ -1,17 +1,23 @@
 /**
  * Reports streams that have begun to the gateways that keep their records
  * (`stream-holders.ts`). Reports to one gateway share a call; a gateway that does
- * not take its report is replaced by the next one. Owns the reports that wait for
- * their call; if the process ends, they are lost and these streams count as
- * unknown elsewhere.
+ * not take its report is replaced by the next one, and one that starts again gets
+ * all its reports again. Owns the reports that wait for their call, and a list of
+ * those that were sent, for the life of a stream; if the process ends, both are
+ * lost, and streams that were not reported count as unknown elsewhere.
  */
 import type { Member } from '../../connection/peers/member.js'
 import type { StreamMessage } from '../../connection/peers/stream-message.js'
 import { MAX_REPORTED_STREAMS } from '../../connection/peers/stream-message.js'
 import { ASKED_HOLDERS, rankHolders, REPORTED_HOLDERS } from './stream-holders.js'
+import { StreamMemory } from './stream-memory.js'
 
 /** Time that a report waits to share a call. Saves calls; a stream whose gateway is killed in this time is unknown elsewhere. */
 const REPORT_DELAY_MS = 20
+/** Streams for which the reports to one gateway can be repeated; the oldest are forgotten first. */
+const MAX_REPEATED_STREAMS = 2000
+/** Time over which gateways spread what they report to one that starts again, so that it is not called by all of them at once. */
+const REPEAT_SPREAD_MS = 300
 
 /** A report for one holder. */
 interface PendingReport {
@@ -31,20 +37,57 @@
   /** The listed gateways except this one. */
   gateways: () => readonly Member[]
   send: (gateway: Member, streams: StreamMessage[]) => Promise<void>
+  /** Longest life of a stream of any service, in milliseconds. */
+  longestLifeMs: () => number
   /** Counts streams in calls to peers. */
   countReports: (streams: number) => void
 }
 
 /** Sends reports in batches. */
 export class StreamReporter {
+  /** Reports that wait for their call, by the address of the gateway. */
   private readonly pending = new Map<string, PendingReport[]>()
+  /** Streams that were reported, by the name of the gateway. */
+  private readonly reported = new Map<string, StreamMemory>()
 
   constructor(private readonly dependencies: StreamReporterDependencies) {}
 
   report(stream: StreamMessage): void {
+    this.expire()
     const replacement = { rank: REPORTED_HOLDERS }
     for (const holder of rankHolders(stream.key, this.dependencies.gateways()).slice(0, REPORTED_HOLDERS))
-      this.enqueue(holder, { stream, replacement })
+      this.reportTo(holder, { stream, replacement })
+  }
+
+  /** Reports to a gateway that starts again what its last process was told. */
+  repeatTo(gateway: Member): void {
+    this.expire()
+    const reported = this.reported.get(gateway.name)
+    if (!reported)
+      return
+    setTimeout(() => {
+      for (const stream of reported.entries())
+        this.enqueue(gateway, { stream, replacement: { rank: REPORTED_HOLDERS } })
+    }, Math.random() * REPEAT_SPREAD_MS)
+  }
+
+  private reportTo(holder: Member, report: PendingReport): void {
+    const { key, version } = report.stream
+    const reported = this.reported.get(holder.name) ?? new StreamMemory(MAX_REPEATED_STREAMS)
+    this.reported.set(holder.name, reported)
+    reported.record(key, version, performance.now())
+    this.enqueue(holder, report)
+  }
+
+  /** Forgets the streams that have ended by now. */
+  private expire(): void {
+    const lifeMs = this.dependencies.longestLifeMs()
+    const now = performance.now()
+    for (const [name, streams] of this.reported) {
+      streams.expire(lifeMs, now)
+      if (streams.size === 0)
+        this.reported.delete(name)
+    }
   }
 
   private enqueue(holder: Member, report: PendingReport): void {
@@ -80,6 +123,6 @@
       return
     const next = rankHolders(stream.key, this.dependencies.gateways()).at(replacement.rank++)
     if (next)
-      this.enqueue(next, report)
+      this.reportTo(next, report)
   }
 }
--- a/packages/gateway/src/process/versions/stream-versions.ts
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -5,7 +5,7 @@
  * do, it also reports each stream that begins to some peers (`stream-holders.ts`),
  * and those that began before, or before it knew its peers. A resumed stream goes
  * on as `origin-decision.ts` says. State in memory; after a restart the peers have
- * the reports.
+ * the reports, and repeat theirs.
  */
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -61,6 +61,21 @@
 beforeEach(() => void vi.useFakeTimers())
 afterEach(() => void vi.useRealTimers())
 
+describe('a member that starts again', () => {
+  test.each([
+    ['as the directory lists it', (members: Members) => members.upsert({ name: 'gateway-b', address: 'gateway-b', announcementOrder: 9 })],
+    ['as it reports itself', (_members: Members, peers: FakePeers) => void peers.replies.set('gateway-b', { ...ALIVE, announcementOrder: 9 })],
+  ])('is reported as a new process, %s', async (_name, restart) => {
+    const { members, peers } = await createSettledMembers()
+    const reported: string[] = []
+    members.onNewProcess(({ name }) => reported.push(name))
+    members.upsert({ name: 'gateway-a', address: 'gateway-a', announcementOrder: 0 })
+    restart(members, peers)
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(reported).toEqual(['gateway-b'])
+  })
+})
+
 describe('the coordinator of the stage work', () => {
   test.each([
     ['the member announced first, if it answers', { 'gateway-a': ALIVE, 'gateway-b': ALIVE }, 'gateway-a'],
--- a/test/gateway/stream-records.test.ts
+++ b/test/gateway/stream-records.test.ts
@@ -2,10 +2,12 @@
 import { Buffer } from 'node:buffer'
 import { wait } from '@eidermast/common'
 import { BackendList, BackendRegistry, maxStreamLifeMs, OriginFinder, rankHolders, resumableServices, StreamMemory, StreamReporter, VersionHistory, VersionLedger } from '@eidermast/gateway'
-import { afterEach, describe, expect, test, vi } from 'vitest'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createConfiguration, createLog, createRecord, createRoute } from './support/fakes.js'
 
 const DOMAINS = ['zone-a', 'zone-b', 'zone-c']
+/** Longest life of a stream. */
+const LIFE_MS = 10_000
 
 function createGateways(count: number): Member[] {
   return Array.from({ length: count }, (_, index) => ({ name: `gateway-${index}`, address: `127.0.0.1:${index}`, failureDomain: DOMAINS[index % DOMAINS.length] }))
@@ -48,6 +50,7 @@
         if (name === ranked[1])
           throw new Error('refused')
       },
+      longestLifeMs: () => LIFE_MS,
       countReports: () => {},
     })
     reporter.report({ key: 'key', version: 'v1' })
@@ -60,12 +63,58 @@
   test('end when no gateway is left', async () => {
     vi.useFakeTimers()
     const send = vi.fn(async () => Promise.reject(new Error('refused')))
-    new StreamReporter({ gateways: () => createGateways(20), send, countReports: () => {} }).report({ key: 'key', version: 'v1' })
+    new StreamReporter({ gateways: () => createGateways(20), send, longestLifeMs: () => LIFE_MS, countReports: () => {} }).report({ key: 'key', version: 'v1' })
     await vi.advanceTimersByTimeAsync(1000)
     expect(send).toHaveBeenCalledTimes(5)
   })
 })
 
+describe('reports to a gateway that starts again', () => {
+  const gateways = createGateways(8)
+  const [holder] = rankHolders('key', gateways)
+
+  beforeEach(() => void vi.useFakeTimers())
+  afterEach(() => void vi.useRealTimers())
+
+  /** Reports a stream, lets some time pass, and returns what is then sent to a gateway that starts again. */
+  async function repeatAfter(passedMs: number, restarted: Member): Promise<StreamMessage[]> {
+    const send = vi.fn(async (_gateway: Member, _streams: StreamMessage[]) => {})
+    const reporter = new StreamReporter({ gateways: () => gateways, send, longestLifeMs: () => LIFE_MS, countReports: () => {} })
+    reporter.report({ key: 'key', version: 'v1' })
+    await vi.advanceTimersByTimeAsync(passedMs)
+    send.mockClear()
+    reporter.repeatTo(restarted)
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(send.mock.calls.every(([{ name }]) => name === restarted.name)).toBe(true)
+    return send.mock.calls.flatMap(([, streams]) => streams)
+  }
+
+  test('are repeated', async () => {
+    expect(await repeatAfter(LIFE_MS / 2, holder)).toEqual([{ key: 'key', version: 'v1' }])
+  })
+
+  test.each([
+    ['of streams that have ended', LIFE_MS * 2, holder],
+    ['that went to others', 100, rankHolders('key', gateways).at(-1)!],
+  ])('%s are not repeated', async (_name, passedMs, restarted) => {
+    expect(await repeatAfter(passedMs, restarted)).toEqual([])
+  })
+
+  test('go to the next gateway in order if it does not take them', async () => {
+    const ranked = rankHolders('key', gateways)
+    const send = vi.fn(async ({ name }: Member) => {
+      if (name === holder.name)
+        throw new Error('refused')
+    })
+    const reporter = new StreamReporter({ gateways: () => gateways, send, longestLifeMs: () => LIFE_MS, countReports: () => {} })
+    reporter.report({ key: 'key', version: 'v1' })
+    await vi.advanceTimersByTimeAsync(100)
+    reporter.repeatTo(ranked[1])
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(send.mock.calls.map(([{ name }]) => name)).toEqual([...ranked.slice(0, 4), ranked[1]].map(({ name }) => name))
+  })
+})
+
 describe('a question where a stream began', () => {
   const gateways = createGateways(5)
   const agreed: StreamAnswer = { known: false, versions: [{ version: 'v1' }], complete: true }
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -7,6 +7,10 @@
 const EACH = 4
 /** Time after which a stream has brought some of its events. */
 const HALF_WAY_MS = 400
+/** Pause between two events of a stream that lasts while gateways start again. */
+const LONG_PAUSE_MS = 100
+/** Time in which gateways repeat their reports to one that has started again, and list it. */
+const REPEATED_WITHIN_MS = 1000
 /** Streams that are started together. */
 const STREAMS = 30
 
@@ -111,6 +115,20 @@
     expect(sources).toContain('reported')
   })
 
+  test('goes on at its version where the gateways that knew it have started again before its own one is killed', async () => {
+    await startDeployment({ v1: EACH, v2: EACH }, 4)
+    for (const backend of deployment.backends.filter(({ service }) => service === 'model'))
+      backend.respond = streamVersion(backend.softwareVersion!, undefined, LONG_PAUSE_MS)
+    const resumed = await resumeAfter(async () => {
+      await deployment.killAndRestart([1, 2, 3])
+      await deployment.waitUntilListed()
+      await wait(REPEATED_WITHIN_MS)
+      await deployment.kill(0)
+    }, 0)
+    expect(resumed.filter(isMixed)).toEqual([])
+    expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
+  })
+
   test('is refused after all gateways were killed, if its version has left and another one serves alone', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
     const resumed = await resumeAfter(async () => {
--- a/test/platform/support/versioned-deployment.ts
+++ b/test/platform/support/versioned-deployment.ts
@@ -36,8 +36,8 @@
   Limits: { MaxHeaderBytes: 8000, MaxBodyBytes: 1000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 5000 },
 }
 
-/** Streams events that contain the version; `breakAfter` returns the number of events after which the connection breaks. */
-export function streamVersion(version: string, breakAfter: () => number = () => Number.POSITIVE_INFINITY): RequestHandler {
+/** Streams events that contain the version; `breakAfter` returns the number of events after which the connection breaks, `pauseMs` is the time between two events. */
+export function streamVersion(version: string, breakAfter: () => number = () => Number.POSITIVE_INFINITY, pauseMs = EVENT_PAUSE_MS): RequestHandler {
   return async (seen, response) => {
     const after = Number(seen.headers['last-event-id'] ?? 0)
     const last = after + breakAfter()
@@ -46,7 +46,7 @@
       if (id > last)
         return void response.destroy()
       response.write(`id: ${id}\ndata: ${version}\n\n`)
-      await wait(EVENT_PAUSE_MS)
+      await wait(pauseMs)
     }
     response.end()
   }
