A list of backend servers that may lack a version is read again before a stream is resumed by it

What callers saw: streams that held events of two software versions, where a gateway that knew neither from peers nor from the store what had changed for some seconds resumed them. Cause: without a record, the only version that the gateway listed was taken as the one that began the stream while its list was at most 12 s old, although a version gets streams 3 s after it is listed elsewhere. Ruled out: that peers that answer could be wrong; a peer that knows more prevents it. Change: the list counts as recent for 1.5 s, less than any version needs to get streams. Where it is older and most peers are silent, it is read again, once in 2 s for all streams and for 0.6 s at most; without an answer the stream is refused (source unconfirmed). A question to peers ends as soon as those that answered settle it, so that one frozen gateway does not delay the streams of a service of one version although lists are usually older than that.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -72,6 +72,7 @@
 import { CoordinatorRole, StageCoordinators } from './stages/stage-coordinators.js'
 import { StartupGate } from './startup-gate.js'
 import { SuspensionDetector } from './suspension.js'
+import { ListRefresh } from './versions/list-refresh.js'
 import { OriginFinder } from './versions/origin-finder.js'
 import { longestStreamLifeMs, maxStreamLifeMs, resumableServices } from './versions/stream-life.js'
 import { StreamReporter } from './versions/stream-reporter.js'
@@ -250,6 +251,7 @@
       longestLifeMs,
       countReports: streams => metrics.countStreamReports(streams),
     })
+    const listRefresh = new ListRefresh({ listAgeMs: () => registry.listAgeMs, restartReads: () => this.platform.restartReads() })
     members.onNewProcess(gateway => reporter.repeatTo(gateway))
     return new StreamVersions({
       history,
@@ -259,6 +261,7 @@
       longestLifeMs,
       isHistoryRead: () => versionLedger.isRead,
       listAgeMs: () => registry.listAgeMs,
+      refreshList: () => listRefresh.refresh(),
       whenPeersDiscovered: () => members.whenPeersDiscovered(),
       metrics,
       log,
--- a/packages/gateway/src/process/versions/index.ts
+++ b/packages/gateway/src/process/versions/index.ts
@@ -1,3 +1,4 @@
+export * from './list-refresh.js'
 export * from './origin-finder.js'
 export * from './stream-holders.js'
 export * from './stream-life.js'
--- a/packages/gateway/src/process/versions/origin-finder.ts
+++ b/packages/gateway/src/process/versions/origin-finder.ts
@@ -9,7 +9,7 @@
 import { isSilent } from '../../connection/peers/peer-clients.js'
 import { ASKED_HOLDERS, rankHolders } from './stream-holders.js'
 
-/** Time for the other replies after one that agrees with what this process knows. */
+/** Time for the other replies after those that are enough. */
 const SETTLE_MS = 50
 
 /** Stands for the reply of a peer that may run and does not answer. */
@@ -25,7 +25,7 @@
 /** The replies to a question, and how many gateways were asked. */
 export interface OriginReplies {
   asked: number
-  /** Gateways that run, as far as known, and have not answered. */
+  /** Gateways that run, as far as known, and have not answered yet. */
   silent: number
   replies: OriginReply[]
 }
@@ -36,28 +36,26 @@
 
   /**
    * Resolves once a peer knows the stream, once all have answered or failed, or,
-   * if `isExpected` accepts a reply, a moment after it.
+   * if `isEnough` accepts the replies so far, a moment later.
    */
-  async find(question: StreamQuestion, isExpected: (reply: OriginReply) => boolean): Promise<OriginReplies> {
+  async find(question: StreamQuestion, isEnough: (replies: OriginReplies) => boolean): Promise<OriginReplies> {
     const holders = rankHolders(question.key, this.dependencies.gateways()).slice(0, ASKED_HOLDERS)
-    const replies: OriginReply[] = []
-    let silent = holders.length
+    const found: OriginReplies = { asked: holders.length, silent: holders.length, replies: [] }
     await new Promise<void>((resolve) => {
       const questions = holders.map(async (holder) => {
         const reply = await this.ask(holder, question)
         if (reply !== SILENCE)
-          silent--
-        if (reply === SILENCE || reply === undefined)
-          return
-        replies.push(reply)
-        if (reply.record)
+          found.silent--
+        if (reply !== SILENCE && reply !== undefined)
+          found.replies.push(reply)
+        if (found.replies.some(({ record }) => record))
           resolve()
-        else if (isExpected(reply))
+        else if (found.replies.length > 0 && isEnough(found))
           void wait(SETTLE_MS).then(resolve)
       })
       void Promise.all(questions).then(() => resolve())
     })
-    return { asked: holders.length, silent, replies: [...replies] }
+    return { ...found, replies: [...found.replies] }
   }
 
   /** The reply of one peer; undefined if it has ended, or runs a release that does not keep records. */
--- a/packages/gateway/src/process/versions/stream-versions.ts
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -20,7 +20,7 @@
 import type { VersionHistory } from './version-history.js'
 import { createError, ErrorKind } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
-import { decideOrigin, isListRecent, OriginSource } from '../../request/continuation/origin-decision.js'
+import { decideOrigin, isConfirmed, OriginSource } from '../../request/continuation/origin-decision.js'
 import { streamKeyOf } from '../../request/continuation/stream-key.js'
 import { encodeVersion } from './origin-finder.js'
 import { StreamMemory } from './stream-memory.js'
@@ -51,6 +51,8 @@
   isHistoryRead: () => boolean
   /** Age of the list of backend servers. */
   listAgeMs: () => number
+  /** Reads the list of backend servers again, in a bounded time. */
+  refreshList: () => Promise<void>
   /** Resolves once this process knows its peers. */
   whenPeersDiscovered: () => Promise<void>
   metrics: StreamMetrics
@@ -113,7 +115,11 @@
       return Ok(undefined)
     const startedAt = performance.now()
     const replies = await this.ask(request)
-    const decision = this.decide(request, replies)
+    let decision = this.decide(request, replies)
+    if (decision.source === OriginSource.Unconfirmed) {
+      await this.dependencies.refreshList()
+      decision = this.decide(request, replies)
+    }
     this.dependencies.metrics.countStreamResumed(decision.source)
     this.logResumed(request, decision, replies, performance.now() - startedAt)
     return this.toResult(request.service, decision)
@@ -145,14 +151,14 @@
     if (this.memory.find(key))
       return { asked: 0, silent: 0, replies: [] }
     await this.dependencies.whenPeersDiscovered()
-    return this.dependencies.finder.find({ key, service: request.service }, reply => this.agrees(request.service, reply))
+    return this.dependencies.finder.find({ key, service: request.service }, found => this.isEnough(request.service, found))
   }
 
-  /** Whether a peer knows the same only version as this process, whose list is recent. */
-  private agrees(service: string, { versions, isComplete }: OriginReply): boolean {
+  /** Whether the peers that have answered know the same only version as this process, and confirm it. */
+  private isEnough(service: string, { replies, silent }: OriginReplies): boolean {
     const own = this.viewOf(service, performance.now()).versions
-    const isSame = own.length === 1 && versions.length === 1 && own[0].version === versions[0].version
-    return isSame && isComplete && isListRecent(this.dependencies.listAgeMs())
+    const agrees = ({ versions, isComplete }: OriginReply): boolean => isComplete && versions.length === 1 && versions[0].version === own[0].version
+    return own.length === 1 && replies.every(agrees) && isConfirmed({ listAgeMs: this.dependencies.listAgeMs(), replies, silent })
   }
 
   private decide(request: RoutedRequest, { silent, replies }: OriginReplies): OriginDecision {
@@ -209,6 +215,7 @@
         return Ok({ version: version === UNNAMED_VERSION ? undefined : version })
       case OriginSource.Unversioned:
         return Ok(undefined)
+      case OriginSource.Unconfirmed:
       case OriginSource.Unknown: {
         const message = `it is not known yet which software version of service ${service} began the stream (${this.describeVersions(service)})`
         return Err(createError(ErrorKind.StreamVersionUnknown, message, { retryAfterMs: UNKNOWN_RETRY_AFTER_MS }))
--- a/packages/gateway/src/request/continuation/origin-decision.ts
+++ b/packages/gateway/src/request/continuation/origin-decision.ts
@@ -9,24 +9,23 @@
  * Rule: a recorded or reported version is taken. Without one, the version is
  * known where only one has served for as long as a stream lives, apart from those
  * that are too new for streams (`version-introduction.ts`), as long as the own
- * list is recent or no fewer peers answer than are silent. Contradicting records
- * and everything else leave it unknown. It may still become known while a peer
- * is silent, or while versions have just changed.
+ * list is recent or no fewer peers answer than are silent; otherwise the list has
+ * to be read again first. Contradicting records and everything else leave it
+ * unknown. It may still become known while a peer is silent, or while versions
+ * have just changed.
  * Why: a stream that goes on at the wrong version looks like a good one,
  * while a refused one can be begun again. What the client says is no proof of
  * where its stream began. A few gateways that are cut off together have lists of
- * the same age.
+ * the same age. A version that was listed since the last read of a recent list is
+ * too new for streams.
  * Log event: `stream-resumed`.
  */
 
 import { TRUSTED_MS } from './version-introduction.js'
 
-/** Longer than the longest wait of a read of the list, so that a connected process always has a recent list. */
-const MAX_LIST_AGE_MS = 12_000
-
-/** Whether a list of backend servers is recent. */
+/** Whether a list of backend servers contains every version that can have streams. */
 export function isListRecent(listAgeMs: number): boolean {
-  return listAgeMs <= MAX_LIST_AGE_MS
+  return listAgeMs <= TRUSTED_MS
 }
 
 /** How the origin of a stream was found. */
@@ -39,6 +38,8 @@
   OnlyVersion = 'only-version',
   /** The service names no versions. */
   Unversioned = 'unversioned',
+  /** As `OnlyVersion` or `Unversioned`, but the list of backend servers is not recent and most peers are silent. */
+  Unconfirmed = 'unconfirmed',
   /** Unknown, and may become known. */
   Unknown = 'unknown',
   /** Unknown for good. */
@@ -95,7 +96,7 @@
 
 /** Decides where a stream began. */
 export function decideOrigin(inputs: OriginInputs): OriginDecision {
-  const { record, replies, silent, view, listAgeMs } = inputs
+  const { record, replies, silent, view } = inputs
   const records = [record, ...replies.map(reply => reply.record)].filter(known => known !== undefined)
   const recorded = new Set(records.map(({ version }) => version))
   if (recorded.size > 1 || recorded.has(undefined))
@@ -105,14 +106,22 @@
   const views = [view, ...replies]
   const serving = views.flatMap(({ versions }) => versions)
   const version = onlyVersionWithStreams(serving)
-  const isConfirmed = isListRecent(listAgeMs) || replies.length >= silent
   const isComplete = views.some(known => known.isComplete)
-  if (version !== undefined && isConfirmed && isComplete)
-    return version === '' ? { source: OriginSource.Unversioned } : { source: OriginSource.OnlyVersion, version }
+  if (version !== undefined && isComplete)
+    return isConfirmed(inputs) ? decideOnlyVersion(version) : { source: OriginSource.Unconfirmed }
   const mayBecomeKnown = silent > 0 || inputs.hasJustChanged || !isComplete || serving.length === 0
   return { source: mayBecomeKnown ? OriginSource.Unknown : OriginSource.Lost }
 }
 
+/** Whether the versions that are known are all that can have streams. */
+export function isConfirmed({ listAgeMs, replies, silent }: Pick<OriginInputs, 'listAgeMs' | 'replies' | 'silent'>): boolean {
+  return isListRecent(listAgeMs) || replies.length >= silent
+}
+
+function decideOnlyVersion(version: string): OriginDecision {
+  return version === '' ? { source: OriginSource.Unversioned } : { source: OriginSource.OnlyVersion, version }
+}
+
 /** The only version, or the only one that is old enough to have streams; undefined if there are several. */
 function onlyVersionWithStreams(known: readonly ServingVersion[]): string | undefined {
   const versions = new Set(known.map(({ version }) => version))
--- a/test/gateway/stream-records.test.ts
+++ b/test/gateway/stream-records.test.ts
@@ -1,7 +1,7 @@
 import type { KeyedRecord, Member, OriginReplies, OriginReply, StreamAnswer, StreamMessage, VersionLedgerDependencies } from '@eidermast/gateway'
 import { Buffer } from 'node:buffer'
 import { wait } from '@eidermast/common'
-import { BackendList, BackendRegistry, maxStreamLifeMs, OriginFinder, rankHolders, resumableServices, StreamMemory, StreamReporter, VersionHistory, VersionLedger } from '@eidermast/gateway'
+import { BackendList, BackendRegistry, ListRefresh, maxStreamLifeMs, OriginFinder, rankHolders, resumableServices, StreamMemory, StreamReporter, VersionHistory, VersionLedger } from '@eidermast/gateway'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createConfiguration, createLog, createRecord, createRoute } from './support/fakes.js'
 
@@ -118,12 +118,14 @@
 describe('a question where a stream began', () => {
   const gateways = createGateways(5)
   const agreed: StreamAnswer = { known: false, versions: [{ version: 'v1' }], complete: true }
-  const isExpected = ({ versions }: OriginReply): boolean => versions.length === 1
+  const agrees = ({ versions }: OriginReply): boolean => versions.length === 1
+  /** One reply is enough. */
+  const isEnough = ({ replies }: OriginReplies): boolean => replies.every(agrees)
 
-  async function ask(answers: (name: string) => Promise<StreamAnswer>): Promise<OriginReplies & { tookMs: number }> {
+  async function ask(answers: (name: string) => Promise<StreamAnswer>, isFoundEnough = isEnough): Promise<OriginReplies & { tookMs: number }> {
     const startedAt = performance.now()
     const finder = new OriginFinder({ gateways: () => gateways, ask: ({ name }) => answers(name) })
-    const found = await finder.find({ key: 'key', service: 's' }, isExpected)
+    const found = await finder.find({ key: 'key', service: 's' }, isFoundEnough)
     return { ...found, tookMs: performance.now() - startedAt }
   }
 
@@ -144,6 +146,20 @@
     expect(tookMs).toBeLessThan(1000)
   })
 
+  test.each([
+    ['answers', async () => agreed],
+    ['has ended', async () => Promise.reject(Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))],
+  ])('waits only a moment for silent ones once no fewer have answered, also if the last one %s', async (_name, last) => {
+    const answer = async (name: string): Promise<StreamAnswer> => {
+      if (name < 'gateway-2')
+        return agreed
+      return name === 'gateway-2' ? wait(100).then(last) : wait(2000).then(() => agreed)
+    }
+    const { tookMs, silent } = await ask(answer, found => isEnough(found) && found.replies.length >= found.silent)
+    expect(silent).toBe(2)
+    expect(tookMs).toBeLessThan(1000)
+  })
+
   test('waits for all if none knows it and several versions serve', async () => {
     const { replies } = await ask(async name => wait(name === 'gateway-0' ? 200 : 0).then(() => ({ ...agreed, versions: [{ version: 'v1' }, { version: 'v2' }] })))
     expect(replies).toHaveLength(5)
@@ -196,6 +212,41 @@
   })
 })
 
+describe('the refresh of the list of backend servers', () => {
+  afterEach(() => vi.useRealTimers())
+
+  /** A refresh of a list that is read `answersMs` after its reads are restarted. */
+  function createRefresh(answersMs: number) {
+    vi.useFakeTimers()
+    let readAt = performance.now() - 10_000
+    const restartReads = vi.fn(() => void setTimeout(() => readAt = performance.now(), answersMs))
+    return { restartReads, refresh: new ListRefresh({ listAgeMs: () => performance.now() - readAt, restartReads }) }
+  }
+
+  async function tookMs(refreshed: Promise<unknown>): Promise<number> {
+    const startedAt = performance.now()
+    let endedAt = 0
+    void refreshed.then(() => endedAt = performance.now())
+    await vi.advanceTimersByTimeAsync(5000)
+    return endedAt - startedAt
+  }
+
+  test('ends once the store has answered, and is shared by all who wait for it', async () => {
+    const { refresh, restartReads } = createRefresh(100)
+    expect(await tookMs(Promise.all([refresh.refresh(), refresh.refresh()]))).toBeLessThan(200)
+    expect(restartReads).toHaveBeenCalledTimes(1)
+  })
+
+  test('ends after a bounded time if the store does not answer, and is not tried again at once', async () => {
+    const { refresh, restartReads } = createRefresh(60_000)
+    const refreshed = refresh.refresh().then(() => refresh.refresh())
+    expect(await tookMs(refreshed)).toBeLessThan(1000)
+    expect(restartReads).toHaveBeenCalledTimes(1)
+    await tookMs(refresh.refresh())
+    expect(restartReads).toHaveBeenCalledTimes(2)
+  })
+})
+
 /** A store whose topic holds the given records. */
 class FakeRecords {
   readonly appended: KeyedRecord[] = []
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -29,6 +29,7 @@
     longestLifeMs: () => 10_000,
     isHistoryRead: () => true,
     listAgeMs: () => 0,
+    refreshList: async () => {},
     whenPeersDiscovered: async () => {},
     metrics: { countStreamResumed },
     log,
@@ -162,14 +163,48 @@
     expect(refusal.retryAfterMs).toBeUndefined()
   })
 
-  test.each([
-    { title: 'waits for all peers if its list of backend servers is old', listAgeMs: 15_000, isExpected: false },
-    { title: 'settles with a peer that agrees with its recent list', listAgeMs: 100, isExpected: true },
-  ])('$title', async ({ listAgeMs, isExpected }) => {
-    const find = vi.fn(async (_question: unknown, _isExpected: (reply: OriginReply) => boolean) => NOBODY)
-    const { streams } = await createStreams({ versions: ['v1'], listAgeMs: () => listAgeMs, finder: { find } })
-    await streams.findOrigin(RESUMED)
-    expect(find.mock.calls[0][1]({ peer: 'gateway-b', record: undefined, versions: [{ version: 'v1', ageMs: Number.POSITIVE_INFINITY }], isComplete: true })).toBe(isExpected)
+  describe('asks peers', () => {
+    const agreeing: OriginReply = { peer: 'gateway-b', record: undefined, versions: [{ version: 'v1', ageMs: Number.POSITIVE_INFINITY }], isComplete: true }
+    const other: OriginReply = { ...agreeing, versions: [...agreeing.versions, { version: 'v2', ageMs: 4000 }] }
+
+    test.each([
+      { title: 'until one agrees, if its list of backend servers is recent', listAgeMs: 100, replies: [agreeing], silent: 4, isEnough: true },
+      { title: 'until more than one agrees, if its list has missed the changes of some seconds', listAgeMs: 5000, replies: [agreeing], silent: 4, isEnough: false },
+      { title: 'until no fewer agree than are silent, if its list is old', listAgeMs: 5000, replies: [agreeing, agreeing, agreeing], silent: 2, isEnough: true },
+      { title: 'until all have answered, if one knows of another version', listAgeMs: 100, replies: [agreeing, other], silent: 1, isEnough: false },
+    ])('$title', async ({ listAgeMs, replies, silent, isEnough }) => {
+      const find = vi.fn(async (_question: unknown, _isEnough: (found: OriginReplies) => boolean) => NOBODY)
+      const { streams } = await createStreams({ versions: ['v1'], listAgeMs: () => listAgeMs, finder: { find } })
+      await streams.findOrigin(RESUMED)
+      expect(find.mock.calls[0][1]({ asked: 5, silent, replies })).toBe(isEnough)
+    })
+  })
+
+  describe('of the only version that is known, while most peers are silent,', () => {
+    const silentPeers = { find: async () => ({ asked: 3, silent: 3, replies: [] }) }
+
+    test('goes on once the list of backend servers was read again', async () => {
+      let listAgeMs = 5000
+      const { streams } = await createStreams({ versions: ['v1'], listAgeMs: () => listAgeMs, refreshList: async () => void (listAgeMs = 20), finder: silentPeers })
+      expect((await streams.findOrigin(RESUMED)).unwrap()).toEqual({ version: 'v1' })
+    })
+
+    test('is refused if the list, read again, contains another version', async () => {
+      let listAgeMs = 5000
+      const refreshList = async (): Promise<void> => {
+        listAgeMs = 20
+        created.registry.upsert(createRecord({ id: 'other', service: SERVICE, softwareVersion: 'v2' }))
+        await wait(1600)
+      }
+      const created = await createStreams({ versions: ['v1'], listAgeMs: () => listAgeMs, refreshList, finder: silentPeers })
+      expect((await created.streams.findOrigin(RESUMED)).unwrapErr().kind).toBe(ErrorKind.StreamVersionUnknown)
+    })
+
+    test('is refused with a retry delay if the list cannot be read', async () => {
+      const { streams, countStreamResumed } = await createStreams({ versions: ['v1'], listAgeMs: () => 5000, finder: silentPeers })
+      expect((await streams.findOrigin(RESUMED)).unwrapErr()).toMatchObject({ kind: ErrorKind.StreamVersionUnknown, retryAfterMs: 500 })
+      expect(countStreamResumed).toHaveBeenCalledWith(OriginSource.Unconfirmed)
+    })
   })
 
   test.each([
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -129,6 +129,46 @@
     expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
   })
 
+  describe('at a gateway that was suspended, while no other one answers,', () => {
+    /** More than those that keep the record of one stream. */
+    const GATEWAYS = 7
+    /** Clients give a stream up after this gap. */
+    const MAX_GAP_MS = 2000
+    /** Time from listing a version until it gets streams, with a margin. */
+    const INTRODUCED_AFTER_MS = 3500
+
+    /** Suspends the first gateway, lets streams begin at the last one, and lets clients resume them at the first one while all others are suspended. */
+    async function resumeAtSuspended(whileSuspended: () => Promise<void>): Promise<ReceivedStream[]> {
+      const [resuming, ...others] = deployment.gateways
+      resuming.signal('SIGSTOP')
+      await whileSuspended()
+      const running = startStreams(STREAMS, { gateway: GATEWAYS - 1, maxTries: 2, maxGapMs: MAX_GAP_MS })
+      await wait(HALF_WAY_MS)
+      others.forEach(gateway => gateway.signal('SIGSTOP'))
+      resuming.signal('SIGCONT')
+      const resumed = (await running).filter(isResumed)
+      expect(resumed.length).toBeGreaterThan(STREAMS / 2)
+      return resumed
+    }
+
+    test('is refused if it is cut off from the store, and another version was listed meanwhile', async () => {
+      await startDeployment({ v1: EACH }, GATEWAYS)
+      deployment.cutFromStore(0)
+      const resumed = await resumeAtSuspended(async () => {
+        await deployment.addBackends('v2', EACH * 3)
+        await wait(INTRODUCED_AFTER_MS)
+      })
+      expect(resumed.filter(({ versions }) => versions[0] === 'v2').length).toBeGreaterThan(2)
+      expect(resumed.filter(isMixed)).toEqual([])
+    })
+
+    test('goes on at the only version that the store lists', async () => {
+      await startDeployment({ v1: EACH }, GATEWAYS)
+      const resumed = await resumeAtSuspended(() => wait(INTRODUCED_AFTER_MS))
+      expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
+    })
+  })
+
   test('is refused after all gateways were killed, if its version has left and another one serves alone', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
     const resumed = await resumeAfter(async () => {
--- a/test/platform/support/stream-client.ts
+++ b/test/platform/support/stream-client.ts
@@ -54,12 +54,14 @@
   path?: string
   /** @default MAX_TRIES */
   maxTries?: number
+  /** Milliseconds without an event after which a try is given up. @default DEADLINE_MS */
+  maxGapMs?: number
   /** Called after each event. */
   onEvent?: (id: number) => void
 }
 
 /** One try to be made. */
-interface TryOptions extends Pick<StreamTry, 'requestId' | 'gateway'> {
+interface TryOptions extends Pick<StreamTry, 'requestId' | 'gateway'>, Pick<StreamOptions, 'maxGapMs' | 'onEvent'> {
   /** Id of the try that brought the first event; undefined if there was none. */
   begunBy: string | undefined
 }
@@ -81,7 +83,7 @@
   constructor(private readonly addresses: () => string[]) {}
 
   /** Starts a stream, and resumes it until it is complete or no try is left. */
-  async stream({ gateway, path = '/stream/x', maxTries = MAX_TRIES, onEvent }: StreamOptions = {}): Promise<ReceivedStream> {
+  async stream({ gateway, path = '/stream/x', maxTries = MAX_TRIES, maxGapMs, onEvent }: StreamOptions = {}): Promise<ReceivedStream> {
     const first = gateway ?? this.sent
     const received: ReceivedStream = { eventIds: [], versions: [], complete: false, tries: [] }
     let begunBy: string | undefined
@@ -90,7 +92,7 @@
       const requestId = `stream-${this.sent++}`
       const addresses = this.addresses()
       const index = (first + received.tries.length + refused) % addresses.length
-      const ended = await this.try(`${addresses[index]}${path}`, { requestId, gateway: index, begunBy }, received, onEvent)
+      const ended = await this.try(`${addresses[index]}${path}`, { requestId, gateway: index, begunBy, maxGapMs, onEvent }, received)
       if (ended.isConnectionRefused && refused++ < MAX_REFUSED_CONNECTIONS) {
         await wait(RECONNECT_PAUSE_MS)
         continue
@@ -103,32 +105,40 @@
     return received
   }
 
-  private async try(url: string, { requestId, gateway, begunBy }: TryOptions, received: ReceivedStream, onEvent?: (id: number) => void): Promise<StreamTry> {
+  private async try(url: string, { requestId, gateway, begunBy, maxGapMs = DEADLINE_MS, onEvent }: TryOptions, received: ReceivedStream): Promise<StreamTry> {
     const startedAt = performance.now()
     const eventsBefore = received.eventIds.length
     const resume = begunBy === undefined ? {} : { 'last-event-id': String(received.eventIds.at(-1)), 'resumes': begunBy }
     const headers = { 'host': 'host.example', 'attempt-id': requestId, 'deadline-ms': String(DEADLINE_MS), 'chunk-count': '1', 'chunk-key': 'key', ...resume }
     const ended: StreamTry = { requestId, gateway, resumes: begunBy !== undefined, startedAt, events: 0, status: undefined, retryAfter: undefined, tookMs: 0, isConnectionRefused: false }
+    const silence = new AbortController()
+    const silenceTimer = setTimeout(() => silence.abort(), maxGapMs)
+    const noteEvent = (id: number): void => {
+      silenceTimer.refresh()
+      onEvent?.(id)
+    }
     try {
-      const response = await request(url, { method: 'POST', headers, body: '', signal: AbortSignal.timeout(DEADLINE_MS) })
+      const signal = AbortSignal.any([silence.signal, AbortSignal.timeout(DEADLINE_MS)])
+      const response = await request(url, { method: 'POST', headers, body: '', signal })
       ended.status = response.statusCode
       const retryAfter = response.headers['retry-after']
       ended.retryAfter = retryAfter === undefined ? undefined : Number(retryAfter)
       if (ended.status !== 200)
         await response.body.dump()
       else
-        received.complete = await readEvents(response.body, received, onEvent)
+        received.complete = await readEvents(response.body, received, noteEvent)
     }
     catch (error) {
-      // The connection broke or was refused, or the deadline passed; the result shows what arrived before.
+      // The connection broke or was refused, or the try was given up; the result shows what arrived before.
       ended.isConnectionRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED'
     }
+    clearTimeout(silenceTimer)
     return { ...ended, events: received.eventIds.length - eventsBefore, tookMs: performance.now() - startedAt }
   }
 }
 
 /** Reads events until the response ends; returns false if the connection breaks. */
-async function readEvents(body: AsyncIterable<Buffer>, received: ReceivedStream, onEvent?: (id: number) => void): Promise<boolean> {
+async function readEvents(body: AsyncIterable<Buffer>, received: ReceivedStream, onEvent: (id: number) => void): Promise<boolean> {
   let text = ''
   try {
     for await (const bytes of body) {
@@ -137,7 +147,7 @@
         received.eventIds.push(Number(id))
         if (!received.versions.includes(version))
           received.versions.push(version)
-        onEvent?.(Number(id))
+        onEvent(Number(id))
       }
       text = text.slice(text.lastIndexOf('\n\n') + 2)
     }
--- a/test/platform/support/versioned-deployment.ts
+++ b/test/platform/support/versioned-deployment.ts
@@ -12,6 +12,7 @@
 import { StandInBackend } from './stand-in-backend.js'
 import { makeStageResults, STAGE_LIMITS } from './stand-in-stages.js'
 import { StandInStore } from './stand-in-store.js'
+import { StoreProxy } from './store-proxy.js'
 import { StreamClient } from './stream-client.js'
 
 /** Number of events in a complete stream. */
@@ -57,6 +58,8 @@
   readonly store = new StandInStore()
   readonly backends: StandInBackend[] = []
   gateways: GatewayChild[] = []
+  /** The connections of the gateways to the store. */
+  private readonly storeProxies: StoreProxy[] = []
   private readonly directory = mkdtempSync(path.join(tmpdir(), 'eidermast-versions-'))
   /** Starts streams at the gateways, and resumes them there. */
   readonly clients = new StreamClient(() => this.gateways.map(({ address }) => address))
@@ -73,13 +76,14 @@
     for (const [version, count] of Object.entries(counts))
       await this.addBackends(version, count)
     this.store.put('keyed.op', 'config', CONFIGURATION)
-    this.gateways = Array.from({ length: this.gatewayCount }, (_, index) => this.createGateway(index, storeAddress))
+    this.gateways = await Promise.all(Array.from({ length: this.gatewayCount }, (_, index) => this.createGateway(index, storeAddress)))
     await Promise.all(this.gateways.map(gateway => gateway.start()))
     await this.waitUntilListed()
   }
 
   async stop(): Promise<void> {
     await Promise.all(this.gateways.map(gateway => gateway.end()))
+    this.storeProxies.forEach(proxy => proxy.stop())
     await Promise.all([this.store.stop(), ...this.backends.map(backend => backend.stop())])
   }
 
@@ -127,9 +131,17 @@
     }, { timeout: 10_000, interval: 50 })
   }
 
-  private createGateway(index: number, storeAddress: string): GatewayChild {
+  /** Cuts a gateway off from the store without closing connections. */
+  cutFromStore(index: number): void {
+    this.storeProxies[index].isPartitioned = true
+    this.storeProxies[index].stallOpenConnections()
+  }
+
+  private async createGateway(index: number, storeAddress: string): Promise<GatewayChild> {
+    this.storeProxies[index] = new StoreProxy(storeAddress)
+    const proxyAddress = await this.storeProxies[index].start()
     const failureDomain = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]
-    const gateway = new GatewayChild(`gateway-${index}`, storeAddress, this.directory, { failureDomain, load: ['start-wait-ms = 1000'], retry: ['ratio = 1', 'extra = 1000'] })
+    const gateway = new GatewayChild(`gateway-${index}`, proxyAddress, this.directory, { failureDomain, load: ['start-wait-ms = 1000'], retry: ['ratio = 1', 'extra = 1000'] })
     gateway.keepsPorts = true
     return gateway
   }
