The soak of versions cuts gateways off from the store

Of the two ways in which a gateway misses a version, killed or suspended, the soak played none in which its list of backend servers is older than the time after which a version gets streams. About half of the gateways are now cut off from the store for four seconds, at random.

--- a/test/platform/support/versioned-deployment.ts
+++ b/test/platform/support/versioned-deployment.ts
@@ -137,6 +137,11 @@
     this.storeProxies[index].stallOpenConnections()
   }
 
+  /** Lets a gateway that was cut off open new connections to the store. */
+  reconnectToStore(index: number): void {
+    this.storeProxies[index].isPartitioned = false
+  }
+
   private async createGateway(index: number, storeAddress: string): Promise<GatewayChild> {
     this.storeProxies[index] = new StoreProxy(storeAddress)
     const proxyAddress = await this.storeProxies[index].start()
--- a/test/soak/versions-soak.test.ts
+++ b/test/soak/versions-soak.test.ts
@@ -19,6 +19,8 @@
 /** Interval between the starts of two changes, which overlap. */
 const STEP_MS = 900
 const PAUSE_MS = 900
+/** Time for which gateways are cut off from the store; longer than a version that was just listed gets no streams. */
+const CUT_MS = 4000
 /** Interval between the starts of two streams. */
 const STREAM_INTERVAL_MS = 12
 /** Every so many runs of a stream, its backend server breaks it. */
@@ -89,6 +91,15 @@
     disruption.to = performance.now()
   }
 
+  /** Cuts gateways off from the store for a while, without a sign to them. */
+  async cutFromStore(gateways: readonly number[]): Promise<void> {
+    await Promise.all(gateways.map(gateway => this.disruptGateway(gateway, async () => {
+      this.deployment.cutFromStore(gateway)
+      await wait(CUT_MS)
+      this.deployment.reconnectToStore(gateway)
+    })))
+  }
+
   async disruptStore(fault: StoreFault): Promise<void> {
     const disruption = this.disruptions.begin()
     this.deployment.store.fault = fault
@@ -115,6 +126,11 @@
   }
 }
 
+/** Draws about half of the gateways. */
+function drawGateways(draw: Draw): number[] {
+  return Array.from({ length: GATEWAYS }, (_, index) => index).filter(() => draw(2) === 0)
+}
+
 const CHANGES: ((scenario: VersionsScenario, draw: Draw) => Promise<void>)[] = [
   (scenario, draw) => scenario.addBackends(VERSIONS[draw(VERSIONS.length)]),
   scenario => scenario.removeVersion(),
@@ -124,7 +140,7 @@
     return scenario.disruptGateway(gateway, () => scenario.deployment.gateways[gateway].replace(draw(2) === 0 ? 'SIGKILL' : 'SIGTERM'))
   },
   async (scenario, draw) => {
-    const killed = Array.from({ length: GATEWAYS }, (_, index) => index).filter(() => draw(2) === 0)
+    const killed = drawGateways(draw)
     await Promise.all(killed.map(gateway => scenario.disruptGateway(gateway, () => scenario.deployment.gateways[gateway].replace('SIGKILL'))))
   },
   (scenario, draw) => {
@@ -135,6 +151,7 @@
       scenario.deployment.gateways[gateway].signal('SIGCONT')
     })
   },
+  (scenario, draw) => scenario.cutFromStore(drawGateways(draw)),
   (scenario, draw) => scenario.disruptStore([StoreFault.Busy, StoreFault.Reset, StoreFault.Truncated, StoreFault.Hanging][draw(4)]),
 ]
 
