Gateways of one failure domain do not confirm each other's lists

Cause: an old list of backend servers counted as confirmed by as many peers as were silent. Of the five gateways asked, three are of the own failure domain for about one stream in nine where there are three domains, so that those of a domain that is cut off as a whole confirmed each other. Evidence: by computation and the table of stream-origin (three replies of the same domain, two silent ones, a list of 4 s: confirmed before); no run of processes shows it. Change: the replies count only if a gateway of another failure domain answers or has ended; otherwise the list is read again. Price: none beyond that read.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -256,7 +256,7 @@
     return new StreamVersions({
       history,
       reporter,
-      finder: new OriginFinder({ gateways, ask: (gateway, question) => peers.findStream(gateway, question) }),
+      finder: new OriginFinder({ gateways, failureDomain: this.self.failureDomain, ask: (gateway, question) => peers.findStream(gateway, question) }),
       lifeMs: service => this.streamLifeMs(service),
       longestLifeMs,
       isHistoryRead: () => versionLedger.isRead,
--- a/packages/gateway/src/process/versions/origin-finder.ts
+++ b/packages/gateway/src/process/versions/origin-finder.ts
@@ -19,6 +19,8 @@
 export interface OriginFinderDependencies {
   /** The listed gateways except this one. */
   gateways: () => readonly Member[]
+  /** Failure domain of this gateway. */
+  failureDomain: string | undefined
   ask: (gateway: Member, question: StreamQuestion) => Promise<StreamAnswer>
 }
 
@@ -27,6 +29,8 @@
   asked: number
   /** Gateways that run, as far as known, and have not answered yet. */
   silent: number
+  /** Whether a gateway of another failure domain has answered or has ended, or none was asked. */
+  reachesOtherDomains: boolean
   replies: OriginReply[]
 }
 
@@ -40,13 +44,16 @@
    */
   async find(question: StreamQuestion, isEnough: (replies: OriginReplies) => boolean): Promise<OriginReplies> {
     const holders = rankHolders(question.key, this.dependencies.gateways()).slice(0, ASKED_HOLDERS)
-    const found: OriginReplies = { asked: holders.length, silent: holders.length, replies: [] }
+    const isElsewhere = ({ failureDomain }: Member): boolean => failureDomain !== this.dependencies.failureDomain
+    const found: OriginReplies = { asked: holders.length, silent: holders.length, reachesOtherDomains: !holders.some(isElsewhere), replies: [] }
     await new Promise<void>((resolve) => {
       const questions = holders.map(async (holder) => {
         const reply = await this.ask(holder, question)
-        if (reply !== SILENCE)
-          found.silent--
-        if (reply !== SILENCE && reply !== undefined)
+        if (reply === SILENCE)
+          return
+        found.silent--
+        found.reachesOtherDomains ||= isElsewhere(holder)
+        if (reply)
           found.replies.push(reply)
         if (found.replies.some(({ record }) => record))
           resolve()
--- a/packages/gateway/src/process/versions/stream-versions.ts
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -33,6 +33,8 @@
 /** Used where the client names no request: no stream has this key, but peers tell which versions serve. */
 const NO_KEY = ''
 
+const NOBODY_ASKED: OriginReplies = { asked: 0, silent: 0, reachesOtherDomains: true, replies: [] }
+
 /** Counts resumed streams for the metrics endpoint; implemented by the process. */
 export interface StreamMetrics {
   countStreamResumed: (source: OriginSource) => void
@@ -149,24 +151,23 @@
   private async ask(request: RoutedRequest): Promise<OriginReplies> {
     const key = streamKeyOf(request) ?? NO_KEY
     if (this.memory.find(key))
-      return { asked: 0, silent: 0, replies: [] }
+      return NOBODY_ASKED
     await this.dependencies.whenPeersDiscovered()
     return this.dependencies.finder.find({ key, service: request.service }, found => this.isEnough(request.service, found))
   }
 
   /** Whether the peers that have answered know the same only version as this process, and confirm it. */
-  private isEnough(service: string, { replies, silent }: OriginReplies): boolean {
+  private isEnough(service: string, found: OriginReplies): boolean {
     const own = this.viewOf(service, performance.now()).versions
     const agrees = ({ versions, isComplete }: OriginReply): boolean => isComplete && versions.length === 1 && versions[0].version === own[0].version
-    return own.length === 1 && replies.every(agrees) && isConfirmed({ listAgeMs: this.dependencies.listAgeMs(), replies, silent })
+    return own.length === 1 && found.replies.every(agrees) && isConfirmed({ ...found, listAgeMs: this.dependencies.listAgeMs() })
   }
 
-  private decide(request: RoutedRequest, { silent, replies }: OriginReplies): OriginDecision {
+  private decide(request: RoutedRequest, found: OriginReplies): OriginDecision {
     const now = performance.now()
     return decideOrigin({
+      ...found,
       record: this.memory.find(streamKeyOf(request) ?? NO_KEY),
-      replies,
-      silent,
       view: this.viewOf(request.service, now),
       listAgeMs: this.dependencies.listAgeMs(),
       hasJustChanged: this.dependencies.history.changedForMs(request.service, now) <= CHANGE_SPREADS_WITHIN_MS,
--- a/packages/gateway/src/request/continuation/origin-decision.ts
+++ b/packages/gateway/src/request/continuation/origin-decision.ts
@@ -9,14 +9,14 @@
  * Rule: a recorded or reported version is taken. Without one, the version is
  * known where only one has served for as long as a stream lives, apart from those
  * that are too new for streams (`version-introduction.ts`), as long as the own
- * list is recent or no fewer peers answer than are silent; otherwise the list has
- * to be read again first. Contradicting records and everything else leave it
+ * list is recent, or no fewer peers answer than are silent and not only those of
+ * the own failure domain; otherwise the list has to be read again first. Contradicting records and everything else leave it
  * unknown. It may still become known while a peer is silent, or while versions
  * have just changed.
  * Why: a stream that goes on at the wrong version looks like a good one,
  * while a refused one can be begun again. What the client says is no proof of
- * where its stream began. A few gateways that are cut off together have lists of
- * the same age. A version that was listed since the last read of a recent list is
+ * where its stream began. A few gateways, or those of one failure domain, that are
+ * cut off together have lists of the same age. A version that was listed since the last read of a recent list is
  * too new for streams.
  * Log event: `stream-resumed`.
  */
@@ -80,6 +80,8 @@
   replies: readonly OriginReply[]
   /** Peers that were asked, run as far as known, and have not answered. */
   silent: number
+  /** Whether a peer of another failure domain can be reached, or none was asked. */
+  reachesOtherDomains: boolean
   view: VersionView
   /** Age of this process's list of backend servers, in milliseconds. */
   listAgeMs: number
@@ -114,8 +116,8 @@
 }
 
 /** Whether the versions that are known are all that can have streams. */
-export function isConfirmed({ listAgeMs, replies, silent }: Pick<OriginInputs, 'listAgeMs' | 'replies' | 'silent'>): boolean {
-  return isListRecent(listAgeMs) || replies.length >= silent
+export function isConfirmed({ listAgeMs, replies, silent, reachesOtherDomains }: Pick<OriginInputs, 'listAgeMs' | 'replies' | 'silent' | 'reachesOtherDomains'>): boolean {
+  return isListRecent(listAgeMs) || (replies.length >= silent && reachesOtherDomains)
 }
 
 function decideOnlyVersion(version: string): OriginDecision {
