--- a/packages/gateway/src/process/versions/stream-reporter.ts
+++ b/packages/gateway/src/process/versions/stream-reporter.ts
@@ -59,7 +59,7 @@
       this.reportTo(holder, { stream, replacement })
   }
 
-  /** Reports to a gateway that starts again what its last process was told. */
+  /** Reports to a gateway that starts again what was reported to its last process. */
   repeatTo(gateway: Member): void {
     this.expire()
     const reported = this.reported.get(gateway.name)
--- a/packages/gateway/src/process/versions/stream-versions.ts
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -117,11 +117,7 @@
       return Ok(undefined)
     const startedAt = performance.now()
     const replies = await this.ask(request)
-    let decision = this.decide(request, replies)
-    if (decision.source === OriginSource.Unconfirmed) {
-      await this.dependencies.refreshList()
-      decision = this.decide(request, replies)
-    }
+    const decision = await this.decideByRecentList(request, replies)
     this.dependencies.metrics.countStreamResumed(decision.source)
     this.logResumed(request, decision, replies, performance.now() - startedAt)
     return this.toResult(request.service, decision)
@@ -163,6 +159,15 @@
     return own.length === 1 && found.replies.every(agrees) && isConfirmed({ ...found, listAgeMs: this.dependencies.listAgeMs() })
   }
 
+  /** Decides where a stream began; if that depends on an old list of backend servers, once it was read again. */
+  private async decideByRecentList(request: RoutedRequest, found: OriginReplies): Promise<OriginDecision> {
+    const decision = this.decide(request, found)
+    if (decision.source !== OriginSource.Unconfirmed)
+      return decision
+    await this.dependencies.refreshList()
+    return this.decide(request, found)
+  }
+
   private decide(request: RoutedRequest, found: OriginReplies): OriginDecision {
     const now = performance.now()
     return decideOrigin({
--- a/packages/gateway/src/request/continuation/origin-decision.ts
+++ b/packages/gateway/src/request/continuation/origin-decision.ts
@@ -8,16 +8,16 @@
  * period completely; the age of this process's list of backend servers (ms).
  * Rule: a recorded or reported version is taken. Without one, the version is
  * known where only one has served for as long as a stream lives, apart from those
- * that are too new for streams (`version-introduction.ts`), as long as the own
- * list is recent, or no fewer peers answer than are silent and not only those of
- * the own failure domain; otherwise the list has to be read again first. Contradicting records and everything else leave it
- * unknown. It may still become known while a peer is silent, or while versions
- * have just changed.
+ * that are too new for streams (`version-introduction.ts`). The own list has to be
+ * recent for that, or no fewer peers answer than are silent, and not only those of
+ * the own failure domain; otherwise the list has to be read again first.
+ * Contradicting records and everything else leave the version unknown. It may
+ * still become known while a peer is silent, or while versions have just changed.
  * Why: a stream that goes on at the wrong version looks like a good one,
  * while a refused one can be begun again. What the client says is no proof of
  * where its stream began. A few gateways, or those of one failure domain, that are
- * cut off together have lists of the same age. A version that was listed since the last read of a recent list is
- * too new for streams.
+ * cut off together have lists of the same age. A version that was listed after the
+ * last read of a recent list is too new for streams.
  * Log event: `stream-resumed`.
  */
 
