A gateway that has not read the list of gateways reports its streams to those that send it heartbeats

What callers saw: streams that they resumed were refused although their version served, where the gateway that began them had started while it was cut off from the store, and was killed then. Cause: such a gateway gets configuration and backend servers from the heartbeats of its peers and serves, but lists no gateways. It reported to the listed ones, that is to nobody, and counted the streams as reported once discovery was over (1.5 s). Ruled out: refusals by the list that is read again; none of the refused streams has that source. Change: until it lists gateways and has found its peers, a gateway reports to those that send it heartbeats, keeps the streams as provisional, and reports them again to the gateways that keep the records. The test of streams that begin before the peers are known is replaced by stricter ones: nothing is counted as reported while nobody is known, nor forgotten after a provisional report.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -243,7 +243,7 @@
 
   private createStreamVersions(): StreamVersions {
     const { members, peers, metrics, registry, versionHistory: history, versionLedger, log } = this
-    const gateways = (): Member[] => members.others
+    const gateways = (): Member[] => members.others.length > 0 ? members.others : this.activePeers.members(performance.now())
     const longestLifeMs = (): number => longestStreamLifeMs(this.configuration.table?.configuration)
     const reporter = new StreamReporter({
       gateways,
@@ -252,7 +252,11 @@
       countReports: streams => metrics.countStreamReports(streams),
     })
     const listRefresh = new ListRefresh({ listAgeMs: () => registry.listAgeMs, restartReads: () => this.platform.restartReads() })
-    members.onNewProcess(gateway => reporter.repeatTo(gateway))
+    members.onNewProcess((gateway) => {
+      reporter.repeatTo(gateway)
+      // Once all members of the same read are listed.
+      queueMicrotask(() => this.streamVersions.reportPending())
+    })
     return new StreamVersions({
       history,
       reporter,
@@ -262,6 +266,8 @@
       isHistoryRead: () => versionLedger.isRead,
       listAgeMs: () => registry.listAgeMs,
       refreshList: () => listRefresh.refresh(),
+      knowsGateways: () => gateways().length > 0,
+      listsGateways: () => members.others.length > 0,
       whenPeersDiscovered: () => members.whenPeersDiscovered(),
       metrics,
       log,
--- a/packages/gateway/src/process/peer-service.ts
+++ b/packages/gateway/src/process/peer-service.ts
@@ -48,7 +48,7 @@
   peers: Pick<PeerClients, 'configuration' | 'backends'>
   stageCoordinator: Preparer
   crashes: CrashExchange
-  streams: Pick<StreamVersions, 'noteReported' | 'answer'>
+  streams: Pick<StreamVersions, 'noteReported' | 'answer' | 'reportPending'>
   /** This process's own status in heartbeat replies, without the shared state. */
   describeSelf: () => SelfDescription
   log: GatewayLog
@@ -95,7 +95,9 @@
   }
 
   heartbeat(heartbeat: Heartbeat): HeartbeatReply {
-    this.parts.activePeers.note(heartbeat.name, performance.now())
+    const { name, address } = heartbeat
+    this.parts.activePeers.note({ name, address }, performance.now())
+    this.parts.streams.reportPending()
     this.applyPeerState(heartbeat, heartbeat)
     const now = performance.now()
     this.parts.load.receiveReport(heartbeat.load, heartbeat.name, now)
--- a/packages/gateway/src/process/versions/stream-memory.ts
+++ b/packages/gateway/src/process/versions/stream-memory.ts
@@ -43,6 +43,10 @@
     return [...this.streams].flatMap(([key, { version }]) => version === undefined ? [] : [{ key, version }])
   }
 
+  clear(): void {
+    this.streams.clear()
+  }
+
   /** Forgets streams that were recorded more than `lifeMs` ago. */
   expire(lifeMs: number, now: number): void {
     for (const [key, { at }] of this.streams) {
--- a/packages/gateway/src/process/versions/stream-versions.ts
+++ b/packages/gateway/src/process/versions/stream-versions.ts
@@ -3,7 +3,8 @@
  * it at any gateway. While one version of a service serves, this gateway only
  * remembers its own streams. Once several serve, or it does not know whether they
  * do, it also reports each stream that begins to some peers (`stream-holders.ts`),
- * and those that began before, or before it knew its peers. A resumed stream goes
+ * and those that began before. Until it has read the directory of gateways, it
+ * reports to those that send it heartbeats, and then again. A resumed stream goes
  * on as `origin-decision.ts` says. State in memory; after a restart the peers have
  * the reports, and repeat theirs.
  */
@@ -55,28 +56,47 @@
   listAgeMs: () => number
   /** Reads the list of backend servers again, in a bounded time. */
   refreshList: () => Promise<void>
-  /** Resolves once this process knows its peers. */
+  /** Resolves once this process knows its peers, or after a bounded time. */
   whenPeersDiscovered: () => Promise<void>
+  /** Whether there are gateways to which streams can be reported, listed or not. */
+  knowsGateways: () => boolean
+  /** Whether other gateways are listed. */
+  listsGateways: () => boolean
   metrics: StreamMetrics
   log: EventLog
 }
 
+/** Streams of a service that have to be reported. */
+interface UnreportedStreams {
+  /** Reported to nobody. */
+  unsent: StreamMemory
+  /** Reported to gateways that may not be those that keep their records. */
+  provisional: StreamMemory
+}
+
 /** Records and finds the versions of streams. */
 export class StreamVersions implements StreamContinuations {
   private readonly memory = new StreamMemory()
-  /** Streams that this gateway began and has not reported, by service. */
-  private readonly unreported = new Map<string, StreamMemory>()
+  /** Streams that this gateway began and has to report, by service. */
+  private readonly unreported = new Map<string, UnreportedStreams>()
   private readonly startedAt = performance.now()
-  private knowsPeers = false
+  private isDiscoveryOver = false
+  /** Whether streams have to be reported once other gateways are known. */
+  private hasPending = false
 
   constructor(private readonly dependencies: StreamVersionsDependencies) {}
 
   /** Reports the streams that began before this process knew its peers, once it does. */
   async start(): Promise<void> {
     await this.dependencies.whenPeersDiscovered()
-    this.knowsPeers = true
-    for (const service of [...this.unreported.keys()])
-      this.reportIfNeeded(service)
+    this.isDiscoveryOver = true
+    this.reportAll()
+  }
+
+  /** Reports streams that could not be reported, or not to the gateways that keep their records; called when other gateways become known. */
+  reportPending(): void {
+    if (this.hasPending)
+      this.reportAll()
   }
 
   namesVersions(service: string): boolean {
@@ -94,21 +114,32 @@
       return
     const now = performance.now()
     this.remember({ key, version }, now)
-    this.unreportedOf(service).record(key, version, now)
+    this.unreportedOf(service).unsent.record(key, version, now)
     this.reportIfNeeded(service)
   }
 
   /** Reports the streams of a service that began before, if several versions may serve. */
   reportIfNeeded(service: string): void {
     const now = performance.now()
-    const unreported = this.unreportedOf(service)
-    unreported.expire(this.dependencies.lifeMs(service), now)
+    const { unsent, provisional } = this.unreportedOf(service)
+    for (const streams of [unsent, provisional])
+      streams.expire(this.dependencies.lifeMs(service), now)
     const { versions, isComplete } = this.viewOf(service, now)
-    if (!this.knowsPeers || (versions.length < 2 && isComplete))
+    if (versions.length < 2 && isComplete)
       return
-    this.unreported.delete(service)
-    for (const stream of unreported.entries())
+    this.hasPending ||= !this.isSettled
+    if (!this.dependencies.knowsGateways())
+      return
+    const pending = [...unsent.entries(), ...this.isSettled ? provisional.entries() : []]
+    for (const stream of pending)
       this.dependencies.reporter.report(stream)
+    if (this.isSettled) {
+      this.unreported.delete(service)
+      return
+    }
+    for (const { key, version } of unsent.entries())
+      provisional.record(key, version, now)
+    unsent.clear()
   }
 
   async findOrigin(request: RoutedRequest): Promise<Result<StreamOrigin | undefined, RequestError>> {
@@ -187,11 +218,22 @@
     }
   }
 
-  private unreportedOf(service: string): StreamMemory {
+  /** Whether the gateways that keep the records are known. */
+  private get isSettled(): boolean {
+    return this.isDiscoveryOver && this.dependencies.listsGateways()
+  }
+
+  private reportAll(): void {
+    this.hasPending = false
+    for (const service of [...this.unreported.keys()])
+      this.reportIfNeeded(service)
+  }
+
+  private unreportedOf(service: string): UnreportedStreams {
     const known = this.unreported.get(service)
     if (known)
       return known
-    const created = new StreamMemory()
+    const created = { unsent: new StreamMemory(), provisional: new StreamMemory() }
     this.unreported.set(service, created)
     return created
   }
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -31,6 +31,8 @@
     listAgeMs: () => 0,
     refreshList: async () => {},
     whenPeersDiscovered: async () => {},
+    knowsGateways: () => true,
+    listsGateways: () => true,
     metrics: { countStreamResumed },
     log,
     ...change,
@@ -70,14 +72,38 @@
   })
 
   test('is reported once this process knows its peers, if it began before', async () => {
-    let discover = (): void => {}
-    const discovered = new Promise<void>(resolve => discover = resolve)
-    const { streams, reported, started } = await createStreams({ whenPeersDiscovered: () => discovered })
+    let knowsGateways = false
+    const { streams, reported, started } = await createStreams({ knowsGateways: () => knowsGateways, listsGateways: () => knowsGateways })
     streams.recordBegun(createRequest(), 'v1')
+    await started
+    streams.reportPending()
     expect(reported).toEqual([])
+    knowsGateways = true
+    streams.reportPending()
+    streams.reportPending()
+    expect(reported).toHaveLength(1)
+  })
+
+  test.each([
+    ['has read the directory', { listsGateways: true, isDiscovered: true }, 1],
+    ['knows only those that send it heartbeats', { listsGateways: false, isDiscovered: true }, 2],
+    ['has not heard from those that the directory lists', { listsGateways: true, isDiscovered: false }, 2],
+  ])('is reported at once by a gateway that %s, and again where others keep the records', async (_name, { listsGateways, isDiscovered }, reports) => {
+    let lists = listsGateways
+    let discover = (): void => {}
+    const discovered = isDiscovered ? Promise.resolve() : new Promise<void>(resolve => discover = resolve)
+    const { streams, reported, started } = await createStreams({ listsGateways: () => lists, whenPeersDiscovered: () => discovered })
+    if (isDiscovered)
+      await started
+    streams.recordBegun(createRequest(), 'v1')
+    streams.reportPending()
+    expect(reported).toHaveLength(1)
+    lists = true
     discover()
     await started
-    expect(reported).toHaveLength(1)
+    streams.reportPending()
+    streams.reportPending()
+    expect(reported).toHaveLength(reports)
   })
 
   test.each([
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -1,6 +1,6 @@
 import type { ReceivedStream, StreamOptions } from './support/stream-client.js'
 import { wait } from '@eidermast/common'
-import { afterEach, beforeAll, describe, expect, test } from 'vitest'
+import { afterEach, beforeAll, describe, expect, test, vi } from 'vitest'
 import { isMixed, isWhole } from './support/stream-client.js'
 import { STREAM_EVENTS, streamVersion, VersionedDeployment } from './support/versioned-deployment.js'
 
@@ -129,6 +129,18 @@
     expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
   })
 
+  test('goes on at its version though its own gateway, now killed, has started while it was cut off from the store', async () => {
+    await startDeployment({ v1: EACH, v2: EACH }, 4)
+    // The others send it heartbeats, by which it gets configuration and backend servers.
+    const index = await deployment.findCoordinator()
+    deployment.cutFromStore(index)
+    await deployment.killAndRestart([index])
+    await vi.waitFor(async () => expect(await deployment.gateways[index].isReady()).toBe(true), { timeout: 5000, interval: 20 })
+    const resumed = await resumeAfter(() => deployment.kill(index), index)
+    expect(resumed.filter(isMixed)).toEqual([])
+    expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
+  })
+
   describe('at a gateway that was suspended, while no other one answers,', () => {
     /** More than those that keep the record of one stream. */
     const GATEWAYS = 7
--- a/test/platform/support/versioned-deployment.ts
+++ b/test/platform/support/versioned-deployment.ts
@@ -108,6 +108,12 @@
     return this.backends.filter(backend => backend.service === SERVICE && backend.softwareVersion === version)
   }
 
+  /** Index of the gateway that coordinates the stage work. */
+  async findCoordinator(): Promise<number> {
+    const coordinated = await Promise.all(this.gateways.map(async gateway => readGauge(await gateway.readMetrics(), 'eidermast_gateway_owns_stages')))
+    return coordinated.findIndex(shards => shards > 0)
+  }
+
   /** Kills a gateway, which does not come back. */
   async kill(index: number): Promise<void> {
     await this.gateways[index].end()
