Tests of resumed streams wait until streams have begun, not for a fixed time

Cause: since only streams that had begun count as resumed, and within the fixed 400 ms few begin on so busy a machine.

--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -5,16 +5,20 @@
 import { STREAM_EVENTS, streamVersion, VersionedDeployment } from './support/versioned-deployment.js'
 
 const EACH = 4
-/** Time after which a stream has brought some of its events. */
-const HALF_WAY_MS = 400
+/** Time in which a stream that has begun brings some of its events. */
+const HALF_WAY_MS = 300
 /** Pause between two events of a stream that lasts while gateways start again. */
 const LONG_PAUSE_MS = 100
 /** Time in which gateways repeat their reports to one that has started again, and list it. */
 const REPEATED_WITHIN_MS = 1000
 /** Streams that are started together. */
 const STREAMS = 30
+/** Share of them that has begun before a test goes on; the number that clients then have to resume is checked. */
+const MIN_BEGUN_SHARE = 0.8
 
 let deployment: VersionedDeployment
+/** Streams that have brought their first event, of those that were started last. */
+let begun = 0
 
 beforeAll(async () => {
   await import('../../platform/build.mjs' as string)
@@ -27,7 +31,15 @@
 }
 
 function startStreams(count: number, options: StreamOptions = {}): Promise<ReceivedStream[]> {
-  return Promise.all(Array.from({ length: count }, () => deployment.clients.stream(options)))
+  begun = 0
+  const onEvent = (id: number): void => void (id === 1 && begun++)
+  return Promise.all(Array.from({ length: count }, () => deployment.clients.stream({ onEvent, ...options })))
+}
+
+/** Waits until most of the streams that were started last have begun, and for some more of their events. */
+async function waitUntilHalfWay(): Promise<void> {
+  await vi.waitFor(() => expect(begun).toBeGreaterThan(STREAMS * MIN_BEGUN_SHARE), { timeout: 5000, interval: 10 })
+  await wait(HALF_WAY_MS)
 }
 
 /** Lets every third run of a stream break at its backend server after some events. */
@@ -64,7 +76,7 @@
   test('go on at the version that began them when a gateway is killed and clients resume them at others', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
     const running = startStreams(STREAMS, { gateway: 0, path })
-    await wait(HALF_WAY_MS)
+    await waitUntilHalfWay()
     await deployment.kill(0)
     const streams = await running
     const resumed = streams.filter(isResumed)
@@ -76,7 +88,7 @@
   test('hold events of one version only when all gateways are killed and started again', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
     const running = startStreams(STREAMS, { path })
-    await wait(HALF_WAY_MS)
+    await waitUntilHalfWay()
     await deployment.killAndRestart([0, 1, 2])
     expect((await running).filter(isMixed)).toEqual([])
   })
@@ -86,7 +98,7 @@
   /** Starts streams, lets them run half way, changes the deployment, and returns the streams that were resumed. */
   async function resumeAfter(change: () => Promise<void> | void, gateway?: number): Promise<ReceivedStream[]> {
     const running = startStreams(STREAMS, { gateway, maxTries: 2 })
-    await wait(HALF_WAY_MS)
+    await waitUntilHalfWay()
     await change()
     const resumed = (await running).filter(isResumed)
     expect(resumed.length).toBeGreaterThan(STREAMS / 2)
@@ -155,7 +167,7 @@
       resuming.signal('SIGSTOP')
       await whileSuspended()
       const running = startStreams(STREAMS, { gateway: GATEWAYS - 1, maxTries: 2, maxGapMs: MAX_GAP_MS })
-      await wait(HALF_WAY_MS)
+      await waitUntilHalfWay()
       others.forEach(gateway => gateway.signal('SIGSTOP'))
       resuming.signal('SIGCONT')
       const resumed = (await running).filter(isResumed)
