A stream that cannot become known is refused without a delay

What callers saw: 503 with a Retry-After of 0.5 s for a stream that nobody knows, also where waiting cannot help. Cause: the time before the start, while no gateway knows it, counted as something that may still tell where a stream began. It can only while one version is known; where two serve, no knowledge of that time names one of them. Evidence: stream-origin, "is lost if two versions serve and nobody knows the time before", fails before (unknown) and passes after. Ruled out: silent peers and versions that have just changed, which still give the delay. Two comments no longer say what another value of their constant would do.

--- a/packages/gateway/src/request/admission/share-allocation.ts
+++ b/packages/gateway/src/request/admission/share-allocation.ts
@@ -31,7 +31,7 @@
 const MIN_PROBE_PER_SECOND = 2
 /** Two heartbeat intervals: time in which a refusal may not have been reported yet. */
 const EXPECTED_QUIET_MS = 300
-/** Time in which the probed share doubles. Room that becomes free must be in use within a second; faster growth floods a service that seldom refuses. */
+/** Time in which the probed share doubles. Room that becomes free must be in use within a second. */
 const DOUBLING_MS = 400
 
 /** Fraction of the requests of a client account that is admitted. */
--- a/packages/gateway/src/request/continuation/origin-decision.ts
+++ b/packages/gateway/src/request/continuation/origin-decision.ts
@@ -12,7 +12,8 @@
  * recent for that, or no fewer peers answer than are silent, and not only those of
  * the own failure domain; otherwise the list has to be read again first.
  * Contradicting records and everything else leave the version unknown. It may
- * still become known while a peer is silent, or while versions have just changed.
+ * still become known while a peer is silent, while versions have just changed, or
+ * while the period is not known in which one version only is known to have served.
  * Why: a stream that goes on at the wrong version looks like a good one,
  * while a refused one can be begun again. What the client says is no proof of
  * where its stream began. A few gateways, or those of one failure domain, that are
@@ -111,7 +112,8 @@
   const isComplete = views.some(known => known.isComplete)
   if (version !== undefined && isComplete)
     return isConfirmed(inputs) ? decideOnlyVersion(version) : { source: OriginSource.Unconfirmed }
-  const mayBecomeKnown = silent > 0 || inputs.hasJustChanged || !isComplete || serving.length === 0
+  const mayBeOnlyVersion = version !== undefined || serving.length === 0
+  const mayBecomeKnown = silent > 0 || inputs.hasJustChanged || mayBeOnlyVersion
   return { source: mayBecomeKnown ? OriginSource.Unknown : OriginSource.Lost }
 }
 
--- a/packages/gateway/src/request/continuation/version-introduction.ts
+++ b/packages/gateway/src/request/continuation/version-introduction.ts
@@ -17,7 +17,7 @@
  */
 import type { Backend } from '../../connection/backends/backend.js'
 
-/** Time for which a new version gets no such streams; costs the first servers of a release some seconds of them, in which they are cold anyway. */
+/** Time for which a new version gets no such streams: TRUSTED_MS, and the time that gateways may differ in learning of a version. */
 const INTRODUCTION_MS = 3000
 /** Age from which on a version may have streams that no gateway knows of. */
 export const TRUSTED_MS = 1500
--- a/test/gateway/stream-origin.test.ts
+++ b/test/gateway/stream-origin.test.ts
@@ -35,6 +35,7 @@
     { title: 'may become known if versions have just changed', change: { view: TWO, hasJustChanged: true }, source: OriginSource.Unknown },
     { title: 'goes on at the only version if a peer knows the time before this process started', change: { view: { versions: [V1], isComplete: false } }, source: OriginSource.OnlyVersion, version: 'v1' },
     { title: 'is unknown if nobody knows the time before', change: { view: { versions: [V1], isComplete: false }, replies: [createReply({ isComplete: false })] }, source: OriginSource.Unknown },
+    { title: 'is lost if two versions serve and nobody knows the time before', change: { view: { ...TWO, isComplete: false }, replies: [createReply({ ...TWO, isComplete: false })] }, source: OriginSource.Lost },
     { title: 'goes on at the only version of a recent list if all peers are silent', change: { replies: [], silent: 5 }, source: OriginSource.OnlyVersion, version: 'v1' },
     { title: 'is unconfirmed if all peers are silent and the list is old', change: { replies: [], silent: 5, listAgeMs: 15_000 }, source: OriginSource.Unconfirmed },
     { title: 'is unconfirmed if most peers are silent and the list is old', change: { replies: [createReply()], silent: 2, listAgeMs: 15_000 }, source: OriginSource.Unconfirmed },
