A gateway whose failure domain is not known does not confirm a list

Cause: gateways that are known by their heartbeats only have no failure domain, and counted as ones of another domain, so that those of one domain confirmed each other's lists again where one of them had started while it was cut off. Evidence: stream-records, "tells whether other failure domains are reached, where one answers whose failure domain is not known", fails before and passes after; no run of processes shows it. Change: only a known, other domain confirms; the list is read again otherwise. Found by reading the whole change.

--- a/packages/gateway/src/process/versions/origin-finder.ts
+++ b/packages/gateway/src/process/versions/origin-finder.ts
@@ -44,15 +44,16 @@
    */
   async find(question: StreamQuestion, isEnough: (replies: OriginReplies) => boolean): Promise<OriginReplies> {
     const holders = rankHolders(question.key, this.dependencies.gateways()).slice(0, ASKED_HOLDERS)
-    const isElsewhere = ({ failureDomain }: Member): boolean => failureDomain !== this.dependencies.failureDomain
-    const found: OriginReplies = { asked: holders.length, silent: holders.length, reachesOtherDomains: !holders.some(isElsewhere), replies: [] }
+    const isNear = ({ failureDomain }: Member): boolean => failureDomain === this.dependencies.failureDomain
+    const found: OriginReplies = { asked: holders.length, silent: holders.length, reachesOtherDomains: holders.every(isNear), replies: [] }
     await new Promise<void>((resolve) => {
       const questions = holders.map(async (holder) => {
         const reply = await this.ask(holder, question)
         if (reply === SILENCE)
           return
         found.silent--
-        found.reachesOtherDomains ||= isElsewhere(holder)
+        // Gateways that are known by their heartbeats only have no failure domain here.
+        found.reachesOtherDomains ||= holder.failureDomain !== undefined && !isNear(holder)
         if (reply)
           found.replies.push(reply)
         if (found.replies.some(({ record }) => record))
--- a/test/gateway/stream-records.test.ts
+++ b/test/gateway/stream-records.test.ts
@@ -122,9 +122,9 @@
   /** One reply is enough. */
   const isEnough = ({ replies }: OriginReplies): boolean => replies.every(agrees)
 
-  async function ask(answers: (name: string) => Promise<StreamAnswer>, isFoundEnough = isEnough): Promise<OriginReplies & { tookMs: number }> {
+  async function ask(answers: (name: string) => Promise<StreamAnswer>, isFoundEnough = isEnough, listed: readonly Member[] = gateways): Promise<OriginReplies & { tookMs: number }> {
     const startedAt = performance.now()
-    const finder = new OriginFinder({ gateways: () => gateways, failureDomain: DOMAINS[0], ask: ({ name }) => answers(name) })
+    const finder = new OriginFinder({ gateways: () => listed, failureDomain: DOMAINS[0], ask: ({ name }) => answers(name) })
     const found = await finder.find({ key: 'key', service: 's' }, isFoundEnough)
     return { ...found, tookMs: performance.now() - startedAt }
   }
@@ -166,10 +166,11 @@
   })
 
   test.each([
-    { title: 'of another failure domain answers', answering: 'gateway-1', isReached: true },
-    { title: 'only of the same failure domain answers', answering: 'gateway-0', isReached: false },
-  ])('tells whether other failure domains are reached, where one $title', async ({ answering, isReached }) => {
-    const found = await ask(async name => name === answering ? agreed : Promise.reject(new DOMException('aborted', 'TimeoutError')), () => false)
+    { title: 'of another failure domain answers', answering: 'gateway-1', listed: gateways, isReached: true },
+    { title: 'only of the same failure domain answers', answering: 'gateway-0', listed: gateways, isReached: false },
+    { title: 'answers whose failure domain is not known', answering: 'gateway-1', listed: gateways.map(({ name, address }) => ({ name, address })), isReached: false },
+  ])('tells whether other failure domains are reached, where one $title', async ({ answering, listed, isReached }) => {
+    const found = await ask(async name => name === answering ? agreed : Promise.reject(new DOMException('aborted', 'TimeoutError')), () => false, listed)
     expect(found.reachesOtherDomains).toBe(isReached)
   })
 
