--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -241,28 +241,41 @@
     })
   }
 
-  private createStreamVersions(): StreamVersions {
-    const { members, peers, metrics, registry, versionHistory: history, versionLedger, log } = this
-    const gateways = (): Member[] => members.others.length > 0 ? members.others : this.activePeers.members(performance.now())
-    const longestLifeMs = (): number => longestStreamLifeMs(this.configuration.table?.configuration)
+  /** The gateways that keep records of streams, as far as known. Before the directory is read, those that send heartbeats to this one. */
+  private otherGateways(): readonly Member[] {
+    const listed = this.members.others
+    return listed.length > 0 ? listed : this.activePeers.members(performance.now())
+  }
+
+  private longestStreamLifeMs(): number {
+    return longestStreamLifeMs(this.configuration.table?.configuration)
+  }
+
+  private createStreamReporter(): StreamReporter {
     const reporter = new StreamReporter({
-      gateways,
-      send: (gateway, streams) => peers.noteStreams(gateway, streams),
-      longestLifeMs,
-      countReports: streams => metrics.countStreamReports(streams),
+      gateways: () => this.otherGateways(),
+      send: (gateway, streams) => this.peers.noteStreams(gateway, streams),
+      longestLifeMs: () => this.longestStreamLifeMs(),
+      countReports: streams => this.metrics.countStreamReports(streams),
     })
-    const listRefresh = new ListRefresh({ listAgeMs: () => registry.listAgeMs, restartReads: () => this.platform.restartReads() })
-    members.onNewProcess((gateway) => {
+    this.members.onNewProcess((gateway) => {
       reporter.repeatTo(gateway)
       // Once all members of the same read are listed.
       queueMicrotask(() => this.streamVersions.reportPending())
     })
+    return reporter
+  }
+
+  private createStreamVersions(): StreamVersions {
+    const { members, peers, metrics, registry, versionHistory: history, versionLedger, log } = this
+    const gateways = (): readonly Member[] => this.otherGateways()
+    const listRefresh = new ListRefresh({ listAgeMs: () => registry.listAgeMs, restartReads: () => this.platform.restartReads() })
     return new StreamVersions({
       history,
-      reporter,
+      reporter: this.createStreamReporter(),
       finder: new OriginFinder({ gateways, failureDomain: this.self.failureDomain, ask: (gateway, question) => peers.findStream(gateway, question) }),
       lifeMs: service => this.streamLifeMs(service),
-      longestLifeMs,
+      longestLifeMs: () => this.longestStreamLifeMs(),
       isHistoryRead: () => versionLedger.isRead,
       listAgeMs: () => registry.listAgeMs,
       refreshList: () => listRefresh.refresh(),
--- a/packages/gateway/src/process/versions/list-refresh.ts
+++ b/packages/gateway/src/process/versions/list-refresh.ts
@@ -7,10 +7,11 @@
 import { wait } from '@eidermast/common'
 import { isListRecent } from '../../request/continuation/origin-decision.js'
 
-/** Time for the first retry of an aborted read and its answer; delays a stream that is then refused. */
+/** Time for the first retry of an aborted read and its answer. */
 const REFRESH_TIMEOUT_MS = 600
 /** Bounds the calls to the store while most peers are silent. */
 const MIN_REFRESH_INTERVAL_MS = 2000
+/** Interval at which the age of the list is looked at. */
 const CHECK_INTERVAL_MS = 20
 
 /** What the refresh works with. */
--- a/packages/gateway/src/request/continuation/origin-decision.ts
+++ b/packages/gateway/src/request/continuation/origin-decision.ts
@@ -117,8 +117,11 @@
   return { source: mayBecomeKnown ? OriginSource.Unknown : OriginSource.Lost }
 }
 
+/** What shows that this process is not cut off. */
+type ContactInputs = Pick<OriginInputs, 'listAgeMs' | 'replies' | 'silent' | 'reachesOtherDomains'>
+
 /** Whether the versions that are known are all that can have streams. */
-export function isConfirmed({ listAgeMs, replies, silent, reachesOtherDomains }: Pick<OriginInputs, 'listAgeMs' | 'replies' | 'silent' | 'reachesOtherDomains'>): boolean {
+export function isConfirmed({ listAgeMs, replies, silent, reachesOtherDomains }: ContactInputs): boolean {
   return isListRecent(listAgeMs) || (replies.length >= silent && reachesOtherDomains)
 }
 
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -72,7 +72,8 @@
 
 /** The error of a request that resumes a stream while no backend server of its version accepts work. */
 export function errorOfRemovedVersion(service: string, { version }: StreamOrigin): RequestError {
-  return createError(ErrorKind.StreamVersionGone, `the stream began at software version ${version ?? '(not named)'} of service ${service}, of which no backend server is left: begin it again`)
+  const message = `the stream began at software version ${version ?? '(not named)'} of service ${service}, of which no backend server is left: begin it again`
+  return createError(ErrorKind.StreamVersionGone, message)
 }
 
 /** Decides the error of a request whose stages produced no results. */
