Retries that the budget counts, and those that it does not, are counted and logged

The logs could not tell whether a retry was taken from the budget, was free, or how much the budget allowed when it refused one, so that the hypotheses on retries beyond the budget could not be told apart.

The metric eidermast_gateway_retries_total and the field retryCost of route say what each attempt after the first one cost, and retry-refused what was used and allowed. Attempts of stage calls are not in them.

--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -8,6 +8,7 @@
 import type { RoomReason } from '../connection/held/room-decision.js'
 import type { Demand, DemandEnd } from '../request/admission/account-shares.js'
 import type { LimitedAccount } from '../request/admission/max-min-shares.js'
+import type { RetryCost } from '../request/attempts/retry-budget.js'
 import type { OriginSource } from '../request/continuation/origin-decision.js'
 import type { ConfigurationHolder } from '../version/configuration-holder.js'
 import type { BackendRegistry } from './backend-registry.js'
@@ -82,6 +83,13 @@
     registers: [this.registry],
   })
 
+  private readonly retries = new Counter({
+    name: 'eidermast_gateway_retries_total',
+    help: 'Attempts after the first one of a request, by service and by whether the retry budget counted them',
+    labelNames: ['service', 'cost'],
+    registers: [this.registry],
+  })
+
   private readonly heldWaits = new Counter({
     name: 'eidermast_gateway_held_waits_total',
     help: 'Bodies and answers that waited for memory, by kind',
@@ -115,6 +123,11 @@
     registers: [this.registry],
   })
 
+  /** Counts an attempt after the first one of its request. */
+  countRetry(service: string, cost: RetryCost): void {
+    this.retries.inc({ service, cost })
+  }
+
   /** Counts a stream that its client resumes. */
   countStreamResumed(source: OriginSource): void {
     this.streamsResumed.inc({ source })
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -392,6 +392,7 @@
       plainPolicy: usesSpeed ? new LeastTimePolicy(ejection, estimator, { informedAlike: () => this.informedAlike() }) : new LeastLoadPolicy(ejection, estimator),
       enginePolicy: new PrefixAwarePolicy(ejection, estimator, usesSpeed),
       budget: new RetryBudget(this.retryBudgetSettings(), () => this.sharedLimits.sharingGateways()),
+      metrics: this.metrics,
       crashes: this.crashTracker,
       coldStartLimiter: new ColdStartLimiter(this.self.name, service => this.sharedLimits.ownColdRate(service)),
       intake: this.intakes,
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -17,7 +17,7 @@
 import type { BufferedResponse } from '../responses/response-relay.js'
 import type { RoutedRequest } from '../routed-request.js'
 import type { AttemptResult } from './backend-attempt.js'
-import type { RetryBudget } from './retry-budget.js'
+import type { RetryBudget, RetryCounter } from './retry-budget.js'
 import type { AttemptHistory } from './retry-rule.js'
 import type { RunInputs, RunResult, RunSubject } from './run-subject.js'
 import { wait } from '@eidermast/common'
@@ -31,6 +31,7 @@
 import { sendBuffered } from '../responses/response-relay.js'
 import { BackendAttempt } from './backend-attempt.js'
 import { decideHealthSignal, recordHealthSignal } from './health-signal.js'
+import { RetryCost } from './retry-budget.js'
 import { AttemptEnd, decideAfterAttempt, decideBeforeAttempt, isFreeToRetry, mayAwaitBackend, mayRunAfterNext, needsBudget, RetryDecision } from './retry-rule.js'
 import { recordSpeed } from './speed-sample.js'
 
@@ -52,6 +53,8 @@
   /** Whether a wait that the load of a backend server explains is no fault, and requests wait for backend servers (setting `admission = adaptive`). @default false */
   waitsUnderLoad?: boolean
   budget: RetryBudget
+  /** @default counts nothing */
+  metrics?: RetryCounter
   crashes: CrashMonitor
   /** Says when a request may be sent to a backend server that limits its intake. */
   intake: Pick<IntakeGate, 'waitMs'>
@@ -148,7 +151,7 @@
     if (!awaitRoom)
       return RetryDecision.Proceed
     if (!this.dependencies.budget.hasRetry(request.service))
-      return RetryDecision.BudgetUsed
+      return this.refuseRetry()
     const room = await awaitRoom()
     if (room.isErr()) {
       this.refusedForRoom = room.error
@@ -194,7 +197,7 @@
       return Err(RetryDecision.Quarantined)
     const candidate = this.selectForAttempt()
     if (candidate.isOk() && isRetry && !budget.takeRetry(service))
-      return Err(RetryDecision.BudgetUsed)
+      return Err(this.refuseRetry())
     if (candidate.isErr() || !this.inputsRead)
       return candidate
     const isRecreated = await this.recreateInputs()
@@ -204,6 +207,12 @@
     return selected
   }
 
+  private refuseRetry(): RetryDecision {
+    const { request } = this.subject
+    this.dependencies.log.retryRefused({ request, attempts: this.history.attempts, usage: this.dependencies.budget.usage(request.service) })
+    return RetryDecision.BudgetUsed
+  }
+
   /** Selects the backend server for the next attempt, or returns why there is no attempt. */
   private selectForAttempt(): Result<Backend, RetryDecision> {
     const backend = this.selectBackend()
@@ -237,7 +246,8 @@
     const { request, clientResponse, signal } = this.subject
     this.tried.add(backend.id)
     const estimate = this.dependencies.estimator?.estimate(backend, performance.now())
-    this.dependencies.log.attemptStarted({ request, backend, attempt: this.history.attempts, lastEventId: this.lastEventId, remainingMs: this.remainingMs(), estimate })
+    const retryCost = this.countRetry()
+    this.dependencies.log.attemptStarted({ request, backend, attempt: this.history.attempts, retryCost, lastEventId: this.lastEventId, remainingMs: this.remainingMs(), estimate })
     const attempt = new BackendAttempt({ client: this.dependencies.client, backend, request, clientResponse, onEvent: (id) => {
       this.recordSpeedOfFirstEvent(backend, performance.now() - startedAt, estimate)
       this.recordEvent(backend, id)
@@ -249,6 +259,15 @@
     return result
   }
 
+  /** Counts the attempt that starts if it is not the first one, and returns what it cost. */
+  private countRetry(): RetryCost | undefined {
+    if (this.history.attempts === 0)
+      return undefined
+    const cost = needsBudget(this.history) ? RetryCost.Budgeted : RetryCost.Free
+    this.dependencies.metrics?.countRetry(this.subject.request.service, cost)
+    return cost
+  }
+
   /** Expected time of an attempt by the load of its backend server; undefined if unknown or if load is no reason to wait. */
   private expectedMs(estimate: BackendEstimate | undefined): number | undefined {
     if (!this.dependencies.waitsUnderLoad || estimate?.serviceMs === undefined || estimate.waitMs === undefined)
--- a/packages/gateway/src/request/attempts/retry-budget.ts
+++ b/packages/gateway/src/request/attempts/retry-budget.ts
@@ -10,7 +10,7 @@
  * Why: each gateway counts its own requests and uses its part of the fixed
  * allowance, so that the total holds without messages between gateways; a shared
  * counter would be unavailable exactly when it is needed.
- * Log event: `request-ended` (`retry` is `budget-used`).
+ * Log events: `retry-refused`, `request-ended` (`retry` is `budget-used`).
  *
  * State: the counts of the current window. A new process starts with none, so a
  * restart grants the fixed part once more.
@@ -40,6 +40,27 @@
   retries: number
 }
 
+/** Whether the budget counted an attempt after the first one. */
+export enum RetryCost {
+  /** The attempt before it reached no backend server. */
+  Free = 'free',
+  Budgeted = 'budgeted',
+}
+
+/** The counts of a service in the current window, and the limit that applies to them. */
+export interface RetryUsage {
+  requests: number
+  retries: number
+  /** Retries allowed in the window. */
+  allowed: number
+}
+
+/** Counts retries for the metrics. */
+export interface RetryCounter {
+  /** Counts an attempt after the first one of its request. */
+  countRetry: (service: string, cost: RetryCost) => void
+}
+
 /** Counts requests and retries per service over a sliding window. */
 export class RetryBudget {
   private readonly services = new Map<string, Bucket[]>()
@@ -58,12 +79,18 @@
     this.currentBucket(service).requests++
   }
 
-  /** Whether the allowance has a retry left. */
-  hasRetry(service: string): boolean {
+  /** What is used of the allowance. */
+  usage(service: string): RetryUsage {
     const buckets = this.recentBuckets(service)
     const requests = buckets.reduce((sum, bucket) => sum + bucket.requests, 0)
     const retries = buckets.reduce((sum, bucket) => sum + bucket.retries, 0)
-    return retries + 1 <= this.allowedRetries(requests)
+    return { requests, retries, allowed: this.allowedRetries(requests) }
+  }
+
+  /** Whether the allowance has a retry left. */
+  hasRetry(service: string): boolean {
+    const { retries, allowed } = this.usage(service)
+    return retries + 1 <= allowed
   }
 
   /** Takes one retry from the allowance; returns false if it is used up. */
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -5,6 +5,7 @@
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { CallFailure } from '../connection/backends/backend-client.js'
 import type { Backend } from '../connection/backends/backend.js'
+import type { RetryCost, RetryUsage } from './attempts/retry-budget.js'
 import type { RetryDecision } from './attempts/retry-rule.js'
 import type { BackendEstimate } from './load/load-estimator.js'
 import type { RoutedRequest } from './routed-request.js'
@@ -16,6 +17,8 @@
   backend: Backend
   /** 0 for the first attempt. */
   attempt: number
+  /** Whether the retry budget counted it; undefined for the first attempt. */
+  retryCost?: RetryCost
   /** The stream goes on after this event; undefined if it begins. */
   lastEventId?: string
   /** Milliseconds until the request's deadline. */
@@ -30,6 +33,14 @@
   opensInMs: number
 }
 
+/** A retry that the budget does not allow. */
+export interface RefusedRetry {
+  request: RoutedRequest
+  /** Attempts that were made. */
+  attempts: number
+  usage: RetryUsage
+}
+
 /** An attempt that failed. */
 export interface AttemptFailure {
   requestId: string
@@ -63,7 +74,7 @@
   constructor(private readonly log: EventLog) {}
 
   /** Logs the selected backend server with what was known about it, and how old that information was. */
-  attemptStarted({ request, backend, attempt, lastEventId, remainingMs, estimate }: AttemptStart): void {
+  attemptStarted({ request, backend, attempt, retryCost, lastEventId, remainingMs, estimate }: AttemptStart): void {
     this.log.write('route', {
       request: request.head.requestId,
       fingerprint: request.fingerprint,
@@ -72,6 +83,7 @@
       version: backend.softwareVersion,
       failureDomain: backend.failureDomain,
       attempt,
+      retryCost,
       resumes: request.head.resumedRequestId,
       lastEventId,
       outstanding: backend.outstanding,
@@ -98,6 +110,18 @@
     })
   }
 
+  /** The retry budget allows no further attempt. */
+  retryRefused({ request, attempts, usage: { requests, retries, allowed } }: RefusedRetry): void {
+    this.log.write('retry-refused', {
+      request: request.head.requestId,
+      service: request.service,
+      attempts,
+      requests,
+      retries,
+      allowed: Number(allowed.toFixed(1)),
+    })
+  }
+
   attemptFailed({ requestId, backend, failure, tookMs }: AttemptFailure): void {
     this.log.write('call-failed', {
       request: requestId,
