A process uses the fixed part of the retry budget only once a window has passed since its start

Callers saw nothing of it; a service got more retries in a window than all gateways together may send, when it was failing anyway.

Cause: the budget limits all gateways over a window of time, and is kept in the memory of processes that forget. Each start granted the fixed part once more, so that a window in which all gateways start three times allows four times the fixed part.

A process now uses its part from a window after its start, when whatever its predecessor sent has left every window. Until then it retries by its share of requests, which holds by itself. docs/design/retry-budget.md has what was weighed.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -65,6 +65,7 @@
 import { Members } from './membership/members.js'
 import { GatewayPeerService } from './peer-service.js'
 import { Readiness } from './readiness.js'
+import { RetryShare } from './retry-share.js'
 import { SharedLimits } from './shared-limits.js'
 import { PromptShardChoice } from './stages/shard-choice.js'
 import { SharedPreparer } from './stages/shared-preparer.js'
@@ -100,6 +101,7 @@
   private readonly sharedInFlight = new SharedInFlight({ called: () => this.calledPlainly(), isCoordinator: () => this.members.isCoordinator })
   private readonly loadExchange: LoadExchange
   private readonly sharedLimits: SharedLimits
+  private readonly retryShare: RetryShare
   private readonly versionHistory: VersionHistory
   private readonly versionLedger: VersionLedger
   private readonly streamVersions: StreamVersions
@@ -134,6 +136,7 @@
     this.versionLedger = this.createVersionLedger()
     this.streamVersions = this.createStreamVersions()
     this.sharedLimits = this.createSharedLimits()
+    this.retryShare = new RetryShare({ windowMs: settings.retry['window-ms'], gateways: () => this.members.count })
     this.accountSharing = this.createAccountSharing()
     this.loadExchange = new LoadExchange({ ...this.accountSharing.exchanges, inFlight: this.usesSpeed ? this.sharedInFlight : new NoInFlightExchange() })
     this.estimator = this.createEstimator()
@@ -323,7 +326,7 @@
 
   private createStageCoordinators(): StageCoordinators {
     const client = this.platform.stageClient(this.connections)
-    const retryBudget = new RetryBudget({ ...this.retryBudgetSettings(), ratio: 0 }, () => countSharingGateways(this.members.shards.length))
+    const retryBudget = new RetryBudget({ ...this.retryBudgetSettings(), ratio: 0 }, () => 1 / countSharingGateways(this.members.shards.length))
     const coldStartLimiter = new ColdStartLimiter(this.self.name, service => this.sharedLimits.coordinatedColdRate(service))
     const isFair = this.settings.load['stage-sharing'] === StageSharingMode.Fair
     return new StageCoordinators({
@@ -391,7 +394,7 @@
       waitsUnderLoad: this.isAdmissionAdaptive,
       plainPolicy: usesSpeed ? new LeastTimePolicy(ejection, estimator, { informedAlike: () => this.informedAlike() }) : new LeastLoadPolicy(ejection, estimator),
       enginePolicy: new PrefixAwarePolicy(ejection, estimator, usesSpeed),
-      budget: new RetryBudget(this.retryBudgetSettings(), () => this.sharedLimits.sharingGateways()),
+      budget: new RetryBudget(this.retryBudgetSettings(), () => this.retryShare.part),
       metrics: this.metrics,
       crashes: this.crashTracker,
       coldStartLimiter: new ColdStartLimiter(this.self.name, service => this.sharedLimits.ownColdRate(service)),
--- a/packages/gateway/src/process/shared-limits.ts
+++ b/packages/gateway/src/process/shared-limits.ts
@@ -1,8 +1,9 @@
 /**
  * This gateway's shares of the limits that apply to all gateways together:
- * connections, the retry budget, request rates to cold backend servers and to
- * backend servers that announce a rate limit. Stateless: reads the current
- * inputs on each call; the shares are computed in `gateway-share.ts`.
+ * connections, request rates to cold backend servers and to backend servers that
+ * announce a rate limit. Stateless: reads the current inputs on each call; the
+ * shares are computed in `gateway-share.ts`. That of the retry budget depends on
+ * the past as well (`retry-share.ts`).
  */
 import type { Backend } from '../connection/backends/backend.js'
 import type { ColdAllowance } from '../request/attempts/cold-start-limiter.js'
@@ -30,8 +31,7 @@
     return shareOfConnections(this.inputs.findService(service)?.maxConnections ?? 0, this.inputs.members.count)
   }
 
-  /** Number of gateways that divide the retry budget. */
-  sharingGateways(): number {
+  private sharingGateways(): number {
     return countSharingGateways(this.inputs.members.count)
   }
 
--- a/packages/gateway/src/request/attempts/retry-budget.ts
+++ b/packages/gateway/src/request/attempts/retry-budget.ts
@@ -3,8 +3,9 @@
  * multiply the load on a failing pool.
  *
  * Inputs: requests and retries of the service at this gateway over a sliding
- * window (its length in ms), the number of gateways, the retry allowance of all
- * of them together (settings `[retry]`).
+ * window (its length in ms), the retry allowance of all gateways together
+ * (settings `[retry]`), the part of its fixed allowance that this gateway may use
+ * (0 to 1, current).
  * Rule: retries in the window are limited to a share of the requests in the
  * window, plus this gateway's part of a fixed allowance.
  * Why: each gateway counts its own requests and uses its part of the fixed
@@ -12,8 +13,7 @@
  * counter would be unavailable exactly when it is needed.
  * Log events: `retry-refused`, `request-ended` (`retry` is `budget-used`).
  *
- * State: the counts of the current window. A new process starts with none, so a
- * restart grants the fixed part once more.
+ * State: the counts of the current window, which end with the process.
  */
 
 /** The retry allowance of all gateways together. */
@@ -51,6 +51,8 @@
 export interface RetryUsage {
   requests: number
   retries: number
+  /** Part of the fixed allowance that this gateway may use, from 0 to 1. */
+  part: number
   /** Retries allowed in the window. */
   allowed: number
 }
@@ -68,8 +70,8 @@
 
   constructor(
     private readonly settings: RetryBudgetSettings,
-    /** Gateways that share the allowance. */
-    private readonly gatewayCount: () => number,
+    /** Part of the fixed allowance that this gateway may use, from 0 to 1. */
+    private readonly part: () => number,
     private readonly now: () => number = () => performance.now(),
   ) {
     this.bucketMs = settings.windowMs / BUCKETS
@@ -84,7 +86,8 @@
     const buckets = this.recentBuckets(service)
     const requests = buckets.reduce((sum, bucket) => sum + bucket.requests, 0)
     const retries = buckets.reduce((sum, bucket) => sum + bucket.retries, 0)
-    return { requests, retries, allowed: this.allowedRetries(requests) }
+    const part = this.part()
+    return { requests, retries, part, allowed: this.allowedRetries(requests, part) }
   }
 
   /** Whether the allowance has a retry left. */
@@ -108,9 +111,8 @@
       taken.retries--
   }
 
-  private allowedRetries(requests: number): number {
-    const fixedPart = this.settings.extra / Math.max(1, this.gatewayCount())
-    return USABLE_SHARE * (this.settings.ratio * requests + fixedPart)
+  private allowedRetries(requests: number, part: number): number {
+    return USABLE_SHARE * (this.settings.ratio * requests + this.settings.extra * part)
   }
 
   private currentBucket(service: string): Bucket {
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -111,13 +111,14 @@
   }
 
   /** The retry budget allows no further attempt. */
-  retryRefused({ request, attempts, usage: { requests, retries, allowed } }: RefusedRetry): void {
+  retryRefused({ request, attempts, usage: { requests, retries, part, allowed } }: RefusedRetry): void {
     this.log.write('retry-refused', {
       request: request.head.requestId,
       service: request.service,
       attempts,
       requests,
       retries,
+      part: Number(part.toFixed(4)),
       allowed: Number(allowed.toFixed(1)),
     })
   }
