The fixed part of the retry budget is divided by all gateways that may send within a window

Cause: the part was divided by the gateways listed at the moment. A process that has not read the list divided by two; those that stay after a scale-in divided by fewer at once, although those that left had used their parts within the same window; a list that is behind a peer's was believed.

Nothing of it is used before the list is read and while stopping, and the divisor is the largest number of the last window, peers' reports included.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -136,7 +136,8 @@
     this.versionLedger = this.createVersionLedger()
     this.streamVersions = this.createStreamVersions()
     this.sharedLimits = this.createSharedLimits()
-    this.retryShare = new RetryShare({ windowMs: settings.retry['window-ms'], gateways: () => this.members.count })
+    this.retryShare = new RetryShare(settings.retry['window-ms'])
+    this.members.onListChange(gateways => this.retryShare.noteListed(gateways))
     this.accountSharing = this.createAccountSharing()
     this.loadExchange = new LoadExchange({ ...this.accountSharing.exchanges, inFlight: this.usesSpeed ? this.sharedInFlight : new NoInFlightExchange() })
     this.estimator = this.createEstimator()
@@ -176,6 +177,7 @@
     this.gatewayLog.stopRequested(this.clients.activeRequests, latestEndMs(gracePeriodMs))
     this.stopping = true
     this.members.markStopping(this.self)
+    this.retryShare.noteStopping()
     void this.platform.memberDirectory.withdraw(this.self)
     await drainClients(this.clients, gracePeriodMs, () => this.members.othersServe)
     this.shutdown.abort()
@@ -205,6 +207,8 @@
   }
 
   private handleHeartbeatReply(member: Member, reply: HeartbeatReply): void {
+    if (reply.members !== undefined)
+      this.retryShare.noteReported(reply.members)
     if (member.name === this.members.coordinator.name) {
       this.coordinatorOutages.handleReply(member.name, reply.sourceAway ?? false)
       this.directoryLag.handleReply(reply.members, this.members.count, performance.now())
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -33,6 +33,8 @@
   private readonly shardCoordinators: ShardCoordinators
   private readonly peerMonitor: PeerMonitor
   private readonly processListeners: ((member: Member) => void)[] = []
+  private readonly listListeners: ((members: number) => void)[] = []
+  private isListRead = false
   private readonly log: GatewayLog
   private timer: NodeJS.Timeout | undefined
   /** Cached `place`; undefined after members were listed or removed. */
@@ -130,6 +132,11 @@
     this.processListeners.push(listener)
   }
 
+  /** Calls the listener with the number of listed members after the directory was first read, and after each change since. */
+  onListChange(listener: (members: number) => void): void {
+    this.listListeners.push(listener)
+  }
+
   get isCoordinator(): boolean {
     return this.coordinator.name === this.self.name
   }
@@ -188,6 +195,7 @@
 
   /** Called after a read of the directory, once all members in it have been listed. */
   noteListRead(): void {
+    this.isListRead = true
     this.peerMonitor.noteDirectoryRead(performance.now())
     this.scheduleRanking()
   }
@@ -280,6 +288,12 @@
       return
     this.rankingPending = false
     this.rank()
+    this.reportList()
+  }
+
+  private reportList(): void {
+    for (const listener of this.isListRead ? this.listListeners : [])
+      listener(this.count)
   }
 
   private rank(): void {
