A retry counts against the budget in the window in which it is sent

Cause: a retry was counted when it was decided. Its stage results are made again after that, which takes seconds, and its call may wait for a connection. Retries that were counted over more than a window could arrive within one.

It is reserved when it is decided, and counts when its first byte is sent. A retry whose call was not sent stays with its request for the next attempt.

--- a/packages/gateway/src/connection/backends/backend-client.ts
+++ b/packages/gateway/src/connection/backends/backend-client.ts
@@ -27,6 +27,8 @@
   inputs?: readonly string[]
   /** The stream resumes after this event. */
   lastEventId?: string
+  /** Called just before the first byte is sent. */
+  onSent?: () => void
 }
 
 /** A backend server's response: its head, and its body as a stream. */
--- a/packages/gateway/src/connection/backends/backend-connections.ts
+++ b/packages/gateway/src/connection/backends/backend-connections.ts
@@ -81,14 +81,15 @@
   /**
    * Sends a request or a stage call to a backend server. Rejects like undici's
    * `request`, or with a `CallNotSentError` if the backend server accepts no new
-   * work, or no request at the moment.
+   * work, or no request at the moment. Calls `onSent` just before the first byte
+   * is sent.
    */
-  async sendWork(backend: Backend, options: WorkOptions): Promise<Dispatcher.ResponseData> {
+  async sendWork(backend: Backend, options: WorkOptions, onSent?: () => void): Promise<Dispatcher.ResponseData> {
     if (!backend.acceptsWork || options.signal.aborted)
       throw new CallNotSentError(`${backend.id} accepts no new work, or the call was aborted`)
     const calls = this.waiting.get(backend.incarnation) ?? new Set()
     this.waiting.set(backend.incarnation, calls)
-    const call = new WorkCall(backend, this.observer, this.intake, ended => void calls.delete(ended))
+    const call = new WorkCall(backend, this.observer, this.intake, { waitEnded: ended => void calls.delete(ended), sent: onSent })
     calls.add(call)
     return this.observeResponse(backend, true, () => call.send(this.poolOf(backend), options))
   }
--- a/packages/gateway/src/connection/backends/http-backend-client.ts
+++ b/packages/gateway/src/connection/backends/http-backend-client.ts
@@ -29,7 +29,7 @@
         headers: this.codec.encode(backend, call).flat(),
         body: call.body ?? null,
         signal,
-      })
+      }, call.onSent)
       return this.readHead(backend, call, response)
     }
     catch (error) {
--- a/packages/gateway/src/connection/backends/work-call.ts
+++ b/packages/gateway/src/connection/backends/work-call.ts
@@ -63,6 +63,14 @@
   rejected: (start: CallStart) => void
 }
 
+/** Callbacks of one call. */
+export interface WorkCallListener {
+  /** The call stops waiting. */
+  waitEnded: (call: WorkCall) => void
+  /** The first byte is about to be sent. */
+  sent?: () => void
+}
+
 /** A call that waits for a connection, and the ways in which the wait can end. */
 export class WorkCall {
   private readonly calledAt = performance.now()
@@ -74,8 +82,7 @@
     private readonly backend: Backend,
     private readonly observer: CallObserver,
     private readonly intake: IntakeGate,
-    /** Called when the call stops waiting. */
-    private readonly waitEnded: (call: WorkCall) => void,
+    private readonly listener: WorkCallListener,
   ) {
     observer.waitingChanged(1)
   }
@@ -122,6 +129,7 @@
       throw this.notSent
     this.endWait()
     this.intake.recordSent(this.backend)
+    this.listener.sent?.()
     this.observer.started(this.describe())
   }
 
@@ -143,7 +151,7 @@
       return
     this.waiting = false
     this.observer.waitingChanged(-1)
-    this.waitEnded(this)
+    this.listener.waitEnded(this)
   }
 
   private describe(): CallStart {
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -18,6 +18,7 @@
 import type { RoutedRequest } from '../routed-request.js'
 import type { AttemptResult } from './backend-attempt.js'
 import type { RetryBudget, RetryCounter } from './retry-budget.js'
+import type { RetryReservation } from './retry-reservation.js'
 import type { AttemptHistory } from './retry-rule.js'
 import type { RunInputs, RunResult, RunSubject } from './run-subject.js'
 import { wait } from '@eidermast/common'
@@ -32,7 +33,7 @@
 import { BackendAttempt } from './backend-attempt.js'
 import { decideHealthSignal, recordHealthSignal } from './health-signal.js'
 import { RetryCost } from './retry-budget.js'
-import { AttemptEnd, decideAfterAttempt, decideBeforeAttempt, isFreeToRetry, mayAwaitBackend, mayRunAfterNext, needsBudget, RetryDecision } from './retry-rule.js'
+import { AttemptEnd, decideAfterAttempt, decideBeforeAttempt, isFreeToRetry, isUnsent, mayAwaitBackend, mayRunAfterNext, needsBudget, RetryDecision } from './retry-rule.js'
 import { recordSpeed } from './speed-sample.js'
 
 /** The known backend servers; implemented by the process's registry. */
@@ -85,6 +86,8 @@
 export class BackendRun {
   private readonly tried = new Set<string>()
   private readonly history: AttemptHistory = { attempts: 0, runs: 0, reachedBackend: false }
+  /** The retry that is about to be made; undefined if the next attempt needs none. */
+  private retry: RetryReservation | undefined
   private handles: readonly string[] | undefined
   private inputsRead = false
   private lastEventId: string | undefined
@@ -111,6 +114,15 @@
 
   /** Answers the request, or returns why it could not be answered. */
   async run(): Promise<RunResult> {
+    try {
+      return await this.makeAttempts()
+    }
+    finally {
+      this.retry?.release()
+    }
+  }
+
+  private async makeAttempts(): Promise<RunResult> {
     const { request, signal } = this.subject
     let decision = signal.aborted ? RetryDecision.Cancelled : RetryDecision.Proceed
     while (decision === RetryDecision.Proceed) {
@@ -185,26 +197,29 @@
 
   /**
    * Selects the backend server for the next attempt and recreates the inputs if
-   * needed, or returns why there is no further attempt. The retry is taken from
-   * the budget first, so that stage results are not recreated in vain. Recreating
-   * them takes seconds, so the server is selected again afterwards.
+   * needed, or returns why there is no further attempt. The retry is reserved
+   * first, so that stage results are not recreated in vain. Recreating them takes
+   * seconds, so the server is selected again afterwards.
    */
   private async prepareAttempt(): Promise<Result<Backend, RetryDecision>> {
-    const { budget } = this.dependencies
-    const { service } = this.subject.request
-    const isRetry = needsBudget(this.history)
     if (this.dependencies.crashes.refusal(this.subject.request.fingerprint) !== undefined)
       return Err(RetryDecision.Quarantined)
     const candidate = this.selectForAttempt()
-    if (candidate.isOk() && isRetry && !budget.takeRetry(service))
+    if (candidate.isErr())
+      return candidate
+    if (!this.reserveRetry())
       return Err(this.refuseRetry())
-    if (candidate.isErr() || !this.inputsRead)
+    if (!this.inputsRead)
       return candidate
-    const isRecreated = await this.recreateInputs()
-    const selected = isRecreated ? this.selectForAttempt() : Err(RetryDecision.InputsGone)
-    if (selected.isErr() && isRetry)
-      budget.returnRetry(service)
-    return selected
+    return await this.recreateInputs() ? this.selectForAttempt() : Err(RetryDecision.InputsGone)
+  }
+
+  /** Reserves a retry if the next attempt needs one; returns false if the budget is used up. */
+  private reserveRetry(): boolean {
+    if (this.retry || !needsBudget(this.history))
+      return true
+    this.retry = this.dependencies.budget.reserveRetry(this.subject.request.service)
+    return this.retry !== undefined
   }
 
   private refuseRetry(): RetryDecision {
@@ -255,6 +270,8 @@
     const startedAt = performance.now()
     const expectedMs = this.expectedMs(estimate)
     const result = await attempt.run(this.buildCall(), this.headTimeoutMs(expectedMs), signal)
+    if (result.failure === undefined || !isUnsent(result.failure))
+      this.endRetry()
     this.reportResult({ backend, result, tookMs: performance.now() - startedAt, aborted: attempt.aborted, estimate })
     return result
   }
@@ -263,7 +280,7 @@
   private countRetry(): RetryCost | undefined {
     if (this.history.attempts === 0)
       return undefined
-    const cost = needsBudget(this.history) ? RetryCost.Budgeted : RetryCost.Free
+    const cost = this.retry ? RetryCost.Budgeted : RetryCost.Free
     this.dependencies.metrics?.countRetry(this.subject.request.service, cost)
     return cost
   }
@@ -298,6 +315,7 @@
       priority: this.dependencies.isEngine(request.service) ? request.priority : undefined,
       inputs: this.handles,
       lastEventId: this.lastEventId,
+      onSent: () => this.retry?.spend(),
     }
   }
 
@@ -372,6 +390,12 @@
     }
   }
 
+  /** The retry was made, and the next attempt needs another one. */
+  private endRetry(): void {
+    this.retry?.spend()
+    this.retry = undefined
+  }
+
   /** Keeps the latest of the responses with a server error. */
   private replaceFallback(fallback: BufferedResponse): void {
     const replacedBytes = this.fallback?.body.reduce((sum, part) => sum + part.length, 0) ?? 0
--- a/packages/gateway/src/request/attempts/retry-budget.ts
+++ b/packages/gateway/src/request/attempts/retry-budget.ts
@@ -6,8 +6,9 @@
  * window (its length in ms), the retry allowance of all gateways together
  * (settings `[retry]`), the part of its fixed allowance that this gateway may use
  * (0 to 1, current).
- * Rule: retries in the window are limited to a share of the requests in the
- * window, plus this gateway's part of a fixed allowance.
+ * Rule: retries in the window, and those that are decided but not sent yet, are
+ * limited to a share of the requests in the window, plus this gateway's part of a
+ * fixed allowance. A retry is in the window of the time at which it is sent.
  * Why: each gateway counts its own requests and uses its part of the fixed
  * allowance, so that the total holds without messages between gateways; a shared
  * counter would be unavailable exactly when it is needed.
@@ -15,6 +16,7 @@
  *
  * State: the counts of the current window, which end with the process.
  */
+import { RetryReservation } from './retry-reservation.js'
 
 /** The retry allowance of all gateways together. */
 export interface RetryBudgetSettings {
@@ -50,6 +52,7 @@
 /** The counts of a service in the current window, and the limit that applies to them. */
 export interface RetryUsage {
   requests: number
+  /** Sent, or reserved to be sent. */
   retries: number
   /** Part of the fixed allowance that this gateway may use, from 0 to 1. */
   part: number
@@ -66,6 +69,8 @@
 /** Counts requests and retries per service over a sliding window. */
 export class RetryBudget {
   private readonly services = new Map<string, Bucket[]>()
+  /** Retries that are decided but not sent yet, by service. */
+  private readonly reserved = new Map<string, number>()
   private readonly bucketMs: number
 
   constructor(
@@ -85,7 +90,8 @@
   usage(service: string): RetryUsage {
     const buckets = this.recentBuckets(service)
     const requests = buckets.reduce((sum, bucket) => sum + bucket.requests, 0)
-    const retries = buckets.reduce((sum, bucket) => sum + bucket.retries, 0)
+    const sent = buckets.reduce((sum, bucket) => sum + bucket.retries, 0)
+    const retries = sent + (this.reserved.get(service) ?? 0)
     const part = this.part()
     return { requests, retries, part, allowed: this.allowedRetries(requests, part) }
   }
@@ -96,19 +102,27 @@
     return retries + 1 <= allowed
   }
 
-  /** Takes one retry from the allowance; returns false if it is used up. */
+  /** Takes one retry that is sent now; returns false if the allowance is used up. */
   takeRetry(service: string): boolean {
+    const reservation = this.reserveRetry(service)
+    reservation?.spend()
+    return reservation !== undefined
+  }
+
+  /** Reserves one retry, to be spent when it is sent; returns undefined if the allowance is used up. */
+  reserveRetry(service: string): RetryReservation | undefined {
     if (!this.hasRetry(service))
-      return false
-    this.currentBucket(service).retries++
-    return true
+      return undefined
+    this.changeReserved(service, 1)
+    const countSent = (): void => {
+      this.changeReserved(service, -1)
+      this.currentBucket(service).retries++
+    }
+    return new RetryReservation(countSent, () => this.changeReserved(service, -1))
   }
 
-  /** Returns a retry that was not made. Lowers the oldest count, so that later windows never undercount. */
-  returnRetry(service: string): void {
-    const taken = this.recentBuckets(service).find(bucket => bucket.retries > 0)
-    if (taken)
-      taken.retries--
+  private changeReserved(service: string, difference: 1 | -1): void {
+    this.reserved.set(service, (this.reserved.get(service) ?? 0) + difference)
   }
 
   private allowedRetries(requests: number, part: number): number {
--- a/packages/gateway/src/request/attempts/retry-rule.ts
+++ b/packages/gateway/src/request/attempts/retry-rule.ts
@@ -85,6 +85,11 @@
   return mayHaveRun ? AttemptEnd.MayHaveRun : AttemptEnd.NotRun
 }
 
+/** Whether no byte of a failed call was sent. */
+export function isUnsent(failure: CallFailure): boolean {
+  return isFreeToRetry(failure) || failure.kind === CallFailureKind.AbandonedUnsent
+}
+
 /** Whether a failed call cost its backend server nothing, so that a retry needs no budget. */
 export function isFreeToRetry(failure: CallFailure): boolean {
   return FREE_TO_RETRY.has(failure.kind)
--- a/test/gateway/backend-run.test.ts
+++ b/test/gateway/backend-run.test.ts
@@ -95,6 +95,31 @@
   })
 })
 
+describe('a retry', () => {
+  test('counts from when it is sent, not from when its stage results began to be recreated', async () => {
+    let now = 0
+    const { log } = createLog()
+    const registry = new BackendRegistry(log)
+    for (const id of ['first', 'second'])
+      registry.upsert(createRecord({ id, service: SERVICE }))
+    const client = new InputGoneOnceClient()
+    const ejection = new OutlierEjection()
+    const policy = new LeastLoadPolicy(ejection)
+    const budget = new RetryBudget({ ratio: 0, extra: 2, windowMs: 10_000 }, () => 1, () => now)
+    const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes: NO_CRASHES, log, isEngine: () => false, streams: NO_STREAMS })
+    const recreate = async () => {
+      now = 9000
+      return ['recreated']
+    }
+    await runner.run({ request: createRequest(), inputs: { handles: ['lost'], failureDomain: undefined, bytes: 0, recreate }, clientResponse: createClientResponse(), signal: new AbortController().signal })
+    expect(client.called).toHaveLength(2)
+    now = 18_000
+    expect(budget.hasRetry(SERVICE)).toBe(false)
+    now = 20_000
+    expect(budget.hasRetry(SERVICE)).toBe(true)
+  })
+})
+
 describe('the response to a request', () => {
   test.each([
     ['counts as answered if it is framed', true, 1],
--- a/test/gateway/retry-budget.test.ts
+++ b/test/gateway/retry-budget.test.ts
@@ -28,6 +28,14 @@
     }), { seed: SEED, numRuns: 200 })
   })
 
+  test('counts a reserved retry until it is released', () => {
+    const budget = new RetryBudget({ ratio: 0, extra: 2, windowMs: 1000 }, () => 1, () => 0)
+    const reservation = budget.reserveRetry('service')
+    expect(budget.hasRetry('service')).toBe(false)
+    reservation?.release()
+    expect(budget.hasRetry('service')).toBe(true)
+  })
+
   test('recovers fully once the window has passed', () => {
     let now = 0
     const budget = new RetryBudget({ ratio: 0, extra: 10, windowMs: 1000 }, () => 1, () => now)
--- a/test/gateway/work-call.test.ts
+++ b/test/gateway/work-call.test.ts
@@ -25,7 +25,7 @@
 
 /** Sends a call through a pool and returns its error. */
 async function sendAndFail(pool: Pool, signal = new AbortController().signal): Promise<unknown> {
-  const call = new WorkCall(createBackend(), OBSERVER, INTAKE, () => {})
+  const call = new WorkCall(createBackend(), OBSERVER, INTAKE, { waitEnded: () => {} })
   const error = await call.send(pool, { method: 'GET', path: '/', signal }).catch((reason: unknown) => reason)
   await pool.destroy()
   return error
@@ -45,6 +45,16 @@
     expect(error).not.toBeInstanceOf(CallNotSentError)
   })
 
+  test('reports that it is sent before its backend server receives it', async () => {
+    const order: string[] = []
+    server.prependListener('connection', socket => socket.once('data', () => order.push('received')))
+    const call = new WorkCall(createBackend(), OBSERVER, INTAKE, { waitEnded: () => {}, sent: () => order.push('sent') })
+    const pool = new Pool(origin)
+    await call.send(pool, { method: 'GET', path: '/', signal: new AbortController().signal }).catch(() => {})
+    await pool.destroy()
+    expect(order).toEqual(['sent', 'received'])
+  })
+
   test('is abandoned, not failed, if it is aborted while it waits for a connection', async () => {
     const pool = new Pool(origin, { connect: () => {} })
     expect(await sendAndFail(pool, AbortSignal.timeout(10))).toBeInstanceOf(CallNotSentError)
