A call whose first byte was sent never counts as not sent

Callers could have a request that may not be repeated run twice: where a host became unreachable, or a pool was closed, while a response was awaited, the call was taken for one that had not been sent, and was made again, without the retry budget.

Cause: the codes of socket errors were read as proof, whatever the call had done before. WorkCall knows whether the first byte was sent, and names the error of a call that was not.

test/gateway/work-call.test.ts 'may have run if EHOSTUNREACH ends its connection after its first byte was sent' and three more rows fail before.

--- a/packages/gateway/src/connection/error-codes.ts
+++ b/packages/gateway/src/connection/error-codes.ts
@@ -9,19 +9,12 @@
 /** Code of the error for a call whose connection failed before its first byte was sent. */
 export const CONNECTION_FAILED_CODE = 'ERR_CONNECTION_FAILED'
 
-/** Codes of errors that occur before the first byte of a request is sent: no connection could be established, or the pool is closed. */
-const NOT_SENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-  'EMFILE',
-  'UND_ERR_CONNECT_TIMEOUT',
-  'UND_ERR_DESTROYED',
-  'UND_ERR_CLOSED',
-  CALL_NOT_SENT_CODE,
-  CONNECTION_FAILED_CODE,
-])
+/**
+ * Codes of errors that occur before the first byte of a request is sent. Codes of
+ * sockets do not tell: a host may become unreachable, or a pool be closed, while
+ * a response is awaited.
+ */
+const NOT_SENT_CODES = new Set([CALL_NOT_SENT_CODE, CONNECTION_FAILED_CODE])
 
 /** The code of an error; undefined if it has none. */
 export function errorCode(error: unknown): string | undefined {
--- a/test/gateway/work-call.test.ts
+++ b/test/gateway/work-call.test.ts
@@ -1,8 +1,8 @@
 import type { Server } from 'node:net'
 import { once } from 'node:events'
 import { createServer } from 'node:net'
-import { CallNotSentError, ConnectionFailedError, WorkCall } from '@eidermast/gateway'
-import { Pool } from 'undici'
+import { CallNotSentError, ConnectionFailedError, isNotSent, WorkCall } from '@eidermast/gateway'
+import { buildConnector, Pool } from 'undici'
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import { createBackend } from './support/fakes.js'
 
@@ -23,6 +23,17 @@
   server.close()
 })
 
+/** Connects, and fails the connection once the server has received something. */
+function buildConnectorThatFails(cause: Error): buildConnector.connector {
+  const connect = buildConnector({})
+  const received = once(server, 'connection').then(([connection]) => once(connection, 'data'))
+  return (options, callback) => connect(options, (...args) => {
+    const [, socket] = args
+    received.then(() => socket?.destroy(cause))
+    callback(...args)
+  })
+}
+
 /** Sends a call through a pool and returns its error. */
 async function sendAndFail(pool: Pool, signal = new AbortController().signal): Promise<unknown> {
   const call = new WorkCall(createBackend(), OBSERVER, INTAKE, { waitEnded: () => {} })
@@ -45,6 +56,14 @@
     expect(error).not.toBeInstanceOf(CallNotSentError)
   })
 
+  test.each(['EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CLOSED', 'UND_ERR_DESTROYED'])('may have run if %s ends its connection after its first byte was sent', async (code) => {
+    const cause = Object.assign(new Error('connection lost'), { code })
+    const pool = new Pool(origin, { connect: buildConnectorThatFails(cause) })
+    const error = await sendAndFail(pool)
+    expect(error).toBeInstanceOf(Error)
+    expect(isNotSent(error)).toBe(false)
+  })
+
   test('reports that it is sent before its backend server receives it', async () => {
     const order: string[] = []
     server.prependListener('connection', socket => socket.once('data', () => order.push('received')))
