Coordinators that follow one another share the retry allowance of the stage services

Cause: the class of the restarts that granted the retry budget anew. Each coordinator of the stage work used its part at once, however many followed one another within a window.

One share is spare, for a takeover; a coordinator that knows of more within a window, or has just started, uses none.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -52,7 +52,6 @@
 import { GatewayLog } from './gateway-log.js'
 import { GatewayMetrics } from './gateway-metrics.js'
 import { AccountShareMode, AdmissionMode, BackendSpeedMode, StageSharingMode } from './gateway-settings.js'
-import { countSharingGateways } from './gateway-share.js'
 import { decideHeldLimit } from './held-limit.js'
 import { BackendIntakes } from './intake/backend-intakes.js'
 import { createMetricsServer, createReadinessServer, InternalServers } from './internal-servers.js'
@@ -71,6 +70,7 @@
 import { SharedPreparer } from './stages/shared-preparer.js'
 import { FairStageSharing } from './stages/sharing/fair-stage-sharing.js'
 import { CoordinatorRole, StageCoordinators } from './stages/stage-coordinators.js'
+import { StageRetryShare } from './stages/stage-retry-share.js'
 import { StartupGate } from './startup-gate.js'
 import { SuspensionDetector } from './suspension.js'
 import { ListRefresh } from './versions/list-refresh.js'
@@ -102,6 +102,7 @@
   private readonly loadExchange: LoadExchange
   private readonly sharedLimits: SharedLimits
   private readonly retryShare: RetryShare
+  private readonly stageRetryShare: StageRetryShare
   private readonly versionHistory: VersionHistory
   private readonly versionLedger: VersionLedger
   private readonly streamVersions: StreamVersions
@@ -137,6 +138,7 @@
     this.streamVersions = this.createStreamVersions()
     this.sharedLimits = this.createSharedLimits()
     this.retryShare = new RetryShare(settings.retry['window-ms'])
+    this.stageRetryShare = new StageRetryShare(settings.retry['window-ms'])
     this.members.onListChange(gateways => this.retryShare.noteListed(gateways))
     this.accountSharing = this.createAccountSharing()
     this.loadExchange = new LoadExchange({ ...this.accountSharing.exchanges, inFlight: this.usesSpeed ? this.sharedInFlight : new NoInFlightExchange() })
@@ -330,7 +332,7 @@
 
   private createStageCoordinators(): StageCoordinators {
     const client = this.platform.stageClient(this.connections)
-    const retryBudget = new RetryBudget({ ...this.retryBudgetSettings(), ratio: 0 }, () => 1 / countSharingGateways(this.members.shards.length))
+    const retryBudget = new RetryBudget({ ...this.retryBudgetSettings(), ratio: 0 }, () => this.stageRetryShare.part)
     const coldStartLimiter = new ColdStartLimiter(this.self.name, service => this.sharedLimits.coordinatedColdRate(service))
     const isFair = this.settings.load['stage-sharing'] === StageSharingMode.Fair
     return new StageCoordinators({
@@ -490,6 +492,7 @@
   }
 
   private handleCoordinatorChange(shard: StageShard): void {
+    this.stageRetryShare.noteCoordinators(this.members.shards.map(each => this.members.coordinatorOf(each).name))
     this.stageCoordinators.applyRole(shard, this.roleIn(shard))
   }
 
