--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -9,7 +9,7 @@
 import type { RetryDecision } from './attempts/retry-rule.js'
 import type { BackendEstimate } from './load/load-estimator.js'
 import type { RoutedRequest } from './routed-request.js'
-import { countTokens } from './prompt-parts.js'
+import { countTokens, sharedParts } from './prompt-parts.js'
 
 /** An attempt that starts. */
 export interface AttemptStart {
@@ -95,6 +95,7 @@
       loadAgeMs: backend.load ? Math.round(performance.now() - backend.loadAt) : undefined,
       remainingMs: Math.round(remainingMs),
       ...describeEstimate(estimate),
+      sharedParts: sharedParts(request.head.promptParts).map(({ id }) => id).join(',') || undefined,
       promptTokens: request.head.promptParts.length > 0 ? countTokens(request.head.promptParts) : undefined,
     })
   }
