--- a/test/platform/crashing-requests.test.ts
+++ b/test/platform/crashing-requests.test.ts
@@ -122,7 +122,7 @@
   test('is no longer forwarded by any gateway soon after the third crash', async () => {
     await sendCrashing(CRASHING_MS)
     expect(pool.crashes.length).toBeGreaterThanOrEqual(MAX_CRASHES)
-    expect(pool.receivedAfterThirdCrash(CONTACT_MS, PATH).length).toBeLessThanOrEqual(MAX_LATE_REQUESTS)
+    expect(pool.receivedAfterCrash(MAX_CRASHES, CONTACT_MS, PATH).length).toBeLessThanOrEqual(MAX_LATE_REQUESTS)
   })
 
   test('is refused immediately as not run, without a request to retry', async () => {
--- a/test/platform/support/crashing-pool.ts
+++ b/test/platform/support/crashing-pool.ts
@@ -1,9 +1,9 @@
 /**
- * A pool of stand-in backend servers that crash when they execute a request with
- * a certain body. A crashed one is replaced after some time under a new id, and
+ * A pool of stand-in backend servers that crash when they execute certain
+ * requests. A crashed one is replaced after some time under a new id, and
  * its entry expires later, as on the platform.
  */
-import type { ReceivedRequest } from './stand-in-backend.js'
+import type { ReceivedRequest, RequestHandler } from './stand-in-backend.js'
 import type { StandInStore } from './stand-in-store.js'
 import { wait } from '@eidermast/common'
 import { answerCompletely, StandInBackend } from './stand-in-backend.js'
@@ -22,6 +22,12 @@
   size: number
   /** Processing time before a response or a crash. */
   workMs: number
+  /** Which requests crash the backend server that executes them. @default those with the body CRASHING_BODY */
+  isFatal?: (request: ReceivedRequest) => boolean
+  /** How other requests are answered. @default completely */
+  answer?: RequestHandler
+  /** What a backend server sends before it crashes. @default nothing */
+  beforeCrash?: RequestHandler
 }
 
 /** A crash of a backend server. */
@@ -35,7 +41,7 @@
 /** Backend servers of one service that crash and are replaced. */
 export class CrashingPool {
   readonly crashes: BackendCrash[] = []
-  /** Requests with the crashing body that backend servers received. */
+  /** Fatal requests that backend servers received. */
   readonly crashingRequests: ReceivedRequest[] = []
   private readonly running = new Set<StandInBackend>()
   private readonly replacements = new Set<Promise<void>>()
@@ -62,25 +68,27 @@
   }
 
   private async startBackend(): Promise<void> {
-    const { service, workMs } = this.options
+    const { service, workMs, isFatal = ({ body }) => body === CRASHING_BODY, answer = answerCompletely(), beforeCrash } = this.options
     const backend = new StandInBackend(`${service}-${this.started++}`, service)
     backend.respond = async (seen, response) => {
-      if (seen.body === CRASHING_BODY)
+      const crashes = isFatal(seen)
+      if (crashes)
         this.crashingRequests.push(seen)
       await wait(workMs)
-      if (seen.body === CRASHING_BODY)
-        return this.crash(backend, seen.path)
-      await answerCompletely()(seen, response)
+      if (!crashes)
+        return answer(seen, response)
+      await beforeCrash?.(seen, response)
+      this.crash(backend, seen.path)
     }
     await backend.start()
     this.running.add(backend)
     this.store.put(SERVER_TOPIC, backend.id, backend.entry())
   }
 
-  /** Returns the crashing requests with this path that were received more than `afterThirdMs` after the third crash by such a request. */
-  receivedAfterThirdCrash(afterThirdMs: number, path: string): ReceivedRequest[] {
-    const third = this.crashes.filter(crash => crash.path === path)[2]
-    return third ? this.crashingRequests.filter(request => request.path === path && request.at > third.at + afterThirdMs) : []
+  /** Returns the fatal requests with this path that were received more than `afterMs` after the crash by them with this number, counted from 1. */
+  receivedAfterCrash(number: number, afterMs: number, path: string): ReceivedRequest[] {
+    const crash = this.crashes.filter(each => each.path === path).at(number - 1)
+    return crash ? this.crashingRequests.filter(request => request.path === path && request.at > crash.at + afterMs) : []
   }
 
   private crash(backend: StandInBackend, path?: string): void {
--- a/test/soak/crashing-soak.test.ts
+++ b/test/soak/crashing-soak.test.ts
@@ -10,7 +10,9 @@
 import { SoakDeployment } from './support/soak-deployment.js'
 import { createDraw, readSeeds } from './support/soak-seeds.js'
 
-/** Time after the third crash until connected gateways know of it, and time after a disruption until a gateway counts as connected again (setting `contact-ms`). */
+/** Crashes by such a request after which all connected gateways learn that it is the cause. */
+const KNOWN_AFTER_CRASHES = 3
+/** Time after that crash until connected gateways know of it, and time after a disruption until a gateway counts as connected again (setting `contact-ms`). */
 const CONTACT_MS = 3000
 /** How often connected gateways may still send such a request to backend servers after that time. */
 const MAX_SENT_LATE = 3
@@ -84,7 +86,7 @@
   /** Describes the crashing requests that connected gateways sent too late, if there are more than allowed. */
   sentTooLate(): string[] {
     return PATHS.flatMap((path) => {
-      const late = this.deployment.plainPool!.receivedAfterThirdCrash(CONTACT_MS + TOLERANCE_MS, path).filter(seen => this.wasConnected(seen))
+      const late = this.deployment.plainPool!.receivedAfterCrash(KNOWN_AFTER_CRASHES, CONTACT_MS + TOLERANCE_MS, path).filter(seen => this.wasConnected(seen))
       return late.length > MAX_SENT_LATE ? late.map(seen => `${path} of ${seen.headers['attempt-id']} at ${Math.round(seen.at)} ms`) : []
     })
   }
