Requests are refused by what crashes of backend servers have in common

Callers lost their streams whenever an engine ended beside them, and more than thirty ended: each request that holds one part in its prompt crashes the engine that begins to answer it, and no two of them are alike.

Cause: only the fingerprint of a whole request was evidence, so that every such request was new.

A request now has a fingerprint for each shared part of its prompt as well. Among the fingerprints with enough crashes that no answer clears, the one with the most is a cause, together with those that were at just the same crashes, and explains these crashes for all others; a request is refused if it has all of a cause. The repeated request of the former rule is one case of it.

--- a/packages/gateway/src/process/crashes/crash-detector.ts
+++ b/packages/gateway/src/process/crashes/crash-detector.ts
@@ -21,7 +21,7 @@
 /** A backend server that crashed, and the requests it was running. */
 export interface BackendCrash {
   backend: Backend
-  /** Fingerprints of the requests whose calls broke. */
+  /** Fingerprints of the requests whose calls broke, and of the shared parts of their prompts. */
   fingerprints: string[]
 }
 
@@ -48,15 +48,15 @@
   constructor(private readonly deps: CrashDetectorDependencies) {}
 
   /** Records a broken call; resolves when it is known whether the backend server crashed. */
-  noteBroken(backend: Backend, fingerprint: string): Promise<void> {
+  noteBroken(backend: Backend, fingerprints: readonly string[]): Promise<void> {
     const pending = this.investigations.get(backend)
     if (pending) {
-      pending.fingerprints.add(fingerprint)
+      fingerprints.forEach(fingerprint => pending.fingerprints.add(fingerprint))
       return pending.completion
     }
-    const fingerprints = new Set([fingerprint])
-    const completion = this.investigate(backend, fingerprints)
-    this.investigations.set(backend, { fingerprints, completion })
+    const broken = new Set(fingerprints)
+    const completion = this.investigate(backend, broken)
+    this.investigations.set(backend, { fingerprints: broken, completion })
     return completion
   }
 
--- a/packages/gateway/src/process/crashes/crash-exchange.ts
+++ b/packages/gateway/src/process/crashes/crash-exchange.ts
@@ -14,8 +14,8 @@
 import { crashExchangeSchema } from '../../connection/peers/crash-exchange.js'
 import { isEmptyReport } from './crash-report.js'
 
-/** Newest reports sent to a peer that has none, about 25 KB. The store has all. */
-const MAX_REPORTS = 256
+/** Newest reports sent to a peer that has none, about 100 KB: those of two crashes of the largest engines. The store has all. */
+const MAX_REPORTS = 1024
 
 /** Reports recorded together, with their sequence number. */
 interface NumberedReports {
--- a/packages/gateway/src/process/crashes/crash-history.ts
+++ b/packages/gateway/src/process/crashes/crash-history.ts
@@ -6,18 +6,19 @@
  */
 import type { AnswerReport, CrashReport, CrashReports } from './crash-report.js'
 import type { FingerprintHistory } from './quarantine.js'
-import { countedCrashes, CRASH_RETENTION_MS } from './quarantine.js'
+import { countedCrashes, CRASH_RETENTION_MS, isClearedByAnswer } from './quarantine.js'
 
 /**
  * Each crash reports the fingerprints of all requests on the backend server (up
- * to 64 on the largest engines), so this is enough for the last 64 crashes. About
- * 0.5 KB each.
+ * to 64 on the largest engines) and of the parts of their prompts, so this is
+ * enough for the last 16 crashes if each request has three more parts of its own.
+ * About 0.5 KB each.
  */
 const MAX_FINGERPRINTS = 4096
 /** Lower than the limit, so that eviction handles many fingerprints at once. */
 const FINGERPRINTS_AFTER_EVICTION = MAX_FINGERPRINTS * 7 / 8
-/** The newest crashes are kept; more than a quarantine needs. */
-const MAX_CRASHES_PER_FINGERPRINT = 8
+/** The newest crashes are kept. More than a quarantine needs, because causes are told apart by their crashes. */
+const MAX_CRASHES_PER_FINGERPRINT = 32
 /** Interval of the checks for expired entries; a fraction of the retention time. */
 const EXPIRY_INTERVAL_MS = 10_000
 
@@ -56,6 +57,11 @@
     return [...this.entries.keys()]
   }
 
+  /** The fingerprints with at least this many crashes, whether they count or not. */
+  fingerprintsWithCrashes(minCrashes: number): string[] {
+    return [...this.entries].filter(([, { crashes }]) => crashes.size >= minCrashes).map(([fingerprint]) => fingerprint)
+  }
+
   /** The whole history as reports. */
   get all(): CrashReports {
     const entries = [...this.entries]
@@ -65,11 +71,11 @@
     }
   }
 
-  /** Selects the reports that are neither known nor expired. */
+  /** Selects the reports that are neither known nor expired, without answers that change nothing: parts of prompts are answered all the time, at all gateways. */
   selectNew({ crashes, answers }: CrashReports): CrashReports {
     return {
       crashes: crashes.filter(crash => this.isNew(crash)),
-      answers: answers.filter(({ fingerprint, at }) => !this.isExpired(at) && at > (this.entries.get(fingerprint)?.answeredAt ?? 0)),
+      answers: answers.filter(answer => !this.isExpired(answer.at) && this.isNewAnswer(answer)),
     }
   }
 
@@ -84,6 +90,15 @@
       this.evictLowestRanked()
   }
 
+  private isNewAnswer({ fingerprint, at }: AnswerReport): boolean {
+    const known = this.entries.get(fingerprint)
+    if (!known)
+      return true
+    const crashes = [...known.crashes.values()]
+    const hasOpenCrash = crashes.length === 0 || crashes.some(crash => !isClearedByAnswer(crash, known.answeredAt))
+    return at > (known.answeredAt ?? 0) && hasOpenCrash
+  }
+
   private isNew(crash: CrashReport): boolean {
     if (this.isExpired(crash.at))
       return false
--- a/packages/gateway/src/process/crashes/crash-log.ts
+++ b/packages/gateway/src/process/crashes/crash-log.ts
@@ -3,6 +3,7 @@
  * as shown to clients and on-call engineers.
  */
 import type { EventLog } from '@eidermast/common'
+import type { CrashCause } from './crash-cause.js'
 import type { CrashReport } from './crash-report.js'
 import { formatError } from '@eidermast/common'
 
@@ -14,12 +15,19 @@
 export class CrashLog {
   constructor(private readonly log: EventLog) {}
 
-  /** Logs the start of a quarantine with its reason, or its end if `refusal` is undefined. */
-  quarantineChanged(fingerprint: string, refusal: string | undefined): void {
-    if (refusal === undefined)
-      this.log.write('quarantine-ended', { fingerprint })
-    else
-      this.log.write('quarantine', { fingerprint, reason: refusal })
+  /** Requests with all these fingerprints are refused from now on. */
+  quarantineBegun(fingerprints: readonly string[], reason: string): void {
+    this.log.write('quarantine', { fingerprint: fingerprints.join(','), reason })
+  }
+
+  /** Requests with these fingerprints are no longer refused, or by another cause. */
+  quarantineEnded(fingerprints: readonly string[]): void {
+    this.log.write('quarantine-ended', { fingerprint: fingerprints.join(',') })
+  }
+
+  /** A request that would be refused is let through, to find out whether it still crashes backend servers. */
+  trialStarted(fingerprint: string, { fingerprints, crashes }: CrashCause): void {
+    this.log.write('quarantine-trial', { fingerprint, cause: fingerprints.join(','), crashes: crashes.length })
   }
 
   /** The ledger had lost reports known to this gateway, which writes them again. */
--- a/packages/gateway/src/process/crashes/crash-tracker.ts
+++ b/packages/gateway/src/process/crashes/crash-tracker.ts
@@ -1,6 +1,7 @@
 /**
  * Tracks which requests crash backend servers, across all gateways. A request may
- * be retried at any gateway, and each crash may be seen by a different one. Every
+ * be retried at any gateway, or another one with the same prompt part arrive
+ * there, and each crash may be seen by a different one. Every
  * gateway therefore reports the crashes that it sees to the platform's ledger,
  * where the others read them and where they survive the loss of all gateways.
  * Heartbeats carry the reports as well, for when the store does not answer.
@@ -12,15 +13,19 @@
 import type { Backend } from '../../connection/backends/backend.js'
 import type { CrashMonitor } from '../../request/crash-monitor.js'
 import type { CrashLedger, CrashSink } from '../platform-adapter.js'
+import type { CrashCause } from './crash-cause.js'
 import type { BackendCrash } from './crash-detector.js'
 import type { AnswerReport, CrashReport, CrashReports } from './crash-report.js'
+import type { FingerprintHistory } from './quarantine.js'
 import { wait } from '@eidermast/common'
 import { announceBackoffMs } from '../store-backoff.js'
+import { findCauses, isCause } from './crash-cause.js'
 import { CrashExchange } from './crash-exchange.js'
 import { CrashHistory } from './crash-history.js'
 import { CrashLog } from './crash-log.js'
 import { isEmptyReport, NO_REPORTS } from './crash-report.js'
-import { countedCrashes, isClearedByAnswer, isQuarantined } from './quarantine.js'
+import { QuarantineTrials } from './quarantine-trials.js'
+import { areEnough, countedCrashes, isClearedByAnswer, MIN_QUARANTINE_CRASHES } from './quarantine.js'
 import { RecentAnswers } from './recent-answers.js'
 
 /**
@@ -32,6 +37,16 @@
 /** Crash reports in this gateway's record, about 100 bytes each. The store accepts records of up to 256 KB. */
 const MAX_OWN_CRASH_REPORTS = 512
 
+/** Crashes from which on answers are reported; one less than the number that leads to quarantine. */
+const REPORTED_CRASH_COUNT = MIN_QUARANTINE_CRASHES - 1
+/**
+ * Maximum delay of the report of an answer. Many gateways have answered requests
+ * with a popular prompt part; after the first report the others change nothing.
+ */
+const ANSWER_REPORT_SPREAD_MS = 300
+/** Interval in which causes expire. */
+const CAUSE_EXPIRY_INTERVAL_MS = 10_000
+
 /** What the tracker works with. */
 export interface CrashTrackerDependencies {
   /** Name of this gateway. */
@@ -46,6 +61,8 @@
    * otherwise stay lost.
    */
   restoresOthers: () => boolean
+  /** Whether this gateway lets single requests through that would be refused. */
+  startsTrials: () => boolean
   /** Current time in epoch milliseconds. @default Date.now */
   now?: () => number
 }
@@ -58,6 +75,10 @@
   readonly crashExchange: CrashExchange
   private readonly log: CrashLog
   private readonly now: () => number
+  private readonly trials: QuarantineTrials
+  /** The causes for which requests are refused. */
+  private causes: readonly CrashCause[] = []
+  private causesUpdatedAt = 0
   /** This gateway's record in the ledger. */
   private ownReports: CrashReports = NO_REPORTS
   /** Whether the ledger has been read, so that writing does not discard the predecessor's reports. */
@@ -70,36 +91,42 @@
     this.now = deps.now ?? Date.now
     this.history = new CrashHistory(this.now)
     this.log = new CrashLog(deps.log)
+    this.trials = new QuarantineTrials(deps.startsTrials, (fingerprint, cause) => this.log.trialStarted(fingerprint, cause))
     this.crashExchange = new CrashExchange(reports => void this.mergeReports(reports), this.now())
   }
 
-  /** Number of fingerprints whose requests are refused. */
+  /** Number of causes for which requests are refused. */
   get quarantined(): number {
-    return this.history.fingerprints.filter(fingerprint => this.isRefused(fingerprint)).length
+    this.expireCauses()
+    return this.causes.length
   }
 
-  noteBroken(backend: Backend, fingerprint: string): Promise<void> {
-    return this.deps.detector.noteBroken(backend, fingerprint)
+  noteBroken(backend: Backend, fingerprints: readonly string[]): Promise<void> {
+    return this.deps.detector.noteBroken(backend, fingerprints)
   }
 
-  noteAnswered(fingerprint: string): void {
+  noteAnswered(fingerprints: readonly string[]): void {
     const at = this.now()
-    this.answers.note(fingerprint, at)
+    const suspected = fingerprints.filter(fingerprint => this.crashCount(fingerprint) >= REPORTED_CRASH_COUNT)
+    fingerprints.forEach(fingerprint => this.answers.note(fingerprint, at))
     // One answer clears all earlier crashes; further answers need no report.
-    if (this.history.has(fingerprint) && countedCrashes(this.history.historyOf(fingerprint), at).length > 0)
-      this.recordReports({ crashes: [], answers: [{ fingerprint, at }] })
+    if (suspected.length === 0)
+      return
+    this.updateCauses()
+    this.reportAnswers(suspected.map(fingerprint => ({ fingerprint, at })))
   }
 
   crashCount(fingerprint: string): number {
-    return this.history.has(fingerprint) ? countedCrashes(this.history.historyOf(fingerprint), this.now()).length : 0
+    return this.history.has(fingerprint) ? this.countedCrashesOf(fingerprint).length : 0
   }
 
-  refusal(fingerprint: string): string | undefined {
-    if (!this.history.has(fingerprint))
-      return undefined
+  refusal(fingerprints: readonly string[]): string | undefined {
+    this.expireCauses()
+    const cause = this.causes.find(each => isCause(each, fingerprints))
     const now = this.now()
-    const history = this.history.historyOf(fingerprint)
-    return isQuarantined(history, now) ? this.log.describe(countedCrashes(history, now), now) : undefined
+    if (!cause || this.trials.allows(fingerprints[0], cause, now))
+      return undefined
+    return this.log.describe(cause.crashes, now)
   }
 
   /** Records a crash of a backend server with requests in flight. */
@@ -150,23 +177,15 @@
     this.hasUnwrittenChanges = true
   }
 
-  /**
-   * Merges reports into the history, and logs the quarantine changes that follow.
-   * Returns the reports that were new.
-   */
+  /** Merges reports into the history, and updates the causes. Returns the reports that were new. */
   private mergeReports(reports: CrashReports): CrashReports {
     const added = this.history.selectNew(reports)
     if (isEmptyReport(added))
       return added
-    const fingerprints = new Set([...added.crashes, ...added.answers].map(({ fingerprint }) => fingerprint))
-    const previouslyRefused = new Set([...fingerprints].filter(fingerprint => this.isRefused(fingerprint)))
     this.history.merge(added)
     this.crashExchange.note(added)
     this.reportRecentAnswers(added.crashes)
-    for (const fingerprint of fingerprints) {
-      if (this.isRefused(fingerprint) !== previouslyRefused.has(fingerprint))
-        this.log.quarantineChanged(fingerprint, this.refusal(fingerprint))
-    }
+    this.updateCauses()
     return added
   }
 
@@ -177,15 +196,45 @@
   private reportRecentAnswers(crashes: readonly CrashReport[]): void {
     const answers = crashes.flatMap((crash): AnswerReport[] => {
       const answeredAt = this.answers.at(crash.fingerprint)
-      const isCleared = answeredAt !== undefined && isClearedByAnswer(crash, answeredAt)
-      return isCleared ? [{ fingerprint: crash.fingerprint, at: answeredAt }] : []
+      const isNeeded = this.history.historyOf(crash.fingerprint).crashes.length >= REPORTED_CRASH_COUNT
+      return answeredAt !== undefined && isNeeded && isClearedByAnswer(crash, answeredAt) ? [{ fingerprint: crash.fingerprint, at: answeredAt }] : []
     })
+    this.reportAnswers(answers)
+  }
+
+  /** Reports answers after a delay, except those that have become known from others. They count here at once. */
+  private reportAnswers(answers: readonly AnswerReport[]): void {
     if (answers.length > 0)
-      this.recordReports({ crashes: [], answers })
+      setTimeout(() => this.recordReports({ crashes: [], answers }), Math.random() * ANSWER_REPORT_SPREAD_MS).unref()
+  }
+
+  /** The history of a fingerprint, with the answers of this gateway that are not reported. */
+  private historyOf(fingerprint: string): FingerprintHistory {
+    const { crashes, answeredAt = 0 } = this.history.historyOf(fingerprint)
+    return { crashes, answeredAt: Math.max(answeredAt, this.answers.at(fingerprint) ?? 0) }
+  }
+
+  private countedCrashesOf(fingerprint: string): CrashReport[] {
+    return countedCrashes(this.historyOf(fingerprint), this.now())
   }
 
-  private isRefused(fingerprint: string): boolean {
-    return isQuarantined(this.history.historyOf(fingerprint), this.now())
+  private expireCauses(): void {
+    if (this.causes.length > 0 && this.now() - this.causesUpdatedAt >= CAUSE_EXPIRY_INTERVAL_MS)
+      this.updateCauses()
+  }
+
+  /** Finds the causes anew, and logs those that have begun or ended. */
+  private updateCauses(): void {
+    this.causesUpdatedAt = this.now()
+    const candidates = this.history.fingerprintsWithCrashes(MIN_QUARANTINE_CRASHES)
+      .map(fingerprint => ({ fingerprint, crashes: this.countedCrashesOf(fingerprint) }))
+      .filter(({ crashes }) => areEnough(crashes))
+    const previous = this.causes
+    this.causes = findCauses(candidates)
+    for (const { fingerprints } of previous.filter(cause => !hasSame(this.causes, cause)))
+      this.log.quarantineEnded(fingerprints)
+    for (const { fingerprints, crashes } of this.causes.filter(cause => !hasSame(previous, cause)))
+      this.log.quarantineBegun(fingerprints, this.log.describe(crashes, this.now()))
   }
 
   /** Adds reports to this gateway's record, except those that the history has evicted. */
@@ -236,6 +285,10 @@
   }
 }
 
+function hasSame(causes: readonly CrashCause[], { fingerprints }: CrashCause): boolean {
+  return causes.some(cause => cause.fingerprints.join() === fingerprints.join())
+}
+
 /** Returns a key that identifies a report. */
 function reportKey(report: CrashReport | AnswerReport): string {
   return 'backend' in report ? `${report.fingerprint} ${report.backend}` : `${report.fingerprint} ${report.at}`
--- a/packages/gateway/src/process/crashes/recent-answers.ts
+++ b/packages/gateway/src/process/crashes/recent-answers.ts
@@ -5,8 +5,8 @@
  * the newest answers, in memory.
  */
 
-/** About 100 bytes each; 40 s of requests at a busy gateway (100 a second). */
-const MAX_ANSWERS = 4096
+/** About 100 bytes each; 80 s of requests at a busy gateway (100 a second), and those of their prompt parts. */
+const MAX_ANSWERS = 12_288
 
 /** Records when requests were answered. */
 export class RecentAnswers {
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -260,7 +260,7 @@
     this.addGauge('eidermast_gateway_evacuated_calls', 'Calls under way at backend servers of evacuated failure domains', () => registry.callsInEvacuated)
     this.addGauge('eidermast_gateway_slow_backends', 'Backend servers that take more than twice as long as their service, as far as measured', () => sources.slowBackends)
     this.addGauge('eidermast_gateway_members', 'Gateways known, this one included', () => members.count)
-    this.addGauge('eidermast_gateway_quarantined', 'Requests, by fingerprint, that are refused since they end backend servers', () => crashTracker.quarantined)
+    this.addGauge('eidermast_gateway_quarantined', 'Causes for which requests are refused since they end backend servers: fingerprints of requests or of prompt parts', () => crashTracker.quarantined)
     this.addGauge('eidermast_gateway_owns_stages', 'Shards of the stage work that this gateway coordinates', () => members.coordinatedShardCount)
     this.addGauge('eidermast_gateway_held_bytes_limit', 'Bytes that the process may hold for others; 0 without a limit', () => Number.isFinite(held.limitBytes) ? held.limitBytes : 0)
     this.addHeldBytes(held)
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -235,7 +235,7 @@
         this.crashTracker.noteCrash(crash)
       },
     })
-    return new CrashTracker({ name, ledger: platform.crashLedger, log, detector, restoresOthers: () => !this.members.receivesPeerUpdates })
+    return new CrashTracker({ name, ledger: platform.crashLedger, log, detector, restoresOthers: () => !this.members.receivesPeerUpdates, startsTrials: () => this.members.isCoordinator })
   }
 
   private createVersionLedger(): VersionLedger {
--- a/packages/gateway/src/process/stages/pool/crash-isolation.ts
+++ b/packages/gateway/src/process/stages/pool/crash-isolation.ts
@@ -3,8 +3,8 @@
  * requests, and whether they are sent at all.
  *
  * Inputs: crashes of backend servers attributed to requests with the same
- * fingerprint, and whether such requests are quarantined
- * (`process/crashes/quarantine.ts`), current.
+ * fingerprint, and whether such requests, or those with the same prompt parts, are
+ * quarantined (`process/crashes/crash-cause.ts`), current.
  * Rule: after ISOLATION_CRASH_COUNT crashes the items get a call of their own;
  * items of a quarantined request are not sent.
  * Why: an item that crashes its backend server takes the whole call with it. The
@@ -26,6 +26,6 @@
 }
 
 /** Whether the items of a task must not be sent. */
-export function isQuarantined({ fingerprint }: StageTask, crashes: StageCrashMonitor): boolean {
-  return fingerprint !== undefined && crashes.refusal(fingerprint) !== undefined
+export function isQuarantined({ fingerprint, partFingerprints }: StageTask, crashes: StageCrashMonitor): boolean {
+  return fingerprint !== undefined && crashes.refusal([fingerprint, ...partFingerprints]) !== undefined
 }
--- a/packages/gateway/src/process/stages/pool/stage-calls.ts
+++ b/packages/gateway/src/process/stages/pool/stage-calls.ts
@@ -115,8 +115,7 @@
   /** Resolves when it is known whether the backend server crashed, or after MAX_CRASH_CHECK_MS. */
   private async noteBroken({ backend }: StageBackend, items: readonly PoolItem[]): Promise<void> {
     const fingerprints = [...new Set(items.flatMap(item => item.task.stageTask.fingerprint ?? []))]
-    const crashChecks = fingerprints.map(fingerprint => this.dependencies.crashes.noteBroken(backend, fingerprint))
-    await Promise.race([Promise.all(crashChecks), wait(MAX_CRASH_CHECK_MS)])
+    await Promise.race([this.dependencies.crashes.noteBroken(backend, fingerprints), wait(MAX_CRASH_CHECK_MS)])
   }
 
   /** Queues items for another call, or fails their tasks. */
--- a/packages/gateway/src/request/attempts/backend-attempt.ts
+++ b/packages/gateway/src/request/attempts/backend-attempt.ts
@@ -28,6 +28,8 @@
   failure?: CallFailure
   /** Whether the response head says where the body ends; an unframed response may have been truncated by the exit of its backend server. @default false */
   framed?: boolean
+  /** Whether the response has a success status. @default false */
+  succeeded?: boolean
   /** A complete server error response, sent to the client if no later attempt succeeds. */
   fallback?: BufferedResponse
   /** Milliseconds for which the response waited for room in this process. @default 0 */
@@ -70,7 +72,7 @@
       if (head.isErr())
         return { end: endOfFailure(head.error), failure: head.error }
       const result = await this.handleResponse(head.value)
-      return { ...(clientSignal.aborted ? abandon(result) : result), framed: head.value.framed }
+      return { ...(clientSignal.aborted ? abandon(result) : result), framed: head.value.framed, succeeded: head.value.status < SUCCESS_STATUS_END }
     }
     finally {
       this.dependencies.backend.outstanding--
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -36,6 +36,11 @@
 import { AttemptEnd, decideAfterAttempt, decideBeforeAttempt, isFreeToRetry, isUnsent, mayAwaitBackend, mayRunAfterNext, needsBudget, RetryDecision } from './retry-rule.js'
 import { recordSpeed } from './speed-sample.js'
 
+/** Crashes from which on a request is suspected; one less than the number that leads to quarantine. */
+const SUSPECT_CRASH_COUNT = 2
+/** Longest wait for the check of a backend server; one that does not answer takes longer. */
+const MAX_CRASH_CHECK_MS = 200
+
 /** The known backend servers; implemented by the process's registry. */
 export interface KnownBackends {
   /** Backend servers of a service that accept new work. */
@@ -88,6 +93,8 @@
   private readonly history: AttemptHistory = { attempts: 0, runs: 0, reachedBackend: false }
   /** The retry that is about to be made; undefined if the next attempt needs none. */
   private retry: RetryReservation | undefined
+  /** Settles when it is known whether the backend server of the last attempt crashed; undefined if its call did not break. */
+  private crashCheck: Promise<void> | undefined
   private handles: readonly string[] | undefined
   private inputsRead = false
   private lastEventId: string | undefined
@@ -202,7 +209,8 @@
    * seconds, so the server is selected again afterwards.
    */
   private async prepareAttempt(): Promise<Result<Backend, RetryDecision>> {
-    if (this.dependencies.crashes.refusal(this.subject.request.fingerprint) !== undefined)
+    await this.awaitCrashCheck()
+    if (this.dependencies.crashes.refusal(this.subject.request.fingerprints) !== undefined)
       return Err(RetryDecision.Quarantined)
     const candidate = this.selectForAttempt()
     if (candidate.isErr())
@@ -214,6 +222,15 @@
     return await this.recreateInputs() ? this.selectForAttempt() : Err(RetryDecision.InputsGone)
   }
 
+  /** A request that may be the cause of crashes is not sent on before it is known whether its last backend server crashed. */
+  private async awaitCrashCheck(): Promise<void> {
+    const { crashes } = this.dependencies
+    const isSuspect = this.crashCheck !== undefined && this.subject.request.fingerprints.some(fingerprint => crashes.crashCount(fingerprint) >= SUSPECT_CRASH_COUNT)
+    if (isSuspect)
+      await Promise.race([this.crashCheck, wait(MAX_CRASH_CHECK_MS)])
+    this.crashCheck = undefined
+  }
+
   /** Reserves a retry if the next attempt needs one; returns false if the budget is used up. */
   private reserveRetry(): boolean {
     if (this.retry || !needsBudget(this.history))
@@ -366,13 +383,17 @@
       this.dependencies.registry.removeBackend(backend, 'address is now used by another backend server')
   }
 
-  /** An unframed response looks complete even if a crash of its backend server truncated it, so it does not count as answered. */
-  private reportToCrashMonitor(backend: Backend, { failure, framed }: AttemptResult): void {
-    const { fingerprint } = this.subject.request
+  /**
+   * An unframed response looks complete even if a crash of its backend server
+   * truncated it, so it does not count as answered. A response without success may
+   * have been made without reading the prompt, so it says nothing about its parts.
+   */
+  private reportToCrashMonitor(backend: Backend, { failure, framed, succeeded }: AttemptResult): void {
+    const { fingerprint, fingerprints } = this.subject.request
     if (!failure && framed)
-      this.dependencies.crashes.noteAnswered(fingerprint)
+      this.dependencies.crashes.noteAnswered(succeeded ? fingerprints : [fingerprint])
     else if (!failure || failure.kind === CallFailureKind.Broken)
-      void this.dependencies.crashes.noteBroken(backend, fingerprint)
+      this.crashCheck = this.dependencies.crashes.noteBroken(backend, fingerprints)
   }
 
   private recordFailure(backend: Backend, { end, failure, fallback }: AttemptResult): void {
@@ -415,7 +436,7 @@
       origin: request.origin,
       cancelled: signal.aborted,
       runs: this.history.runs,
-      refusal: this.dependencies.crashes.refusal(request.fingerprint),
+      refusal: this.dependencies.crashes.refusal(request.fingerprints),
       lastFailure: this.lastFailure,
       waitMs: this.waitMs,
     })
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -94,8 +94,8 @@
   }
 
   /** Returns the error for a request that must not be sent to any backend server; undefined for others. */
-  private refuse({ fingerprint }: RoutedRequest): RequestError | undefined {
-    const refusal = this.dependencies.crashes.refusal(fingerprint)
+  private refuse({ fingerprints }: RoutedRequest): RequestError | undefined {
+    const refusal = this.dependencies.crashes.refusal(fingerprints)
     return refusal === undefined ? undefined : createError(ErrorKind.Quarantined, refusal)
   }
 
--- a/packages/gateway/src/request/request-router.ts
+++ b/packages/gateway/src/request/request-router.ts
@@ -29,7 +29,7 @@
 import { beginningRequestId } from './continuation/stream-key.js'
 import { decideDeadlines } from './deadlines.js'
 import { HASH_RANGE, hashText } from './rendezvous.js'
-import { fingerprintOf } from './request-fingerprint.js'
+import { fingerprintOf, partFingerprintsOf } from './request-fingerprint.js'
 import { DeadlineReturnDetector } from './returns/return-detector.js'
 
 /** Routes requests by the configuration in effect. */
@@ -78,6 +78,7 @@
       service,
       priority: table.priorityOf(route, account),
       fingerprint,
+      fingerprints: [fingerprint, ...partFingerprintsOf(service, request.head.promptParts)],
       isRetry,
       arrivalKind: detector.classify({ fingerprint, isRetry, arrivedAt: request.arrivedAt }),
     })
--- a/packages/gateway/src/request/routed-request.ts
+++ b/packages/gateway/src/request/routed-request.ts
@@ -22,6 +22,8 @@
   firstEventBy: number
   /** Identical for every attempt of the client (`request-fingerprint.ts`). */
   fingerprint: string
+  /** The fingerprint, followed by those of the shared parts of its prompt. */
+  fingerprints: readonly string[]
   /** The client retries this request after a rejection. */
   isRetry: boolean
   /** How it relates to earlier attempts of its client (`returns/return-detector.ts`). */
--- a/packages/gateway/src/request/stages/request-stages.ts
+++ b/packages/gateway/src/request/stages/request-stages.ts
@@ -13,6 +13,7 @@
 import type { StageResult, StageTask, StageTaskQueueLookup } from './stage-task.js'
 import { Err, Ok } from 'ts-results-es'
 import { PreparationFailureKind } from '../../connection/peers/preparation.js'
+import { partFingerprintsOf } from '../request-fingerprint.js'
 import { decideStageDelay } from './stage-delay.js'
 import { decideStageFailure, StageFailureDecision } from './stage-failure.js'
 import { StageGraph } from './stage-graph.js'
@@ -52,6 +53,7 @@
   private readonly deadlineAt: number
 
   private readonly request: PreparationRequest
+  private readonly partFingerprints: readonly string[]
   readonly rank: number
   private readonly answerMs: number
 
@@ -62,6 +64,7 @@
   ) {
     const { request } = work
     this.request = request
+    this.partFingerprints = request.service === undefined ? [] : partFingerprintsOf(request.service, request.prompt ?? [])
     this.rank = work.rank
     this.answerMs = work.answerMs
     this.graph = new StageGraph(request.stages)
@@ -160,6 +163,7 @@
     return {
       requestId: request.requestId,
       fingerprint: request.fingerprint,
+      partFingerprints: this.partFingerprints,
       stage,
       service,
       items,
--- a/packages/gateway/src/request/stages/stage-task.ts
+++ b/packages/gateway/src/request/stages/stage-task.ts
@@ -47,6 +47,8 @@
   requestId: string
   /** Fingerprint of the request; undefined if its gateway does not report one. */
   fingerprint: string | undefined
+  /** Fingerprints of the shared parts of its prompt. */
+  partFingerprints: readonly string[]
   stage: number
   service: string
   items: number
--- a/test/gateway/attempts-under-load.test.ts
+++ b/test/gateway/attempts-under-load.test.ts
@@ -86,7 +86,7 @@
   const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, estimator: new FixedEstimator(waitMs), waitsUnderLoad, plainPolicy: policy, enginePolicy: policy, budget: new RetryBudget({ ratio: 0, extra: budget, windowMs: 10_000 }, () => 1), coldStartLimiter: UNLIMITED_COLD_STARTS, intake, crashes: NO_CRASHES, log, isEngine: () => false, streams: NO_STREAMS })
   const route = createRoute({ targetLatencyMs: TARGET_MS, maxAttempts: 2, streaming, resumable: streaming })
   const head = { requestId: 'id', host: route.host, promptParts: [], stageItems: [], headers: [] }
-  const request = { method: 'POST', path: '/a/', head, route, service: SERVICE, priority: 0, deadlineAt: startedAt + DEADLINE_MS, firstEventBy: startedAt + DEADLINE_MS, isRetry: false } as unknown as RoutedRequest
+  const request = { method: 'POST', path: '/a/', head, route, service: SERVICE, priority: 0, deadlineAt: startedAt + DEADLINE_MS, firstEventBy: startedAt + DEADLINE_MS, isRetry: false, fingerprints: [] } as unknown as RoutedRequest
   const running = runner.run({ request, inputs: NO_INPUTS, clientResponse: CLIENT_RESPONSE, signal: new AbortController().signal, awaitRoom })
   await vi.advanceTimersByTimeAsync(DEADLINE_MS)
   return { ...await running, called: client.called, ejection, lines }
--- a/test/gateway/backend-run.test.ts
+++ b/test/gateway/backend-run.test.ts
@@ -17,7 +17,7 @@
   const route = createRoute({ services: [{ service: SERVICE, weight: 1 }] })
   const head = { requestId: 'id-1', host: route.host, key: undefined, deadlineMs: undefined, promptParts: [], stageItems: [1], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
   const now = performance.now()
-  return { method: 'POST', path: '/a/', body: undefined, head, route, account: undefined, service: SERVICE, priority: 0, deadlineAt: now + 5000, firstEventBy: now + 5000, isRetry: false } as unknown as RoutedRequest
+  return { method: 'POST', path: '/a/', body: undefined, head, route, account: undefined, service: SERVICE, priority: 0, deadlineAt: now + 5000, firstEventBy: now + 5000, isRetry: false, fingerprints: [] } as unknown as RoutedRequest
 }
 
 /** Its first call fails because an input is lost; all others succeed. */
--- a/test/gateway/crash-detector.test.ts
+++ b/test/gateway/crash-detector.test.ts
@@ -26,7 +26,7 @@
     const { detector, checkPresence, lines } = createDetector(Presence.Gone)
     const backend = createBackend({ id: 'plain-a' })
     for (const fingerprint of ['first', 'second', 'first'])
-      void detector.noteBroken(backend, fingerprint)
+      void detector.noteBroken(backend, [fingerprint])
     await vi.advanceTimersByTimeAsync(CHECKED_MS)
     expect(checkPresence).toHaveBeenCalledTimes(1)
     expect(lines).toMatchObject([{ event: 'backend-checked', backend: 'plain-a', presence: 'gone', fingerprints: 'first,second' }])
@@ -35,9 +35,9 @@
   test('cause another presence check later', async () => {
     const { detector, checkPresence } = createDetector(Presence.Present)
     const backend = createBackend({ id: 'plain-a' })
-    void detector.noteBroken(backend, 'first')
+    void detector.noteBroken(backend, ['first'])
     await vi.advanceTimersByTimeAsync(CHECKED_MS)
-    void detector.noteBroken(backend, 'first')
+    void detector.noteBroken(backend, ['first'])
     await vi.advanceTimersByTimeAsync(CHECKED_MS)
     expect(checkPresence).toHaveBeenCalledTimes(2)
   })
@@ -47,7 +47,7 @@
     ['three attempts at most', [Presence.Unknown], 'unknown'],
   ])('cause further presence checks if the VM does not answer, %s', async (_until, answers, presence) => {
     const { detector, lines } = createDetector(...answers)
-    void detector.noteBroken(createBackend({ id: 'plain-a' }), 'first')
+    void detector.noteBroken(createBackend({ id: 'plain-a' }), ['first'])
     await vi.advanceTimersByTimeAsync(CHECKED_MS)
     expect(lines).toMatchObject([{ presence }])
   })
--- a/test/gateway/crash-tracker.test.ts
+++ b/test/gateway/crash-tracker.test.ts
@@ -37,7 +37,7 @@
 
 function createTracker(name: string, { follows = true, restoresOthers = false } = {}) {
   const { log, lines } = createLog()
-  const tracker = new CrashTracker({ name, ledger, log, detector: { noteBroken: async () => {} }, restoresOthers: () => restoresOthers })
+  const tracker = new CrashTracker({ name, ledger, log, detector: { noteBroken: async () => {} }, restoresOthers: () => restoresOthers, startsTrials: () => restoresOthers })
   if (follows)
     ledger.follow(tracker)
   return { tracker, lines }
@@ -60,8 +60,8 @@
     trackers.forEach((tracker, index) => crash(tracker, `plain-${index}`, 'cause', `unrelated-${index}`))
     await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
     for (const tracker of trackers) {
-      expect(tracker.refusal('cause')).toContain('ended 3 backend servers')
-      expect(tracker.refusal('unrelated-0')).toBeUndefined()
+      expect(tracker.refusal(['cause'])).toContain('ended 3 backend servers')
+      expect(tracker.refusal(['unrelated-0'])).toBeUndefined()
       expect(tracker.quarantined).toBe(1)
     }
   })
@@ -73,7 +73,7 @@
     await vi.advanceTimersByTimeAsync(2000)
     crash(tracker, 'plain-1', 'cause')
     crash(tracker, 'plain-2', 'cause')
-    expect(tracker.refusal('cause')).toContain('plain-0 2.0 s ago, seen by b')
+    expect(tracker.refusal(['cause'])).toContain('plain-0 2.0 s ago, seen by b')
     expect(lines.filter(({ event }) => event === 'quarantine')).toMatchObject([{ fingerprint: 'cause' }])
   })
 
@@ -81,7 +81,7 @@
     const { tracker } = createTracker('a')
     for (const born of [1, 2, 3])
       tracker.noteCrash({ backend: createBackend({ id: 'plain-a', born }), fingerprints: ['cause'] })
-    expect(tracker.refusal('cause')).toBeDefined()
+    expect(tracker.refusal(['cause'])).toBeDefined()
   })
 })
 
@@ -89,12 +89,12 @@
   test('are not refused if backend servers crash together, because others were answered at another gateway', async () => {
     const answering = createTracker('a').tracker
     const tracker = createTracker('b').tracker
-    answering.noteAnswered('shared')
+    answering.noteAnswered(['shared'])
     for (const backend of ['plain-0', 'plain-1', 'plain-2'])
       crash(tracker, backend, 'shared')
     await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
-    expect(tracker.refusal('shared')).toBeUndefined()
-    expect(answering.refusal('shared')).toBeUndefined()
+    expect(tracker.refusal(['shared'])).toBeUndefined()
+    expect(answering.refusal(['shared'])).toBeUndefined()
   })
 
   test('are accepted again by all gateways once one in flight is answered', async () => {
@@ -102,23 +102,64 @@
     for (const backend of ['plain-0', 'plain-1', 'plain-2'])
       crash(trackers[0], backend, 'shared')
     await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
-    expect(trackers[1].refusal('shared')).toBeDefined()
-    trackers[1].noteAnswered('shared')
+    expect(trackers[1].refusal(['shared'])).toBeDefined()
+    trackers[1].noteAnswered(['shared'])
     await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
-    expect(trackers.map(tracker => tracker.refusal('shared'))).toEqual([undefined, undefined])
+    expect(trackers.map(tracker => tracker.refusal(['shared']))).toEqual([undefined, undefined])
   })
 
   test('cause one write, regardless of the number of answers', async () => {
     const { tracker } = createTracker('a')
     crash(tracker, 'plain-0', 'shared')
     for (let number = 0; number < 100; number++) {
-      tracker.noteAnswered('shared')
+      tracker.noteAnswered(['shared'])
       await vi.advanceTimersByTimeAsync(100)
     }
     expect(ledger.writes).toBeLessThanOrEqual(2)
   })
 })
 
+describe('requests that share a part of their prompts', () => {
+  const CRASH_INTERVAL_MS = 500
+
+  /** Lets backend servers crash one after the other, each seen by one of the trackers. */
+  async function crashRepeatedly(trackers: readonly CrashTracker[], fingerprintsOf: (number: number) => string[]): Promise<void> {
+    for (let number = 0; number < 4; number++) {
+      crash(trackers[number % trackers.length], `engine-${number}`, ...fingerprintsOf(number))
+      await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    }
+    await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
+  }
+
+  test('are refused by all gateways if it is what crashes have in common, and others with the same account part are not', async () => {
+    const trackers = ['a', 'b', 'c'].map(name => createTracker(name).tracker)
+    await crashRepeatedly(trackers, number => [`whole-${number}`, 'part-account', 'part-cause', `whole-beside-${number}`, `part-beside-${number % 2}`])
+    for (const tracker of trackers) {
+      expect(tracker.refusal(['new', 'part-account', 'part-cause'])).toContain('ended 4 backend servers')
+      expect(tracker.refusal(['new', 'part-account', 'part-beside-0'])).toBeUndefined()
+    }
+  })
+
+  test('are not refused because of the part that all share, if one of them was answered at any gateway', async () => {
+    const trackers = ['a', 'b'].map(name => createTracker(name).tracker)
+    trackers[1].noteAnswered(['sound', 'part-account', 'part-beside'])
+    await crashRepeatedly(trackers, number => [`whole-${number}`, 'part-account', 'part-cause'])
+    for (const tracker of trackers)
+      expect(tracker.refusal(['new', 'part-account', 'part-other'])).toBeUndefined()
+  })
+
+  test('cause one report of an answer, regardless of how many gateways have answered them', async () => {
+    const trackers = Array.from({ length: 20 }, (_, index) => createTracker(`gateway-${index}`).tracker)
+    await crashRepeatedly(trackers.slice(0, 1), number => [`whole-${number}`, 'part-shared'])
+    const writesBefore = ledger.writes
+    trackers[0].noteAnswered(['sound', 'part-shared'])
+    await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
+    trackers.forEach(tracker => tracker.noteAnswered(['sound', 'part-shared']))
+    await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
+    expect(ledger.writes - writesBefore).toBe(1)
+  })
+})
+
 describe('the crash reports', () => {
   /** Creates a tracker that has seen three crashes. */
   async function createTrackerWithCrashes(name: string, restoresOthers = false) {
@@ -131,7 +172,7 @@
 
   test('are read by a starting gateway, also after the loss of all gateways', async () => {
     await createTrackerWithCrashes('a')
-    expect(createTracker('b').tracker.refusal('cause')).toBeDefined()
+    expect(createTracker('b').tracker.refusal(['cause'])).toBeDefined()
   })
 
   test('are not overwritten by a new process with the same name that has not read them', async () => {
@@ -160,7 +201,7 @@
     ledger.lose()
     await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
     expect([...ledger.records.keys()]).toEqual(['a'])
-    expect(createTracker('c').tracker.refusal('cause')).toBeDefined()
+    expect(createTracker('c').tracker.refusal(['cause'])).toBeDefined()
   })
 
   test('are written when the ledger recovers, in few calls', async () => {
@@ -190,6 +231,6 @@
       crash(tracker, `plain-${number}`, `unrelated-${number}`, 'cause')
     await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
     expect(JSON.stringify(ledger.records.get('a')).length).toBeLessThan(262_144)
-    expect(createTracker('b').tracker.refusal('cause')).toBeDefined()
+    expect(createTracker('b').tracker.refusal(['cause'])).toBeDefined()
   })
 })
--- a/test/gateway/quarantine.test.ts
+++ b/test/gateway/quarantine.test.ts
@@ -8,7 +8,11 @@
 
 /** Crashes of distinct backend servers, with the given ages in milliseconds. */
 function crashes(...ages: number[]): CrashReport[] {
-  return ages.map((age, index) => ({ fingerprint: 'f', backend: `plain-${index}`, at: NOW - age, gateway: 'gateway-a' }))
+  return crashesUnder('f', ...ages)
+}
+
+function crashesUnder(fingerprint: string, ...ages: number[]): CrashReport[] {
+  return ages.map((age, index) => ({ fingerprint, backend: `plain-${index}`, at: NOW - age, gateway: 'gateway-a' }))
 }
 
 describe('a request during which backend servers crashed', () => {
@@ -31,3 +35,14 @@
     expect(countedCrashes(history, NOW).map(({ backend }) => backend)).toEqual(['plain-1', 'plain-2'])
   })
 })
+
+describe('a prompt part that was present when backend servers crashed', () => {
+  test.each<[string, FingerprintHistory, boolean]>([
+    ['is suspected after three moments', { crashes: crashesUnder('part-x', 2 * SECOND, SECOND, 0) }, true],
+    ['is not suspected if several crashed together', { crashes: crashesUnder('part-x', SECOND + 100, SECOND, 0, 0) }, false],
+    ['is not suspected if a request with it was answered within the minute before', { crashes: crashesUnder('part-x', 2 * SECOND, SECOND, 0), answeredAt: NOW - 59 * SECOND }, false],
+    ['is suspected if the last answer was long before, possibly by another version', { crashes: crashesUnder('part-x', 2 * SECOND, SECOND, 0), answeredAt: NOW - 63 * SECOND }, true],
+  ])('%s', (_name, history, suspected) => {
+    expect(isQuarantined(history, NOW)).toBe(suspected)
+  })
+})
--- a/test/gateway/stage-crashes.test.ts
+++ b/test/gateway/stage-crashes.test.ts
@@ -20,7 +20,7 @@
 function createCrashTracker(): CrashTracker {
   const { log } = createLog()
   const detector = new CrashDetector({ checkPresence: async () => Presence.Gone, log: new GatewayLog(log), onCrash: crash => tracker.noteCrash(crash) })
-  const tracker = new CrashTracker({ name: 'gateway-a', ledger: { publish: async () => {} }, log, detector, restoresOthers: () => true })
+  const tracker = new CrashTracker({ name: 'gateway-a', ledger: { publish: async () => {} }, log, detector, restoresOthers: () => true, startsTrials: () => false })
   return tracker
 }
 
--- a/test/gateway/stage-rules.test.ts
+++ b/test/gateway/stage-rules.test.ts
@@ -18,6 +18,7 @@
 function createTask(overrides: Partial<StageTask> = {}): StageTask {
   return {
     fingerprint: undefined,
+    partFingerprints: [],
     requestId: 'request-1',
     stage: 0,
     service: 'encode',
--- a/test/gateway/stream-continuation.test.ts
+++ b/test/gateway/stream-continuation.test.ts
@@ -71,7 +71,7 @@
   const route = createRoute({ streaming: true, repeatable: false, resumable: true, targetLatencyMs: 200, services: [{ service: SERVICE, weight: 1 }], maxAttempts: 3 })
   const head = { requestId: 'id-1', host: route.host, promptParts: [], stageItems: [1], stageKey: '', headers: [] }
   const now = performance.now()
-  return { method: 'POST', path: '/a/', body: undefined, head, route, service: SERVICE, priority: 0, fingerprint: 'f', deadlineAt: now + 5000, firstEventBy: now + 5000 } as unknown as RoutedRequest
+  return { method: 'POST', path: '/a/', body: undefined, head, route, service: SERVICE, priority: 0, fingerprint: 'f', fingerprints: ['f'], deadlineAt: now + 5000, firstEventBy: now + 5000 } as unknown as RoutedRequest
 }
 
 /** Sends three events named after the backend server. Breaks after the first one at BREAKING, and refuses at FULL as often as told. */
