A stream without framing that ends inside an event is broken off

Clients got such a stream as whole: its last bytes were passed on, and the connection closed like that of a complete one.

The relay reports it as broken, so that it goes on at another backend server where the route allows it, and its backend server is checked for a crash. A response that ends with its connection is cut off by a reset; closing it would look like its end.

test/platform/gateway.test.ts 'without a length that ends inside an event continues at another backend server' and '... ends as broken' fail before; the second one fails as well without the reset.

--- a/packages/gateway/src/connection/clients/http-client-response.ts
+++ b/packages/gateway/src/connection/clients/http-client-response.ts
@@ -25,6 +25,8 @@
   private passedBytes = 0
   /** Body bytes of a large response that are not passed to Node yet. */
   private waitingBytes = 0
+  /** Whether the response ends with its connection. */
+  private isUnframed = false
 
   constructor(
     private readonly response: ServerResponse,
@@ -79,6 +81,7 @@
   }
 
   beginUnframed(status: number, headers: HeaderList): void {
+    this.isUnframed = true
     this.response.removeHeader('content-length')
     this.response.removeHeader('transfer-encoding')
     this.response.setHeader('connection', 'close')
@@ -109,6 +112,9 @@
   }
 
   cutOff(): void {
+    // Without framing, a regular close of the connection would look like the end of the response.
+    if (this.isUnframed)
+      this.response.socket?.resetAndDestroy()
     this.response.destroy()
   }
 
--- a/packages/gateway/src/request/responses/response-relay.ts
+++ b/packages/gateway/src/request/responses/response-relay.ts
@@ -183,6 +183,8 @@
       await clientResponse.send(event.bytes)
     }
   }
+  if (splitter.hasPartial && !response.framed)
+    throw new Error('the response has no content length or chunked framing, and ends inside an event')
   if (splitter.hasPartial)
     await clientResponse.send(splitter.partial)
 }
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,4 +1,6 @@
 import type { Gateway } from '@eidermast/gateway'
+import { connect } from 'node:net'
+import { text } from 'node:stream/consumers'
 import { wait } from '@eidermast/common'
 import { request } from 'undici'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
@@ -175,6 +177,31 @@
     await expect(response.body.text()).rejects.toThrow()
   })
 
+  test('without a length that ends inside an event continues at another backend server', async () => {
+    await wait(RETRY_WINDOW_MS)
+    let isInterrupted = false
+    for (const backend of backends.slice(1)) {
+      backend.respond = (seen, response) => {
+        const respond = isInterrupted ? streamEvents(6) : answerUnframed('id: 1\ndata: 1\n\nid: 2\nda')
+        isInterrupted = true
+        return respond(seen, response)
+      }
+    }
+    const response = await send('/resumed/x')
+    expect(await response.body.text()).toBe(ALL_EVENTS)
+    const seen = backends.slice(1).flatMap(backend => backend.seen)
+    expect(seen.map(entry => entry.headers['last-event-id'])).toEqual(expect.arrayContaining([undefined, '1']))
+  })
+
+  test('without a length that ends inside an event, and is not resumable, ends as broken', async () => {
+    backends.slice(1).forEach(backend => backend.respond = answerUnframed('id: 1\ndata: 1\n\nid: 2\nda'))
+    // HTTP clients take a reset for the end of a response without a length.
+    const { hostname, port } = new URL(address)
+    const socket = connect(Number(port), hostname)
+    socket.write('POST /stream/x HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: id-1\r\nApi-Key: key\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n')
+    await expect(text(socket)).rejects.toThrow('ECONNRESET')
+  })
+
   test('that is not resumable ends as broken, never as complete', async () => {
     backends.slice(1).forEach(backend => backend.respond = streamEvents(6, 3))
     const response = await send('/stream/x')
