The soak of crashing requests has different ones that share a prompt part

Beside two kinds of identical requests, each of a third kind differs, holds one fatal part of its prompt and shares the part before it with sound ones. Five crashes are allowed until all connected gateways know the cause; sound requests with the shared part must not be refused.

--- a/test/soak/crashing-soak.test.ts
+++ b/test/soak/crashing-soak.test.ts
@@ -10,9 +10,7 @@
 import { SoakDeployment } from './support/soak-deployment.js'
 import { createDraw, readSeeds } from './support/soak-seeds.js'
 
-/** Crashes by such a request after which all connected gateways learn that it is the cause. */
-const KNOWN_AFTER_CRASHES = 3
-/** Time after that crash until connected gateways know of it, and time after a disruption until a gateway counts as connected again (setting `contact-ms`). */
+/** Time after the last crash that a cause may take until connected gateways know of it, and time after a disruption until a gateway counts as connected again (setting `contact-ms`). */
 const CONTACT_MS = 3000
 /** How often connected gateways may still send such a request to backend servers after that time. */
 const MAX_SENT_LATE = 3
@@ -22,9 +20,27 @@
 const STEP_MS = 600
 /** How long crashing requests continue after the last disruption. */
 const SETTLE_MS = 4500
-/** Interval between crashing requests, of which there are two kinds (PATHS). */
-const CRASHING_INTERVAL_MS = 250
-const PATHS = ['/plain/crash-a', '/plain/crash-b']
+/** Interval between crashing requests, of which there are three kinds. */
+const CRASHING_INTERVAL_MS = 200
+/** Prompt part that crashes every backend server that runs a request with it. */
+const CRASHING_PART = 'dead'
+/** Prompt part that such requests share with sound ones. */
+const ACCOUNT_PART = 'account'
+
+/** A kind of crashing requests. */
+interface CrashingKind {
+  path: string
+  /** Crashes by such requests after which all connected gateways learn the cause. */
+  knownAfterCrashes: number
+  /** Whether the requests differ, and have CRASHING_PART in common. */
+  sharesPart: boolean
+}
+
+const CRASHING_KINDS: readonly CrashingKind[] = [
+  { path: '/plain/crash-a', knownAfterCrashes: 3, sharesPart: false },
+  { path: '/plain/crash-b', knownAfterCrashes: 3, sharesPart: false },
+  { path: '/plain/crash-part', knownAfterCrashes: 5, sharesPart: true },
+]
 const POOL_SIZE = 10
 /** Number of backend servers that crash together for unrelated reasons. */
 const CONCURRENT_CRASHES = 3
@@ -37,10 +53,15 @@
   to: number
 }
 
+function isFatal({ body, headers }: ReceivedRequest): boolean {
+  return body === CRASHING_BODY || String(headers['prompt-prefix']).includes(`${CRASHING_PART}:`)
+}
+
 class CrashingRun {
-  readonly deployment = new SoakDeployment({ plainPoolSize: POOL_SIZE, ownLines: true })
+  readonly deployment = new SoakDeployment({ plainPoolSize: POOL_SIZE, isFatal, ownLines: true })
   private readonly disruptions: Disruption[] = []
   private readonly pending: Promise<unknown>[] = []
+  private readonly soundBodies: Promise<string | undefined>[] = []
   private isSending = true
   private sent = 0
 
@@ -50,15 +71,30 @@
   async sendCrashing(): Promise<void> {
     while (this.isSending) {
       const gateway = this.draw(this.deployment.gateways.length)
+      const { path, sharesPart } = CRASHING_KINDS[this.draw(CRASHING_KINDS.length)]
       const id = `crashing-${gateway}-${this.sent++}`
-      const { address } = this.deployment.gateways[gateway]
-      const options = { method: 'POST' as const, body: CRASHING_BODY, headers: { 'host': 'host.example', 'attempt-id': id, 'deadline-ms': '2000' } }
       // The answers to crashing requests are not checked, because the gateway may be down.
-      this.pending.push(request(`${address}${PATHS[this.draw(PATHS.length)]}`, options).then(({ body }) => body.dump()).catch(() => {}))
+      void this.send({ gateway, path, id, body: sharesPart ? id : CRASHING_BODY, parts: sharesPart ? [ACCOUNT_PART, CRASHING_PART, id] : [] })
+      const soundId = `sound-${gateway}-${this.sent++}`
+      this.soundBodies.push(this.send({ gateway, path: '/plain/sound', id: soundId, body: soundId, parts: [ACCOUNT_PART, soundId] }))
       await wait(CRASHING_INTERVAL_MS)
     }
   }
 
+  /** Sends a request; returns the response body, or undefined if there was none. */
+  private send({ gateway, path, id, body, parts }: { gateway: number, path: string, id: string, body: string, parts: readonly string[] }): Promise<string | undefined> {
+    const { address } = this.deployment.gateways[gateway]
+    const headers = { 'host': 'host.example', 'attempt-id': id, 'deadline-ms': '2000', 'prompt-prefix': parts.map(part => `${part}:10`).join(',') }
+    const sent = request(`${address}${path}`, { method: 'POST', body, headers }).then(response => response.body.text(), () => undefined)
+    this.pending.push(sent)
+    return sent
+  }
+
+  /** Sound requests with ACCOUNT_PART that were refused as causes of crashes. */
+  async soundRefused(): Promise<(string | undefined)[]> {
+    return (await Promise.all(this.soundBodies)).filter(body => body?.includes('"kind":"quarantined"'))
+  }
+
   async stop(): Promise<void> {
     this.isSending = false
     await Promise.all(this.pending)
@@ -85,8 +121,8 @@
 
   /** Describes the crashing requests that connected gateways sent too late, if there are more than allowed. */
   sentTooLate(): string[] {
-    return PATHS.flatMap((path) => {
-      const late = this.deployment.plainPool!.receivedAfterCrash(KNOWN_AFTER_CRASHES, CONTACT_MS + TOLERANCE_MS, path).filter(seen => this.wasConnected(seen))
+    return CRASHING_KINDS.flatMap(({ path, knownAfterCrashes }) => {
+      const late = this.deployment.plainPool!.receivedAfterCrash(knownAfterCrashes, CONTACT_MS + TOLERANCE_MS, path).filter(seen => this.wasConnected(seen))
       return late.length > MAX_SENT_LATE ? late.map(seen => `${path} of ${seen.headers['attempt-id']} at ${Math.round(seen.at)} ms`) : []
     })
   }
@@ -124,10 +160,10 @@
     if (!process.env.EIDERMAST_SHOW_FAULTS)
       return
     const { crashes: ends } = this.deployment.plainPool!
-    const byPath = PATHS.map(path => ends.filter(end => end.path === path).length)
+    const byPath = CRASHING_KINDS.map(({ path }) => ends.filter(end => end.path === path).length)
     const plain = requests.filter(sent => sent.kind === RequestKind.Plain && sent.status !== undefined)
     const answered = plain.filter(({ status }) => status === 200)
-    console.log(`seed ${seed}: ${ends.length} crashes, ${byPath.join(' and ')} during the two crashing requests; ${answered.length} of ${plain.length} other requests answered`)
+    console.log(`seed ${seed}: ${ends.length} crashes, ${byPath.join(', ')} during the three kinds of crashing requests; ${answered.length} of ${plain.length} other requests answered`)
   }
 
   /** Whether the gateway that sent a request was connected. */
@@ -165,10 +201,11 @@
       await run.stop()
       await crashing
       await clients.stop()
-      for (const path of PATHS)
+      for (const { path } of CRASHING_KINDS)
         expect(deployment.plainPool!.crashes.filter(end => end.path === path).length).toBeGreaterThan(0)
       expect(run.sentTooLate()).toEqual([])
       expect(clients.requests.filter(isQuarantined)).toEqual([])
+      expect(await run.soundRefused()).toEqual([])
       run.printSummary(seed, clients)
     }
     finally {
--- a/test/soak/support/soak-deployment.ts
+++ b/test/soak/support/soak-deployment.ts
@@ -2,7 +2,7 @@
  * Deployment for soak tests: a stand-in store and stand-in backend servers in the
  * test process, and gateways as child processes.
  */
-import type { RequestHandler } from '../../platform/support/stand-in-backend.js'
+import type { ReceivedRequest, RequestHandler } from '../../platform/support/stand-in-backend.js'
 import { mkdtempSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
@@ -51,6 +51,8 @@
   backendsEach?: number
   /** Replaces the plain backend servers with a pool of this size (`plainPool`), whose members crash on CRASHING_BODY and restart. @default none */
   plainPoolSize?: number
+  /** Which requests crash a member of that pool. @default those with CRASHING_BODY */
+  isFatal?: (request: ReceivedRequest) => boolean
   /** Bundle that gateways run initially. @default that of this checkout */
   bundle?: string
   /** Failure domains, assigned round-robin to gateways and to the backend servers of each service. @default zone-a */
@@ -80,7 +82,7 @@
 
   constructor(private readonly options: SoakOptions = {}) {
     if (options.plainPoolSize !== undefined)
-      this.plainPool = new CrashingPool(this.store, { service: 'plain', size: options.plainPoolSize, workMs: ANSWER_MS })
+      this.plainPool = new CrashingPool(this.store, { service: 'plain', size: options.plainPoolSize, workMs: ANSWER_MS, isFatal: options.isFatal })
   }
 
   async start(): Promise<void> {
