--- a/test/platform/retry-budget.test.ts
+++ b/test/platform/retry-budget.test.ts
@@ -6,24 +6,22 @@
 import { request } from 'undici'
 import { afterEach, beforeAll, beforeEach, describe, expect, test, vi } from 'vitest'
 import { GatewayChild } from '../soak/support/gateway-child.js'
+import { retryTimes, worstExcess } from './support/retry-window.js'
 import { answerCompletely, StandInBackend } from './support/stand-in-backend.js'
 import { StandInStore } from './support/stand-in-store.js'
 
 const GATEWAYS = 3
 const POOL_SIZE = 10
-/** The budget of all gateways together. */
-const RATIO = 0.2
-const EXTRA = 54
-const WINDOW_MS = 10_000
+const ALLOWANCE = { ratio: 0.2, extra: 54, windowMs: 10_000 }
 /** Runs that break, of RUNS. */
 const BROKEN_RUNS = 19
 const RUNS = 20
 const WORK_MS = 20
 const REQUEST_INTERVAL_MS = 100
 /** Time without a restart before the first one: longer than the window, so that all gateways use the whole of their parts. */
-const CALM_MS = WINDOW_MS + 2000
+const CALM_MS = ALLOWANCE.windowMs + 2000
 /** Time from the first restart until the last request. */
-const RESTARTS_MS = WINDOW_MS + 2000
+const RESTARTS_MS = ALLOWANCE.windowMs + 2000
 const CONFIGURATION = {
   Version: 1,
   Routes: [{ Name: 'plain', Host: 'host.example', PathPrefix: '/plain/', Type: 'idempotent', Service: 'plain', TimeoutMs: 4000, TargetLatencyMs: 1000, MaxAttempts: 2 }],
@@ -64,7 +62,7 @@
   }
   store.put('keyed.op', 'config', CONFIGURATION)
   const directory = mkdtempSync(path.join(tmpdir(), 'eidermast-retries-'))
-  const retry = [`ratio = ${RATIO}`, `extra = ${EXTRA}`, `window-ms = ${WINDOW_MS}`]
+  const retry = [`ratio = ${ALLOWANCE.ratio}`, `extra = ${ALLOWANCE.extra}`, `window-ms = ${ALLOWANCE.windowMs}`]
   gateways = Array.from({ length: GATEWAYS }, (_, index) => new GatewayChild(`gateway-${index}`, storeAddress, directory, { retry }))
   await Promise.all(gateways.map(gateway => gateway.start()))
   await vi.waitFor(async () => expect(await Promise.all(gateways.map(gateway => gateway.isReady()))).not.toContain(false), { timeout: 10_000 })
@@ -89,25 +87,6 @@
   await Promise.all(pending)
 }
 
-/** Arrival times of retries: all arrivals of a request except its first one. */
-function retryTimes(): number[] {
-  const arrivals = backends.flatMap(({ seen }) => seen).sort((a, b) => a.at - b.at)
-  const known = new Set<unknown>()
-  return arrivals.filter(({ headers }) => known.has(headers['attempt-id']) || !known.add(headers['attempt-id'])).map(({ at }) => at)
-}
-
-function countWithin(times: readonly number[], from: number, to: number): number {
-  return times.filter(time => time >= from && time < to).length
-}
-
-/** Retries beyond the budget in the worst window, which may count the requests of its predecessor instead of its own. */
-function worstExcess(retries: readonly number[]): number {
-  return Math.max(...retries.map((from) => {
-    const requests = Math.max(...[0, WINDOW_MS / 2, WINDOW_MS].map(earlier => countWithin(sentAt, from - earlier, from - earlier + WINDOW_MS)))
-    return countWithin(retries, from, from + WINDOW_MS) - (RATIO * requests + EXTRA)
-  }))
-}
-
 async function replaceAll(signal: NodeJS.Signals, pauseMs: number): Promise<void> {
   for (const gateway of gateways) {
     void gateway.replace(signal)
@@ -138,8 +117,8 @@
     await wait(RESTARTS_MS)
     stop.abort()
     await Promise.all([sending, restarting])
-    const retries = retryTimes()
+    const retries = retryTimes(backends.flatMap(({ seen }) => seen))
     expect(retries.filter(at => at < restartedAt).length).toBeGreaterThan(0)
-    expect(worstExcess(retries)).toBeLessThanOrEqual(0)
+    expect(worstExcess(retries, sentAt, ALLOWANCE)).toBeLessThanOrEqual(0)
   }, 60_000)
 })
--- a/test/soak/support/soak-deployment.ts
+++ b/test/soak/support/soak-deployment.ts
@@ -63,6 +63,8 @@
   platformSettings?: readonly string[]
   /** Lines of the settings section `[load]`. @default none */
   load?: readonly string[]
+  /** Lines of the settings section `[retry]`. @default none */
+  retry?: readonly string[]
   /** Client accounts, whose keys are their names. @default none, and requests need no key */
   accounts?: readonly string[]
   /** Whether each gateway reaches the store over a separate connection line (`lines`). @default false */
@@ -140,7 +142,7 @@
   }
 
   private async createGateway(number: number, storeAddress: string): Promise<GatewayChild> {
-    const settings = { failureDomain: this.failureDomainOf(number), platform: this.options.platformSettings, load: this.options.load }
+    const settings = { failureDomain: this.failureDomainOf(number), platform: this.options.platformSettings, load: this.options.load, retry: this.options.retry }
     const gateway = new GatewayChild(`gateway-${number}`, await this.storeAddressFor(number, storeAddress), this.directory, settings)
     gateway.bundle = this.options.bundle ?? gateway.bundle
     return gateway
