--- a/test/soak/retry-soak.test.ts
+++ b/test/soak/retry-soak.test.ts
@@ -109,7 +109,7 @@
     await import('../../platform/build.mjs' as string)
   })
 
-  test.each(readSeeds([1]))('stay within the budget in any window (seed %i)', async (seed) => {
+  test.each(readSeeds([4]))('stay within the budget in any window (seed %i)', async (seed) => {
     const run = new RetryRun(createDraw(seed))
     const { deployment, sentAt } = run
     await deployment.start()
