Causes of crashes are a module of their own; the soaks share their disruptions

Names and places only: the tracker of crashes collects and shares reports, and CrashCauses finds what they have in common and refuses requests. Suspending a gateway, cutting it off and failing the store stand once, in SoakDeployment.

--- a/packages/gateway/src/process/crashes/crash-tracker.ts
+++ b/packages/gateway/src/process/crashes/crash-tracker.ts
@@ -13,19 +13,16 @@
 import type { Backend } from '../../connection/backends/backend.js'
 import type { CrashMonitor } from '../../request/crash-monitor.js'
 import type { CrashLedger, CrashSink } from '../platform-adapter.js'
-import type { CrashCause } from './crash-cause.js'
 import type { BackendCrash } from './crash-detector.js'
 import type { AnswerReport, CrashReport, CrashReports } from './crash-report.js'
-import type { FingerprintHistory } from './quarantine.js'
 import { wait } from '@eidermast/common'
 import { announceBackoffMs } from '../store-backoff.js'
-import { findCauses, isCause } from './crash-cause.js'
+import { CrashCauses } from './crash-causes.js'
 import { CrashExchange } from './crash-exchange.js'
 import { CrashHistory } from './crash-history.js'
 import { CrashLog } from './crash-log.js'
 import { isEmptyReport, NO_REPORTS } from './crash-report.js'
-import { QuarantineTrials } from './quarantine-trials.js'
-import { areEnough, countedCrashes, isClearedByAnswer, MIN_QUARANTINE_CRASHES } from './quarantine.js'
+import { countedCrashes, isClearedByAnswer, MIN_QUARANTINE_CRASHES } from './quarantine.js'
 import { RecentAnswers } from './recent-answers.js'
 
 /**
@@ -44,8 +41,6 @@
  * with a popular prompt part; after the first report the others change nothing.
  */
 const ANSWER_REPORT_SPREAD_MS = 300
-/** Interval in which causes expire. */
-const CAUSE_EXPIRY_INTERVAL_MS = 10_000
 
 /** What the tracker works with. */
 export interface CrashTrackerDependencies {
@@ -67,7 +62,7 @@
   now?: () => number
 }
 
-/** Collects and shares crash reports, and decides which requests are refused. */
+/** Collects and shares crash reports. */
 export class CrashTracker implements CrashMonitor, CrashSink {
   private readonly history: CrashHistory
   private readonly answers = new RecentAnswers()
@@ -75,10 +70,7 @@
   readonly crashExchange: CrashExchange
   private readonly log: CrashLog
   private readonly now: () => number
-  private readonly trials: QuarantineTrials
-  /** The causes for which requests are refused. */
-  private causes: readonly CrashCause[] = []
-  private causesUpdatedAt = 0
+  private readonly causes: CrashCauses
   /** This gateway's record in the ledger. */
   private ownReports: CrashReports = NO_REPORTS
   /** Whether the ledger has been read, so that writing does not discard the predecessor's reports. */
@@ -91,14 +83,13 @@
     this.now = deps.now ?? Date.now
     this.history = new CrashHistory(this.now)
     this.log = new CrashLog(deps.log)
-    this.trials = new QuarantineTrials(deps.startsTrials, (fingerprint, cause) => this.log.trialStarted(fingerprint, cause))
+    this.causes = new CrashCauses({ history: this.history, answers: this.answers, log: this.log, startsTrials: deps.startsTrials, now: this.now })
     this.crashExchange = new CrashExchange(reports => void this.mergeReports(reports), this.now())
   }
 
   /** Number of causes for which requests are refused. */
   get quarantined(): number {
-    this.expireCauses()
-    return this.causes.length
+    return this.causes.count
   }
 
   noteBroken(backend: Backend, fingerprints: readonly string[]): Promise<void> {
@@ -112,21 +103,16 @@
     // One answer clears all earlier crashes; further answers need no report.
     if (suspected.length === 0)
       return
-    this.updateCauses()
+    this.causes.update()
     this.reportAnswers(suspected.map(fingerprint => ({ fingerprint, at })))
   }
 
   crashCount(fingerprint: string): number {
-    return this.history.has(fingerprint) ? this.countedCrashesOf(fingerprint).length : 0
+    return this.causes.countedCrashesOf(fingerprint).length
   }
 
   refusal(fingerprints: readonly string[]): string | undefined {
-    this.expireCauses()
-    const cause = this.causes.find(each => isCause(each, fingerprints))
-    const now = this.now()
-    if (!cause || this.trials.allows(fingerprints[0], cause, now))
-      return undefined
-    return this.log.describe(cause.crashes, now)
+    return this.causes.refusal(fingerprints)
   }
 
   /** Records a crash of a backend server with requests in flight. */
@@ -185,7 +171,7 @@
     this.history.merge(added)
     this.crashExchange.note(added)
     this.reportRecentAnswers(added.crashes)
-    this.updateCauses()
+    this.causes.update()
     return added
   }
 
@@ -208,35 +194,6 @@
       setTimeout(() => this.recordReports({ crashes: [], answers }), Math.random() * ANSWER_REPORT_SPREAD_MS).unref()
   }
 
-  /** The history of a fingerprint, with the answers of this gateway that are not reported. */
-  private historyOf(fingerprint: string): FingerprintHistory {
-    const { crashes, answeredAt = 0 } = this.history.historyOf(fingerprint)
-    return { crashes, answeredAt: Math.max(answeredAt, this.answers.at(fingerprint) ?? 0) }
-  }
-
-  private countedCrashesOf(fingerprint: string): CrashReport[] {
-    return countedCrashes(this.historyOf(fingerprint), this.now())
-  }
-
-  private expireCauses(): void {
-    if (this.causes.length > 0 && this.now() - this.causesUpdatedAt >= CAUSE_EXPIRY_INTERVAL_MS)
-      this.updateCauses()
-  }
-
-  /** Finds the causes anew, and logs those that have begun or ended. */
-  private updateCauses(): void {
-    this.causesUpdatedAt = this.now()
-    const candidates = this.history.fingerprintsWithCrashes(MIN_QUARANTINE_CRASHES)
-      .map(fingerprint => ({ fingerprint, crashes: this.countedCrashesOf(fingerprint) }))
-      .filter(({ crashes }) => areEnough(crashes))
-    const previous = this.causes
-    this.causes = findCauses(candidates)
-    for (const { fingerprints } of previous.filter(cause => !hasSame(this.causes, cause)))
-      this.log.quarantineEnded(fingerprints)
-    for (const { fingerprints, crashes } of this.causes.filter(cause => !hasSame(previous, cause)))
-      this.log.quarantineBegun(fingerprints, this.log.describe(crashes, this.now()))
-  }
-
   /** Adds reports to this gateway's record, except those that the history has evicted. */
   private addToOwnReports(reports: CrashReports): void {
     const crashes = [...this.ownReports.crashes, ...reports.crashes].filter(crash => this.history.hasCrash(crash))
@@ -285,10 +242,6 @@
   }
 }
 
-function hasSame(causes: readonly CrashCause[], { fingerprints }: CrashCause): boolean {
-  return causes.some(cause => cause.fingerprints.join() === fingerprints.join())
-}
-
 /** Returns a key that identifies a report. */
 function reportKey(report: CrashReport | AnswerReport): string {
   return 'backend' in report ? `${report.fingerprint} ${report.backend}` : `${report.fingerprint} ${report.at}`
--- a/packages/gateway/src/process/crashes/index.ts
+++ b/packages/gateway/src/process/crashes/index.ts
@@ -1,4 +1,5 @@
 export * from './crash-cause.js'
+export * from './crash-causes.js'
 export * from './crash-detector.js'
 export * from './crash-exchange.js'
 export * from './crash-history.js'
--- a/test/platform/retry-budget.test.ts
+++ b/test/platform/retry-budget.test.ts
@@ -1,4 +1,3 @@
-import type { RequestHandler } from './support/stand-in-backend.js'
 import { mkdtempSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import path from 'node:path'
@@ -7,13 +6,13 @@
 import { afterEach, beforeAll, beforeEach, describe, expect, test, vi } from 'vitest'
 import { GatewayChild } from '../soak/support/gateway-child.js'
 import { retryTimes, worstExcess } from './support/retry-window.js'
-import { answerCompletely, StandInBackend } from './support/stand-in-backend.js'
+import { breakRuns, StandInBackend } from './support/stand-in-backend.js'
 import { StandInStore } from './support/stand-in-store.js'
 
 const GATEWAYS = 3
 const POOL_SIZE = 10
 const ALLOWANCE = { ratio: 0.2, extra: 54, windowMs: 10_000 }
-/** Runs that break, of RUNS. */
+/** Backend servers answer one run in twenty. */
 const BROKEN_RUNS = 19
 const RUNS = 20
 const WORK_MS = 20
@@ -34,16 +33,6 @@
 let gateways: GatewayChild[]
 /** Monotonic times of the requests that clients sent, in milliseconds. */
 let sentAt: number[]
-let runs: number
-
-/** Breaks the connection in most runs. */
-const breakMostRuns: RequestHandler = async (seen, response) => {
-  const breaks = runs++ % RUNS < BROKEN_RUNS
-  await wait(WORK_MS)
-  if (breaks)
-    return void response.destroy()
-  await answerCompletely()(seen, response)
-}
 
 beforeAll(async () => {
   await import('../../platform/build.mjs' as string)
@@ -51,12 +40,12 @@
 
 beforeEach(async () => {
   sentAt = []
-  runs = 0
   store = new StandInStore()
   const storeAddress = await store.start()
   backends = Array.from({ length: POOL_SIZE }, (_, index) => new StandInBackend(`plain-${index}`, 'plain'))
+  const respond = breakRuns(BROKEN_RUNS, RUNS, WORK_MS)
   for (const backend of backends) {
-    backend.respond = breakMostRuns
+    backend.respond = respond
     await backend.start()
     store.put('keyed.servers', backend.id, backend.entry())
   }
--- a/test/platform/support/stand-in-backend.ts
+++ b/test/platform/support/stand-in-backend.ts
@@ -35,6 +35,18 @@
   }
 }
 
+/** Breaks the connection in `broken` of `runs` runs, whichever backend servers make them, and answers the others completely. */
+export function breakRuns(broken: number, runs: number, workMs: number): RequestHandler {
+  let started = 0
+  return async (seen, response) => {
+    const isBroken = started++ % runs < broken
+    await wait(workMs)
+    if (isBroken)
+      return void response.destroy()
+    await answerCompletely()(seen, response)
+  }
+}
+
 /** Streams the events after the request's `Last-Event-Id`, and breaks the connection after event `breakAfter`. */
 export function streamEvents(count: number, breakAfter = Number.POSITIVE_INFINITY): RequestHandler {
   return async (request, response) => {
--- a/test/soak/crashing-soak.test.ts
+++ b/test/soak/crashing-soak.test.ts
@@ -17,6 +17,7 @@
 /** Tolerance for request transit time on a busy machine. */
 const TOLERANCE_MS = 150
 const STEPS = 18
+const FAULTS = [StoreFault.Busy, StoreFault.Reset, StoreFault.Hanging]
 const STEP_MS = 600
 /** How long crashing requests continue after the last disruption. */
 const SETTLE_MS = 4500
@@ -102,16 +103,17 @@
 
   /** Disrupts a gateway, the store, or backend servers. */
   step(): void {
-    const { gateways, lines, plainPool } = this.deployment
+    const { deployment } = this
+    const { gateways, lines, plainPool } = deployment
     const gateway = this.draw(gateways.length)
     const steps: (() => Promise<void> | void)[] = [
       () => gateways[gateway].replace('SIGKILL'),
       () => gateways[gateway].replace('SIGTERM'),
-      () => this.pause(gateway),
-      () => this.disconnectFromStore(gateway),
+      () => deployment.pause(gateway, 300 + this.draw(2000)),
+      () => deployment.disconnectFromStore(gateway, 300 + this.draw(2000)),
       () => lines[gateway].stallOpenConnections(),
     ]
-    const common: (() => Promise<void> | void)[] = [() => this.failStore(), () => plainPool!.crashSome(CONCURRENT_CRASHES)]
+    const common: (() => Promise<void> | void)[] = [() => deployment.failStore(FAULTS[this.draw(FAULTS.length)], 300 + this.draw(2000)), () => plainPool!.crashSome(CONCURRENT_CRASHES)]
     const number = this.draw(steps.length + common.length)
     if (number < steps.length)
       this.disrupt(gateway, steps[number])
@@ -133,28 +135,6 @@
     this.pending.push(Promise.resolve(action()).then(() => disruption.to = performance.now()))
   }
 
-  private async pause(gateway: number): Promise<void> {
-    const child = this.deployment.gateways[gateway]
-    child.signal('SIGSTOP')
-    await wait(300 + this.draw(2000))
-    child.signal('SIGCONT')
-  }
-
-  private async disconnectFromStore(gateway: number): Promise<void> {
-    const line = this.deployment.lines[gateway]
-    line.isPartitioned = true
-    line.stallOpenConnections()
-    await wait(300 + this.draw(2000))
-    line.isPartitioned = false
-  }
-
-  private async failStore(): Promise<void> {
-    const { store } = this.deployment
-    store.fault = [StoreFault.Busy, StoreFault.Reset, StoreFault.Hanging][this.draw(3)]
-    await wait(300 + this.draw(2000))
-    store.fault = StoreFault.None
-  }
-
   /** Prints a summary of the run if EIDERMAST_SHOW_FAULTS is set. */
   printSummary(seed: number, { requests }: SoakClients): void {
     if (!process.env.EIDERMAST_SHOW_FAULTS)
--- a/test/soak/retry-soak.test.ts
+++ b/test/soak/retry-soak.test.ts
@@ -1,18 +1,17 @@
-import type { RequestHandler } from '../platform/support/stand-in-backend.js'
 import type { Draw } from './support/soak-clients.js'
 import process from 'node:process'
 import { wait } from '@eidermast/common'
 import { request } from 'undici'
 import { beforeAll, describe, expect, test } from 'vitest'
 import { retryTimes, worstExcess } from '../platform/support/retry-window.js'
-import { answerCompletely } from '../platform/support/stand-in-backend.js'
+import { breakRuns } from '../platform/support/stand-in-backend.js'
 import { StoreFault } from '../platform/support/stand-in-store.js'
 import { SoakDeployment } from './support/soak-deployment.js'
 import { createDraw, readSeeds } from './support/soak-seeds.js'
 
 const ALLOWANCE = { ratio: 0.2, extra: 30, windowMs: 3000 }
 const BACKENDS = 6
-/** Runs that break, of RUNS. */
+/** Backend servers answer one run in twenty. */
 const BROKEN_RUNS = 19
 const RUNS = 20
 const WORK_MS = 20
@@ -20,21 +19,12 @@
 /** Time before the first disruption: longer than the window, so that all gateways use the whole of their parts. */
 const CALM_MS = 4000
 const STEPS = 14
+const FAULTS = [StoreFault.Busy, StoreFault.Reset, StoreFault.Hanging]
 const STEP_MS = 800
 
-let runs = 0
-
-const breakMostRuns: RequestHandler = async (seen, response) => {
-  const breaks = runs++ % RUNS < BROKEN_RUNS
-  await wait(WORK_MS)
-  if (breaks)
-    return void response.destroy()
-  await answerCompletely()(seen, response)
-}
-
 class RetryRun {
   readonly deployment = new SoakDeployment({
-    plainAnswer: breakMostRuns,
+    plainAnswer: breakRuns(BROKEN_RUNS, RUNS, WORK_MS),
     backendsEach: BACKENDS,
     ownLines: true,
     retry: [`ratio = ${ALLOWANCE.ratio}`, `extra = ${ALLOWANCE.extra}`, `window-ms = ${ALLOWANCE.windowMs}`],
@@ -66,42 +56,21 @@
 
   /** Disrupts one gateway, all of them, or the store. */
   step(): void {
-    const { gateways, lines } = this.deployment
+    const { deployment } = this
+    const { gateways, lines } = deployment
     const gateway = this.draw(gateways.length)
     const steps: (() => Promise<unknown>)[] = [
       () => gateways[gateway].replace('SIGKILL'),
       () => gateways[gateway].replace('SIGTERM'),
       () => Promise.all(gateways.map(each => each.replace('SIGKILL'))),
       () => Promise.all(gateways.map(each => each.replace('SIGTERM'))),
-      () => this.pause(gateway),
-      () => this.disconnectFromStore(gateway),
+      () => deployment.pause(gateway, 300 + this.draw(2000)),
+      () => deployment.disconnectFromStore(gateway, 300 + this.draw(4000)),
       async () => lines[gateway].stallOpenConnections(),
-      () => this.failStore(),
+      () => deployment.failStore(FAULTS[this.draw(FAULTS.length)], 300 + this.draw(4000)),
     ]
     this.pending.push(steps[this.draw(steps.length)]())
   }
-
-  private async pause(gateway: number): Promise<void> {
-    const child = this.deployment.gateways[gateway]
-    child.signal('SIGSTOP')
-    await wait(300 + this.draw(2000))
-    child.signal('SIGCONT')
-  }
-
-  private async disconnectFromStore(gateway: number): Promise<void> {
-    const line = this.deployment.lines[gateway]
-    line.isPartitioned = true
-    line.stallOpenConnections()
-    await wait(300 + this.draw(4000))
-    line.isPartitioned = false
-  }
-
-  private async failStore(): Promise<void> {
-    const { store } = this.deployment
-    store.fault = [StoreFault.Busy, StoreFault.Reset, StoreFault.Hanging][this.draw(3)]
-    await wait(300 + this.draw(4000))
-    store.fault = StoreFault.None
-  }
 }
 
 describe('the retries of all gateways together, while gateways and the store fail', () => {
--- a/test/soak/support/soak-deployment.ts
+++ b/test/soak/support/soak-deployment.ts
@@ -11,7 +11,7 @@
 import { CrashingPool } from '../../platform/support/crashing-pool.js'
 import { answerCompletely, StandInBackend, streamEvents } from '../../platform/support/stand-in-backend.js'
 import { makeStageResults, STAGE_LIMITS } from '../../platform/support/stand-in-stages.js'
-import { StandInStore } from '../../platform/support/stand-in-store.js'
+import { StandInStore, StoreFault } from '../../platform/support/stand-in-store.js'
 import { StoreProxy } from '../../platform/support/store-proxy.js'
 import { GatewayChild } from './gateway-child.js'
 import { RequestKind } from './soak-clients.js'
@@ -141,6 +141,30 @@
     return seen.filter(request => request.headers['attempt-id'] === id).length
   }
 
+  /** Suspends a gateway for a time. */
+  async pause(gateway: number, forMs: number): Promise<void> {
+    const child = this.gateways[gateway]
+    child.signal('SIGSTOP')
+    await wait(forMs)
+    child.signal('SIGCONT')
+  }
+
+  /** Cuts a gateway off from the store for a time; needs `ownLines`. */
+  async disconnectFromStore(gateway: number, forMs: number): Promise<void> {
+    const line = this.lines[gateway]
+    line.isPartitioned = true
+    line.stallOpenConnections()
+    await wait(forMs)
+    line.isPartitioned = false
+  }
+
+  /** Makes the store fail for a time. */
+  async failStore(fault: StoreFault, forMs: number): Promise<void> {
+    this.store.fault = fault
+    await wait(forMs)
+    this.store.fault = StoreFault.None
+  }
+
   private async createGateway(number: number, storeAddress: string): Promise<GatewayChild> {
     const settings = { failureDomain: this.failureDomainOf(number), platform: this.options.platformSettings, load: this.options.load, retry: this.options.retry }
     const gateway = new GatewayChild(`gateway-${number}`, await this.storeAddressFor(number, storeAddress), this.directory, settings)
