A test of a resumed stream waits for the retry that it is about

Cause: since a process uses the fixed part of the retry budget only a window after its start, the test that a stream resumed with a response without a length ends as broken passed because the retry was refused. It waits for the window now and checks that the second backend server was called.

test/platform/gateway.test.ts passes, 19 tests.

--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -165,6 +165,7 @@
   })
 
   test('that is resumed with a response without a length ends as broken, because its end is indistinguishable from a truncation', async () => {
+    await wait(RETRY_WINDOW_MS)
     let isInterrupted = false
     for (const backend of backends.slice(1)) {
       backend.respond = (seen, response) => {
@@ -175,6 +176,7 @@
     }
     const response = await send('/resumed/x')
     await expect(response.body.text()).rejects.toThrow()
+    expect(backends.slice(1).flatMap(backend => backend.seen)).toHaveLength(2)
   })
 
   test('without a length that ends inside an event continues at another backend server', async () => {
