--- a/test/soak/crashing-soak.test.ts
+++ b/test/soak/crashing-soak.test.ts
@@ -22,7 +22,7 @@
 /** How long crashing requests continue after the last disruption. */
 const SETTLE_MS = 4500
 /** Interval between crashing requests, of which there are three kinds. */
-const CRASHING_INTERVAL_MS = 200
+const CRASHING_INTERVAL_MS = 160
 /** Prompt part that crashes every backend server that runs a request with it. */
 const CRASHING_PART = 'dead'
 /** Prompt part that such requests share with sound ones. */
