A gateway that the list does not name uses no fixed retries

Cause: the part was given once the list was read. A process whose announcement does not reach the store is not in the list by which the others divide, and took a part all the same; three of them beside three listed ones were allowed 1.08 of the whole (computed: 0.8 of 3/4 and 3/5).

The list has to name the process itself. test/gateway/members.test.ts has the order of events; it fails on the code before, where the number is reported after the first read.

test/gateway/members, retry-share and test/platform/gateway pass.

--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -34,7 +34,6 @@
   private readonly peerMonitor: PeerMonitor
   private readonly processListeners: ((member: Member) => void)[] = []
   private readonly listListeners: ((members: number) => void)[] = []
-  private isListRead = false
   private readonly log: GatewayLog
   private timer: NodeJS.Timeout | undefined
   /** Cached `place`; undefined after members were listed or removed. */
@@ -132,7 +131,7 @@
     this.processListeners.push(listener)
   }
 
-  /** Calls the listener with the number of listed members after the directory was first read, and after each change since. */
+  /** Calls the listener with the number of listed members once the directory lists this process, and after each change since. */
   onListChange(listener: (members: number) => void): void {
     this.listListeners.push(listener)
   }
@@ -195,7 +194,6 @@
 
   /** Called after a read of the directory, once all members in it have been listed. */
   noteListRead(): void {
-    this.isListRead = true
     this.peerMonitor.noteDirectoryRead(performance.now())
     this.scheduleRanking()
   }
@@ -292,7 +290,9 @@
   }
 
   private reportList(): void {
-    for (const listener of this.isListRead ? this.listListeners : [])
+    if (this.selfOrder === undefined)
+      return
+    for (const listener of this.listListeners)
       listener(this.count)
   }
 
--- a/packages/gateway/src/process/retry-share.ts
+++ b/packages/gateway/src/process/retry-share.ts
@@ -6,14 +6,15 @@
  * (ms); whether it is stopping; the number of gateways listed at each time, here
  * or at a peer that reported it.
  * Rule: nothing until a whole window has passed since the start, nor before the
- * list was read, nor while stopping. Otherwise the share of one gateway
+ * list names this process, nor while stopping. Otherwise the share of one gateway
  * (`gateway-share.ts`) of the largest number listed within the last window.
  * Why: the limit is a sum over all processes that send within a window, those
- * that have ended included, and counts end with their process. What the
- * predecessors of a process sent, and gateways that have left the list, has left
- * every window once the process uses its part, or a larger one. Counts that
- * outlive a process would need a message for each retry, or would be out of date
- * exactly when all gateways are killed together.
+ * that have ended included, and counts end with their process. Once a process
+ * uses its part, no window holds what its predecessors sent; once it uses a larger
+ * part, none holds what gateways sent that have left the list. A gateway that the
+ * others do not find in the list is not reckoned with, and has no part. Counts
+ * that outlive a process would need a message for each retry, or would be out of
+ * date exactly when all gateways are killed together.
  * Log event: `retry-refused` (`part`).
  *
  * State: the time of the start, and the numbers of the last window.
@@ -30,7 +31,7 @@
 export class RetryShare {
   private readonly startedAt: number
   private isStopping = false
-  /** Number of listed gateways; undefined before the list is read. */
+  /** Number of listed gateways; undefined before this process is listed. */
   private gateways: number | undefined
   /** In descending order: a number that is not above a later one has no effect. */
   private formerCounts: FormerCount[] = []
@@ -40,7 +41,7 @@
     this.startedAt = now()
   }
 
-  /** Records the number of gateways in the list that this process has read, including itself. */
+  /** Records the number of gateways in the list that this process has read, which names itself. */
   noteListed(gateways: number): void {
     if (this.gateways !== undefined && this.gateways !== gateways)
       this.noteFormer(this.gateways)
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -61,6 +61,23 @@
 beforeEach(() => void vi.useFakeTimers())
 afterEach(() => void vi.useRealTimers())
 
+describe('the number of listed members', () => {
+  test('is reported once the directory lists this process, and after each change', async () => {
+    const members = new Members({ name: 'gateway-a', address: 'a' }, new FakePeers(), createLog().log, () => {})
+    const reported: number[] = []
+    members.onListChange(count => reported.push(count))
+    members.upsert({ name: 'gateway-b', address: 'b', announcementOrder: 0 })
+    members.noteListRead()
+    await vi.advanceTimersByTimeAsync(0)
+    expect(reported).toEqual([])
+    members.upsert({ name: 'gateway-a', address: 'a', announcementOrder: 1 })
+    await vi.advanceTimersByTimeAsync(0)
+    members.remove('gateway-b')
+    await vi.advanceTimersByTimeAsync(0)
+    expect(reported).toEqual([2, 1])
+  })
+})
+
 describe('a member that starts again', () => {
   test.each([
     ['as the directory lists it', (members: Members) => members.upsert({ name: 'gateway-b', address: 'gateway-b', announcementOrder: 9 })],
--- a/test/gateway/retry-share.test.ts
+++ b/test/gateway/retry-share.test.ts
@@ -84,7 +84,7 @@
     expect(process.retry()).toBe(true)
   })
 
-  test('is not used by a gateway that has not read the list of gateways', () => {
+  test('is not used by a gateway that has not found itself in the list of gateways', () => {
     let now = 0
     const process = new EagerProcess(() => now, undefined)
     process.share.noteReported(GATEWAYS)
