The reports of crashes are bounded in this gateway's record and in what it keeps for peers

Cause: answers in the record had no bound of their own. With prompt parts, a gateway that has answered requests with 4,000 parts of two crashes wrote a record of 320 KB, which the store (256 KB) refuses for ever; and what is kept for peers was bounded by batches, each of up to hundreds of reports, which is some 50 MB at worst (computed).

The record has the newest 1,024 answers, and peers get the newest 1,024 reports.

test/gateway/crash-tracker.test.ts 'stay within the size limit of one record if requests with very many prompt parts are answered' fails before (320,249 bytes).

--- a/packages/gateway/src/process/crashes/crash-causes.ts
+++ b/packages/gateway/src/process/crashes/crash-causes.ts
@@ -78,6 +78,12 @@
       log.quarantineBegun(fingerprints, log.describe(crashes, this.updatedAt))
   }
 
+  /** Like `update`, after answers alone: they end causes, and begin none. */
+  updateAfterAnswers(): void {
+    if (this.causes.length > 0)
+      this.update()
+  }
+
   private expire(): void {
     if (this.causes.length > 0 && this.deps.now() - this.updatedAt >= EXPIRY_INTERVAL_MS)
       this.update()
--- a/packages/gateway/src/process/crashes/crash-exchange.ts
+++ b/packages/gateway/src/process/crashes/crash-exchange.ts
@@ -14,7 +14,7 @@
 import { crashExchangeSchema } from '../../connection/peers/crash-exchange.js'
 import { isEmptyReport } from './crash-report.js'
 
-/** Newest reports sent to a peer that has none, about 100 KB: those of two crashes of the largest engines. The store has all. */
+/** Newest reports that are kept for peers, about 100 KB: those of two crashes of the largest engines. The store has all. */
 const MAX_REPORTS = 1024
 
 /** Reports recorded together, with their sequence number. */
@@ -36,6 +36,8 @@
   private readonly numberedReports: NumberedReports[] = []
   private readonly peers = new Map<string, PeerState>()
   private sequence: number
+  /** Number of reports in `numberedReports`. */
+  private keptReports = 0
 
   /** Takes a callback for reports of peers, and the sequence number before that of the first report. */
   constructor(private readonly onReports: (reports: CrashReports) => void, initialSequence: number) {
@@ -45,8 +47,9 @@
   /** Records reports of this gateway, its own or received, to be sent to peers. */
   note(reports: CrashReports): void {
     this.numberedReports.push({ number: ++this.sequence, reports })
-    if (this.numberedReports.length > MAX_REPORTS)
-      this.numberedReports.shift()
+    this.keptReports += countReports(reports)
+    while (this.keptReports > MAX_REPORTS && this.numberedReports.length > 1)
+      this.keptReports -= countReports(this.numberedReports.shift()!.reports)
   }
 
   /** Returns the message for a peer; undefined if there is nothing to send or acknowledge, which is the usual case. */
@@ -77,6 +80,10 @@
   }
 }
 
+function countReports({ crashes, answers }: CrashReports): number {
+  return crashes.length + answers.length
+}
+
 function combine(reports: readonly CrashReports[]) {
   return {
     crashes: reports.flatMap(({ crashes }) => crashes).slice(-MAX_REPORTS),
--- a/packages/gateway/src/process/crashes/crash-tracker.ts
+++ b/packages/gateway/src/process/crashes/crash-tracker.ts
@@ -34,6 +34,8 @@
 /** Crash reports in this gateway's record, about 100 bytes each. The store accepts records of up to 256 KB. */
 const MAX_OWN_CRASH_REPORTS = 512
 
+/** Answers in this gateway's record, about 70 bytes each. */
+const MAX_OWN_ANSWER_REPORTS = 1024
 /** Crashes from which on answers are reported; one less than the number that leads to quarantine. */
 const REPORTED_CRASH_COUNT = MIN_QUARANTINE_CRASHES - 1
 /**
@@ -103,7 +105,7 @@
     // One answer clears all earlier crashes; further answers need no report.
     if (suspected.length === 0)
       return
-    this.causes.update()
+    this.causes.updateAfterAnswers()
     this.reportAnswers(suspected.map(fingerprint => ({ fingerprint, at })))
   }
 
@@ -171,7 +173,10 @@
     this.history.merge(added)
     this.crashExchange.note(added)
     this.reportRecentAnswers(added.crashes)
-    this.causes.update()
+    if (added.crashes.length > 0)
+      this.causes.update()
+    else
+      this.causes.updateAfterAnswers()
     return added
   }
 
@@ -200,7 +205,9 @@
     const answers = [...this.ownReports.answers, ...reports.answers].filter(({ fingerprint }) => this.history.has(fingerprint))
     this.ownReports = {
       crashes: this.limitToRecordSize([...new Map(crashes.map(crash => [reportKey(crash), crash])).values()]),
-      answers: [...new Map(answers.map(answer => [answer.fingerprint, answer])).values()],
+      answers: [...new Map(answers.map(answer => [answer.fingerprint, answer])).values()]
+        .toSorted((a, b) => b.at - a.at)
+        .slice(0, MAX_OWN_ANSWER_REPORTS),
     }
   }
 
--- a/test/gateway/crash-tracker.test.ts
+++ b/test/gateway/crash-tracker.test.ts
@@ -233,4 +233,15 @@
     expect(JSON.stringify(ledger.records.get('a')).length).toBeLessThan(262_144)
     expect(createTracker('b').tracker.refusal(['cause'])).toBeDefined()
   })
+
+  test('stay within the size limit of one record if requests with very many prompt parts are answered', async () => {
+    const { tracker } = createTracker('a')
+    const parts = Array.from({ length: 4000 }, (_, number) => `part-${String(number).padStart(24, '0')}`)
+    crash(tracker, 'engine-0', ...parts)
+    crash(tracker, 'engine-1', ...parts)
+    for (const part of parts)
+      tracker.noteAnswered(['whole', part])
+    await vi.advanceTimersByTimeAsync(EXCHANGE_MS)
+    expect(JSON.stringify(ledger.records.get('a')).length).toBeLessThan(262_144)
+  })
 })
