Answers are reported together

Cause: each answer had a report and a timer of its own, and each report sorts this gateway's record anew.

--- a/packages/gateway/src/process/crashes/crash-tracker.ts
+++ b/packages/gateway/src/process/crashes/crash-tracker.ts
@@ -75,6 +75,8 @@
   private readonly causes: CrashCauses
   /** This gateway's record in the ledger. */
   private ownReports: CrashReports = NO_REPORTS
+  /** Answers that are reported after a delay. */
+  private pendingAnswers: AnswerReport[] = []
   /** Whether the ledger has been read, so that writing does not discard the predecessor's reports. */
   private isLedgerRead = false
   private isWriting = false
@@ -193,10 +195,17 @@
     this.reportAnswers(answers)
   }
 
-  /** Reports answers after a delay, except those that have become known from others. They count here at once. */
+  /** Reports answers together after a delay, except those that have become known from others. They count here at once. */
   private reportAnswers(answers: readonly AnswerReport[]): void {
-    if (answers.length > 0)
-      setTimeout(() => this.recordReports({ crashes: [], answers }), Math.random() * ANSWER_REPORT_SPREAD_MS).unref()
+    if (this.pendingAnswers.length === 0 && answers.length > 0)
+      setTimeout(() => this.reportPendingAnswers(), Math.random() * ANSWER_REPORT_SPREAD_MS).unref()
+    this.pendingAnswers.push(...answers)
+  }
+
+  private reportPendingAnswers(): void {
+    const answers = this.pendingAnswers
+    this.pendingAnswers = []
+    this.recordReports({ crashes: [], answers })
   }
 
   /** Adds reports to this gateway's record, except those that the history has evicted. */
