Tests of prompt parts: the loss of all gateways, and backend servers that end by themselves

Both are asked of the rule and had no test of processes that serve: gateways that start after all others were lost refuse requests with the part and none of the sound ones, and nothing is refused where half of the pool ends three times while streams that share parts run there.

--- a/test/platform/crashing-prompt-parts.test.ts
+++ b/test/platform/crashing-prompt-parts.test.ts
@@ -23,6 +23,10 @@
 /** Time before requests with the cause begin. */
 const CALM_MS = 2000
 const CRASHING_MS = 16_000
+/** Number of times that half of the backend servers end together, the time before each, and the interval of the checks for refused parts. */
+const WAVES = 3
+const WAVE_INTERVAL_MS = 1500
+const CHECK_INTERVAL_MS = 10
 /** Prompt parts that all requests of a client account begin with, and those of its documents. */
 const ACCOUNT_PARTS = 4
 const DOCUMENT_PARTS = 20
@@ -36,6 +40,7 @@
 let store: StandInStore
 let pool: CrashingPool
 let gateways: StartedGateway[]
+let storeAddress: string
 let sent: number
 
 /** Sends the head and an event. */
@@ -55,7 +60,7 @@
 beforeEach(async () => {
   sent = 0
   store = new StandInStore()
-  const storeAddress = await store.start()
+  storeAddress = await store.start()
   store.put('keyed.op', 'config', CONFIGURATION)
   gateways = await Promise.all(Array.from({ length: GATEWAYS }, (_, index) => startGateway(`gateway-${index}`, storeAddress)))
   await vi.waitFor(() => gateways.forEach(({ gateway }) => expect(gateway.members.count).toBe(GATEWAYS)), { timeout: 5000 })
@@ -133,3 +138,50 @@
     expect(shareOf(afterwards), figures).toBeGreaterThanOrEqual(MIN_BEGUN_SHARE)
   }, 60_000)
 })
+
+/** Sends streams with the cause until every gateway refuses them. */
+async function crashUntilRefused(shared: () => readonly string[]): Promise<void> {
+  const stop = performance.now() + CONTACT_MS * 2
+  while (performance.now() < stop && gateways.some(({ gateway }) => gateway.crashTracker.quarantined === 0)) {
+    void send(shared())
+    await wait(CRASHING_INTERVAL_MS)
+  }
+  expect(gateways.map(({ gateway }) => gateway.crashTracker.quarantined)).toEqual(gateways.map(() => 1))
+}
+
+describe('different requests with a part that crashed backend servers', () => {
+  test('are refused by gateways that start after all others were lost, and sound ones with their first part are not', async () => {
+    await startPool(['c0'], begin)
+    await sendFor(CALM_MS, SOUND_INTERVAL_MS, soundParts)
+    await crashUntilRefused(() => [`a${sent % ACCOUNT_PARTS}`, 'c0'])
+    await Promise.all(gateways.map(({ gateway }) => gateway.close()))
+    gateways = await Promise.all(Array.from({ length: GATEWAYS }, (_, index) => startGateway(`gateway-new-${index}`, storeAddress)))
+    await vi.waitFor(() => expect(gateways.map(({ gateway }) => gateway.crashTracker.quarantined)).toEqual([1, 1, 1]), { timeout: CONTACT_MS })
+    await vi.waitFor(() => gateways.forEach(({ gateway }) => expect(gateway.registry.size).toBeGreaterThanOrEqual(POOL_SIZE)), { timeout: 5000 })
+    const crashesBefore = pool.crashes.length
+    const [crashing, sound] = await Promise.all([
+      sendFor(CONTACT_MS, CRASHING_INTERVAL_MS, () => [`a${sent % ACCOUNT_PARTS}`, 'c0']),
+      sendFor(CONTACT_MS, SOUND_INTERVAL_MS, soundParts),
+    ])
+    expect(crashing).not.toContain(true)
+    expect(pool.crashes.length).toBe(crashesBefore)
+    expect(shareOf(sound)).toBeGreaterThanOrEqual(MIN_BEGUN_SHARE)
+  }, 60_000)
+})
+
+describe('streams that share parts of their prompts', () => {
+  test('are never refused if several backend servers end together repeatedly while running them', async () => {
+    await startPool([])
+    let refused = 0
+    const checks = setInterval(() => refused += gateways.filter(({ gateway }) => gateway.crashTracker.quarantined > 0).length, CHECK_INTERVAL_MS)
+    const sending = sendFor(WAVES * WAVE_INTERVAL_MS + CONTACT_MS, SOUND_INTERVAL_MS, soundParts)
+    for (let wave = 0; wave < WAVES; wave++) {
+      await wait(WAVE_INTERVAL_MS)
+      pool.crashSome(POOL_SIZE / 2)
+    }
+    await sending
+    clearInterval(checks)
+    expect(pool.crashes.length).toBeGreaterThan(POOL_SIZE)
+    expect(refused).toBe(0)
+  }, 60_000)
+})
