--- a/packages/gateway/src/process/crashes/crash-history.ts
+++ b/packages/gateway/src/process/crashes/crash-history.ts
@@ -71,7 +71,11 @@
     }
   }
 
-  /** Selects the reports that are neither known nor expired, without answers that change nothing: parts of prompts are answered all the time, at all gateways. */
+  /**
+   * Selects the reports that are neither known nor expired. Answers that clear no
+   * further crash are left out: parts of prompts are answered all the time, at all
+   * gateways.
+   */
   selectNew({ crashes, answers }: CrashReports): CrashReports {
     return {
       crashes: crashes.filter(crash => this.isNew(crash)),
--- a/packages/gateway/src/process/crashes/quarantine-trials.ts
+++ b/packages/gateway/src/process/crashes/quarantine-trials.ts
@@ -20,7 +20,7 @@
 import { isPartFingerprint } from '../../request/request-fingerprint.js'
 import { MIN_QUARANTINE_CRASHES } from './quarantine.js'
 
-/** Time from the latest crash until the first trial. */
+/** Time from the latest crash until the first trial; engines that crashed have been back for long by then. */
 const FIRST_TRIAL_MS = 60_000
 /** Longest time for which a trial request is let through; longer than a request lasts. */
 const TRIAL_MS = 30_000
--- a/packages/gateway/src/process/crashes/quarantine.ts
+++ b/packages/gateway/src/process/crashes/quarantine.ts
@@ -39,16 +39,17 @@
 /** What evidence against a kind of fingerprint takes. */
 interface EvidenceRule {
   /**
-   * How long before a crash an answer still clears it. Longer than the duration of
+   * How long (ms) before a crash an answer still clears it. Longer than the duration of
    * requests that may share a fingerprint, and than the clock skew between VMs;
    * shorter than an update of the backend servers, after which a request that used
    * to be answered may crash them.
    */
   answerClearsMs: number
-  /** Crashes that are closer together count once; 0 counts each. */
+  /** Crashes that are closer together (ms) count once; 0 counts each. */
   momentMs: number
 }
 
+/** Requests with this fingerprint are identical. */
 const REQUEST_RULE: EvidenceRule = { answerClearsMs: 10_000, momentMs: 0 }
 /** A part is held by different requests: some are rare, and many run on the backend servers that a fault ends together. */
 const PART_RULE: EvidenceRule = { answerClearsMs: 60_000, momentMs: 400 }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -235,7 +235,14 @@
         this.crashTracker.noteCrash(crash)
       },
     })
-    return new CrashTracker({ name, ledger: platform.crashLedger, log, detector, restoresOthers: () => !this.members.receivesPeerUpdates, startsTrials: () => this.members.isCoordinator })
+    return new CrashTracker({
+      name,
+      ledger: platform.crashLedger,
+      log,
+      detector,
+      restoresOthers: () => !this.members.receivesPeerUpdates,
+      startsTrials: () => this.members.isCoordinator,
+    })
   }
 
   private createVersionLedger(): VersionLedger {
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -36,9 +36,9 @@
 import { AttemptEnd, decideAfterAttempt, decideBeforeAttempt, isFreeToRetry, isUnsent, mayAwaitBackend, mayRunAfterNext, needsBudget, RetryDecision } from './retry-rule.js'
 import { recordSpeed } from './speed-sample.js'
 
-/** Crashes from which on a request is suspected; one less than the number that leads to quarantine. */
+/** Crashes from which on a request is suspected: the next one may lead to quarantine. */
 const SUSPECT_CRASH_COUNT = 2
-/** Longest wait for the check of a backend server; one that does not answer takes longer. */
+/** Longest wait for the check of a backend server; the check itself takes longer if its VM does not answer. */
 const MAX_CRASH_CHECK_MS = 200
 
 /** The known backend servers; implemented by the process's registry. */
@@ -225,10 +225,10 @@
   /** A request that may be the cause of crashes is not sent on before it is known whether its last backend server crashed. */
   private async awaitCrashCheck(): Promise<void> {
     const { crashes } = this.dependencies
-    const isSuspect = this.crashCheck !== undefined && this.subject.request.fingerprints.some(fingerprint => crashes.crashCount(fingerprint) >= SUSPECT_CRASH_COUNT)
-    if (isSuspect)
-      await Promise.race([this.crashCheck, wait(MAX_CRASH_CHECK_MS)])
+    const { crashCheck, subject: { request } } = this
     this.crashCheck = undefined
+    if (crashCheck && request.fingerprints.some(fingerprint => crashes.crashCount(fingerprint) >= SUSPECT_CRASH_COUNT))
+      await Promise.race([crashCheck, wait(MAX_CRASH_CHECK_MS)])
   }
 
   /** Reserves a retry if the next attempt needs one; returns false if the budget is used up. */
--- a/packages/gateway/src/request/attempts/retry-budget.ts
+++ b/packages/gateway/src/request/attempts/retry-budget.ts
@@ -27,11 +27,11 @@
   windowMs: number
 }
 
-/** Resolution of the sliding window: fewer buckets expire counts in larger steps, more cost memory and time. */
+/** Resolution of the sliding window: counts expire in steps of one bucket. */
 const BUCKETS = 20
 /**
- * Share of the allowance that is used. The rest covers gateways that this one
- * does not know yet; a larger share could exceed the allowance while gateways join.
+ * Share of the allowance that is used. The rest covers retries that arrive in a
+ * later window than they were sent in, and gateways that this one does not know yet.
  */
 const USABLE_SHARE = 0.8
 
--- a/packages/gateway/src/request/crash-monitor.ts
+++ b/packages/gateway/src/request/crash-monitor.ts
@@ -4,7 +4,11 @@
  */
 import type { Backend } from '../connection/backends/backend.js'
 
-/** Correlates failed calls with crashes of backend servers. The fingerprints of a request are that of the whole and those of the shared parts of its prompt, in this order. */
+/**
+ * Correlates failed calls with crashes of backend servers. The fingerprints of a
+ * request are that of the whole and those of the shared parts of its prompt, in
+ * this order.
+ */
 export interface CrashMonitor {
   /** Records that a call to a backend server broke, or may have; resolves when it is known whether the backend server exited. */
   noteBroken: (backend: Backend, fingerprints: readonly string[]) => Promise<void>
--- a/packages/gateway/src/request/request-fingerprint.ts
+++ b/packages/gateway/src/request/request-fingerprint.ts
@@ -48,6 +48,7 @@
   return [...new Set(sharedParts(prompt).map(({ id }) => id))].map(id => fingerprintOfPart(service, id))
 }
 
+/** Whether a fingerprint is that of a prompt part, not of a whole request. */
 export function isPartFingerprint(fingerprint: string): boolean {
   return fingerprint.startsWith(PART_PREFIX)
 }
