A gateway that gets more work than it can do closes new connections unread

Cause: a gateway reads whatever comes. Beyond its processor time each further request delays all others, until none is answered before its client leaves.

Change: a process whose event loop had no pause for 300 ms closes new connections with nothing read, but one every 500 ms, and asks clients to close open ones. What was not read may be sent to another gateway at once, also what may run once only.

--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -7,6 +7,7 @@
  */
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { ConfigurationHolder } from '../../version/configuration-holder.js'
 import type { ClientLimits } from '../../version/configuration.js'
@@ -14,12 +15,14 @@
 import type { ClientCodec } from './client-codec.js'
 import type { RequestHandler } from './client-request.js'
 import type { ClientMetrics } from './client-transfers.js'
+import type { IntakeMetrics } from './connection-intake.js'
 import type { ReadContext } from './request-reader.js'
 import { createServer } from 'node:http'
 import { createError, ErrorKind, formatError } from '@eidermast/common'
 import { errorCode } from '../error-codes.js'
 import { BodyRoom } from './body-room.js'
 import { ClientTransfers } from './client-transfers.js'
+import { ConnectionIntake } from './connection-intake.js'
 import { HttpClientResponse } from './http-client-response.js'
 import { OpenAnswers } from './open-answers.js'
 import { readRequest } from './request-reader.js'
@@ -43,7 +46,7 @@
   codec: ClientCodec
   configuration: ConfigurationHolder
   held: HeldBytes
-  metrics: ClientMetrics
+  metrics: ClientMetrics & IntakeMetrics
   log: EventLog
 }
 
@@ -53,6 +56,7 @@
   /** Undefined without a limit on held bytes: then no client is cut off. */
   private readonly transfers: ClientTransfers | undefined
   private readonly answers = new OpenAnswers()
+  private readonly intake: ConnectionIntake
   private limits = DEFAULT_LIMITS
   private active = 0
   private draining = false
@@ -60,13 +64,11 @@
 
   constructor(private readonly dependencies: ClientServerDependencies) {
     const { configuration, held, metrics, log } = dependencies
+    this.intake = new ConnectionIntake({ metrics, log })
     const options = { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, noDelay: true }
     this.server = createServer(options, (message, response) => void this.handle(message, response))
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket))
-    this.server.on('connection', socket => void socket.on('close', () => {
-      held.closeConnection(socket)
-      this.answers.closeConnection(socket)
-    }))
+    this.server.on('connection', socket => this.handleConnection(socket))
     // Until then, clients that stop are cut off, also during a shutdown.
     this.server.once('close', () => this.transfers?.stop())
     this.applyLimits(DEFAULT_LIMITS)
@@ -113,6 +115,17 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
+  private handleConnection(socket: Socket): void {
+    if (!this.intake.keepsNext()) {
+      socket.resetAndDestroy()
+      return
+    }
+    socket.on('close', () => {
+      this.dependencies.held.closeConnection(socket)
+      this.answers.closeConnection(socket)
+    })
+  }
+
   private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     // The connection was answered by `rejectMalformed`; a 408 promises that what arrives after it does not run.
     if (message.socket.writableEnded)
@@ -124,7 +137,7 @@
     const head = codec.readHead(message.rawHeaders)
     const requestId = head.isOk() ? head.value.requestId : undefined
     const holding = held.open(message.socket)
-    const clientResponse = new HttpClientResponse(response, codec, requestId, holding, () => this.draining)
+    const clientResponse = new HttpClientResponse(response, codec, requestId, holding, () => this.draining || this.intake.isClosing)
     const endTracking = this.transfers?.trackAnswer(clientResponse)
     const signal = createDisconnectSignal(response)
     response.on('close', () => {
