Revert "A gateway that gets more work than it can do closes new connections unread"

Three narrower rules were tried (trials, not committed): no pause for a second, a listener's queue that was not empty for a second, and that while most other gateways are not slow. A fourth, by the time from a connection to its first request, never closed one: what waits is not accepted yet. Where all gateways are short of processor time, closing connections hits each account alike, and its clients find no better gateway.

--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -7,7 +7,6 @@
  */
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { ConfigurationHolder } from '../../version/configuration-holder.js'
 import type { ClientLimits } from '../../version/configuration.js'
@@ -15,14 +14,12 @@
 import type { ClientCodec } from './client-codec.js'
 import type { RequestHandler } from './client-request.js'
 import type { ClientMetrics } from './client-transfers.js'
-import type { IntakeMetrics } from './connection-intake.js'
 import type { ReadContext } from './request-reader.js'
 import { createServer } from 'node:http'
 import { createError, ErrorKind, formatError } from '@eidermast/common'
 import { errorCode } from '../error-codes.js'
 import { BodyRoom } from './body-room.js'
 import { ClientTransfers } from './client-transfers.js'
-import { ConnectionIntake } from './connection-intake.js'
 import { HttpClientResponse } from './http-client-response.js'
 import { OpenAnswers } from './open-answers.js'
 import { readRequest } from './request-reader.js'
@@ -46,7 +43,7 @@
   codec: ClientCodec
   configuration: ConfigurationHolder
   held: HeldBytes
-  metrics: ClientMetrics & IntakeMetrics
+  metrics: ClientMetrics
   log: EventLog
 }
 
@@ -56,7 +53,6 @@
   /** Undefined without a limit on held bytes: then no client is cut off. */
   private readonly transfers: ClientTransfers | undefined
   private readonly answers = new OpenAnswers()
-  private readonly intake: ConnectionIntake
   private limits = DEFAULT_LIMITS
   private active = 0
   private draining = false
@@ -64,11 +60,13 @@
 
   constructor(private readonly dependencies: ClientServerDependencies) {
     const { configuration, held, metrics, log } = dependencies
-    this.intake = new ConnectionIntake({ metrics, log })
     const options = { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, noDelay: true }
     this.server = createServer(options, (message, response) => void this.handle(message, response))
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket))
-    this.server.on('connection', socket => this.handleConnection(socket))
+    this.server.on('connection', socket => void socket.on('close', () => {
+      held.closeConnection(socket)
+      this.answers.closeConnection(socket)
+    }))
     // Until then, clients that stop are cut off, also during a shutdown.
     this.server.once('close', () => this.transfers?.stop())
     this.applyLimits(DEFAULT_LIMITS)
@@ -115,17 +113,6 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
-  private handleConnection(socket: Socket): void {
-    if (!this.intake.keepsNext()) {
-      socket.resetAndDestroy()
-      return
-    }
-    socket.on('close', () => {
-      this.dependencies.held.closeConnection(socket)
-      this.answers.closeConnection(socket)
-    })
-  }
-
   private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     // The connection was answered by `rejectMalformed`; a 408 promises that what arrives after it does not run.
     if (message.socket.writableEnded)
@@ -137,7 +124,7 @@
     const head = codec.readHead(message.rawHeaders)
     const requestId = head.isOk() ? head.value.requestId : undefined
     const holding = held.open(message.socket)
-    const clientResponse = new HttpClientResponse(response, codec, requestId, holding, () => this.draining || this.intake.isClosing)
+    const clientResponse = new HttpClientResponse(response, codec, requestId, holding, () => this.draining)
     const endTracking = this.transfers?.trackAnswer(clientResponse)
     const signal = createDisconnectSignal(response)
     response.on('close', () => {
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -110,12 +110,6 @@
     registers: [this.registry],
   })
 
-  private readonly closedConnections = new Counter({
-    name: 'eidermast_gateway_connections_closed_total',
-    help: 'New connections of clients closed with nothing read, since this process got more work than it could do',
-    registers: [this.registry],
-  })
-
   private readonly streamsResumed = new Counter({
     name: 'eidermast_gateway_streams_resumed_total',
     help: 'Streams that clients resumed, by how the software version that began them was found; those with source unknown or lost were refused',
@@ -129,11 +123,6 @@
     registers: [this.registry],
   })
 
-  /** Counts a new connection of a client that was closed with nothing read. */
-  countConnectionClosed(): void {
-    this.closedConnections.inc()
-  }
-
   /** Counts an attempt after the first one of its request. */
   countRetry(service: string, cost: RetryCost): void {
     this.retries.inc({ service, cost })
