--- a/packages/gateway/src/process/crashes/crash-causes.ts
+++ b/packages/gateway/src/process/crashes/crash-causes.ts
@@ -44,7 +44,7 @@
     return this.causes.length
   }
 
-  /** Why a request with these fingerprints is refused; undefined if it is not. */
+  /** Why a request with these fingerprints is refused; undefined if it is not. Lets it through as a trial if one is due. */
   refusal(fingerprints: readonly string[]): string | undefined {
     this.expire()
     const cause = this.causes.find(each => isCause(each, fingerprints))
--- a/packages/gateway/src/process/crashes/crash-tracker.ts
+++ b/packages/gateway/src/process/crashes/crash-tracker.ts
@@ -33,7 +33,6 @@
 const WRITE_INTERVAL_MS = 500
 /** Crash reports in this gateway's record, about 100 bytes each. The store accepts records of up to 256 KB. */
 const MAX_OWN_CRASH_REPORTS = 512
-
 /** Answers in this gateway's record, about 70 bytes each. */
 const MAX_OWN_ANSWER_REPORTS = 1024
 /** Crashes from which on answers are reported; one less than the number that leads to quarantine. */
--- a/packages/gateway/src/request/attempts/retry-rule.ts
+++ b/packages/gateway/src/request/attempts/retry-rule.ts
@@ -71,7 +71,7 @@
   NoTime = 'no-time',
   /** The service's retry budget is used up. */
   BudgetUsed = 'budget-used',
-  /** Identical requests have crashed the backend servers that ran them. */
+  /** Requests like it have crashed the backend servers that ran them. */
   Quarantined = 'quarantined',
   /** Its stage results are lost and could not be recreated. */
   InputsGone = 'inputs-gone',
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -39,7 +39,7 @@
   cancelled: boolean
   /** Attempts that ran or may have run. */
   runs: number
-  /** Why identical requests are not sent to any backend server; undefined if they are. */
+  /** Why requests like this one are not sent to any backend server; undefined if they are. */
   refusal: string | undefined
   /** Milliseconds until a backend server of the service accepts a request; 0 if one does now, Infinity if none accepts work. */
   waitMs: number
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -96,14 +96,14 @@
 
 describe('a stream that its client resumes', () => {
   interface ResumeOptions extends Pick<StreamOptions, 'gateway'> {
-    /** Whether clients resume only when the change is complete, so that no try reaches a gateway that is about to be killed. @default false */
-    isHeld?: boolean
+    /** Whether clients wait with resuming until the change is complete, so that no try reaches a gateway that is about to be killed. @default false */
+    resumesAfterChange?: boolean
   }
 
   /** Starts streams, lets them run half way, changes the deployment, and returns the streams that were resumed. */
-  async function resumeAfter(change: () => Promise<void>, { gateway, isHeld = false }: ResumeOptions = {}): Promise<ReceivedStream[]> {
+  async function resumeAfter(change: () => Promise<void>, { gateway, resumesAfterChange = false }: ResumeOptions = {}): Promise<ReceivedStream[]> {
     let changed: Promise<void> | undefined
-    const running = startStreams(STREAMS, { gateway, maxTries: 2, beforeRetry: () => isHeld ? changed : undefined })
+    const running = startStreams(STREAMS, { gateway, maxTries: 2, beforeRetry: () => resumesAfterChange ? changed : undefined })
     await waitUntilHalfWay()
     changed = change()
     await changed
@@ -119,7 +119,7 @@
     await startDeployment({})
     await deployment.addBackends(version, EACH)
     await deployment.waitUntilListed()
-    const resumed = await resumeAfter(() => deployment.killAndRestart([0, 1, 2]), { isHeld: true })
+    const resumed = await resumeAfter(() => deployment.killAndRestart([0, 1, 2]), { resumesAfterChange: true })
     expect(wholeOf(resumed).length).toBeGreaterThan(resumed.length / 2)
   })
 
@@ -206,7 +206,7 @@
       deployment.ofVersion('v1').forEach(backend => deployment.unlist(backend))
       await deployment.waitUntilListed()
       await deployment.killAndRestart([0, 1, 2])
-    }, { isHeld: true })
+    }, { resumesAfterChange: true })
     expect(resumed.filter(isMixed)).toEqual([])
     expect(statusesOf(resumed)).toEqual([503])
   })
