Crashes are not reported for what a known answer clears

An answer that is known by a heartbeat is not written by who has learned it, and keeps its own answers from being reported as well. Once the gateway that gave it is gone before its write, the store has crashes without the answer, and a gateway that starts refuses the part that a whole client account shares: here until the first heartbeats; after a loss of all gateways until a trial, a minute or more.

Ruled out: load (nothing else ran), and the rule of causes: by what the gateway had read, the part was at three separate moments and never answered.

Change: a gateway leaves out of its reports what an answer clears that it knows, its own or learned. Such a crash can never count again, since answers only get newer. Reports get smaller by popular parts.

Result: the new test of crash-tracker fails without it ("requests like this one ended 4 backend servers") and passes; 79 tests of crashes, quarantine and prompt parts pass.

--- a/packages/gateway/src/process/crashes/crash-causes.ts
+++ b/packages/gateway/src/process/crashes/crash-causes.ts
@@ -54,13 +54,19 @@
     return this.deps.log.describe(cause.crashes, now)
   }
 
-  /** The crashes that are evidence against a fingerprint, with the answers of this gateway that are not reported yet. */
+  /** When a request with the fingerprint was last answered (epoch milliseconds), by all answers known here, reported or not; 0 if none is. */
+  answeredAt(fingerprint: string): number {
+    const { history, answers } = this.deps
+    return Math.max(history.answeredAt(fingerprint) ?? 0, answers.at(fingerprint) ?? 0)
+  }
+
+  /** The crashes that are evidence against a fingerprint, by all answers known here. */
   countedCrashesOf(fingerprint: string): CrashReport[] {
-    const { history, answers, now } = this.deps
+    const { history, now } = this.deps
     if (!history.has(fingerprint))
       return []
-    const { crashes, answeredAt = 0 } = history.historyOf(fingerprint)
-    return countedCrashes({ crashes, answeredAt: Math.max(answeredAt, answers.at(fingerprint) ?? 0) }, now())
+    const { crashes } = history.historyOf(fingerprint)
+    return countedCrashes({ crashes, answeredAt: this.answeredAt(fingerprint) }, now())
   }
 
   /** Finds the causes anew, and logs those that have begun or ended. */
--- a/packages/gateway/src/process/crashes/crash-history.ts
+++ b/packages/gateway/src/process/crashes/crash-history.ts
@@ -42,6 +42,11 @@
     return { crashes: [...entry?.crashes.values() ?? []], answeredAt: entry?.answeredAt }
   }
 
+  /** When a request with the fingerprint was last answered, in epoch milliseconds; undefined if that is not known. */
+  answeredAt(fingerprint: string): number | undefined {
+    return this.entries.get(fingerprint)?.answeredAt
+  }
+
   /** Whether a crash report is kept. */
   hasCrash({ fingerprint, backend }: CrashReport): boolean {
     return this.entries.get(fingerprint)?.crashes.has(backend) ?? false
--- a/packages/gateway/src/process/crashes/crash-tracker.ts
+++ b/packages/gateway/src/process/crashes/crash-tracker.ts
@@ -118,10 +118,16 @@
     return this.causes.refusal(fingerprints)
   }
 
-  /** Records a crash of a backend server with requests in flight. */
+  /**
+   * Records a crash of a backend server with requests in flight. Fingerprints that a
+   * known answer clears are left out: the answer may never reach the ledger.
+   */
   noteCrash({ backend, fingerprints }: BackendCrash): void {
     const at = this.now()
-    this.recordReports({ crashes: fingerprints.map(fingerprint => ({ fingerprint, backend: backend.incarnation, at, gateway: this.deps.name })), answers: [] })
+    const crashes = fingerprints
+      .map((fingerprint): CrashReport => ({ fingerprint, backend: backend.incarnation, at, gateway: this.deps.name }))
+      .filter(crash => !isClearedByAnswer(crash, this.causes.answeredAt(crash.fingerprint)))
+    this.recordReports({ crashes, answers: [] })
   }
 
   replaceAll(byOwner: ReadonlyMap<string, CrashReports>): void {
--- a/test/gateway/crash-tracker.test.ts
+++ b/test/gateway/crash-tracker.test.ts
@@ -148,6 +148,13 @@
       expect(tracker.refusal(['new', 'part-account', 'part-other'])).toBeUndefined()
   })
 
+  test('are not refused by a gateway that starts after the loss of the only one that had learned of an answer, by a heartbeat', async () => {
+    const { tracker } = createTracker('a')
+    tracker.crashExchange.receive('peer', { after: 0, sequence: 1, seen: 0, reports: { crashes: [], answers: [{ fingerprint: 'part-account', at: Date.now() }] } })
+    await crashRepeatedly([tracker], number => [`whole-${number}`, 'part-account'])
+    expect(createTracker('b').tracker.refusal(['new', 'part-account'])).toBeUndefined()
+  })
+
   test('cause one report of an answer, regardless of how many gateways have answered them', async () => {
     const trackers = Array.from({ length: 20 }, (_, index) => createTracker(`gateway-${index}`).tracker)
     await crashRepeatedly(trackers.slice(0, 1), number => [`whole-${number}`, 'part-shared'])
