--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,7 +1,7 @@
 import type { KeyedRecord, TopicSink } from '@eidermast/gateway'
 import { wait } from '@eidermast/common'
 import { directoryPauseMs, maxReadWaitMs, pauseAfterChangesMs, READ_MARGIN_MS, TopicFollower, usableAfterReturnMs } from '@eidermast/gateway'
-import { encodeRecord, PlatformLog, readRecords, StoreClient } from '@eidermast/platform'
+import { encodeRecord, PlatformLog, readRecords, StoreClient, StoreCrashLedger } from '@eidermast/platform'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createLog } from '../gateway/support/fakes.js'
 import { StandInStore, StoreFault } from './support/stand-in-store.js'
@@ -105,6 +105,21 @@
     expect(store.calls - calls).toBeLessThanOrEqual(2)
   })
 
+  test('of crash reports reads those that several gateways write at the same time together', async () => {
+    const bounds = { contactMs: 3000, configurationMs: 4000, drainMs: 4000, evacuationMs: 5000 }
+    const owners: string[] = []
+    const sink = { replaceAll: () => {}, applyReports: (owner: string) => void owners.push(owner) }
+    following = new StoreCrashLedger(client, new PlatformLog(createLog().log), bounds).follow(sink, { receivesPeerUpdates: false, count: 4 }, abortController.signal)
+    await vi.waitFor(() => expect(store.calls).toBeGreaterThan(1))
+    const calls = store.calls
+    for (const owner of ['a', 'b', 'c', 'd']) {
+      store.put('keyed.eidermast-crashes', owner, { crashes: [], answers: [] })
+      await wait(20)
+    }
+    await vi.waitFor(() => expect(owners).toHaveLength(4))
+    expect(store.calls - calls).toBeLessThanOrEqual(2)
+  })
+
   test('starts again with the latest records if the history was deleted', async () => {
     await followFromFirstRecord()
     store.fault = StoreFault.Busy
