--- a/review/support/replica.mjs
+++ b/review/support/replica.mjs
@@ -12,7 +12,7 @@
 
 /** A replica; subclasses implement `serve`, which resolves with the text of the whole answer, or with undefined if it was not sent whole. */
 export class Replica {
-  /** Answers to requests, those that are to be repeated, and those that were. */
+  /** Answers to requests while it is faulty, those that are to be repeated, and those that were. */
   answers = 0
   repeated = 0
   surplus = 0
@@ -68,10 +68,10 @@
     if (request.headers['attempt-id'] !== undefined)
       this.#sendSurplus(socket, request.headers['attempt-id'])
     const whole = await this.serve(request, body, response)
-    if (whole === undefined)
+    if (whole === undefined || !this.isFaulty())
       return
     this.answers++
-    if (this.isFaulty() && this.isRepeated(whole)) {
+    if (this.isRepeated(whole)) {
       this.repeated++
       this.#repeats.set(socket, whole)
     }
