Timeouts of joined abort signals survive garbage collection

Cause: the limit on stage work was AbortSignal.any([client, AbortSignal .timeout(ms)]). AbortSignal.any refers to its sources weakly, and so does a timeout signal's own timer; a timeout that nobody else refers to is collected together with its timer. From the next garbage collection on, the limit does not exist, so a request whose coordinator does not answer (a connection gone silent while the coordinator's heartbeats go on) waits until its client leaves. The class: something that must happen is referred to weakly only.

Change: joinSignals and createTimeoutSignal(ms, ...parents) in common refer to their parents until they are disposed of; every use of AbortSignal.any is replaced, and lint refuses new ones.

Shown: proxy-request-handler "is answered by its time-out, also after a garbage collection" fails on the code before (no answer 800 ms after a time-out of 300 ms). The test of recreated results looked at the signal after the work had ended, by which it is disposed of now; it looks while the work runs, and asks for the same.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,10 @@
     'unicorn/throw-new-error': 'off',
     'test/prefer-lowercase-title': 'off',
     'test/consistent-test-it': ['error', { fn: 'test', withinDescribe: 'test' }],
+    'no-restricted-syntax': ['error', 'TSEnumDeclaration[const=true]', 'TSExportAssignment', {
+      selector: 'MemberExpression[object.name="AbortSignal"][property.name="any"]',
+      message: 'AbortSignal.any refers to its sources weakly, so that a timeout may be garbage collected: use joinSignals or createTimeoutSignal.',
+    }],
     'ts/no-use-before-define': ['error', { functions: false, classes: false, variables: false }],
   },
 })
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -54,6 +54,11 @@
   return text === '' || /[\s"=]/.test(text) ? JSON.stringify(text) : text
 }
 
+/** Formats an unexpected error with its stack trace. */
+export function formatStack(error: unknown): string {
+  return (error instanceof Error ? error.stack : undefined) ?? formatError(error)
+}
+
 /** Formats any thrown value as one line. */
 export function formatError(error: unknown): string {
   if (error instanceof Error) {
--- a/packages/daemon/src/connection/json-http.ts
+++ b/packages/daemon/src/connection/json-http.ts
@@ -32,7 +32,7 @@
 
 /** Calls a JSON endpoint and returns the parsed body of a 2xx response; undefined if the body is empty. */
 export async function callJson(call: JsonCall): Promise<Result<unknown, CallError>> {
-  const { signal, dispose } = createTimeoutSignal(call.timeoutMs, call.signal)
+  const { signal, dispose } = createTimeoutSignal(call.timeoutMs, ...call.signal ? [call.signal] : [])
   try {
     return await sendAndRead(call, signal)
   }
--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -16,7 +16,7 @@
 import type { ClientMetrics } from './client-transfers.js'
 import type { ReadContext } from './request-reader.js'
 import { createServer } from 'node:http'
-import { createError, ErrorKind, formatError } from '@eidermast/common'
+import { createError, ErrorKind, formatStack } from '@eidermast/common'
 import { errorCode } from '../error-codes.js'
 import { BodyRoom } from './body-room.js'
 import { ClientTransfers } from './client-transfers.js'
@@ -162,8 +162,7 @@
   }
 
   private handleInternalError(error: unknown, clientResponse: HttpClientResponse): void {
-    const stack = error instanceof Error ? error.stack : undefined
-    this.dependencies.log.write('internal-error', { error: stack ?? formatError(error) })
+    this.dependencies.log.write('internal-error', { error: formatStack(error) })
     if (clientResponse.started)
       clientResponse.cutOff()
     else
--- a/packages/gateway/src/process/stages/shared-preparer.ts
+++ b/packages/gateway/src/process/stages/shared-preparer.ts
@@ -17,7 +17,7 @@
 import type { StageShard } from '../../connection/peers/stage-shard.js'
 import type { Members } from '../membership/members.js'
 import type { ShardChoice } from './shard-choice.js'
-import { formatError } from '@eidermast/common'
+import { formatError, joinSignals } from '@eidermast/common'
 import { Err } from 'ts-results-es'
 import { PreparationFailureKind } from '../../connection/peers/preparation.js'
 import { isCoordinatorFailure } from './coordinator-failure.js'
@@ -135,8 +135,9 @@
     if (coordinator.name === this.members.self.name)
       return this.local.prepare(request, signal)
     const failure = this.members.watchFailure(coordinator)
+    const either = joinSignals(signal, failure.signal)
     try {
-      return await this.peers.prepare(coordinator, request, AbortSignal.any([signal, failure.signal]))
+      return await this.peers.prepare(coordinator, request, either.signal)
     }
     catch (error) {
       // A call that was cancelled with its request is no evidence against the coordinator.
@@ -145,6 +146,7 @@
       return undefined
     }
     finally {
+      either.dispose()
       failure.dispose()
     }
   }
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -15,7 +15,7 @@
 import type { TopicPosition } from '../connection/backends/revision.js'
 import type { PositionedRecord, TopicReader } from './keyed-topic.js'
 import type { SourceOutage } from './platform-adapter.js'
-import { formatError, wait } from '@eidermast/common'
+import { formatError, TIMEOUT_ERROR, wait } from '@eidermast/common'
 import { HistoryDeletedError } from './keyed-topic.js'
 import { retryBackoffMs } from './store-backoff.js'
 
@@ -24,9 +24,6 @@
 
 /** Wait of reads after a failure: the store responds at once, so its recovery is detected early. */
 const NO_WAIT_MS = 0
-/** Error name of a call that exceeded its `AbortSignal.timeout`. */
-const TIMEOUT_ERROR = 'TimeoutError'
-
 /** Receives the records of a topic. */
 export interface TopicSink {
   /** Delivers the contents of the topic up to a position; some records may be newer. */
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -8,7 +8,7 @@
 import type { Result } from 'ts-results-es'
 import type { ClientRequest, RequestHandler } from '../connection/clients/client-request.js'
 import type { ClientResponse } from '../connection/clients/client-response.js'
-import type { PreparationRequest, Preparer } from '../connection/peers/preparation.js'
+import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../connection/peers/preparation.js'
 import type { ConfigurationHolder } from '../version/configuration-holder.js'
 import type { AccountShares, Demand } from './admission/account-shares.js'
 import type { AdmissionTicket, RequestAdmission } from './admission/request-admission.js'
@@ -19,7 +19,7 @@
 import type { ReturnDetector } from './returns/return-detector.js'
 import type { RoutedRequest } from './routed-request.js'
 import type { StartGate } from './start-wait.js'
-import { createError, ErrorKind } from '@eidermast/common'
+import { createError, createTimeoutSignal, ErrorKind } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
 import { DemandEnd } from './admission/account-shares.js'
 import { NO_INPUTS } from './attempts/run-subject.js'
@@ -141,8 +141,7 @@
     const waitMs = this.dependencies.runner.shortestWaitMs(request)
     if (Number.isFinite(waitMs) && waitMs > firstEventMs)
       return { error: errorOfWithheld(request.service, waitMs) }
-    const stagesSignal = AbortSignal.any([signal, AbortSignal.timeout(atLeastOneMs(firstEventMs))])
-    const prepared = await this.dependencies.preparer.prepare(this.describeStageWork(request), stagesSignal)
+    const prepared = await this.prepare(request, signal)
     if (prepared.isErr())
       return { error: this.refuse(request) ?? errorOfPreparation(prepared.error) }
     const inputs: RunInputs = {
@@ -162,12 +161,22 @@
   private async recreateInputs(request: RoutedRequest, { origin, lastEventAt }: RecreationProgress, signal: AbortSignal): Promise<readonly string[] | undefined> {
     const limits = lastEventAt === undefined ? {} : decideContinuationLimits(lastEventAt, request)
     const continued = { ...request, origin, ...limits }
-    const stagesSignal = AbortSignal.any([signal, AbortSignal.timeout(atLeastOneMs(Math.ceil(continued.firstEventBy - performance.now())))])
-    const prepared = await this.dependencies.preparer.prepare(this.describeStageWork(continued), stagesSignal)
+    const prepared = await this.prepare(continued, signal)
     // The coordinator logged the reason as `stages-ended`; the run ends with the result of its attempt.
     return prepared.isOk() ? prepared.value.handles : undefined
   }
 
+  /** Runs the stage work of a request until its first event is due. */
+  private async prepare(request: RoutedRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
+    const limited = createTimeoutSignal(atLeastOneMs(Math.ceil(request.firstEventBy - performance.now())), signal)
+    try {
+      return await this.dependencies.preparer.prepare(this.describeStageWork(request), limited.signal)
+    }
+    finally {
+      limited.dispose()
+    }
+  }
+
   private describeStageWork(request: RoutedRequest): PreparationRequest {
     const now = performance.now()
     return {
--- a/test/gateway/proxy-request-handler.test.ts
+++ b/test/gateway/proxy-request-handler.test.ts
@@ -1,10 +1,15 @@
 import type { ClientRequest, ClientResponse, PreparationRequest, ProxyRequestHandlerDependencies, RecreationProgress, RunSubject } from '@eidermast/gateway'
-import { wait } from '@eidermast/common'
-import { ConfigurationHolder, DeadlineReturnDetector, DemandEnd, ProxyRequestHandler } from '@eidermast/gateway'
-import { Ok } from 'ts-results-es'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { ErrorKind, wait } from '@eidermast/common'
+import { ConfigurationHolder, DeadlineReturnDetector, DemandEnd, PreparationFailureKind, ProxyRequestHandler } from '@eidermast/gateway'
+import { Err, Ok } from 'ts-results-es'
 import { describe, expect, test, vi } from 'vitest'
 import { createConfiguration, createLog, createRoute, NO_CRASHES } from './support/fakes.js'
 
+const TIMEOUT_MS = 300
+/** The platform's bound on an answer after the time-out of its route. */
+const MAX_OVERDUE_MS = 500
 const CLIENT_RESPONSE: ClientResponse = { started: false, sendComplete: () => {}, begin: () => {}, send: async () => {}, end: () => {}, cutOff: () => {}, fail: () => {} }
 
 test('a request without stages gives back its room, and counts as ended, also if its answer cannot be sent', async () => {
@@ -32,6 +37,35 @@
   expect(shares.recordEnd).toHaveBeenCalledWith(expect.anything(), DemandEnd.Other)
 })
 
+describe('a request whose stage work does not end', () => {
+  test('is answered by its time-out, also after a garbage collection', async () => {
+    setFlagsFromString('--expose-gc')
+    const collectGarbage = runInNewContext('gc') as () => void
+    const { log } = createLog()
+    const configuration = new ConfigurationHolder(() => createConfiguration({ routes: [createRoute({ timeoutMs: TIMEOUT_MS, stages: [{ service: 'encode', dependsOn: [], resultBytes: 1 }] })] }), log)
+    configuration.offer('', 'test')
+    const cancelled = Err({ kind: PreparationFailureKind.Cancelled, message: 'the time to the first event passed', retryAfterMs: 1000 })
+    const handler = new ProxyRequestHandler({
+      configuration,
+      startGate: { isOpen: true, wait: async () => {} },
+      preparer: { prepare: (_work: PreparationRequest, signal: AbortSignal) => new Promise(resolve => signal.addEventListener('abort', () => resolve(cancelled))), release: () => {} },
+      runner: { shortestWaitMs: () => Number.POSITIVE_INFINITY, preferredFailureDomain: () => 'zone-a' },
+      crashes: NO_CRASHES,
+      streams: { findOrigin: async () => Ok(undefined) },
+      metrics: { countRequest: () => {} },
+      log,
+    } as unknown as ProxyRequestHandlerDependencies)
+    const fail = vi.fn()
+    const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: 20_000, promptParts: [], stageItems: [1], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
+    void handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt: performance.now() }, { ...CLIENT_RESPONSE, fail }, new AbortController().signal)
+    for (let passed = 0; passed < TIMEOUT_MS + MAX_OVERDUE_MS; passed += 50) {
+      collectGarbage()
+      await wait(50)
+    }
+    expect(fail).toHaveBeenCalledWith(expect.objectContaining({ kind: ErrorKind.DeadlineUnreachable }))
+  })
+})
+
 describe('stage results that are recreated', () => {
   /** Runs a request with stages that arrived `afterMs` ago, and recreates its stage results; returns what was requested then. */
   async function recreateAfter(afterMs: number, progress: RecreationProgress): Promise<{ work: PreparationRequest, isAborted: boolean }> {
@@ -39,8 +73,12 @@
     const stages = [{ service: 'encode', dependsOn: [], resultBytes: 1 }]
     const configuration = new ConfigurationHolder(() => createConfiguration({ routes: [createRoute({ streaming: true, resumable: true, timeoutMs: 20_000, stages })] }), log)
     configuration.offer('', 'test')
-    const prepare = vi.fn(async (_work: PreparationRequest, _signal: AbortSignal) => Ok({ handles: ['a/1'], failureDomain: 'zone-a', bytes: 1 }))
-    let signal: AbortSignal | undefined
+    let isAborted = false
+    const prepare = vi.fn(async (_work: PreparationRequest, signal: AbortSignal) => {
+      await wait(20)
+      isAborted = signal.aborted
+      return Ok({ handles: ['a/1'], failureDomain: 'zone-a', bytes: 1 })
+    })
     const handler = new ProxyRequestHandler({
       configuration,
       startGate: { isOpen: true, wait: async () => {} },
@@ -50,7 +88,6 @@
         preferredFailureDomain: () => 'zone-a',
         run: async ({ inputs }: RunSubject) => {
           await inputs.recreate!(progress)
-          signal = prepare.mock.calls[1][1]
           return {}
         },
       },
@@ -61,8 +98,7 @@
     } as unknown as ProxyRequestHandlerDependencies)
     const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: 20_000, promptParts: [], stageItems: [1], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
     await handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt: performance.now() - afterMs }, CLIENT_RESPONSE, new AbortController().signal)
-    await wait(20)
-    return { work: prepare.mock.calls[1][0], isAborted: signal!.aborted }
+    return { work: prepare.mock.calls[1][0], isAborted }
   }
 
   test('have until the client gives up waiting for the next event of a stream that broke long after its first one', async () => {
--- a/test/platform/support/stream-client.ts
+++ b/test/platform/support/stream-client.ts
@@ -2,7 +2,7 @@
  * Client of streaming routes that resumes a broken stream at another gateway, as
  * the platform's clients do.
  */
-import { wait } from '@eidermast/common'
+import { joinSignals, wait } from '@eidermast/common'
 import { request } from 'undici'
 
 const MILLISECONDS_PER_SECOND = 1000
@@ -121,7 +121,7 @@
       onEvent?.(id)
     }
     try {
-      const signal = AbortSignal.any([silence.signal, AbortSignal.timeout(DEADLINE_MS)])
+      const { signal } = joinSignals(silence.signal, AbortSignal.timeout(DEADLINE_MS))
       const response = await request(url, { method: 'POST', headers, body: '', signal })
       ended.status = response.statusCode
       const retryAfter = response.headers['retry-after']
