Logs and metrics show how old the configuration in force may be

The hypotheses of the incident could not be told apart: a gateway that denies a request by an old version did not show when it last knew that version to be the newest, from the store or from a peer, nor how long a lost read had been under way.

ConfigurationHolder holds when its version was last known to be the newest: at a read of the latest records, at the end of a read that brought none, and by heartbeat replies of peers with the same version (versionAgeMs, absent in earlier releases). Shown in the gauge eidermast_gateway_configuration_age_ seconds, in request-ended of denied requests (configurationAgeMs), and in store-failed (calledMs). No decision uses it yet.

--- a/packages/gateway/src/connection/peers/peer-messages.ts
+++ b/packages/gateway/src/connection/peers/peer-messages.ts
@@ -86,6 +86,8 @@
   load?: unknown
   /** Whether the peer's source of backend servers is unavailable; undefined if it is available, and for releases that do not report it. */
   sourceAway?: boolean
+  /** Milliseconds since the peer knew its configuration version to be the newest; undefined if it never did, and for releases that do not report it. */
+  versionAgeMs?: number
   /** Number of gateways that the peer lists, itself included; undefined for releases that do not report it. */
   members?: number
   /** The peer is shutting down, so another gateway takes over as coordinator. */
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -261,6 +261,11 @@
     this.addAccountShares(accountSharing)
     this.addGauge('eidermast_gateway_active_requests', 'Requests without an answer yet', () => clients.activeRequests)
     this.addGauge('eidermast_gateway_configuration_version', 'Configuration version in force', () => configuration.version)
+    this.addGauge(
+      'eidermast_gateway_configuration_age_seconds',
+      'Time since that version was known to be the newest, from the platform or a peer',
+      () => configuration.ageMs(performance.now()) / MILLISECONDS_PER_SECOND,
+    )
     this.addGauge('eidermast_gateway_replicas', 'Backend servers known', () => registry.size)
     this.addGauge(
       'eidermast_gateway_backend_list_age_seconds',
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -216,13 +216,22 @@
       this.directoryLag.handleReply(reply.members, this.members.count, performance.now())
       this.loadExchange.receiveAnswer(reply.load, performance.now())
     }
+    this.configuration.notePeerAge(reply.version, reply.versionAgeMs, performance.now())
     this.peerService.applyPeerState(member, reply)
   }
 
   /** This process's own status in heartbeat replies, without the shared state. */
   private describeSelf(): SelfDescription {
     const { isSelfSlow, selfOrder } = this.members
-    return { stopping: this.stopping, slow: isSelfSlow, announcementOrder: selfOrder, members: this.members.count, sourceAway: this.backendList.isSourceUnavailable || undefined }
+    const versionAgeMs = this.configuration.ageMs(performance.now())
+    return {
+      stopping: this.stopping,
+      slow: isSelfSlow,
+      announcementOrder: selfOrder,
+      members: this.members.count,
+      sourceAway: this.backendList.isSourceUnavailable || undefined,
+      versionAgeMs: Number.isFinite(versionAgeMs) ? Math.round(versionAgeMs) : undefined,
+    }
   }
 
   private createCrashTracker(): CrashTracker {
@@ -489,7 +498,11 @@
   private followPlatform(): void {
     const { signal } = this.shutdown
     const { operatorSource, backendSource, memberDirectory, crashLedger } = this.platform
-    const operatorSink = { offerConfiguration: (text: string) => void this.configuration.offer(text, 'platform'), evacuations: this.evacuations }
+    const operatorSink = {
+      offerConfiguration: (text: string) => void this.configuration.offer(text, 'platform'),
+      configurationUpToDate: (asOf: number) => this.configuration.noteUpToDate(asOf),
+      evacuations: this.evacuations,
+    }
     void operatorSource.follow(operatorSink, this.members, signal)
     void backendSource.follow(this.backendList, this.members, signal)
     void memberDirectory.follow(this.members, signal)
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -36,6 +36,8 @@
 export interface OperatorSink {
   /** Offers a configuration as text. */
   offerConfiguration: (text: string) => void
+  /** All configurations up to a time (monotonic clock, milliseconds) were offered. */
+  configurationUpToDate: (asOf: number) => void
   evacuations: EvacuationSink
 }
 
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -39,14 +39,16 @@
   failed?: () => void
   /** The store answered a read; called before the records are delivered. */
   answered?: () => void
+  /** The sink has all that the topic held at `asOf` (monotonic clock, milliseconds); called after the records are delivered. */
+  upToDate?: (asOf: number) => void
   /** The store responds again after failures; called before the records are delivered. */
   recovered?: (outage: StoreOutage) => void
 }
 
 /** Log events of a topic. */
 export interface TopicLog {
-  /** The first of a series of failures. */
-  storeFailed: (topic: string, error: unknown) => void
+  /** The first of a series of failures, of a call that was sent `calledMs` milliseconds before. */
+  storeFailed: (topic: string, error: unknown, calledMs: number) => void
   /** Calls succeed again after `failures` consecutive failures; the store did not respond for `outageMs` milliseconds. */
   storeRecovered: (topic: string, failures: number, outageMs: number) => void
   /** The store has deleted the next records; the latest ones are read again. */
@@ -98,13 +100,17 @@
     if (position === undefined)
       return this.readLatest()
     this.skipKnownRecords(position)
+    const waitMs = this.failures > 0 ? NO_WAIT_MS : this.sink.waitMs
     this.calledAt = performance.now()
-    const { records, era } = await this.store.read(this.topic, position.offset, signal, this.failures > 0 ? NO_WAIT_MS : this.sink.waitMs)
+    const { records, era } = await this.store.read(this.topic, position.offset, signal, waitMs)
     if (era !== position.era)
       throw new HistoryDeletedError(`store era changed from ${position.era} to ${era}`)
     this.reportResponse(era)
     for (const record of records)
       this.deliver({ ...record, era, offset: position.offset++ })
+    // The store looked for records until the wait was over.
+    if (records.length === 0)
+      this.sink.upToDate?.(Math.min(performance.now(), this.calledAt + (waitMs ?? NO_WAIT_MS)))
     if (records.length > 0 && this.sink.pauseMs)
       await wait(this.sink.pauseMs, signal)
   }
@@ -123,6 +129,7 @@
     this.sink.snapshot(records, end)
     this.latestOffsets = new Map(records.filter(record => record.offset >= end.offset).map(record => [record.key, record.offset]))
     this.position = { ...end }
+    this.sink.upToDate?.(this.calledAt)
   }
 
   /** Delivers a record unless a newer one with its key was delivered before. */
@@ -157,7 +164,7 @@
 
   private handleFailure(error: unknown): void {
     if (this.failures === 0) {
-      this.log.storeFailed(this.topic, error)
+      this.log.storeFailed(this.topic, error, performance.now() - this.calledAt)
       this.sink.failed?.()
       // The connection of a call that failed at once was alive until now; a call that timed out may have been lost since it was sent.
       this.outageStartedAt = error instanceof Error && error.name === TIMEOUT_ERROR ? this.calledAt : performance.now()
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -198,10 +198,12 @@
 
   private finish(request: ClientRequest, route: string | undefined, clientResponse: ClientResponse, { error, retry, firstEventAt }: RunResult): void {
     const tookMs = performance.now() - request.arrivedAt
-    const configurationVersion = this.dependencies.configuration.version
+    const { configuration } = this.dependencies
+    const configurationVersion = configuration.version
+    const configurationAgeMs = error && isDenial(error.kind) ? configuration.ageMs(performance.now()) : undefined
     this.dependencies.metrics.countRequest(route ?? NO_ROUTE, outcomeOf(error), tookMs)
     const firstEventMs = firstEventAt === undefined ? undefined : firstEventAt - request.arrivedAt
-    this.log.requestEnded({ requestId: request.head.requestId, route, error, retry, tookMs, firstEventMs, configurationVersion })
+    this.log.requestEnded({ requestId: request.head.requestId, route, error, retry, tookMs, firstEventMs, configurationVersion, configurationAgeMs })
     if (!error)
       return
     if (clientResponse.started)
@@ -211,6 +213,11 @@
   }
 }
 
+/** Whether an error says that the configuration does not allow the request, after which clients do not retry. */
+function isDenial(kind: ErrorKind): boolean {
+  return kind === ErrorKind.Unauthenticated || kind === ErrorKind.UnknownPath
+}
+
 function describeDemand({ service, account, arrivalKind }: RoutedRequest): Demand {
   return { service, account: account?.name, kind: arrivalKind }
 }
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -62,6 +62,8 @@
   /** Milliseconds from arrival to the first event of a stream; undefined if there was none. */
   firstEventMs: number | undefined
   configurationVersion: number
+  /** Milliseconds since that version was known to be the newest; undefined unless the request was denied by it. */
+  configurationAgeMs: number | undefined
 }
 
 /** The outcome as it appears in logs and metrics. */
@@ -134,7 +136,7 @@
     })
   }
 
-  requestEnded({ requestId, route, error, retry, tookMs, firstEventMs, configurationVersion }: RequestEnd): void {
+  requestEnded({ requestId, route, error, retry, tookMs, firstEventMs, configurationVersion, configurationAgeMs }: RequestEnd): void {
     this.log.write('request-ended', {
       request: requestId,
       route,
@@ -146,6 +148,7 @@
       tookMs: Math.round(tookMs),
       firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
       configuration: configurationVersion,
+      configurationAgeMs: configurationAgeMs === undefined ? undefined : Math.round(configurationAgeMs),
     })
   }
 }
--- a/packages/gateway/src/version/configuration-holder.ts
+++ b/packages/gateway/src/version/configuration-holder.ts
@@ -11,8 +11,9 @@
  * Log events: `configuration` (accepted, and from which source),
  * `configuration-rejected`.
  *
- * State: the newest version since the process started. A new process has none and
- * serves no requests until it receives one.
+ * State: the newest version since the process started, and when it was last known
+ * to be the newest of all, from a read of the store or from a peer. A new process
+ * has none and serves no requests until it receives one.
  */
 import type { EventLog } from '@eidermast/common'
 import type { Configuration } from './configuration.js'
@@ -32,6 +33,8 @@
 export class ConfigurationHolder {
   private currentTable: RouteTable | undefined
   private currentRecord: ConfigurationRecord | undefined
+  /** On the monotonic clock, in milliseconds. */
+  private upToDateAt = Number.NEGATIVE_INFINITY
   private readonly listeners: ((table: RouteTable) => void)[] = []
 
   constructor(private readonly decode: ConfigurationDecoder, private readonly log: EventLog) {}
@@ -51,6 +54,22 @@
     return this.currentRecord?.version ?? 0
   }
 
+  /** Records that the current version was the newest of all at a time on the monotonic clock in milliseconds. */
+  noteUpToDate(asOf: number): void {
+    this.upToDateAt = Math.max(this.upToDateAt, asOf)
+  }
+
+  /** Records until how many milliseconds ago a peer knew its version to be the newest; undefined if it does not say. */
+  notePeerAge(version: number, ageMs: number | undefined, now: number): void {
+    if (ageMs !== undefined && version === this.version)
+      this.noteUpToDate(now - ageMs)
+  }
+
+  /** Milliseconds since the current version was last known to be the newest of all; Infinity if it never was. */
+  ageMs(now: number): number {
+    return now - this.upToDateAt
+  }
+
   /** Registers a listener that is called for each new version, after it has come into force. */
   onChange(listener: (table: RouteTable) => void): void {
     this.listeners.push(listener)
--- a/test/gateway/configuration-holder.test.ts
+++ b/test/gateway/configuration-holder.test.ts
@@ -5,6 +5,23 @@
 
 const SEED = 20261202
 
+describe('the age of the configuration in force', () => {
+  test.each([
+    { title: 'counts from the newest time at which it was known', own: [100, 60], peer: undefined, ageMs: 900 },
+    { title: 'counts from what a peer with the same version knows', own: [100], peer: { version: 3, ageMs: 200 }, ageMs: 200 },
+    { title: 'does not count what a peer with an older version knows', own: [100], peer: { version: 2, ageMs: 200 }, ageMs: 900 },
+    { title: 'does not count a peer that says nothing of it', own: [100], peer: { version: 3, ageMs: undefined }, ageMs: 900 },
+    { title: 'is unlimited before it is known', own: [], peer: undefined, ageMs: Number.POSITIVE_INFINITY },
+  ])('$title', ({ own, peer, ageMs }) => {
+    const holder = new ConfigurationHolder(() => createConfiguration({ version: 3 }), createLog().log)
+    holder.offer('', 'store')
+    own.forEach(asOf => holder.noteUpToDate(asOf))
+    if (peer)
+      holder.notePeerAge(peer.version, peer.ageMs, 1000)
+    expect(holder.ageMs(1000)).toBe(ageMs)
+  })
+})
+
 describe('the configuration version in force', () => {
   test('only increases, regardless of order and source', () => {
     const decode = (text: string) => createConfiguration({ version: Number(text) })
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -15,7 +15,7 @@
 let received: string[]
 let following: Promise<void>
 
-function follow(options: Pick<TopicSink, 'pauseMs'> = {}): void {
+function follow(options: Pick<TopicSink, 'pauseMs' | 'waitMs' | 'upToDate'> = {}): void {
   const record = ({ key, value }: KeyedRecord): void => void received.push(`${key}=${value.toString()}`)
   const sink = { snapshot: (records: KeyedRecord[]) => records.forEach(record), record, ...options }
   following = new TopicFollower(client, TOPIC, sink, new PlatformLog(createLog().log)).follow(abortController.signal)
@@ -44,6 +44,26 @@
 })
 
 describe('following a topic', () => {
+  test('tells until when its records are known, from the latest records and from reads without records', async () => {
+    const startedAt = performance.now()
+    const known: number[] = []
+    follow({ waitMs: 50, upToDate: asOf => known.push(asOf) })
+    await vi.waitFor(() => expect(known.length).toBeGreaterThan(2))
+    expect(known[0]).toBeGreaterThanOrEqual(startedAt)
+    expect(known).toEqual([...known].sort((left, right) => left - right))
+    expect(known.at(-1)).toBeLessThanOrEqual(performance.now())
+  })
+
+  test('does not know its records while the store does not answer', async () => {
+    const upToDate = vi.fn()
+    follow({ waitMs: 50, upToDate })
+    await vi.waitFor(() => expect(upToDate).toHaveBeenCalled())
+    store.fault = StoreFault.Hanging
+    const hangingSince = performance.now()
+    await wait(400)
+    expect(upToDate.mock.calls.at(-1)![0]).toBeLessThan(hangingSince + 50)
+  })
+
   test('delivers the latest record of each key, then every further record', async () => {
     store.put(TOPIC, 'config', 'one')
     store.put(TOPIC, 'config', 'two')
