A read that peers no longer make up for is repeated at once

Cause: a gateway that does not coordinate lets the store hold a read for the sum of two bounds (4.6 s with the margin), because the coordinator's answers to heartbeats bring what a lost read misses. That was judged when the read was sent. If the gateway became the coordinator meanwhile, or the coordinator could not read, the long read stayed, and for those sent later the coordinator counted as reading as long as it lived.

Change: PeerUpdates decides whether peers make up for lost reads: not for the coordinator, and not while the coordinator says that its source does not answer. When that ends, the reads of the three topics that depend on it are repeated on new connections, without counting as failures.

--- a/packages/gateway/src/process/coordinator-outage-watch.ts
+++ b/packages/gateway/src/process/coordinator-outage-watch.ts
@@ -22,6 +22,11 @@
   /** `restartReads` restarts the pending reads. */
   constructor(private readonly restartReads: () => void) {}
 
+  /** Whether the coordinator reported last that its source does not respond. */
+  get isReported(): boolean {
+    return this.reportedBy !== undefined
+  }
+
   /** Handles a heartbeat reply of the overall coordinator. */
   handleReply(coordinator: string, isSourceUnavailable: boolean): void {
     const isNew = isSourceUnavailable && this.reportedBy !== coordinator
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -63,6 +63,7 @@
 import { ActivePeers } from './membership/active-peers.js'
 import { Members } from './membership/members.js'
 import { GatewayPeerService } from './peer-service.js'
+import { PeerUpdates } from './peer-updates.js'
 import { Readiness } from './readiness.js'
 import { RetryShare } from './retry-share.js'
 import { SharedLimits } from './shared-limits.js'
@@ -113,6 +114,12 @@
   private readonly readiness: Readiness
   private readonly internalServers = new InternalServers()
   private readonly coordinatorOutages = new CoordinatorOutageWatch(() => this.platform.restartReads())
+  private readonly peerUpdates = new PeerUpdates({
+    count: () => this.members.count,
+    isCoordinator: () => this.members.isCoordinator,
+    isCoordinatorUnavailable: () => this.coordinatorOutages.isReported,
+  })
+
   private readonly directoryLag: DirectoryLagWatch
   private readonly suspensionDetector = new SuspensionDetector(suspendedMs => this.handleResume(suspendedMs))
   /** Aborts everything that follows the platform. */
@@ -139,6 +146,7 @@
     this.sharedLimits = this.createSharedLimits()
     this.retryShare = new RetryShare(settings.retry['window-ms'])
     this.stageRetryShare = new StageRetryShare(settings.retry['window-ms'])
+    this.members.onCoordinatorChange(() => this.peerUpdates.update())
     this.members.onListChange(gateways => this.retryShare.noteListed(gateways))
     this.accountSharing = this.createAccountSharing()
     this.loadExchange = new LoadExchange({ ...this.accountSharing.exchanges, inFlight: this.usesSpeed ? this.sharedInFlight : new NoInFlightExchange() })
@@ -213,6 +221,7 @@
       this.retryShare.noteReported(reply.members)
     if (member.name === this.members.coordinator.name) {
       this.coordinatorOutages.handleReply(member.name, reply.sourceAway ?? false)
+      this.peerUpdates.update()
       this.directoryLag.handleReply(reply.members, this.members.count, performance.now())
       this.loadExchange.receiveAnswer(reply.load, performance.now())
     }
@@ -249,7 +258,7 @@
       ledger: platform.crashLedger,
       log,
       detector,
-      restoresOthers: () => !this.members.receivesPeerUpdates,
+      restoresOthers: () => this.members.isCoordinator,
       startsTrials: () => this.members.isCoordinator,
     })
   }
@@ -503,10 +512,10 @@
       configurationUpToDate: (asOf: number) => this.configuration.noteUpToDate(asOf),
       evacuations: this.evacuations,
     }
-    void operatorSource.follow(operatorSink, this.members, signal)
-    void backendSource.follow(this.backendList, this.members, signal)
+    void operatorSource.follow(operatorSink, this.peerUpdates, signal)
+    void backendSource.follow(this.backendList, this.peerUpdates, signal)
     void memberDirectory.follow(this.members, signal)
-    void crashLedger.follow(this.crashTracker, this.members, signal)
+    void crashLedger.follow(this.crashTracker, this.peerUpdates, signal)
     void this.versionLedger.start(signal)
     void memberDirectory.announce(this.self, signal)
   }
--- a/packages/gateway/src/process/keyed-topic.ts
+++ b/packages/gateway/src/process/keyed-topic.ts
@@ -40,6 +40,8 @@
   readLatest: (topic: string) => Promise<TopicSnapshot>
   /** Reads records from an offset; waits up to `waitMs` milliseconds for the first one. */
   read: (topic: string, offset: number, signal: AbortSignal, waitMs?: number) => Promise<ReadRecords>
+  /** Later calls use new connections; calls in flight go on. */
+  renewConnections: () => void
 }
 
 /** Topics that belong to the gateways. Calls reject if the store does not respond. */
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -13,7 +13,7 @@
 import type { Member } from '../../connection/peers/member.js'
 import type { HeartbeatReply } from '../../connection/peers/peer-messages.js'
 import type { StageShard } from '../../connection/peers/stage-shard.js'
-import type { ListedMember, MemberSink, PeerView } from '../platform-adapter.js'
+import type { ListedMember, MemberSink } from '../platform-adapter.js'
 import type { FailureWatch } from './failure-watches.js'
 import type { MemberState } from './member-state.js'
 import type { PeerContact } from './peer-monitor.js'
@@ -25,7 +25,7 @@
 import { isSameProcess, ShardCoordinators } from './shard-coordinators.js'
 
 /** Tracks members and elects the coordinators. */
-export class Members implements MemberSink, PeerView {
+export class Members implements MemberSink {
   private readonly states = new Map<string, MemberState>()
   /** The states, ranked as coordinator candidates. */
   private ranked: MemberState[] = []
@@ -33,6 +33,7 @@
   private readonly shardCoordinators: ShardCoordinators
   private readonly peerMonitor: PeerMonitor
   private readonly processListeners: ((member: Member) => void)[] = []
+  private readonly coordinatorListeners: (() => void)[] = []
   private readonly listListeners: ((members: number) => void)[] = []
   private readonly log: GatewayLog
   private timer: NodeJS.Timeout | undefined
@@ -126,6 +127,11 @@
     this.shardCoordinators.onChange(listener)
   }
 
+  /** Calls the listener when another process has become the overall coordinator. */
+  onCoordinatorChange(listener: () => void): void {
+    this.coordinatorListeners.push(listener)
+  }
+
   /** Calls the listener with each member that is listed for the first time or has started again. */
   onNewProcess(listener: (member: Member) => void): void {
     this.processListeners.push(listener)
@@ -140,11 +146,6 @@
     return this.coordinator.name === this.self.name
   }
 
-  /** Whether this process gets what the coordinator has read from the store, in replies to its heartbeats. */
-  get receivesPeerUpdates(): boolean {
-    return !this.isCoordinator
-  }
-
   /** Whether this process is short of CPU time and coordinates only if no other member can. */
   get isSelfSlow(): boolean {
     return this.states.get(this.self.name)?.slow ?? false
@@ -314,5 +315,7 @@
       return
     this.log.coordinatorChanged(coordinator, previous, this.states.size)
     this.currentCoordinator = coordinator
+    for (const listener of this.coordinatorListeners)
+      listener()
   }
 }
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -20,6 +20,10 @@
 export interface PeerView {
   /** Whether peers send this gateway the changes that its own source misses. */
   readonly receivesPeerUpdates: boolean
+  /** Whether peers rely on the reads of this gateway. */
+  readonly updatesPeers: boolean
+  /** Calls the listener each time that peers stop sending such changes. */
+  onUpdatesEnd: (listener: () => void) => void
   /** Number of listed gateways, including this one. */
   readonly count: number
 }
--- a/packages/gateway/src/process/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -87,8 +87,8 @@
 const MAX_PAUSE_FRACTION = 0.5
 
 /** Milliseconds to pause after a read of the backend server list that returned changes, so that further changes are read in one batch. */
-export function pauseAfterChangesMs({ drainMs }: StoreBounds, peers: PeerView): number {
-  if (!peers.receivesPeerUpdates)
+export function pauseAfterChangesMs({ drainMs }: StoreBounds, peers: Pick<PeerView, 'updatesPeers' | 'count'>): number {
+  if (peers.updatesPeers)
     return 0
   const maxPauseMs = Math.max(MIN_PAUSE_MS, drainMs * MAX_PAUSE_FRACTION)
   return Math.min(maxPauseMs, Math.max(MIN_PAUSE_MS, peers.count * PAUSE_PER_GATEWAY_MS))
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -13,9 +13,9 @@
  * first.
  */
 import type { TopicPosition } from '../connection/backends/revision.js'
-import type { PositionedRecord, TopicReader } from './keyed-topic.js'
-import type { SourceOutage } from './platform-adapter.js'
-import { formatError, TIMEOUT_ERROR, wait } from '@eidermast/common'
+import type { PositionedRecord, ReadRecords, TopicReader } from './keyed-topic.js'
+import type { PeerView, SourceOutage } from './platform-adapter.js'
+import { formatError, joinSignals, TIMEOUT_ERROR, wait } from '@eidermast/common'
 import { HistoryDeletedError } from './keyed-topic.js'
 import { retryBackoffMs } from './store-backoff.js'
 
@@ -62,6 +62,10 @@
   /** Era of the last response; undefined before the first one. */
   private era: number | undefined
   private failures = 0
+  /** Aborts the last read. */
+  private lastRead = new AbortController()
+  /** Whether the next read is to return at once. */
+  private isRefreshing = false
   private lastError: unknown
   /** When the last call was sent, on the monotonic clock in milliseconds. */
   private calledAt = 0
@@ -79,8 +83,9 @@
     private readonly log: TopicLog,
   ) {}
 
-  /** Resolves when the signal aborts; failures are logged and retried. */
-  async follow(signal: AbortSignal): Promise<void> {
+  /** Resolves when the signal aborts; failures are logged and retried. A read sent while `peers` made up for a lost one is repeated when they no longer do. */
+  async follow(signal: AbortSignal, peers?: Pick<PeerView, 'onUpdatesEnd'>): Promise<void> {
+    peers?.onUpdatesEnd(() => this.refresh())
     while (!signal.aborted) {
       try {
         await this.readNext(signal)
@@ -95,14 +100,19 @@
     }
   }
 
+  /** Repeats the read under way at once and on a new connection, because it may have been lost. */
+  refresh(): void {
+    this.isRefreshing = true
+    this.store.renewConnections()
+    this.lastRead.abort()
+  }
+
   private async readNext(signal: AbortSignal): Promise<void> {
     const { position } = this
     if (position === undefined)
       return this.readLatest()
     this.skipKnownRecords(position)
-    const waitMs = this.failures > 0 ? NO_WAIT_MS : this.sink.waitMs
-    this.calledAt = performance.now()
-    const { records, era } = await this.store.read(this.topic, position.offset, signal, waitMs)
+    const { records, era, waitMs } = await this.read(position.offset, signal)
     if (era !== position.era)
       throw new HistoryDeletedError(`store era changed from ${position.era} to ${era}`)
     this.reportResponse(era)
@@ -115,6 +125,27 @@
       await wait(this.sink.pauseMs, signal)
   }
 
+  /** Reads records, again if the read is refreshed; `waitMs` is how long the store might hold it. */
+  private async read(offset: number, signal: AbortSignal): Promise<ReadRecords & { waitMs: number | undefined }> {
+    for (;;) {
+      const waitMs = this.failures > 0 || this.isRefreshing ? NO_WAIT_MS : this.sink.waitMs
+      this.isRefreshing = false
+      this.lastRead = new AbortController()
+      const either = joinSignals(signal, this.lastRead.signal)
+      this.calledAt = performance.now()
+      try {
+        return { ...await this.store.read(this.topic, offset, either.signal, waitMs), waitMs }
+      }
+      catch (error) {
+        if (signal.aborted || !this.isRefreshing)
+          throw error
+      }
+      finally {
+        either.dispose()
+      }
+    }
+  }
+
   /** Skips records that the sink already has, if its position is in the same era. */
   private skipKnownRecords(position: TopicPosition): void {
     const known = this.sink.knownPosition?.()
--- a/test/platform/configuration-spread.test.ts
+++ b/test/platform/configuration-spread.test.ts
@@ -106,6 +106,19 @@
     expect(await latenessMs(gateways.slice(ending), Math.max(lostAt + CONTACT_MS, publishedAt + CONFIGURATION_MS))).toBeLessThan(0)
   })
 
+  test('at gateways whose reads were all lost while the coordinator could not read', async () => {
+    proxies[0].isPartitioned = true
+    proxies[0].stallOpenConnections()
+    await vi.waitFor(() => expect(gateways[0].gateway.backendList.isSourceUnavailable).toBe(true), { timeout: 5000 })
+    // Reads that were sent before the coordinator's report have ended by then.
+    await wait(READ_HOLD_MS)
+    const lostAt = performance.now()
+    proxies.forEach(proxy => proxy.stallOpenConnections())
+    await wait(100)
+    const publishedAt = publish()
+    expect(await latenessMs(gateways.slice(1), Math.max(lostAt + CONTACT_MS, publishedAt + CONFIGURATION_MS))).toBeLessThan(0)
+  })
+
   test('at gateways whose connections to the store are lost while they read it again after deleted history', async () => {
     const publishedAt = publish()
     store.deleteHistory(OPERATOR_TOPIC)
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -129,7 +129,7 @@
     const bounds = { contactMs: 3000, configurationMs: 4000, drainMs: 4000, evacuationMs: 5000 }
     const owners: string[] = []
     const sink = { replaceAll: () => {}, applyReports: (owner: string) => void owners.push(owner) }
-    following = new StoreCrashLedger(client, new PlatformLog(createLog().log), bounds).follow(sink, { receivesPeerUpdates: false, count: 4 }, abortController.signal)
+    following = new StoreCrashLedger(client, new PlatformLog(createLog().log), bounds).follow(sink, { receivesPeerUpdates: false, updatesPeers: true, onUpdatesEnd: () => {}, count: 4 }, abortController.signal)
     await vi.waitFor(() => expect(store.calls).toBeGreaterThan(1))
     const calls = store.calls
     for (const owner of ['a', 'b', 'c', 'd']) {
@@ -228,11 +228,11 @@
   const BOUNDS = { contactMs: 5000, configurationMs: 4000, drainMs: 4000, evacuationMs: 5000 }
 
   test.each([
-    ['zero at the coordinator, which updates the others', BOUNDS, { receivesPeerUpdates: false, count: 70 }, 0],
-    ['one second for few gateways', BOUNDS, { receivesPeerUpdates: true, count: 4 }, 1000],
-    ['longer for more gateways', BOUNDS, { receivesPeerUpdates: true, count: 50 }, 1500],
-    ['at most half of the drain bound', BOUNDS, { receivesPeerUpdates: true, count: 400 }, 2000],
-    ['one second if the drain bound is short', { ...BOUNDS, drainMs: 1000 }, { receivesPeerUpdates: true, count: 400 }, 1000],
+    ['zero at the coordinator, which updates the others', BOUNDS, { updatesPeers: true, count: 70 }, 0],
+    ['one second for few gateways', BOUNDS, { updatesPeers: false, count: 4 }, 1000],
+    ['longer for more gateways', BOUNDS, { updatesPeers: false, count: 50 }, 1500],
+    ['at most half of the drain bound', BOUNDS, { updatesPeers: false, count: 400 }, 2000],
+    ['one second if the drain bound is short', { ...BOUNDS, drainMs: 1000 }, { updatesPeers: false, count: 400 }, 1000],
   ])('of the backend server list is %s', (_name, bounds, peers, pauseMs) => {
     expect(pauseAfterChangesMs(bounds, peers)).toBe(pauseMs)
   })
