A lost read of the latest records is noticed within a second

Cause: after deleted history, a restored store and at the start, the latest records are read by a call that had three seconds. Reads that wait are bounded by what a change may take, this call was not: lost on a silent connection, it was noticed as late as the change had to be in force.

Change: the first call for the latest records has one second, further ones the client's three, in case the store is slow.

--- a/packages/gateway/src/process/keyed-topic.ts
+++ b/packages/gateway/src/process/keyed-topic.ts
@@ -37,7 +37,8 @@
 
 /** Reads topics. Calls reject if the store does not respond, and with a `HistoryDeletedError` if it has deleted the records. */
 export interface TopicReader {
-  readLatest: (topic: string) => Promise<TopicSnapshot>
+  /** Reads the latest records in calls that reject after `timeoutMs` milliseconds each. */
+  readLatest: (topic: string, timeoutMs?: number) => Promise<TopicSnapshot>
   /** Reads records from an offset; waits up to `waitMs` milliseconds for the first one. */
   read: (topic: string, offset: number, signal: AbortSignal, waitMs?: number) => Promise<ReadRecords>
   /** Later calls use new connections; calls in flight go on. */
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -24,6 +24,12 @@
 
 /** Wait of reads after a failure: the store responds at once, so its recovery is detected early. */
 const NO_WAIT_MS = 0
+/**
+ * Timeout of the first call for the latest records. A call on a connection that
+ * was lost must be noticed early enough for another one before changes are due;
+ * further calls have the client's timeout, in case the store is slow.
+ */
+const FIRST_LATEST_TIMEOUT_MS = 1000
 /** Receives the records of a topic. */
 export interface TopicSink {
   /** Delivers the contents of the topic up to a position; some records may be newer. */
@@ -155,7 +161,7 @@
 
   private async readLatest(): Promise<void> {
     this.calledAt = performance.now()
-    const { records, end } = await this.store.readLatest(this.topic)
+    const { records, end } = await this.store.readLatest(this.topic, this.failures > 0 ? undefined : FIRST_LATEST_TIMEOUT_MS)
     this.reportResponse(end.era)
     this.sink.snapshot(records, end)
     this.latestOffsets = new Map(records.filter(record => record.offset >= end.offset).map(record => [record.key, record.offset]))
