A peer that does not answer keeps no other from being asked for its state

Cause: a newer configuration or list of backend servers was fetched from one peer at a time, for up to 1.5 s, and what other peers reported meanwhile was dropped. A peer that answers heartbeats and not the fetch, or that freezes or is cut off between the two, was asked again and again.

--- a/test/gateway/peer-fetch.test.ts
+++ b/test/gateway/peer-fetch.test.ts
@@ -47,6 +47,22 @@
     expect(fetch).toHaveBeenCalledOnce()
   })
 
+  test('is fetched from another peer if the first one does not answer', async () => {
+    const other = { name: 'gateway-c', address: '127.0.0.1:2' }
+    fetch.mockImplementationOnce(() => new Promise(() => {}))
+    void peerFetch.handlePeerRevision(PEER, 6)
+    await vi.advanceTimersByTimeAsync(FETCH_DELAY_MS)
+    void peerFetch.handlePeerRevision(other, 6)
+    expect(fetch.mock.calls).toEqual([[PEER]])
+    for (let passed = 0; passed < 1000; passed += 150) {
+      await vi.advanceTimersByTimeAsync(150)
+      for (const peer of [PEER, other])
+        void peerFetch.handlePeerRevision(peer, 6)
+    }
+    expect(fetch.mock.calls).toEqual([[PEER], [other]])
+    expect(revision).toBe(6)
+  })
+
   test('is fetched on the next heartbeat after a failed fetch', async () => {
     const error = new Error('no answer')
     fetch.mockRejectedValueOnce(error)
