Requests are not denied by a configuration that may be outdated

Seen by callers: 401 for a key that had been added 2.8 s before (CONFIG). Clients do not retry after 401 or 404, so the answer is final although every other gateway would serve the request.

Cause, and its class: a definite answer from knowledge of unknown age. A gateway that lost its reads and its peers denied by whatever version it held.

Change: a denial (401, 404) needs a version that was known to be the newest less than the platform's bound ago, by an own read or a peer's reply. Else the operator's records are read anew on a new connection, once for all requests that ask and at most every 0.5 s, and the request is routed again; if the store does not answer within 0.3 s, the answer is 503 with a short Retry-After. Requests that the version in force allows are served as before, and a wrong key is denied as before wherever the store or a peer answers.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -42,6 +42,7 @@
 import { BackendList } from './backend-list.js'
 import { BackendRegistry } from './backend-registry.js'
 import { CallReporter } from './call-reporter.js'
+import { ConfigurationRefresh } from './configuration-refresh.js'
 import { CoordinatorOutageWatch } from './coordinator-outage-watch.js'
 import { CrashDetector } from './crashes/crash-detector.js'
 import { CrashTracker } from './crashes/crash-tracker.js'
@@ -455,6 +456,7 @@
     const runner = this.createBackendRunner()
     const handler = new ProxyRequestHandler({
       configuration: this.configuration,
+      configurationCheck: this.createConfigurationCheck(),
       startGate: new StartupGate(this.configuration, this.registry),
       maxStartWaitMs: this.settings.load['start-wait-ms'],
       preparer: new SharedPreparer(this.members, this.stageCoordinators, this.peers, this.log, new PromptShardChoice(this.members, this.registry)),
@@ -471,6 +473,15 @@
     return new ClientServer({ handler, codec, configuration, held, metrics, log })
   }
 
+  private createConfigurationCheck(): ConfigurationRefresh {
+    const { configuration, platform } = this
+    return new ConfigurationRefresh({
+      ageMs: () => configuration.ageMs(performance.now()),
+      boundMs: platform.configurationBoundMs,
+      refresh: () => platform.operatorSource.refresh(),
+    })
+  }
+
   private createPeerService(): GatewayPeerService {
     return new GatewayPeerService({
       holder: this.configuration,
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -49,6 +49,8 @@
 export interface OperatorSource {
   /** Delivers configurations and orders until the signal aborts; orders precede a configuration read together with them. Retries failures internally. */
   follow: (sink: OperatorSink, peers: PeerView, signal: AbortSignal) => Promise<void>
+  /** Reads the records anew at once, on a new connection. */
+  refresh: () => void
 }
 
 /** An outage of a source that has just ended. */
@@ -135,6 +137,8 @@
 export interface PlatformAdapter {
   operatorSource: OperatorSource
   decodeConfiguration: ConfigurationDecoder
+  /** Milliseconds after which a change of the configuration must be in force. */
+  configurationBoundMs: number
   backendSource: BackendSource
   memberDirectory: MemberDirectory
   crashLedger: CrashLedger
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -124,6 +124,8 @@
     this.reportResponse(era)
     for (const record of records)
       this.deliver({ ...record, era, offset: position.offset++ })
+    // A refresh ends with a read that brings nothing, which shows that all is known.
+    this.isRefreshing ||= records.length > 0 && waitMs === NO_WAIT_MS
     // The store looked for records until the wait was over.
     if (records.length === 0)
       this.sink.upToDate?.(Math.min(performance.now(), this.calledAt + (waitMs ?? NO_WAIT_MS)))
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -14,6 +14,7 @@
 import type { AdmissionTicket, RequestAdmission } from './admission/request-admission.js'
 import type { BackendRunner } from './attempts/backend-runner.js'
 import type { RecreationProgress, RunInputs, RunResult, RunSubject } from './attempts/run-subject.js'
+import type { ConfigurationCheck } from './configuration-check.js'
 import type { StreamContinuations } from './continuation/stream-continuations.js'
 import type { CrashMonitor } from './crash-monitor.js'
 import type { ReturnDetector } from './returns/return-detector.js'
@@ -24,7 +25,7 @@
 import { DemandEnd } from './admission/account-shares.js'
 import { NO_INPUTS } from './attempts/run-subject.js'
 import { atLeastOneMs, decideContinuationLimits } from './deadlines.js'
-import { errorOfPreparation, errorOfRemovedVersion, errorOfWithheld } from './request-errors.js'
+import { errorOfOutdatedConfiguration, errorOfPreparation, errorOfRemovedVersion, errorOfWithheld } from './request-errors.js'
 import { outcomeOf, RequestLog } from './request-log.js'
 import { RequestRouter } from './request-router.js'
 import { decideStartWaitMs } from './start-wait.js'
@@ -40,6 +41,7 @@
 /** Dependencies of the request handler. */
 export interface ProxyRequestHandlerDependencies {
   configuration: ConfigurationHolder
+  configurationCheck: ConfigurationCheck
   startGate: StartGate
   /** Longest wait of a request for a gateway that is starting, in milliseconds. */
   maxStartWaitMs: number
@@ -71,7 +73,7 @@
   async serve(request: ClientRequest, clientResponse: ClientResponse, signal: AbortSignal): Promise<void> {
     if (!this.dependencies.startGate.isOpen)
       await this.dependencies.startGate.wait(decideStartWaitMs(request.head.deadlineMs, this.dependencies.maxStartWaitMs), signal)
-    const routed = this.router.route(request)
+    const routed = await this.route(request)
     if (routed.isErr())
       return this.finish(request, undefined, clientResponse, { error: routed.error })
     const accepted = await this.accept(routed.value)
@@ -79,6 +81,16 @@
     this.finish(request, routed.value.route.name, clientResponse, end)
   }
 
+  /** Routes a request. It is not denied by a configuration that may have been replaced, since clients do not retry after that. */
+  private async route(request: ClientRequest): Promise<Result<RoutedRequest, RequestError>> {
+    const routed = this.router.route(request)
+    if (routed.isOk() || !isDenial(routed.error.kind))
+      return routed
+    const isUpToDate = await this.dependencies.configurationCheck.isUpToDate()
+    const checked = this.router.route(request)
+    return isUpToDate ? checked : checked.mapErr(denial => errorOfOutdatedConfiguration(denial, this.dependencies.configuration.version))
+  }
+
   /** Finds where the stream began that a request resumes; returns the error for one that must not be sent to any backend server. */
   private async accept(request: RoutedRequest): Promise<Result<RoutedRequest, RequestError>> {
     const refused = this.refuse(request)
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -10,7 +10,8 @@
  * a request again. A request that may have run ends with an unknown outcome. One
  * that every backend server refused ends as overload with a short retry delay;
  * one that no backend server accepts yet, as overload until the first one does.
- * One that resumes a stream of whose version no server is left is told so, without
+ * One that is denied by a configuration that may have been replaced is sent
+ * elsewhere. One that resumes a stream of whose version no server is left is told so, without
  * a delay.
  * Why: a wrong "did not run" makes a client run the request twice.
  * Log event: `request-ended` (`outcome`, `ran`, `reason`, `retryAfterMs`).
@@ -30,6 +31,9 @@
  */
 const REFUSED_RETRY_AFTER_MS = 200
 
+/** Retry delay for clients that another gateway may serve at once. */
+const ELSEWHERE_RETRY_AFTER_MS = 100
+
 /** A request that was not answered. */
 export interface UnansweredRequest {
   service: string
@@ -64,6 +68,12 @@
   return createError(ErrorKind.NoBackend, `no backend server of service ${service} is available`, { ran: Ran.None })
 }
 
+/** The error of a request that a configuration denies which may have been replaced. */
+export function errorOfOutdatedConfiguration(denial: RequestError, version: number): RequestError {
+  const message = `configuration ${version} may be outdated, by which: ${denial.message}; retry at another gateway`
+  return createError(ErrorKind.NotReady, message, { retryAfterMs: ELSEWHERE_RETRY_AFTER_MS })
+}
+
 /** The error of a request that no backend server accepts yet; `waitMs` is the time until one does. */
 export function errorOfWithheld(service: string, waitMs: number): RequestError {
   const message = `no backend server of service ${service} accepts a request within the next ${Math.ceil(waitMs)} ms`
--- a/test/platform/configuration-spread.test.ts
+++ b/test/platform/configuration-spread.test.ts
@@ -151,6 +151,11 @@
     expect(await statusWith(gateways[3], 'new-key')).toBe(503)
   })
 
+  test('serves a key that it gets to know while it asks, as soon as the store answers', async () => {
+    proxies[3].isPartitioned = false
+    expect(await statusWith(gateways[3], 'new-key')).toBe(200)
+  })
+
   test('serves requests that its configuration allows', async () => {
     expect(await statusWith(gateways[3], 'old-key')).toBe(200)
   })
