A request is ended at its deadline, whatever its work waits for

Change: the deadline guard runs the work on a routed request. 0.15 s after the deadline it aborts the work, logs request-overdue with the step, counts it, and answers: 503 that says that nothing ran where the request was not sent on, 504 afterwards; an answer that has begun is cut off. What the work still sends is discarded. Steps with a limit that acts end before and answer as they did.

--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -10,6 +10,7 @@
 import type { LimitedAccount } from '../request/admission/max-min-shares.js'
 import type { RetryCost } from '../request/attempts/retry-budget.js'
 import type { OriginSource } from '../request/continuation/origin-decision.js'
+import type { RequestStep } from '../request/deadline-guard.js'
 import type { ConfigurationHolder } from '../version/configuration-holder.js'
 import type { BackendRegistry } from './backend-registry.js'
 import type { CrashTracker } from './crashes/crash-tracker.js'
@@ -57,6 +58,13 @@
     registers: [this.registry],
   })
 
+  private readonly overdueRequests = new Counter({
+    name: 'eidermast_gateway_overdue_requests_total',
+    help: 'Requests ended because their work had not ended by their deadline, by the step they had reached',
+    labelNames: ['step'],
+    registers: [this.registry],
+  })
+
   private readonly callWait = new Histogram({
     name: 'eidermast_gateway_call_wait_seconds',
     help: 'Time from a call to a backend server to its first byte',
@@ -255,6 +263,11 @@
     this.seconds.observe({ route }, milliseconds / MILLISECONDS_PER_SECOND)
   }
 
+  /** Counts a request that was ended because its work had not ended by its deadline. */
+  countOverdue(step: RequestStep): void {
+    this.overdueRequests.inc({ step })
+  }
+
   /** Registers gauges whose values are read at scrape time. */
   addGauges(sources: GaugeSources): void {
     const { clients, configuration, registry, members, crashTracker, evacuations, held, accountSharing } = sources
--- /dev/null
+++ b/packages/gateway/src/request/deadline-guard.ts
@@ -0,0 +1,130 @@
+/**
+ * Decides when a request is ended whose work has not ended by its deadline, and
+ * how it is answered.
+ *
+ * Inputs: the request's deadline (monotonic clock, ms); the step that it has
+ * reached; whether its response was started, as of the deadline.
+ * Rule: OVERDUE_MS after the deadline, its work is aborted and it is answered,
+ * whatever the work waits for: before the attempts as one that has not run, from
+ * then on as one that may have. A started response is cut off.
+ * Why: each step has a limit of its own, which leaves time for an answer that
+ * says more. A step whose limit is missing or does not act would hold the client
+ * beyond the time-out of the route.
+ * Log event: `request-overdue` (`step`).
+ *
+ * Owns the signal of the work; what the work still sends afterwards is discarded.
+ */
+import type { RequestError } from '@eidermast/common'
+import type { HeaderList } from '../connection/backends/backend-client.js'
+import type { AnswerRoom, ClientResponse } from '../connection/clients/client-response.js'
+import { createError, createTimeoutSignal, ErrorKind, Ran, TIMEOUT_ERROR } from '@eidermast/common'
+
+/** Time for the limits of the steps to act first. Less than the quarter of a second for which a request may be held beyond the time-out of its route. */
+const OVERDUE_MS = 150
+
+/** Steps of the work on a request. */
+export enum RequestStep {
+  /** Whether and where it may run is found out. */
+  Accept = 'accept',
+  /** It waits for room. */
+  Admission = 'admission',
+  Stages = 'stages',
+  /** It is sent to backend servers. */
+  Attempts = 'attempts',
+}
+
+/** What the work on a request gets. */
+export interface GuardedWork {
+  /** Aborts when the client disconnects, and when the request is overdue. */
+  signal: AbortSignal
+  clientResponse: ClientResponse
+  /** Records that the work has reached a step. */
+  reach: (step: RequestStep) => void
+}
+
+/** A request that was ended because it was overdue. */
+export interface OverdueRequest {
+  step: RequestStep
+  error: RequestError
+}
+
+/** Runs the work on a request; resolves with its result, or once the request is overdue with how it ends. `deadlineAt` is on the monotonic clock in milliseconds. */
+export async function runUntilOverdue<Value>(
+  { deadlineAt, clientResponse, signal }: { deadlineAt: number, clientResponse: ClientResponse, signal: AbortSignal },
+  work: (guarded: GuardedWork) => Promise<Value>,
+): Promise<{ result: Value } | { overdue: OverdueRequest }> {
+  const limited = createTimeoutSignal(Math.max(1, deadlineAt + OVERDUE_MS - performance.now()), signal)
+  const response = new ClosableResponse(clientResponse)
+  let step = RequestStep.Accept
+  const overdue = new Promise<{ overdue: OverdueRequest }>((resolve) => {
+    limited.signal.addEventListener('abort', () => {
+      if (limited.signal.reason?.name !== TIMEOUT_ERROR)
+        return
+      response.close()
+      resolve({ overdue: { step, error: errorOfOverdue(step) } })
+    })
+  })
+  const working = work({ signal: limited.signal, clientResponse: response, reach: reached => void (step = reached) })
+  try {
+    return await Promise.race([working.then(result => ({ result })), overdue])
+  }
+  finally {
+    limited.dispose()
+  }
+}
+
+function errorOfOverdue(step: RequestStep): RequestError {
+  if (step === RequestStep.Attempts)
+    return createError(ErrorKind.DeadlineExceeded, 'the time-out of the route or the client passed', { ran: Ran.Unknown })
+  return createError(ErrorKind.DeadlineUnreachable, `the time-out of the route or the client passed before the request was sent on (step ${step})`, { ran: Ran.None })
+}
+
+/** Forwards a response until it is closed, and discards it from then on. */
+class ClosableResponse implements ClientResponse {
+  private isClosed = false
+
+  constructor(private readonly inner: ClientResponse) {}
+
+  get started(): boolean {
+    return this.inner.started
+  }
+
+  get room(): AnswerRoom | undefined {
+    return this.inner.room
+  }
+
+  close(): void {
+    this.isClosed = true
+  }
+
+  sendComplete(status: number, headers: HeaderList, body: readonly Buffer[]): void {
+    if (!this.isClosed)
+      this.inner.sendComplete(status, headers, body)
+  }
+
+  begin(status: number, headers: HeaderList): void {
+    if (!this.isClosed)
+      this.inner.begin(status, headers)
+  }
+
+  async send(bytes: Buffer): Promise<void> {
+    if (this.isClosed)
+      throw new Error('the request was ended at its deadline')
+    await this.inner.send(bytes)
+  }
+
+  end(): void {
+    if (!this.isClosed)
+      this.inner.end()
+  }
+
+  cutOff(): void {
+    if (!this.isClosed)
+      this.inner.cutOff()
+  }
+
+  fail(error: RequestError): void {
+    if (!this.isClosed)
+      this.inner.fail(error)
+  }
+}
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -17,6 +17,7 @@
 import type { ConfigurationCheck } from './configuration-check.js'
 import type { StreamContinuations } from './continuation/stream-continuations.js'
 import type { CrashMonitor } from './crash-monitor.js'
+import type { GuardedWork } from './deadline-guard.js'
 import type { ReturnDetector } from './returns/return-detector.js'
 import type { RoutedRequest } from './routed-request.js'
 import type { StartGate } from './start-wait.js'
@@ -24,6 +25,7 @@
 import { Err, Ok } from 'ts-results-es'
 import { DemandEnd } from './admission/account-shares.js'
 import { NO_INPUTS } from './attempts/run-subject.js'
+import { RequestStep, runUntilOverdue } from './deadline-guard.js'
 import { atLeastOneMs, decideContinuationLimits } from './deadlines.js'
 import { errorOfOutdatedConfiguration, errorOfPreparation, errorOfRemovedVersion, errorOfWithheld } from './request-errors.js'
 import { outcomeOf, RequestLog } from './request-log.js'
@@ -36,6 +38,8 @@
 /** Counts requests for the metrics endpoint; implemented by the process. */
 export interface RequestMetrics {
   countRequest: (route: string, outcome: string, milliseconds: number) => void
+  /** Counts a request that was ended because its work had not ended by its deadline. */
+  countOverdue: (step: RequestStep) => void
 }
 
 /** Dependencies of the request handler. */
@@ -76,9 +80,20 @@
     const routed = await this.route(request)
     if (routed.isErr())
       return this.finish(request, undefined, clientResponse, { error: routed.error })
-    const accepted = await this.accept(routed.value)
-    const end = accepted.isErr() ? { error: accepted.error } : await this.run(accepted.value, clientResponse, signal)
-    this.finish(request, routed.value.route.name, clientResponse, end)
+    const { deadlineAt, route } = routed.value
+    const ended = await runUntilOverdue({ deadlineAt, clientResponse, signal }, work => this.acceptAndRun(routed.value, work))
+    if ('overdue' in ended) {
+      const { step, error } = ended.overdue
+      this.log.requestOverdue({ requestId: request.head.requestId, route: route.name, step, overdueMs: performance.now() - deadlineAt })
+      this.dependencies.metrics.countOverdue(step)
+      return this.finish(request, route.name, clientResponse, { error })
+    }
+    this.finish(request, route.name, clientResponse, ended.result)
+  }
+
+  private async acceptAndRun(request: RoutedRequest, work: GuardedWork): Promise<RunResult> {
+    const accepted = await this.accept(request)
+    return accepted.isErr() ? { error: accepted.error } : this.run(accepted.value, work)
   }
 
   /** Routes a request. It is not denied by a configuration that may have been replaced, since clients do not retry after that. */
@@ -111,20 +126,22 @@
     return refusal === undefined ? undefined : createError(ErrorKind.Quarantined, refusal)
   }
 
-  private run(request: RoutedRequest, clientResponse: ClientResponse, signal: AbortSignal): Promise<RunResult> {
+  private run(request: RoutedRequest, work: GuardedWork): Promise<RunResult> {
     if (request.route.stages.length === 0)
-      return this.admitAndRun(request, clientResponse, signal)
-    return this.prepareAndRun(request, clientResponse, signal)
+      return this.admitAndRun(request, work)
+    return this.prepareAndRun(request, work)
   }
 
   /** Runs a request without stages once it is admitted. */
-  private async admitAndRun(request: RoutedRequest, clientResponse: ClientResponse, signal: AbortSignal): Promise<RunResult> {
+  private async admitAndRun(request: RoutedRequest, { clientResponse, signal, reach }: GuardedWork): Promise<RunResult> {
     const { admission, returns, shares } = this.dependencies
     const demand = describeDemand(request)
     shares.recordArrival(demand)
     let end = DemandEnd.Other
     try {
+      reach(RequestStep.Admission)
       const admitted = await admission.admit(request, signal)
+      reach(RequestStep.Attempts)
       const result = admitted.isErr()
         ? { error: admitted.error }
         : await this.runAdmitted(admitted.value, { request, inputs: NO_INPUTS, clientResponse, signal })
@@ -147,13 +164,15 @@
     }
   }
 
-  private async prepareAndRun(request: RoutedRequest, clientResponse: ClientResponse, signal: AbortSignal): Promise<RunResult> {
+  private async prepareAndRun(request: RoutedRequest, { clientResponse, signal, reach }: GuardedWork): Promise<RunResult> {
     const { requestId } = request.head
     const firstEventMs = Math.ceil(request.firstEventBy - performance.now())
     const waitMs = this.dependencies.runner.shortestWaitMs(request)
     if (Number.isFinite(waitMs) && waitMs > firstEventMs)
       return { error: errorOfWithheld(request.service, waitMs) }
+    reach(RequestStep.Stages)
     const prepared = await this.prepare(request, signal)
+    reach(RequestStep.Attempts)
     if (prepared.isErr())
       return { error: this.refuse(request) ?? errorOfPreparation(prepared.error) }
     const inputs: RunInputs = {
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -7,6 +7,7 @@
 import type { Backend } from '../connection/backends/backend.js'
 import type { RetryCost, RetryUsage } from './attempts/retry-budget.js'
 import type { RetryDecision } from './attempts/retry-rule.js'
+import type { RequestStep } from './deadline-guard.js'
 import type { BackendEstimate } from './load/load-estimator.js'
 import type { RoutedRequest } from './routed-request.js'
 import { countTokens, sharedParts } from './prompt-parts.js'
@@ -66,6 +67,15 @@
   configurationAgeMs: number | undefined
 }
 
+/** A request whose work has not ended by its deadline. */
+export interface OverdueWork {
+  requestId: string
+  route: string
+  step: RequestStep
+  /** Milliseconds since its deadline. */
+  overdueMs: number
+}
+
 /** The outcome as it appears in logs and metrics. */
 export function outcomeOf(error: RequestError | undefined): string {
   return error?.kind ?? 'answered'
@@ -136,6 +146,10 @@
     })
   }
 
+  requestOverdue({ requestId, route, step, overdueMs }: OverdueWork): void {
+    this.log.write('request-overdue', { request: requestId, route, step, overdueMs: Math.round(overdueMs) })
+  }
+
   requestEnded({ requestId, route, error, retry, tookMs, firstEventMs, configurationVersion, configurationAgeMs }: RequestEnd): void {
     this.log.write('request-ended', {
       request: requestId,
--- a/test/gateway/proxy-request-handler.test.ts
+++ b/test/gateway/proxy-request-handler.test.ts
@@ -1,7 +1,8 @@
+import type { RequestError } from '@eidermast/common'
 import type { ClientRequest, ClientResponse, PreparationRequest, ProxyRequestHandlerDependencies, RecreationProgress, RunSubject } from '@eidermast/gateway'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
-import { ErrorKind, wait } from '@eidermast/common'
+import { ErrorKind, NEVER_ABORTED, Ran, wait } from '@eidermast/common'
 import { ConfigurationHolder, DeadlineReturnDetector, DemandEnd, PreparationFailureKind, ProxyRequestHandler } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
 import { describe, expect, test, vi } from 'vitest'
@@ -27,7 +28,7 @@
     runner: { run: () => Promise.reject(new Error('invalid character in a header of the response')) },
     crashes: NO_CRASHES,
     streams: { findOrigin: async () => Ok(undefined) },
-    metrics: { countRequest: () => {} },
+    metrics: { countRequest: () => {}, countOverdue: () => {} },
     log,
   } as unknown as ProxyRequestHandlerDependencies)
   const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: undefined, promptParts: [], stageItems: [], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
@@ -52,7 +53,7 @@
       runner: { shortestWaitMs: () => Number.POSITIVE_INFINITY, preferredFailureDomain: () => 'zone-a' },
       crashes: NO_CRASHES,
       streams: { findOrigin: async () => Ok(undefined) },
-      metrics: { countRequest: () => {} },
+      metrics: { countRequest: () => {}, countOverdue: () => {} },
       log,
     } as unknown as ProxyRequestHandlerDependencies)
     const fail = vi.fn()
@@ -66,6 +67,65 @@
   })
 })
 
+describe('a request whose work does not end, whatever it waits for', () => {
+  const STAGES = [{ service: 'encode', dependsOn: [], resultBytes: 1 }]
+  const never = (): Promise<never> => new Promise(() => {})
+
+  /** Serves a request with some dependencies replaced; resolves with its answer and when it came after the arrival, in milliseconds. */
+  async function serve(dependencies: object, stages = STAGES, started = false): Promise<{ error: RequestError | undefined, tookMs: number, steps: string[], isAborted: boolean }> {
+    const { log } = createLog()
+    const configuration = new ConfigurationHolder(() => createConfiguration({ routes: [createRoute({ timeoutMs: TIMEOUT_MS, stages })] }), log)
+    configuration.offer('', 'test')
+    const steps: string[] = []
+    let isAborted = false
+    const handler = new ProxyRequestHandler({
+      configuration,
+      startGate: { isOpen: true, wait: async () => {} },
+      preparer: { prepare: async () => Ok({ handles: [], failureDomain: 'zone-a', bytes: 0 }), release: () => {} },
+      admission: { admit: async () => Ok({ release: () => {} }) },
+      shares: { recordArrival: () => {}, recordEnd: () => {}, admittedShare: () => 1 },
+      returns: new DeadlineReturnDetector(),
+      runner: {
+        shortestWaitMs: () => Number.POSITIVE_INFINITY,
+        preferredFailureDomain: () => 'zone-a',
+        run: ({ signal }: RunSubject) => {
+          signal.addEventListener('abort', () => (isAborted = true))
+          return never()
+        },
+      },
+      crashes: NO_CRASHES,
+      streams: { findOrigin: async () => Ok(undefined) },
+      metrics: { countRequest: () => {}, countOverdue: (step: string) => steps.push(step) },
+      log,
+      ...dependencies,
+    } as unknown as ProxyRequestHandlerDependencies)
+    const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: 20_000, promptParts: [], stageItems: [1], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
+    const arrivedAt = performance.now()
+    let error: RequestError | undefined
+    const response = { ...CLIENT_RESPONSE, started, fail: (sent: RequestError) => (error = sent) }
+    await handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt }, response, NEVER_ABORTED)
+    return { error, tookMs: performance.now() - arrivedAt, steps, isAborted }
+  }
+
+  test.each([
+    ['accept', ErrorKind.DeadlineUnreachable, Ran.None, { streams: { findOrigin: never } }, STAGES],
+    ['admission', ErrorKind.DeadlineUnreachable, Ran.None, { admission: { admit: never } }, []],
+    ['stages', ErrorKind.DeadlineUnreachable, Ran.None, { preparer: { prepare: never, release: () => {} } }, STAGES],
+    ['attempts', ErrorKind.DeadlineExceeded, Ran.Unknown, {}, STAGES],
+  ])('is answered by its time-out in step %s', async (step, kind, ran, dependencies, stages) => {
+    const { error, tookMs, steps } = await serve(dependencies, stages)
+    expect(error).toMatchObject({ kind, ran })
+    expect(steps).toEqual([step])
+    expect(tookMs).toBeLessThan(TIMEOUT_MS + MAX_OVERDUE_MS)
+  })
+
+  test('is cut off and its work aborted if its answer has begun', async () => {
+    const { error, tookMs, isAborted } = await serve({}, [], true)
+    expect({ error, isAborted }).toEqual({ error: undefined, isAborted: true })
+    expect(tookMs).toBeLessThan(TIMEOUT_MS + MAX_OVERDUE_MS)
+  })
+})
+
 describe('stage results that are recreated', () => {
   /** Runs a request with stages that arrived `afterMs` ago, and recreates its stage results; returns what was requested then. */
   async function recreateAfter(afterMs: number, progress: RecreationProgress): Promise<{ work: PreparationRequest, isAborted: boolean }> {
@@ -93,7 +153,7 @@
       },
       crashes: NO_CRASHES,
       streams: { findOrigin: async () => Ok(undefined) },
-      metrics: { countRequest: () => {} },
+      metrics: { countRequest: () => {}, countOverdue: () => {} },
       log,
     } as unknown as ProxyRequestHandlerDependencies)
     const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: 20_000, promptParts: [], stageItems: [1], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
