A body that still arrives at the request's deadline does not hold the request

Change: the route is known from the head, so a read that has not ended by the request's deadline is rejected with 408, which says that nothing ran.

--- a/packages/gateway/src/connection/clients/client-request.ts
+++ b/packages/gateway/src/connection/clients/client-request.ts
@@ -19,8 +19,13 @@
   arrivedAt: number
 }
 
+/** A request of which the head was read. */
+export type ArrivingRequest = Pick<ClientRequest, 'path' | 'head' | 'arrivedAt'>
+
 /** Handles requests; implemented by the request path. */
 export interface RequestHandler {
+  /** When a request has to be answered, on the monotonic clock in milliseconds; undefined if no route serves it. */
+  deadlineOf: (request: ArrivingRequest) => number | undefined
   /** Sends exactly one response, or cuts it off; the signal is aborted when the client disconnects. */
   serve: (request: ClientRequest, response: ClientResponse, signal: AbortSignal) => Promise<void>
 }
--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -22,6 +22,7 @@
 import { ClientTransfers } from './client-transfers.js'
 import { HttpClientResponse } from './http-client-response.js'
 import { OpenAnswers } from './open-answers.js'
+import { endReadBy } from './read-deadline.js'
 import { readRequest } from './request-reader.js'
 
 /** Limits until the first configuration is received. */
@@ -146,7 +147,8 @@
   }
 
   private async serve(message: IncomingMessage, context: ReadContext, clientResponse: HttpClientResponse, signal: AbortSignal): Promise<void> {
-    const request = await (this.transfers?.readRequest(message, context) ?? readRequest(message, context))
+    const reading = this.transfers?.readRequest(message, context) ?? readRequest(message, context)
+    const request = await endReadBy(this.deadlineOf(message, context), reading)
     if (request?.isOk())
       await this.dependencies.handler.serve(request.value, clientResponse, signal)
     else if (request?.isErr() && request.error.kind === ErrorKind.Overloaded)
@@ -155,6 +157,10 @@
       clientResponse.reject(request.error)
   }
 
+  private deadlineOf({ url }: IncomingMessage, { head, arrivedAt }: ReadContext): number | undefined {
+    return head.isOk() ? this.dependencies.handler.deadlineOf({ path: url!, head: head.value, arrivedAt }) : undefined
+  }
+
   /** Refuses a request for lack of room. Its body is discarded as it comes: closing its connection now could cost its client the answer. */
   private refuseUnread(message: IncomingMessage, error: RequestError, clientResponse: HttpClientResponse): void {
     clientResponse.fail(error)
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -6,7 +6,7 @@
  */
 import type { EventLog, RequestError } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
-import type { ClientRequest, RequestHandler } from '../connection/clients/client-request.js'
+import type { ArrivingRequest, ClientRequest, RequestHandler } from '../connection/clients/client-request.js'
 import type { ClientResponse } from '../connection/clients/client-response.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../connection/peers/preparation.js'
 import type { ConfigurationHolder } from '../version/configuration-holder.js'
@@ -73,6 +73,10 @@
     this.log = new RequestLog(dependencies.log)
   }
 
+  deadlineOf(request: ArrivingRequest): number | undefined {
+    return this.router.deadlineOf(request)
+  }
+
   /** Answers a request; the signal aborts when its client disconnects. */
   async serve(request: ClientRequest, clientResponse: ClientResponse, signal: AbortSignal): Promise<void> {
     if (!this.dependencies.startGate.isOpen)
--- a/packages/gateway/src/request/request-router.ts
+++ b/packages/gateway/src/request/request-router.ts
@@ -17,7 +17,7 @@
  */
 import type { RequestError } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
-import type { ClientRequest } from '../connection/clients/client-request.js'
+import type { ArrivingRequest, ClientRequest } from '../connection/clients/client-request.js'
 import type { ConfigurationHolder } from '../version/configuration-holder.js'
 import type { ClientAccount, Route } from '../version/configuration.js'
 import type { RouteTable } from '../version/route-table.js'
@@ -59,6 +59,12 @@
     return account.andThen(found => this.describe(request, table, route, found))
   }
 
+  /** When a request has to be answered, on the monotonic clock in milliseconds; undefined if no route serves it. */
+  deadlineOf({ path, head, arrivedAt }: ArrivingRequest): number | undefined {
+    const route = this.configuration.table?.findRoute(head.host, path.split('?', 1)[0])
+    return route && decideDeadlines(arrivedAt, head.deadlineMs, route).deadlineAt
+  }
+
   private describe(
     request: ClientRequest,
     table: RouteTable,
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,5 +1,7 @@
 import type { Gateway } from '@eidermast/gateway'
+import { Buffer } from 'node:buffer'
 import { connect } from 'node:net'
+import { Readable } from 'node:stream'
 import { text } from 'node:stream/consumers'
 import { wait } from '@eidermast/common'
 import { request } from 'undici'
@@ -8,6 +10,8 @@
 import { answerCompletely, answerUnframed, hang, StandInBackend, streamEvents } from './support/stand-in-backend.js'
 import { StandInStore } from './support/stand-in-store.js'
 
+/** The platform's bound on an answer after the time-out of a request's route. */
+const MAX_OVERDUE_MS = 500
 /** A process uses the fixed part of the retry budget once this time has passed since its start. */
 const RETRY_WINDOW_MS = 100
 const ROUTE = { Host: 'host.example', TimeoutMs: 4000, TargetLatencyMs: 1000, MaxAttempts: 2 }
@@ -94,6 +98,21 @@
     expect(backends.flatMap(backend => backend.seen)).toEqual([])
   })
 
+  test('whose body still arrives at the time-out of its route is rejected then', async () => {
+    const startedAt = performance.now()
+    const body = Readable.from(async function* () {
+      for (let part = 0; part < 40; part++) {
+        yield Buffer.from('part')
+        await wait(100)
+      }
+    }())
+    const { statusCode, body: answer } = await request(`${address}/plain/x`, { method: 'POST', headers: { ...HEADERS, 'deadline-ms': '800' }, body })
+    await answer.dump()
+    expect(statusCode).toBe(408)
+    expect(performance.now() - startedAt).toBeLessThan(800 + MAX_OVERDUE_MS)
+    expect(backends.flatMap(backend => backend.seen)).toEqual([])
+  })
+
   test('with too large a body reaches no backend server', async () => {
     expect((await send('/plain/', {}, 'x'.repeat(2000))).statusCode).toBe(413)
     expect(backends.flatMap(backend => backend.seen)).toEqual([])
