Stage work is asked for again when its connection has gone silent

Seen by callers: after connections had gone silent, requests with stages got no answer until their clients left, and service came back seconds late.

Cause: the call to a coordinator is bounded by the request's deadline and by the coordinator's failure alone. A heartbeat that is lost on a silent connection is followed by others on new ones, so the coordinator never counts as failed, and calls on the silent connections wait for their deadline. That whole time of the clients is lost, at all gateways together.

Change: a heartbeat without an answer, where a later one was answered, shows that its connection was lost and not the peer (log event peer-connection- lost). Calls that began before it are made again, which is no evidence against the coordinator. The coordinator lets a call for a request that it is working on join that work, so that a repeat costs none; the work ends with the last call that waits.

Shown: shared-preparer "is asked for again at the same coordinator once its connection was found to be lost" and stage-coordinator "goes on with the work of a request that is asked for again …" fail on the code before (both wait for the test's limit).

--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -52,6 +52,11 @@
     this.log.write('stopped', { active, tookMs: Math.round(tookMs) })
   }
 
+  /** A peer did not answer a heartbeat, and answered one that was sent later. */
+  peerConnectionLost(member: Member, sentMs: number): void {
+    this.log.write('peer-connection-lost', { member: member.name, sentMs: Math.round(sentMs) })
+  }
+
   /** Fetching a newer configuration from a peer failed. */
   peerConfigurationFailed(member: Member, error: unknown): void {
     this.log.write('peer-configuration-failed', { member: member.name, error: formatError(error) })
--- a/packages/gateway/src/process/membership/member-state.ts
+++ b/packages/gateway/src/process/membership/member-state.ts
@@ -18,6 +18,8 @@
   readonly isSelf: boolean
   /** When it last answered a heartbeat; negative infinity before the first reply and after a failed call. */
   lastReplyAt: number
+  /** When the newest heartbeat was sent that it has answered. */
+  answeredSentAt: number
   /** When the last heartbeat was sent to it. */
   heartbeatSentAt: number
   /** Number of unanswered heartbeats. */
@@ -40,6 +42,7 @@
     announcementOrder,
     isSelf,
     lastReplyAt: Number.NEGATIVE_INFINITY,
+    answeredSentAt: Number.NEGATIVE_INFINITY,
     heartbeatSentAt: Number.NEGATIVE_INFINITY,
     pendingHeartbeats: 0,
     probed: false,
--- a/packages/gateway/src/process/membership/peer-monitor.ts
+++ b/packages/gateway/src/process/membership/peer-monitor.ts
@@ -138,10 +138,13 @@
     state.pendingHeartbeats++
     state.heartbeatSentAt = now
     try {
-      this.handleReply(state, await this.deps.contact.heartbeat(state.member))
+      const reply = await this.deps.contact.heartbeat(state.member)
+      state.answeredSentAt = Math.max(state.answeredSentAt, now)
+      this.handleReply(state, reply)
     }
     catch {
-      // Ignored: a single lost heartbeat is harmless. `lastReplyAt` stays, from which the next tick detects a failure.
+      // A single lost heartbeat is harmless: `lastReplyAt` stays, from which the next tick detects a failure.
+      this.handleLostHeartbeat(state, now)
     }
     state.pendingHeartbeats--
     // A reply to a heartbeat of an earlier round may have been waiting while this process was suspended.
@@ -151,6 +154,14 @@
       this.checkMembers(performance.now())
   }
 
+  /** A heartbeat was not answered. If a later one was, its connection is lost, and those of earlier calls may be too. */
+  private handleLostHeartbeat({ member, answeredSentAt }: MemberState, sentAt: number): void {
+    if (answeredSentAt <= sentAt)
+      return
+    this.deps.log.peerConnectionLost(member, performance.now() - sentAt)
+    this.failureWatches.abortBefore(member.name, sentAt)
+  }
+
   private handleReply(state: MemberState, reply: HeartbeatReply): void {
     state.lastReplyAt = performance.now()
     state.stopping = reply.stopping
--- a/packages/gateway/src/process/stages/shared-preparer.ts
+++ b/packages/gateway/src/process/stages/shared-preparer.ts
@@ -20,6 +20,7 @@
 import { formatError, joinSignals } from '@eidermast/common'
 import { Err } from 'ts-results-es'
 import { PreparationFailureKind } from '../../connection/peers/preparation.js'
+import { ConnectionLostError } from '../membership/failure-watches.js'
 import { isCoordinatorFailure } from './coordinator-failure.js'
 import { UNSHARDED } from './shard-choice.js'
 
@@ -140,8 +141,8 @@
       return await this.peers.prepare(coordinator, request, either.signal)
     }
     catch (error) {
-      // A call that was cancelled with its request is no evidence against the coordinator.
-      if (!signal.aborted)
+      // A call that was cancelled with its request, or that is repeated on a new connection, is no evidence against the coordinator.
+      if (!signal.aborted && !(failure.signal.reason instanceof ConnectionLostError))
         this.handleCallFailure(coordinator, request.requestId, error, failedCoordinators)
       return undefined
     }
--- a/packages/gateway/src/process/stages/stage-coordinator.ts
+++ b/packages/gateway/src/process/stages/stage-coordinator.ts
@@ -70,10 +70,23 @@
   metrics?: StageMetrics
 }
 
+/** A call that waits for the stage work of its request. */
+interface WaitingCall {
+  request: PreparationRequest
+  /** On the monotonic clock, in milliseconds. */
+  startedAt: number
+  signal: AbortSignal
+  resolve: (result: Result<PreparedInputs, PreparationFailure>) => void
+  /** Ends the work, unless another call waits for it by now. */
+  cancel: () => void
+}
+
 /** Owns the pools of all stage services, and the requests whose results are held. */
 export class StageCoordinator implements Preparer {
   private readonly pools = new Map<string, StagePool>()
   private readonly runs = new Map<string, RequestStages>()
+  /** Calls that wait, by request id. */
+  private readonly waiting = new Map<string, WaitingCall>()
   private readonly engines: EngineAssignments
   private readonly accuracy = new AdmissionAccuracy()
   private sharing: StageSharing = new UnsharedStages()
@@ -110,36 +123,63 @@
     }
   }
 
+  /** Runs the stage work of a request. A call that repeats one whose connection was lost joins the work under way. */
   async prepare(request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
     if (signal.aborted)
       return Err(CANCELLED)
     return new Promise((resolve) => {
-      const end: PreparationListener = (result) => {
-        signal.removeEventListener('abort', cancel)
-        const now = performance.now()
-        const tookMs = now - startedAt
-        const isMeasured = result.isOk() || result.error.kind === PreparationFailureKind.TooLate
-        const isLowerBound = result.isErr() && this.sharing.failsHopelessWork
-        const expectedMs = this.accuracy.recordEnd(request, isMeasured ? { tookMs, isLowerBound } : undefined, now)
-        logStagesEnded(this.dependencies.log, request, result, { tookMs, expectedMs })
-        resolve(result.map(inputs => this.assignEngine(request, inputs, now)))
-      }
-      const cancel = (): void => {
-        this.release(request.requestId)
-        end(Err(CANCELLED))
-      }
-      const startedAt = performance.now()
-      signal.addEventListener('abort', cancel)
-      this.admit(request, startedAt, end)
+      const lost = this.takeWaiting(request.requestId)
+      const call: WaitingCall = { request, startedAt: lost?.startedAt ?? performance.now(), signal, resolve, cancel: () => this.cancel(call) }
+      this.waiting.set(request.requestId, call)
+      signal.addEventListener('abort', call.cancel)
+      if (lost)
+        lost.resolve(Err(CANCELLED))
+      else
+        this.admit(request, call.startedAt, result => this.end(request.requestId, result))
     })
   }
 
   release(requestId: string): void {
+    this.free(requestId)
+    this.takeWaiting(requestId)?.resolve(Err(CANCELLED))
+  }
+
+  private free(requestId: string): void {
     this.engines.release(requestId, performance.now())
     this.runs.get(requestId)?.release()
     this.runs.delete(requestId)
   }
 
+  /** Removes and returns the call that waits for a request's work; undefined if there is none. */
+  private takeWaiting(requestId: string): WaitingCall | undefined {
+    const call = this.waiting.get(requestId)
+    this.waiting.delete(requestId)
+    call?.signal.removeEventListener('abort', call.cancel)
+    return call
+  }
+
+  private cancel(call: WaitingCall): void {
+    const { requestId } = call.request
+    if (this.waiting.get(requestId) !== call)
+      return
+    this.free(requestId)
+    this.end(requestId, Err(CANCELLED))
+  }
+
+  private end(requestId: string, result: Result<PreparedInputs, PreparationFailure>): void {
+    const call = this.takeWaiting(requestId)
+    if (!call)
+      return
+    const { request, startedAt, resolve } = call
+    const now = performance.now()
+    const tookMs = now - startedAt
+    const isMeasured = result.isOk() || result.error.kind === PreparationFailureKind.TooLate
+    const isLowerBound = result.isErr() && this.sharing.failsHopelessWork
+    const expectedMs = this.accuracy.recordEnd(request, isMeasured ? { tookMs, isLowerBound } : undefined, now)
+    logStagesEnded(this.dependencies.log, request, result, { tookMs, expectedMs })
+    resolve(result.map(inputs => this.assignEngine(request, inputs, now)))
+  }
+
   /**
    * This process coordinates from now on, possibly because the coordinator that it
    * handed its work over to failed. Results of the previous coordinator may still
@@ -198,7 +238,7 @@
 
   private start(candidate: AdmissionCandidate, end: PreparationListener): void {
     const { requestId } = candidate.request
-    this.release(requestId)
+    this.free(requestId)
     const run = new RequestStages(candidate, service => this.pools.get(service), end)
     this.runs.set(requestId, run)
     setTimeout(() => this.runs.get(requestId) === run && this.release(requestId), MAX_RESULT_HOLD_MS).unref()
--- a/test/gateway/shared-preparer.test.ts
+++ b/test/gateway/shared-preparer.test.ts
@@ -125,6 +125,34 @@
   beforeEach(() => void vi.useFakeTimers())
   afterEach(() => void vi.useRealTimers())
 
+  test('is asked for again at the same coordinator once its connection was found to be lost', async () => {
+    const { log } = createLog()
+    let lostHeartbeats = 0
+    const heartbeat = async () => {
+      if (lostHeartbeats-- > 0)
+        return await new Promise<never>((_resolve, reject) => setTimeout(() => reject(new Error('timeout')), 450))
+      return { version: 1, stopping: false, slow: false }
+    }
+    const members = new Members(SELF, { heartbeat }, log, () => {})
+    members.upsert({ ...COORDINATOR, announcementOrder: 0 })
+    members.noteListRead()
+    members.start()
+    await vi.advanceTimersByTimeAsync(500)
+    const calls: AbortSignal[] = []
+    const prepare = (_member: unknown, _request: unknown, signal: AbortSignal): Promise<Preparation> => {
+      calls.push(signal)
+      return calls.length > 1 ? Promise.resolve(PREPARED) : new Promise((_resolve, reject) => signal.addEventListener('abort', () => reject(signal.reason)))
+    }
+    const shared = new SharedPreparer(members, { prepare: async () => FAILED, release: () => {} }, { prepare, release: async () => {} }, log)
+    const prepared = shared.prepare(REQUEST, NEVER)
+    lostHeartbeats = 2
+    await vi.advanceTimersByTimeAsync(1000)
+    expect((await prepared).isOk()).toBe(true)
+    expect(calls.length).toBe(2)
+    expect(members.coordinator.name).toBe(COORDINATOR.name)
+    members.stop()
+  })
+
   test.each([
     ['is retried at the same coordinator after a connection reset', [createError('ECONNRESET')], [COORDINATOR.name, COORDINATOR.name]],
     ['restarts at this gateway if the coordinator refuses connections', [createError('ECONNREFUSED')], [COORDINATOR.name, SELF.name]],
--- a/test/gateway/stage-coordinator.test.ts
+++ b/test/gateway/stage-coordinator.test.ts
@@ -46,6 +46,18 @@
     expect(service.live.size).toBe(0)
   })
 
+  test('goes on with the work of a request that is asked for again since its connection was lost, and answers the new call', async () => {
+    const { stageCoordinator, service } = createCoordinator([{ id: 'encode-a' }])
+    const lost = new AbortController()
+    void stageCoordinator.prepare(createStageRequest(), lost.signal)
+    await vi.advanceTimersByTimeAsync(20)
+    const prepared = stageCoordinator.prepare(createStageRequest(), NEVER)
+    lost.abort()
+    await vi.advanceTimersByTimeAsync(2000)
+    expect((await prepared).isOk()).toBe(true)
+    expect(service.calls.length).toBe(1)
+  })
+
   test('sends no calls to a draining backend server', async () => {
     const { stageCoordinator, registry, service } = createCoordinator([{ id: 'encode-a' }, { id: 'encode-b', failureDomain: 'zone-b' }])
     registry.upsert(createRecord({ id: 'encode-a', draining: true }))
