--- a/test/soak/support/landed-build.ts
+++ b/test/soak/support/landed-build.ts
@@ -8,7 +8,7 @@
 import path from 'node:path'
 
 /** The last landed version; updated with every landing (CONTRIBUTING.md). */
-export const LANDED_COMMIT = 'f284fb6'
+export const LANDED_COMMIT = 'e6a455d'
 
 /** Scope of the workspace packages, which are not shared between versions. */
 const WORKSPACE_SCOPE = '@eidermast'
