--- a/packages/gateway/src/process/stages/shared-preparer.ts
+++ b/packages/gateway/src/process/stages/shared-preparer.ts
@@ -2,7 +2,8 @@
  * Runs the stage work of this gateway's requests at the coordinator, which is
  * this process or another one. If the coordinator fails, the next one restarts
  * the work; the failed one, if it is still running, frees its results when its
- * caller disconnects. A coordinator that stops hands its results over to the next
+ * caller disconnects. A call whose connection was lost is made again, and joins
+ * the work that the coordinator goes on with. A coordinator that stops hands its results over to the next
  * one through this module. Owns the mapping from each request to the coordinator
  * that holds its results until they are released, and the releases that wait for
  * their batch; relies on the membership for the current coordinator. When the
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -30,6 +30,7 @@
  * further calls have the client's timeout, in case the store is slow.
  */
 const FIRST_LATEST_TIMEOUT_MS = 1000
+
 /** Receives the records of a topic. */
 export interface TopicSink {
   /** Delivers the contents of the topic up to a position; some records may be newer. */
@@ -68,7 +69,7 @@
   /** Era of the last response; undefined before the first one. */
   private era: number | undefined
   private failures = 0
-  /** Aborts the last read. */
+  /** Aborts the newest read, so that it is repeated. */
   private lastRead = new AbortController()
   /** Whether the next read is to return at once. */
   private isRefreshing = false
--- a/test/soak/configuration-soak.test.ts
+++ b/test/soak/configuration-soak.test.ts
@@ -20,6 +20,9 @@
 /** How long versions are compared after the last step. */
 const SETTLE_MS = 5500
 const GATEWAYS = 5
+const CI_SEEDS = [100, 105]
+/** A process that starts brings the newest version to its peers, so a lost read shows only while none does. */
+const COORDINATOR_AWAY_MS = 5000
 const OPERATOR_TOPIC = 'keyed.op'
 const CONFIGURATION = {
   Routes: [{ Name: 'plain', Host: 'host.example', PathPrefix: '/plain/', Type: 'idempotent', Service: 'plain', TimeoutMs: 6000, TargetLatencyMs: 3000, MaxAttempts: 1 }],
@@ -70,7 +73,7 @@
     else if (kind < 6)
       this.silence([gateway])
     else if (kind === 6)
-      this.silence(addresses.map((_, index) => index))
+      this.pending.push(this.silenceAllAndReplaceCoordinator(addresses))
     else if (kind === 7)
       this.pending.push(this.disconnect(gateway))
     else
@@ -91,6 +94,15 @@
     }
   }
 
+  /** All connections to the store go silent, then the gateway ends that reads for the others. */
+  private async silenceAllAndReplaceCoordinator(addresses: string[]): Promise<void> {
+    this.silence(addresses.map((_, index) => index))
+    const observer = this.gateways.find(started => started !== undefined)
+    await wait(this.draw(1500))
+    const coordinator = observer?.gateway.members.coordinator.name
+    await this.replace(this.gateways.findIndex(started => started?.gateway.members.self.name === coordinator), addresses, COORDINATOR_AWAY_MS)
+  }
+
   private async disconnect(gateway: number): Promise<void> {
     const disruption = this.disruptions.begin(gateway)
     this.proxies[gateway].isPartitioned = true
@@ -100,14 +112,14 @@
     disruption.to = performance.now()
   }
 
-  private async replace(index: number, addresses: string[]): Promise<void> {
+  private async replace(index: number, addresses: string[], awayMs = this.draw(500)): Promise<void> {
     const ending = this.gateways[index]
     if (!ending)
       return
     const disruption = this.disruptions.begin(index)
     this.gateways[index] = undefined
     await ending.gateway.close()
-    await wait(this.draw(500))
+    await wait(awayMs)
     await this.start(index, addresses)
     disruption.to = performance.now()
   }
@@ -132,7 +144,7 @@
 }
 
 describe('changes of the configuration while gateways lose reads, are cut off from the store and end', () => {
-  test.each(readSeeds())('are in force at connected gateways in time, and never go back (seed %i)', async (seed) => {
+  test.each(readSeeds(CI_SEEDS))('are in force at connected gateways in time, and never go back (seed %i)', async (seed) => {
     expect(await new ConfigurationRun(createDraw(seed)).play()).toEqual([])
   })
 })
