A stream line without an end is held as its bytes

Cause: readline holds an unfinished line as text on the heap, and emits it when the stream ends or breaks, which copies it: up to 64 MB and as much again for one faulty backend server.

Change: readLimitedLines holds the bytes as received and decodes whole lines.

--- a/packages/daemon/src/connection/backend-response.ts
+++ b/packages/daemon/src/connection/backend-response.ts
@@ -5,9 +5,7 @@
  */
 import type { Dispatcher } from 'undici'
 import type { BackendResult } from './backend-client.js'
-import { createInterface } from 'node:readline'
-import { Readable } from 'node:stream'
-import { assertCompleteAtEnd, discardBody, isFramed, limitBytes, readLimitedText } from '@eidermast/common'
+import { assertCompleteAtEnd, discardBody, isFramed, readLimitedLines, readLimitedText } from '@eidermast/common'
 import * as z from 'zod'
 import { BackendOutcome } from './backend-client.js'
 import { isNotConnected } from './json-http.js'
@@ -45,7 +43,7 @@
 /** Reads tokens line by line. The stream is complete only if its end marker arrives and matches the number of tokens. */
 export async function readTokenStream(response: Dispatcher.ResponseData, onToken: (text: string) => void): Promise<BackendResult> {
   let received = 0
-  for await (const line of createInterface({ input: Readable.from(limitBytes(response.body, MAX_PEER_MESSAGE_BYTES)) })) {
+  for await (const line of readLimitedLines(response.body, MAX_PEER_MESSAGE_BYTES)) {
     const message = streamLineSchema.parse(JSON.parse(line))
     if ('token' in message) {
       received++
