--- a/packages/gateway/src/connection/clients/read-deadline.ts
+++ b/packages/gateway/src/connection/clients/read-deadline.ts
@@ -18,13 +18,15 @@
 /** The result of reading a request; undefined if its client disconnected. */
 type ReadResult = Result<ClientRequest, RequestError> | undefined
 
+const OVERDUE = createError(ErrorKind.BodyStalled, 'the request body did not arrive within the time-out of the route or the client')
+
 /** Resolves with the result of a read, or with an error at its deadline. Reads without a deadline are not limited. */
 export async function endReadBy(deadlineAt: number | undefined, reading: Promise<ReadResult>): Promise<ReadResult> {
   if (deadlineAt === undefined)
     return reading
   let timer: NodeJS.Timeout | undefined
   const overdue = new Promise<ReadResult>((resolve) => {
-    timer = setTimeout(() => resolve(Err(createError(ErrorKind.BodyStalled, 'the request body did not arrive within the time-out of the route or the client'))), Math.max(0, deadlineAt - performance.now()))
+    timer = setTimeout(() => resolve(Err(OVERDUE)), Math.max(0, deadlineAt - performance.now()))
   })
   try {
     return await Promise.race([reading, overdue])
--- a/packages/gateway/src/process/read-wait.ts
+++ b/packages/gateway/src/process/read-wait.ts
@@ -54,7 +54,7 @@
  */
 const PROPAGATION_MS = 400
 
-/** Limits the calls to the store if the bounds are tight; with shorter waits, a gateway makes more than three per second. */
+/** Limits the calls to the store if the bounds are tight. */
 const MIN_READ_WAIT_MS = 1000
 
 /**
@@ -97,7 +97,7 @@
 /**
  * Gateways that start together cost each other one read in total instead of one
  * per start. Well below the second within which two gateways must list each
- * other; with 1500 they did not.
+ * other.
  */
 const MIN_DIRECTORY_PAUSE_MS = 400
 /** Time after start-up during which the pause stays minimal: gateways that start together must soon agree on a coordinator. */
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -69,7 +69,7 @@
   /** Era of the last response; undefined before the first one. */
   private era: number | undefined
   private failures = 0
-  /** Aborts the newest read, so that it is repeated. */
+  /** Aborts the newest read, or the pause after it. */
   private lastRead = new AbortController()
   /** Whether the next read is to return at once. */
   private isRefreshing = false
@@ -107,7 +107,7 @@
     }
   }
 
-  /** Repeats the read under way at once and on a new connection, because it may have been lost. */
+  /** Repeats the read under way at once and on a new connection, because it may have been lost; ends a pause between two reads. */
   refresh(): void {
     this.isRefreshing = true
     this.store.renewConnections()
@@ -129,7 +129,7 @@
     if (position.offset >= end)
       this.sink.upToDate?.(records.length > 0 ? this.calledAt : Math.min(performance.now(), this.calledAt + waitMs))
     if (records.length > 0 && this.sink.pauseMs)
-      await wait(this.sink.pauseMs, signal)
+      await wait(this.sink.pauseMs, signal, this.lastRead.signal)
   }
 
   /** Reads records, again if the read is refreshed; `waitMs` is how long the store might hold it. */
--- a/packages/gateway/src/request/deadline-guard.ts
+++ b/packages/gateway/src/request/deadline-guard.ts
@@ -48,9 +48,18 @@
   error: RequestError
 }
 
-/** Runs the work on a request; resolves with its result, or once the request is overdue with how it ends. `deadlineAt` is on the monotonic clock in milliseconds. */
+/** A request whose work is to be ended at its deadline. */
+export interface LimitedRequest {
+  /** On the monotonic clock, in milliseconds. */
+  deadlineAt: number
+  clientResponse: ClientResponse
+  /** Aborts when the client disconnects. */
+  signal: AbortSignal
+}
+
+/** Runs the work on a request; resolves with its result, or with how the request ends once it is overdue. */
 export async function runUntilOverdue<Value>(
-  { deadlineAt, clientResponse, signal }: { deadlineAt: number, clientResponse: ClientResponse, signal: AbortSignal },
+  { deadlineAt, clientResponse, signal }: LimitedRequest,
   work: (guarded: GuardedWork) => Promise<Value>,
 ): Promise<{ result: Value } | { overdue: OverdueRequest }> {
   const limited = createTimeoutSignal(Math.max(1, deadlineAt + OVERDUE_MS - performance.now()), signal)
@@ -76,7 +85,8 @@
 function errorOfOverdue(step: RequestStep): RequestError {
   if (step === RequestStep.Attempts)
     return createError(ErrorKind.DeadlineExceeded, 'the time-out of the route or the client passed', { ran: Ran.Unknown })
-  return createError(ErrorKind.DeadlineUnreachable, `the time-out of the route or the client passed before the request was sent on (step ${step})`, { ran: Ran.None })
+  const message = `the time-out of the route or the client passed before the request was sent on (step ${step})`
+  return createError(ErrorKind.DeadlineUnreachable, message, { ran: Ran.None })
 }
 
 /** Forwards a response until it is closed, and discards it from then on. */
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -235,7 +235,7 @@
     const tookMs = performance.now() - request.arrivedAt
     const { configuration } = this.dependencies
     const configurationVersion = configuration.version
-    const configurationAgeMs = error && isDenial(error.kind) ? configuration.ageMs(performance.now()) : undefined
+    const configurationAgeMs = route === undefined ? configuration.ageMs(performance.now()) : undefined
     this.dependencies.metrics.countRequest(route ?? NO_ROUTE, outcomeOf(error), tookMs)
     const firstEventMs = firstEventAt === undefined ? undefined : firstEventAt - request.arrivedAt
     this.log.requestEnded({ requestId: request.head.requestId, route, error, retry, tookMs, firstEventMs, configurationVersion, configurationAgeMs })
--- a/packages/gateway/src/request/request-log.ts
+++ b/packages/gateway/src/request/request-log.ts
@@ -63,7 +63,7 @@
   /** Milliseconds from arrival to the first event of a stream; undefined if there was none. */
   firstEventMs: number | undefined
   configurationVersion: number
-  /** Milliseconds since that version was known to be the newest; undefined unless the request was denied by it. */
+  /** Milliseconds since that version was known to be the newest, or Infinity; undefined for a request with a route. */
   configurationAgeMs: number | undefined
 }
 
@@ -162,7 +162,7 @@
       tookMs: Math.round(tookMs),
       firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
       configuration: configurationVersion,
-      configurationAgeMs: configurationAgeMs === undefined ? undefined : Math.round(configurationAgeMs),
+      configurationAgeMs: Number.isFinite(configurationAgeMs) ? Math.round(configurationAgeMs!) : undefined,
     })
   }
 }
