The age of an entry's configuration is measured on the monotonic clock

Cause: the time of the last read of the log was kept in wall-clock time. After the clock of the VM was set back, a configuration that the log no longer confirmed counted as fresh for as long as the clock had been set back; after it was set ahead, a confirmed one counted as outdated until the next read.

Change: the monotonic clock.

--- a/packages/daemon/src/version/follower.ts
+++ b/packages/daemon/src/version/follower.ts
@@ -39,7 +39,7 @@
 /** Background task of a process that tails the configuration stream. */
 export class ConfigurationFollower {
   private readonly options: Required<FollowerOptions>
-  /** Time of the last read after which the configuration had no gap, in epoch milliseconds. */
+  /** When the last read was answered after which the configuration had no gap, on the monotonic clock in milliseconds. */
   private lastReadAt: number | undefined
 
   constructor(
@@ -52,7 +52,7 @@
 
   /** Time since the configuration was last read from the log, in milliseconds; undefined if it never was. */
   get ageMs(): number | undefined {
-    return this.lastReadAt === undefined ? undefined : Date.now() - this.lastReadAt
+    return this.lastReadAt === undefined ? undefined : performance.now() - this.lastReadAt
   }
 
   /** Whether the configuration has been read from the log at least once. */
@@ -73,7 +73,7 @@
       if (hasGap(this.configuration, page))
         await wait(this.options.retryMs, signal)
       else
-        this.lastReadAt = Date.now()
+        this.lastReadAt = performance.now()
     }
   }
 
