Entries do not deny requests by a configuration that may be outdated

An entry without the log denied client accounts, tokens and pipelines for good (403, 401, 404) by a configuration of any age.

Cause: configuration-monitor.ts knows the age, and nobody who denies asked it.

Change: while the log has not confirmed the configuration recently, such a request gets not-ready (503) with a delay, as from an entry without a configuration (configuration-denial.ts). That holds for a ticket's request that another entry forwards, too. Requests that the configuration allows go on.

--- a/packages/daemon/src/connection/caller-server.ts
+++ b/packages/daemon/src/connection/caller-server.ts
@@ -20,6 +20,7 @@
 import { readBody } from './body-reader.js'
 import { identifyCaller } from './caller-identity.js'
 import { CallerPathKind, hasDotSegment, parseCallerPath, requiredMethod } from './caller-path.js'
+import { errorOfDenial } from './configuration-denial.js'
 import { isRequestId } from './identity.js'
 import { OutcomeState } from './messages.js'
 
@@ -148,7 +149,7 @@
   private createPipelineCall(name: string, call: CallerCall, writer: AnswerWriter): Result<PipelineCall, RequestError> {
     const pipeline = this.options.configuration.get(ObjectKind.Template, name)
     if (!pipeline)
-      return Err(createError(ErrorKind.UnknownPipeline, 'No pipeline with this name is published; check the path.'))
+      return Err(errorOfDenial(createError(ErrorKind.UnknownPipeline, 'No pipeline with this name is published; check the path.'), this.options.service.configurationFreshness))
     const parsed = pipelineBodySchema.safeParse(parseJson(call.body))
     if (!parsed.success)
       return Err(createError(ErrorKind.InvalidRequest, 'Send a JSON object whose only field is "input", a non-empty string.'))
--- a/packages/daemon/src/connection/caller-service.ts
+++ b/packages/daemon/src/connection/caller-service.ts
@@ -9,6 +9,7 @@
 import type { CallerHeaders } from './caller-headers.js'
 import type { LinkTokenListener } from './link-call.js'
 import type { OutcomeState, ServiceRequest } from './messages.js'
+import type { ConfigurationFreshness } from './side-heartbeats.js'
 
 /** A caller with a configured account and an accepted token. */
 export interface Caller {
@@ -55,6 +56,8 @@
 export interface CallerService {
   /** Whether this process has loaded a configuration. */
   knowsConfiguration: () => boolean
+  /** Whether that configuration is up to date. */
+  configurationFreshness: ConfigurationFreshness
   /** Whether the process is stopping and accepts no new requests. */
   isRefusing: () => boolean
   /** Whether a plain service with this name is configured. */
--- a/packages/daemon/src/process/entry/configuration-monitor.ts
+++ b/packages/daemon/src/process/entry/configuration-monitor.ts
@@ -11,7 +11,8 @@
  * Why peers are not always queried: the log defines the order of changes, and
  * only its response proves that nothing newer exists; peers only cover an outage
  * of the log. Requests are also served with an old configuration: freshness only
- * decides whether this entry may confirm it to starting sides.
+ * decides whether this entry may confirm it to starting sides, and reject for good
+ * what it does not allow (`configuration-denial.ts`).
  * Log event: `from-peer` (address, offset); the metric
  * `eidermast_configuration_age_seconds` exports the age.
  */
--- a/packages/daemon/src/process/entry/entry-caller-service.ts
+++ b/packages/daemon/src/process/entry/entry-caller-service.ts
@@ -4,6 +4,7 @@
  */
 import type { RequestAnswer } from '../../connection/answer.js'
 import type { CallerService, FoundOutcome, IssuedTicket, PipelineCall, ServiceCall } from '../../connection/caller-service.js'
+import type { ConfigurationFreshness } from '../../connection/side-heartbeats.js'
 import type { TicketIssuer } from '../../request/authority/tickets.js'
 import type { Membership } from '../membership/membership.js'
 import type { ConfigurationMonitor } from './configuration-monitor.js'
@@ -40,6 +41,10 @@
     return this.options.configurationMonitor.isKnown
   }
 
+  get configurationFreshness(): ConfigurationFreshness {
+    return this.options.configurationMonitor
+  }
+
   isRefusing(): boolean {
     return this.phase === EntryPhase.Refusing
   }
--- a/packages/daemon/src/process/entry/entry.ts
+++ b/packages/daemon/src/process/entry/entry.ts
@@ -78,7 +78,7 @@
       metrics,
     })
     const { claims, outcomes, tickets, pipelines, services } = this.requestComponents
-    const dispatcher = new RequestDispatcher({ configuration, pipelines, services, tickets })
+    const dispatcher = new RequestDispatcher({ configuration, freshness: configurationMonitor, pipelines, services, tickets })
     const search = new OutcomeSearch({ outcomes, claims, peers, machines, address })
     this.callerService = new EntryCallerService({ dispatcher, tickets, search, configurationMonitor, membership })
     this.callerServer = this.createCallerServer()
--- a/packages/daemon/src/process/entry/request-dispatcher.ts
+++ b/packages/daemon/src/process/entry/request-dispatcher.ts
@@ -10,6 +10,7 @@
 import type { RequestAnswer } from '../../connection/answer.js'
 import type { CallerCall, PipelineCall, ServiceCall } from '../../connection/caller-service.js'
 import type { ForwardedRequest } from '../../connection/messages.js'
+import type { ConfigurationFreshness } from '../../connection/side-heartbeats.js'
 import type { Ticket, TicketIssuer } from '../../request/authority/tickets.js'
 import type { IncomingRequest } from '../../request/incoming-request.js'
 import type { RequestPlan } from '../../request/plan.js'
@@ -18,6 +19,7 @@
 import type { Account } from '../../version/objects.js'
 import { createError, ErrorKind, NEVER_ABORTED } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
+import { errorOfDenial } from '../../connection/configuration-denial.js'
 import { TicketError } from '../../request/authority/tickets.js'
 import { planPipeline, planService } from '../../request/plan.js'
 import { ObjectKind } from '../../version/objects.js'
@@ -30,6 +32,7 @@
 /** Dependencies of the dispatcher. */
 export interface RequestDispatcherOptions {
   configuration: Configuration
+  freshness: ConfigurationFreshness
   pipelines: RequestService
   services: RequestService
   tickets: TicketIssuer
@@ -64,7 +67,7 @@
   async runForwarded(request: ForwardedRequest, ticketText: string): Promise<RequestAnswer> {
     const incoming = this.createForwardedRequest(request, ticketText)
     if (!incoming)
-      return Err(createError(ErrorKind.TicketInvalid, UNKNOWN_TICKET_MESSAGE))
+      return Err(this.errorOfForwarded(request, ticketText))
     const service = request.serviceRequest ? this.options.services : this.options.pipelines
     return service.handle(incoming)
   }
@@ -95,6 +98,12 @@
     return Err(expired ? createError(ErrorKind.RequestIdExpired, EXPIRED_TICKET_MESSAGE) : createError(ErrorKind.TicketInvalid, FOREIGN_TICKET_MESSAGE))
   }
 
+  /** The error of a forwarded request whose ticket is invalid, or whose account or pipeline is not known. */
+  private errorOfForwarded({ account }: ForwardedRequest, ticketText: string): RequestError {
+    const error = createError(ErrorKind.TicketInvalid, UNKNOWN_TICKET_MESSAGE)
+    return this.checkTicket(ticketText, account).isOk() ? errorOfDenial(error, this.options.freshness) : error
+  }
+
   private createForwardedRequest(request: ForwardedRequest, ticketText: string): IncomingRequest | undefined {
     const ticket = this.options.tickets.verify(ticketText)
     const account = this.options.configuration.get(ObjectKind.Account, request.account)
--- a/test/promises/configuration.test.ts
+++ b/test/promises/configuration.test.ts
@@ -1,4 +1,4 @@
-import { wait } from '@eidermast/common'
+import { ErrorKind, wait } from '@eidermast/common'
 import { CONFIGURATION_STREAM, HttpLogClient, ObjectKind, publishChange, PublishOutcome, readConfiguration } from '@eidermast/daemon'
 import { DeploymentName, LogOutage, OPERATOR_TIMEOUT_MS, ProcessKind, resolveDeployment, RunningSystem } from '@eidermast/stand-ins'
 import { afterAll, afterEach, beforeAll, describe, expect, test } from 'vitest'
@@ -78,6 +78,21 @@
     show('activation with the log unavailable', await measureActivation(offset))
   })
 
+  test('is not assumed to lack an account or a pipeline that may have been added since the log became unavailable', async () => {
+    const [entryUrl] = system.entryUrls
+    const denied = [
+      { entryUrl, pipeline: 'rider-answer', input: 'x', account: 'added-later' },
+      { entryUrl, pipeline: 'added-later', input: 'x' },
+    ]
+    const kinds = async (): Promise<unknown[]> => Promise.all(denied.map(async call => (await callPipeline(call)).kind))
+    expect(await kinds()).toEqual([ErrorKind.UnknownAccount, ErrorKind.UnknownPipeline])
+    await system.setFaults(system.logServiceUrl, { outage: LogOutage.Hang })
+    await expect.poll(kinds, { timeout: ACTIVATION_TIMEOUT_MS }).toEqual([ErrorKind.NotReady, ErrorKind.NotReady])
+    expect((await callPipeline({ entryUrl, pipeline: 'rider-answer', input: 'x' })).status).toBe(200)
+    await system.setFaults(system.logServiceUrl, {})
+    await expect.poll(kinds, { timeout: ACTIVATION_TIMEOUT_MS }).toEqual([ErrorKind.UnknownAccount, ErrorKind.UnknownPipeline])
+  })
+
   test('is neither lost nor reverted if every process is restarted in turn while the log is unavailable', async () => {
     const offset = await publishShare()
     await measureActivation(offset)
