Requests count from their arrival, also where a busy process reads them late

Cause: connections wait in the listener's queue, of which the process accepts one in each iteration of its event loop, and nobody asked since when. Work for clients that have left takes the processor time that the next ones need, so that all are late, for as long as more work comes than can be done.

Change: while the event loop is busy, the process opens a connection to itself every 50 ms. What is accepted before such a connection was queued before it, which is a lower bound of its wait whoever connects (listener-queue.ts). Deadlines and targets count from there, and a request whose time is over is rejected without being run. Log event listener-late, metric eidermast_gateway_listener_wait_seconds.

--- a/packages/common/src/http/index.ts
+++ b/packages/common/src/http/index.ts
@@ -1,4 +1,5 @@
 export * from './limited-body.js'
 export * from './limited-lines.js'
+export * from './listener-queue.js'
 export * from './presence-check.js'
 export * from './unframed-body.js'
--- /dev/null
+++ b/packages/common/src/http/listener-queue.ts
@@ -0,0 +1,144 @@
+/**
+ * Decides since when a client has waited for its request to be read.
+ *
+ * Inputs: when the connection was accepted, and whether the request was there
+ * when reading began; since when the oldest own connection waits that was not
+ * accepted yet (ms on the monotonic clock, from this process); whether the event
+ * loop was busy throughout the last interval.
+ * Rule: a request that was there has waited since the oldest own connection that
+ * still waits was established, because the listener's queue is in order; without
+ * one, and for all other requests, since now. While the event loop is busy, an own
+ * connection is opened every PROBE_INTERVAL_MS, and closed once it is accepted.
+ * Why: a process that gets more work than it has processor time for accepts
+ * connections late. Deadlines that count from the reading of a request let it work
+ * for clients that no longer wait, so that all others wait longer. The kernel does
+ * not tell since when a connection waits. The rule never counts too much, whoever
+ * connects.
+ * Log event: `listener-late` (`waitMs`); metric
+ * `eidermast_gateway_listener_wait_seconds`.
+ *
+ * Owns the own connections, and the arrival of connections until their first
+ * request can have been read. All of it is lost with the process.
+ */
+import type { AddressInfo, Server, Socket } from 'node:net'
+import type { EventLog } from '../event-log.js'
+import { connect } from 'node:net'
+import { performance } from 'node:perf_hooks'
+
+/** Limits by how much a wait is counted too short. */
+const PROBE_INTERVAL_MS = 50
+/** Part of an interval for which the event loop had work, from which connections may wait. */
+const BUSY_UTILIZATION = 0.9
+/** Own connections that wait at a time. With the interval, they measure waits of 5 s; longer ones count as that. */
+const MAX_PROBES = 100
+/** A wait that is logged: a quarter of the second within which clients expect their requests to be read. */
+const LOGGED_WAIT_MS = 250
+/** Minimum interval between two log lines. */
+const LOG_INTERVAL_MS = 1000
+
+/** An own connection that was not accepted yet. */
+interface Probe {
+  socket: Socket
+  /** On the monotonic clock in milliseconds; Infinity until it is established. */
+  establishedAt: number
+}
+
+/** Measures how long connections wait to be accepted by a server. */
+export class ListenerQueue {
+  /** In the order of their opening. */
+  private readonly probes = new Set<Probe>()
+  private readonly arrivals = new WeakMap<Socket, number>()
+  private utilization = performance.eventLoopUtilization()
+  private timer: NodeJS.Timeout | undefined
+  private loggedAt = Number.NEGATIVE_INFINITY
+
+  constructor(private readonly server: Server, private readonly log: EventLog) {
+    server.on('connection', socket => this.handleConnection(socket))
+  }
+
+  /** Starts measuring; the server must be listening. */
+  start(): void {
+    const { address, port } = this.server.address() as AddressInfo
+    this.timer = setInterval(() => this.probeIfBusy(address, port), PROBE_INTERVAL_MS)
+    this.timer.unref()
+  }
+
+  stop(): void {
+    clearInterval(this.timer)
+    for (const { socket } of this.probes)
+      socket.destroy()
+    this.probes.clear()
+  }
+
+  /** For how long connections that are accepted now have waited at least, in milliseconds. */
+  get waitMs(): number {
+    const now = performance.now()
+    return now - this.latestArrival(now)
+  }
+
+  /** Since when the client of a request that is read now has waited at least, on the monotonic clock in milliseconds. */
+  arrivalOf(socket: Socket): number {
+    const arrivedAt = this.arrivals.get(socket)
+    this.arrivals.delete(socket)
+    return arrivedAt ?? performance.now()
+  }
+
+  private latestArrival(now: number): number {
+    const [oldest] = this.probes
+    return Math.min(now, oldest?.establishedAt ?? now)
+  }
+
+  private handleConnection(socket: Socket): void {
+    if (this.endProbe(socket))
+      return
+    const now = performance.now()
+    const arrivedAt = this.latestArrival(now)
+    if (arrivedAt === now)
+      return
+    this.logWait(now - arrivedAt, now)
+    this.arrivals.set(socket, arrivedAt)
+    // What the socket holds is read in the next iteration of the event loop; a later request was sent later.
+    setImmediate(() => setImmediate(() => this.arrivals.delete(socket)))
+  }
+
+  /** Ends the own connection that an accepted socket belongs to; returns whether there is one. */
+  private endProbe(accepted: Socket): boolean {
+    const { remotePort, remoteAddress } = accepted
+    for (const probe of this.probes) {
+      if (probe.socket.localPort !== remotePort || probe.socket.localAddress !== remoteAddress)
+        continue
+      this.probes.delete(probe)
+      probe.socket.destroy()
+      accepted.destroy()
+      return true
+    }
+    return false
+  }
+
+  private probeIfBusy(address: string, port: number): void {
+    const current = performance.eventLoopUtilization()
+    const { utilization } = performance.eventLoopUtilization(current, this.utilization)
+    this.utilization = current
+    if (utilization >= BUSY_UTILIZATION && this.probes.size < MAX_PROBES)
+      this.openProbe(address, port)
+  }
+
+  private openProbe(host: string, port: number): void {
+    const socket = connect({ host, port })
+    const probe: Probe = { socket, establishedAt: Number.POSITIVE_INFINITY }
+    this.probes.add(probe)
+    socket.on('connect', () => {
+      probe.establishedAt = performance.now()
+    })
+    // Without a measurement, requests count from their reading.
+    socket.on('error', () => this.probes.delete(probe))
+    socket.unref()
+  }
+
+  private logWait(waitMs: number, now: number): void {
+    if (waitMs < LOGGED_WAIT_MS || now - this.loggedAt < LOG_INTERVAL_MS)
+      return
+    this.loggedAt = now
+    this.log.write('listener-late', { waitMs: Math.round(waitMs) })
+  }
+}
--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -16,7 +16,7 @@
 import type { ClientMetrics } from './client-transfers.js'
 import type { ReadContext } from './request-reader.js'
 import { createServer } from 'node:http'
-import { createError, ErrorKind, formatStack } from '@eidermast/common'
+import { createError, ErrorKind, formatStack, ListenerQueue } from '@eidermast/common'
 import { errorCode } from '../error-codes.js'
 import { BodyRoom } from './body-room.js'
 import { ClientTransfers } from './client-transfers.js'
@@ -51,6 +51,7 @@
 /** Serves clients until it is closed. */
 export class ClientServer {
   private readonly server: Server
+  private readonly listenerQueue: ListenerQueue
   /** Undefined without a limit on held bytes: then no client is cut off. */
   private readonly transfers: ClientTransfers | undefined
   private readonly answers = new OpenAnswers()
@@ -63,6 +64,7 @@
     const { configuration, held, metrics, log } = dependencies
     const options = { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, noDelay: true }
     this.server = createServer(options, (message, response) => void this.handle(message, response))
+    this.listenerQueue = new ListenerQueue(this.server, log)
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket))
     this.server.on('connection', socket => void socket.on('close', () => {
       held.closeConnection(socket)
@@ -81,11 +83,19 @@
     return this.active
   }
 
+  /** For how long connections that are accepted now have waited at least, in milliseconds. */
+  get listenerWaitMs(): number {
+    return this.listenerQueue.waitMs
+  }
+
   /** Starts listening; rejects if the address cannot be bound. */
   listen(port: number, host: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject)
-      this.server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => resolve())
+      this.server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => {
+        this.listenerQueue.start()
+        resolve()
+      })
     })
   }
 
@@ -103,6 +113,7 @@
   /** Closes the listener and idle connections; responses in flight are completed. */
   close(): void {
     this.refusing = true
+    this.listenerQueue.stop()
     this.server.close()
     this.server.closeIdleConnections()
   }
@@ -120,7 +131,7 @@
       return message.socket.destroySoon()
     this.active++
     const closed = this.answers.open(message.socket, response)
-    const arrivedAt = performance.now()
+    const arrivedAt = this.listenerQueue.arrivalOf(message.socket)
     const { codec, held, log } = this.dependencies
     const head = codec.readHead(message.rawHeaders)
     const requestId = head.isOk() ? head.value.requestId : undefined
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -273,6 +273,11 @@
     const { clients, configuration, registry, members, crashTracker, evacuations, held, accountSharing } = sources
     this.addAccountShares(accountSharing)
     this.addGauge('eidermast_gateway_active_requests', 'Requests without an answer yet', () => clients.activeRequests)
+    this.addGauge(
+      'eidermast_gateway_listener_wait_seconds',
+      'Time for which connections that are accepted now have waited at least',
+      () => clients.listenerWaitMs / MILLISECONDS_PER_SECOND,
+    )
     this.addGauge('eidermast_gateway_configuration_version', 'Configuration version in force', () => configuration.version)
     this.addGauge(
       'eidermast_gateway_configuration_age_seconds',
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -27,7 +27,7 @@
 import { NO_INPUTS } from './attempts/run-subject.js'
 import { RequestStep, runUntilOverdue } from './deadline-guard.js'
 import { atLeastOneMs, decideContinuationLimits } from './deadlines.js'
-import { errorOfOutdatedConfiguration, errorOfPreparation, errorOfRemovedVersion, errorOfWithheld } from './request-errors.js'
+import { errorOfExpired, errorOfOutdatedConfiguration, errorOfPreparation, errorOfRemovedVersion, errorOfWithheld } from './request-errors.js'
 import { outcomeOf, RequestLog } from './request-log.js'
 import { RequestRouter } from './request-router.js'
 import { decideStartWaitMs } from './start-wait.js'
@@ -85,6 +85,8 @@
     if (routed.isErr())
       return this.finish(request, undefined, clientResponse, { error: routed.error })
     const { deadlineAt, route } = routed.value
+    if (performance.now() >= deadlineAt)
+      return this.finish(request, route.name, clientResponse, { error: errorOfExpired(performance.now() - request.arrivedAt) })
     const ended = await runUntilOverdue({ deadlineAt, clientResponse, signal }, work => this.acceptAndRun(routed.value, work))
     if ('overdue' in ended) {
       const { step, error } = ended.overdue
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -68,6 +68,12 @@
   return createError(ErrorKind.NoBackend, `no backend server of service ${service} is available`, { ran: Ran.None })
 }
 
+/** The error of a request that had waited for its whole time when it was read. */
+export function errorOfExpired(waitedMs: number): RequestError {
+  const message = `the request was read ${Math.round(waitedMs)} ms after its connection was established, when the time-out of the route or the client had passed`
+  return createError(ErrorKind.DeadlineUnreachable, message, { ran: Ran.None })
+}
+
 /** The error of a request that a configuration denies which may have been replaced. */
 export function errorOfOutdatedConfiguration(denial: RequestError, version: number): RequestError {
   const message = `configuration ${version} may be outdated, by which: ${denial.message}; retry at another gateway`
--- a/test/soak/support/gateway-child.ts
+++ b/test/soak/support/gateway-child.ts
@@ -25,6 +25,8 @@
   bundle = CURRENT_BUNDLE
   /** Whether restarts use the ports of the first start, as processes on a VM do. */
   keepsPorts = false
+  /** Further options of Node.js, such as a module to load first. */
+  nodeOptions: readonly string[] = []
   /** URL for clients. */
   address = ''
   private ports: GatewayPorts | undefined
@@ -46,7 +48,7 @@
     this.ports = ports
     const settings = path.join(this.directory, `${this.name}.ini`)
     writeFileSync(settings, createSettings(this.name, ports, this.storeAddress, this.options))
-    const child = spawn(process.execPath, [this.bundle], { env: { ...process.env, EIDERMAST_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [...this.nodeOptions, this.bundle], { env: { ...process.env, EIDERMAST_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(this.logFile, { flags: 'a' })
     child.stdout.pipe(log)
     child.stderr.pipe(log)
