Requests at entries count from their arrival, too

Cause: an entry that is short of processor time accepts connections late, counts deadlines from the reading, and admits by the whole deadline even if most of it is over.

Change: the callers' server uses ListenerQueue, which now follows its server's start and stop by itself and reports through a callback; admission decides by the time left.

--- a/packages/common/src/http/listener-queue.ts
+++ b/packages/common/src/http/listener-queue.ts
@@ -21,7 +21,6 @@
  * request can have been read. All of it is lost with the process.
  */
 import type { AddressInfo, Server, Socket } from 'node:net'
-import type { EventLog } from '../event-log.js'
 import { connect } from 'node:net'
 import { performance } from 'node:perf_hooks'
 
@@ -31,10 +30,10 @@
 const BUSY_UTILIZATION = 0.9
 /** Own connections that wait at a time. With the interval, they measure waits of 5 s; longer ones count as that. */
 const MAX_PROBES = 100
-/** A wait that is logged: a quarter of the second within which clients expect their requests to be read. */
-const LOGGED_WAIT_MS = 250
-/** Minimum interval between two log lines. */
-const LOG_INTERVAL_MS = 1000
+/** A wait that is reported: a quarter of the second within which clients expect their requests to be read. */
+const REPORTED_WAIT_MS = 250
+/** Minimum interval between two reports. */
+const REPORT_INTERVAL_MS = 1000
 
 /** An own connection that was not accepted yet. */
 interface Probe {
@@ -43,31 +42,20 @@
   establishedAt: number
 }
 
-/** Measures how long connections wait to be accepted by a server. */
+/** Measures how long connections wait to be accepted by a server, for as long as that is listening. */
 export class ListenerQueue {
   /** In the order of their opening. */
   private readonly probes = new Set<Probe>()
   private readonly arrivals = new WeakMap<Socket, number>()
   private utilization = performance.eventLoopUtilization()
   private timer: NodeJS.Timeout | undefined
-  private loggedAt = Number.NEGATIVE_INFINITY
+  private reportedAt = Number.NEGATIVE_INFINITY
 
-  constructor(private readonly server: Server, private readonly log: EventLog) {
+  /** `reportWait` gets the wait of a connection in milliseconds, where it is long, at most once a second. */
+  constructor(private readonly server: Server, private readonly reportWait: (waitMs: number) => void) {
+    server.on('listening', () => this.start())
     server.on('connection', socket => this.handleConnection(socket))
-  }
-
-  /** Starts measuring; the server must be listening. */
-  start(): void {
-    const { address, port } = this.server.address() as AddressInfo
-    this.timer = setInterval(() => this.probeIfBusy(address, port), PROBE_INTERVAL_MS)
-    this.timer.unref()
-  }
-
-  stop(): void {
-    clearInterval(this.timer)
-    for (const { socket } of this.probes)
-      socket.destroy()
-    this.probes.clear()
+    server.on('close', () => clearInterval(this.timer))
   }
 
   /** For how long connections that are accepted now have waited at least, in milliseconds. */
@@ -83,6 +71,11 @@
     return arrivedAt ?? performance.now()
   }
 
+  private start(): void {
+    this.timer = setInterval(() => this.probeIfBusy(), PROBE_INTERVAL_MS)
+    this.timer.unref()
+  }
+
   private latestArrival(now: number): number {
     const [oldest] = this.probes
     return Math.min(now, oldest?.establishedAt ?? now)
@@ -95,7 +88,7 @@
     const arrivedAt = this.latestArrival(now)
     if (arrivedAt === now)
       return
-    this.logWait(now - arrivedAt, now)
+    this.reportIfLong(now - arrivedAt, now)
     this.arrivals.set(socket, arrivedAt)
     // What the socket holds is read in the next iteration of the event loop; a later request was sent later.
     setImmediate(() => setImmediate(() => this.arrivals.delete(socket)))
@@ -115,30 +108,30 @@
     return false
   }
 
-  private probeIfBusy(address: string, port: number): void {
+  private probeIfBusy(): void {
     const current = performance.eventLoopUtilization()
     const { utilization } = performance.eventLoopUtilization(current, this.utilization)
     this.utilization = current
-    if (utilization >= BUSY_UTILIZATION && this.probes.size < MAX_PROBES)
-      this.openProbe(address, port)
+    if (this.server.listening && utilization >= BUSY_UTILIZATION && this.probes.size < MAX_PROBES)
+      this.openProbe(this.server.address() as AddressInfo)
   }
 
-  private openProbe(host: string, port: number): void {
-    const socket = connect({ host, port })
+  private openProbe({ address, port }: AddressInfo): void {
+    const socket = connect({ host: address, port })
     const probe: Probe = { socket, establishedAt: Number.POSITIVE_INFINITY }
     this.probes.add(probe)
     socket.on('connect', () => {
       probe.establishedAt = performance.now()
     })
-    // Without a measurement, requests count from their reading.
+    // The listener was closed. Without a measurement, requests count from their reading.
     socket.on('error', () => this.probes.delete(probe))
     socket.unref()
   }
 
-  private logWait(waitMs: number, now: number): void {
-    if (waitMs < LOGGED_WAIT_MS || now - this.loggedAt < LOG_INTERVAL_MS)
+  private reportIfLong(waitMs: number, now: number): void {
+    if (waitMs < REPORTED_WAIT_MS || now - this.reportedAt < REPORT_INTERVAL_MS)
       return
-    this.loggedAt = now
-    this.log.write('listener-late', { waitMs: Math.round(waitMs) })
+    this.reportedAt = now
+    this.reportWait(waitMs)
   }
 }
--- a/packages/daemon/src/connection/caller-server.ts
+++ b/packages/daemon/src/connection/caller-server.ts
@@ -11,7 +11,7 @@
 import type { CallerPath } from './caller-path.js'
 import type { Caller, CallerCall, CallerService, PipelineCall, ServiceCall } from './caller-service.js'
 import { createServer } from 'node:http'
-import { createError, createLogger, ErrorKind, formatError } from '@eidermast/common'
+import { createError, createLogger, ErrorKind, formatError, ListenerQueue } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
 import * as z from 'zod'
 import { ObjectKind } from '../version/objects.js'
@@ -70,7 +70,8 @@
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: HEADERS_TIMEOUT_MS + options.limits.bodyTimeoutMs,
     keepAliveTimeout: KEEP_ALIVE_MS,
-  }, (request, response) => void handler.handle(request, response))
+  }, (request, response) => void handler.handle(request, response, queue.arrivalOf(request.socket)))
+  const queue = new ListenerQueue(server, waitMs => log('listener-late', { waitMs: Math.round(waitMs) }))
   server.maxConnections = options.limits.maxConnections
   server.on('clientError', (_error, socket) => {
     if (socket.writable)
@@ -84,7 +85,7 @@
   request: IncomingMessage
   response: ServerResponse
   writer: AnswerWriter
-  /** Monotonic time in milliseconds. */
+  /** Since when its caller has waited for it to be read; monotonic time in milliseconds. */
   arrivedAt: number
 }
 
@@ -92,7 +93,7 @@
 class CallerHandler {
   constructor(private readonly options: CallerServerOptions) {}
 
-  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async handle(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
     const writer = new AnswerWriter(response, {
       writeTimeoutMs: this.options.limits.writeTimeoutMs,
       shouldClose: () => this.options.service.isRefusing(),
@@ -100,7 +101,7 @@
     try {
       if (await this.options.answerOperations(request, response))
         return
-      await this.route({ request, response, writer, arrivedAt: performance.now() })
+      await this.route({ request, response, writer, arrivedAt })
     }
     catch (error) {
       log('caller-request-failed', { url: request.url, error: formatError(error) })
--- a/packages/daemon/src/request/admission.ts
+++ b/packages/daemon/src/request/admission.ts
@@ -3,8 +3,8 @@
  * delay after which to retry.
  *
  * Inputs: the number of requests in flight at this entry, in total and of the
- * account; the account's fraction of the weights of active accounts; the deadline
- * (ms); the expected service and queueing time (ms, from the latest load reports),
+ * account; the account's fraction of the weights of active accounts; the time
+ * left (ms); the expected service and queueing time (ms, from the latest load reports),
  * which is averaged over the candidates of each stage and summed over the stages.
  * The mean is used rather than the minimum because other entries send calls to the
  * same candidates.
@@ -36,7 +36,7 @@
   accountInFlight: number
   /** The account's fraction of the total weight of active accounts, including itself. */
   accountShare: number
-  /** Milliseconds from arrival. */
+  /** Milliseconds left; negative for a request that was read after its deadline. */
   deadlineMs: number
   /** Expected duration of all stages including queueing; undefined if a stage has no backend server. */
   expectedMs: number | undefined
--- a/packages/daemon/src/request/request-service.ts
+++ b/packages/daemon/src/request/request-service.ts
@@ -125,7 +125,7 @@
       inFlightLimit: this.options.inFlightLimit,
       accountInFlight: this.load.inFlightOf(account),
       accountShare: this.load.relativeShare(account, share),
-      deadlineMs: plan.deadlineMs,
+      deadlineMs: remainingMs(incoming),
       ...estimateDuration(plan, this.options.membership),
     }
     const isTableFull = plan.unrepeatable && !this.options.outcomes.hasCapacity
--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -64,7 +64,7 @@
     const { configuration, held, metrics, log } = dependencies
     const options = { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, noDelay: true }
     this.server = createServer(options, (message, response) => void this.handle(message, response))
-    this.listenerQueue = new ListenerQueue(this.server, log)
+    this.listenerQueue = new ListenerQueue(this.server, waitMs => log.write('listener-late', { waitMs: Math.round(waitMs) }))
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket))
     this.server.on('connection', socket => void socket.on('close', () => {
       held.closeConnection(socket)
@@ -92,10 +92,7 @@
   listen(port: number, host: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject)
-      this.server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => {
-        this.listenerQueue.start()
-        resolve()
-      })
+      this.server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => resolve())
     })
   }
 
@@ -113,7 +110,6 @@
   /** Closes the listener and idle connections; responses in flight are completed. */
   close(): void {
     this.refusing = true
-    this.listenerQueue.stop()
     this.server.close()
     this.server.closeIdleConnections()
   }
--- a/test/common/listener-queue.test.ts
+++ b/test/common/listener-queue.test.ts
@@ -6,7 +6,6 @@
 import process from 'node:process'
 import { ListenerQueue, wait } from '@eidermast/common'
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
-import { createLog } from '../gateway/support/fakes.js'
 
 /** One iteration of a busy event loop. */
 const TASK_MS = 20
@@ -29,23 +28,20 @@
 let queue: ListenerQueue
 let connections: number
 let readings: Reading[]
-let events: { event?: unknown, waitMs?: unknown }[]
+let waits: number[]
 
 beforeEach(async () => {
-  const { log, lines } = createLog()
-  events = lines
+  waits = []
   connections = 0
   readings = []
   server = createServer((message, response) => read(message, response))
   server.on('connection', () => connections++)
-  queue = new ListenerQueue(server, log)
+  queue = new ListenerQueue(server, waitMs => waits.push(waitMs))
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
-  queue.start()
 })
 
 afterEach(async () => {
-  queue.stop()
   server.closeAllConnections()
   server.close()
   await once(server, 'close')
@@ -92,7 +88,7 @@
     expect(counted).toBeGreaterThan(waited / 2)
     // The clients' clock shows whole milliseconds.
     expect(readings.filter(({ sentAt, arrivedAt }) => arrivedAt < sentAt - 1)).toEqual([])
-    expect(events.filter(({ event }) => event === 'listener-late').length).toBeGreaterThan(0)
+    expect(waits.length).toBeGreaterThan(0)
   })
 
   test('count from now if they were sent after the connection was accepted', async () => {
