Words of the arrival of requests, read again

Comments and one error message say what is counted, and no longer that a request was read late where it waited for the gateway's start. No behaviour.

--- a/packages/common/src/http/listener-queue.ts
+++ b/packages/common/src/http/listener-queue.ts
@@ -1,21 +1,21 @@
 /**
  * Decides since when a client has waited for its request to be read.
  *
- * Inputs: when the connection was accepted, and whether the request was there
- * when reading began; since when the oldest own connection waits that was not
- * accepted yet (ms on the monotonic clock, from this process); whether the event
- * loop was busy throughout the last interval.
- * Rule: a request that was there has waited since the oldest own connection that
- * still waits was established, because the listener's queue is in order; without
- * one, and for all other requests, since now. While the event loop is busy, an own
- * connection is opened every PROBE_INTERVAL_MS, and closed once it is accepted.
+ * Inputs: whether the request was read in the iteration of the event loop after
+ * its connection was accepted; since when the oldest connection of this process to
+ * its own listener waits that was not accepted by then (ms on the monotonic clock);
+ * whether the event loop was busy throughout the last interval (ms).
+ * Rule: such a request has waited since that own connection was established,
+ * because the listener's queue is in order; without one, and for all other
+ * requests, since now. While the event loop is busy, an own connection is opened
+ * every PROBE_INTERVAL_MS, and closed once it is accepted.
  * Why: a process that gets more work than it has processor time for accepts
  * connections late. Deadlines that count from the reading of a request let it work
  * for clients that no longer wait, so that all others wait longer. The kernel does
- * not tell since when a connection waits. The rule never counts too much, whoever
- * connects.
- * Log event: `listener-late` (`waitMs`); metric
- * `eidermast_gateway_listener_wait_seconds`.
+ * not tell since when a connection waits. What is counted is never more than the
+ * wait of the connection, whoever connects.
+ * Log event: `listener-late` (`waitMs`), by the owner of the server; metric of a
+ * gateway: `eidermast_gateway_listener_wait_seconds`.
  *
  * Owns the own connections, and the arrival of connections until their first
  * request can have been read. All of it is lost with the process.
@@ -90,7 +90,7 @@
       return
     this.reportIfLong(now - arrivedAt, now)
     this.arrivals.set(socket, arrivedAt)
-    // What the socket holds is read in the next iteration of the event loop; a later request was sent later.
+    // What was sent by now is read in the next iteration of the event loop.
     setImmediate(() => setImmediate(() => this.arrivals.delete(socket)))
   }
 
--- a/packages/gateway/src/request/request-errors.ts
+++ b/packages/gateway/src/request/request-errors.ts
@@ -68,9 +68,9 @@
   return createError(ErrorKind.NoBackend, `no backend server of service ${service} is available`, { ran: Ran.None })
 }
 
-/** The error of a request that had waited for its whole time when it was read. */
+/** The error of a request whose time was over when it was routed. */
 export function errorOfExpired(waitedMs: number): RequestError {
-  const message = `the request was read ${Math.round(waitedMs)} ms after its connection was established, when the time-out of the route or the client had passed`
+  const message = `the time-out of the route or the client passed before the request was routed, ${Math.round(waitedMs)} ms after its arrival`
   return createError(ErrorKind.DeadlineUnreachable, message, { ran: Ran.None })
 }
 
