--- a/test/common/listener-queue.test.ts
+++ b/test/common/listener-queue.test.ts
@@ -6,9 +6,8 @@
 import process from 'node:process'
 import { ListenerQueue, wait } from '@eidermast/common'
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { beBusyDuring } from '../support/busy-loop.js'
 
-/** One iteration of a busy event loop. */
-const TASK_MS = 20
 const BUSY_MS = 600
 const REQUESTS_PER_SECOND = 100
 /** Clients in a process of their own, each with a new connection; the path says when it was sent, in epoch milliseconds. */
@@ -60,17 +59,6 @@
   await once(clients, 'exit')
 }
 
-/** Occupies the event loop, each time for a task, until the promise has settled. */
-async function beBusyDuring(work: Promise<void>): Promise<void> {
-  const done = new AbortController()
-  void work.then(() => done.abort())
-  while (!done.signal.aborted) {
-    const until = performance.now() + TASK_MS
-    while (performance.now() < until);
-    await new Promise(resolve => setImmediate(resolve))
-  }
-}
-
 describe('requests on new connections', () => {
   test('count from now while the event loop is idle, without connections of the process itself', async () => {
     await runClients()
--- a/test/connection/caller-server.test.ts
+++ b/test/connection/caller-server.test.ts
@@ -7,9 +7,8 @@
 import { createCallerServer } from '@eidermast/daemon'
 import { Err } from 'ts-results-es'
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { beBusyDuring } from '../support/busy-loop.js'
 
-/** One iteration of a busy event loop. */
-const TASK_MS = 20
 const CLIENTS_MS = 600
 const REQUESTS_PER_SECOND = 100
 /** Clients in a process of their own, each with a new connection; the path says when it was sent, in epoch milliseconds. */
@@ -49,17 +48,6 @@
   server.close()
 })
 
-/** Occupies the event loop, each time for a task, until the process has ended. */
-async function beBusyDuring(work: Promise<unknown>): Promise<void> {
-  const done = new AbortController()
-  void work.then(() => done.abort())
-  while (!done.signal.aborted) {
-    const until = performance.now() + TASK_MS
-    while (performance.now() < until);
-    await new Promise(resolve => setImmediate(resolve))
-  }
-}
-
 describe('requests to an entry that is short of processor time', () => {
   test('count from a time while their connections waited to be accepted, and never from before', async () => {
     const clients = spawn(process.execPath, ['-e', CLIENTS, String((server.address() as AddressInfo).port)])
