--- a/packages/common/src/http/listener-queue.ts
+++ b/packages/common/src/http/listener-queue.ts
@@ -13,7 +13,8 @@
  * connections late. Deadlines that count from the reading of a request let it work
  * for clients that no longer wait, so that all others wait longer. The kernel does
  * not tell since when a connection waits. What is counted is never more than the
- * wait of the connection, whoever connects.
+ * wait of the connection, whoever connects. A request that its client sends some
+ * time after connecting may count from before it was sent.
  * Log event: `listener-late` (`waitMs`), by the owner of the server; metric of a
  * gateway: `eidermast_gateway_listener_wait_seconds`.
  *
@@ -30,7 +31,7 @@
 const BUSY_UTILIZATION = 0.9
 /** Own connections that wait at a time. With the interval, they measure waits of 5 s; longer ones count as that. */
 const MAX_PROBES = 100
-/** A wait that is reported: a quarter of the second within which clients expect their requests to be read. */
+/** Clients notice such a wait: it is a good part of the time within which they expect a first byte. */
 const REPORTED_WAIT_MS = 250
 /** Minimum interval between two reports. */
 const REPORT_INTERVAL_MS = 1000
--- a/packages/gateway/src/process/configuration-refresh.ts
+++ b/packages/gateway/src/process/configuration-refresh.ts
@@ -24,7 +24,7 @@
 const MAX_TRANSFER_MS = 450
 /** Long enough for a new connection and an answer on a busy VM; a caller that is sent elsewhere loses this time. */
 const CHECK_TIMEOUT_MS = 300
-/** Shorter than the time for which a successful read allows denials, so that these do not end between two reads. */
+/** Limits the calls to the store. A successful read allows denials until the next one may be made. */
 const MIN_INTERVAL_MS = 500
 /** Interval at which the age is looked at. */
 const POLL_INTERVAL_MS = 10
--- a/packages/gateway/src/process/peer-updates.ts
+++ b/packages/gateway/src/process/peer-updates.ts
@@ -10,8 +10,7 @@
  * repeated at once; when the coordinator cannot read, `CoordinatorOutageWatch`
  * restarts them.
  * Why: a read sent while peers could be relied on may be held for longer than a
- * change may take, and one that was lost is noticed only then. When all reads
- * were lost and the coordinator ended, the others had a change 4.4 s after it.
+ * change may take, and one that was lost is noticed only then.
  * Log event: none; `stage-coordinator` shows the coordinator, `store-failed` the
  * length of a lost read.
  */
--- a/packages/gateway/src/request/deadline-guard.ts
+++ b/packages/gateway/src/request/deadline-guard.ts
@@ -19,7 +19,7 @@
 import type { AnswerRoom, ClientResponse } from '../connection/clients/client-response.js'
 import { createError, createTimeoutSignal, ErrorKind, Ran, TIMEOUT_ERROR } from '@eidermast/common'
 
-/** Time for the limits of the steps to act first. Less than the quarter of a second for which a request may be held beyond the time-out of its route. */
+/** Time for the limits of the steps to act first. Clients wait that much longer than the time-out of the route. */
 const OVERDUE_MS = 150
 
 /** Steps of the work on a request. */
--- a/test/platform/late-reads.test.ts
+++ b/test/platform/late-reads.test.ts
@@ -15,7 +15,7 @@
 const MAX_HELD_PART = 0.25
 /** Processor time that a gateway spends on each answer of a backend server besides its own work. */
 const ANSWER_COST_MS = 16
-/** About twice what the gateway has processor time for. */
+/** More than the gateway has processor time for. */
 const PER_SECOND = 120
 const BURST_MS = 5000
 const CONFIGURATION = {
