The tests of a full log pipe read it at one instant

Cause, in the test: LogPipe.read emptied the pipe by several reads. The first one made room, and a write that was in progress in a thread of the pool put its line there before the next read, so that the line was counted as written while the pipe was full. The second failure follows from the first: the writer of the failed test went on writing to its descriptor, which by then was the pipe of the next test.

LogPipe.read now is one call to the system, which returns what the pipe held at one instant. The checks are unchanged.

--- a/test/support/log-pipe.ts
+++ b/test/support/log-pipe.ts
@@ -9,6 +9,8 @@
 import path from 'node:path'
 
 const CHUNK_BYTES = 4096
+/** The largest capacity of a pipe that a process without privileges can have. */
+const MAX_CAPACITY_BYTES = 1024 * 1024
 
 /** A named pipe. */
 export class LogPipe {
@@ -32,14 +34,15 @@
     }
   }
 
-  /** Reads what is in the pipe and returns all that was read so far. */
+  /**
+   * Reads what is in the pipe and returns all that was read so far. One call to
+   * the system, so that writers that wait for room cannot write meanwhile.
+   */
   read(): string {
-    const buffer = Buffer.alloc(CHUNK_BYTES)
-    while (succeeds(() => {
+    const buffer = Buffer.alloc(MAX_CAPACITY_BYTES)
+    succeeds(() => {
       this.text += buffer.toString('utf8', 0, readSync(this.readEnd, buffer))
-    })) {
-      ;
-    }
+    })
     return this.text
   }
 
