Requests that were read late are rejected while they can still be answered elsewhere

Cause: the only bound on that wait was the time-out itself.

Change: once requests have been read late for a second, one that has used up half of its time is rejected without being run, with the wait as its retry delay; an account that had fewer accepted than the mean of all may wait for three quarters (late-requests.ts). After a short pause of the process all that can be served is served, as before. Rejections are cheap, so the wait stays near half of the time-out.

Open: priorities do not count; the daemon's entries have no such rule.

--- a/packages/common/src/http/listener-queue.ts
+++ b/packages/common/src/http/listener-queue.ts
@@ -33,6 +33,8 @@
 const MAX_PROBES = 100
 /** Clients notice such a wait: it is a good part of the time within which they expect a first byte. */
 const REPORTED_WAIT_MS = 250
+/** Connections that waited for less were accepted in time: the wait is measured in steps of half of it. */
+const MIN_LATE_WAIT_MS = 100
 /** Minimum interval between two reports. */
 const REPORT_INTERVAL_MS = 1000
 
@@ -51,6 +53,8 @@
   private utilization = performance.eventLoopUtilization()
   private timer: NodeJS.Timeout | undefined
   private reportedAt = Number.NEGATIVE_INFINITY
+  /** Since when no connection was accepted in time, on the monotonic clock in milliseconds; undefined while they are. */
+  private lateSince: number | undefined
 
   /** `reportWait` gets the wait of a connection in milliseconds, where it is long, at most once a second. */
   constructor(private readonly server: Server, private readonly reportWait: (waitMs: number) => void) {
@@ -65,6 +69,11 @@
     return now - this.latestArrival(now)
   }
 
+  /** For how long all connections have waited to be accepted, in milliseconds; 0 while they are accepted in time. */
+  get lateForMs(): number {
+    return this.lateSince === undefined ? 0 : performance.now() - this.lateSince
+  }
+
   /** Since when the client of a request that is read now has waited at least, on the monotonic clock in milliseconds. */
   arrivalOf(socket: Socket): number {
     const arrivedAt = this.arrivals.get(socket)
@@ -87,6 +96,7 @@
       return
     const now = performance.now()
     const arrivedAt = this.latestArrival(now)
+    this.recordWait(now - arrivedAt, now)
     if (arrivedAt === now)
       return
     this.reportIfLong(now - arrivedAt, now)
@@ -95,6 +105,13 @@
     setImmediate(() => setImmediate(() => this.arrivals.delete(socket)))
   }
 
+  private recordWait(waitMs: number, now: number): void {
+    if (waitMs < MIN_LATE_WAIT_MS)
+      this.lateSince = undefined
+    else
+      this.lateSince ??= now
+  }
+
   /** Ends the own connection that an accepted socket belongs to; returns whether there is one. */
   private endProbe(accepted: Socket): boolean {
     const { remotePort, remoteAddress } = accepted
@@ -113,6 +130,8 @@
     const current = performance.eventLoopUtilization()
     const { utilization } = performance.eventLoopUtilization(current, this.utilization)
     this.utilization = current
+    if (utilization < BUSY_UTILIZATION && this.probes.size === 0)
+      this.lateSince = undefined
     if (this.server.listening && utilization >= BUSY_UTILIZATION && this.probes.size < MAX_PROBES)
       this.openProbe(this.server.address() as AddressInfo)
   }
--- a/packages/gateway/src/connection/clients/client-request.ts
+++ b/packages/gateway/src/connection/clients/client-request.ts
@@ -17,6 +17,16 @@
   body: Buffer | undefined
   /** When its head was read, in milliseconds of the monotonic clock. */
   arrivedAt: number
+  /** Undefined for a request that was read in time. */
+  lateness?: ReadLateness
+}
+
+/** Of a request that was read late, for lack of processor time. Milliseconds. */
+export interface ReadLateness {
+  /** From its arrival to its reading. */
+  waitedMs: number
+  /** For how long connections have waited to be accepted without a break. */
+  lateForMs: number
 }
 
 /** A request of which the head was read. */
--- a/packages/gateway/src/connection/clients/request-reader.ts
+++ b/packages/gateway/src/connection/clients/request-reader.ts
@@ -19,7 +19,7 @@
 import type { ClientLimits } from '../../version/configuration.js'
 import type { BodyRoom } from './body-room.js'
 import type { ClientRequestHead } from './client-codec.js'
-import type { ClientRequest } from './client-request.js'
+import type { ClientRequest, ReadLateness } from './client-request.js'
 import { createError, ErrorKind } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
 import { BodyFailureKind, readBody } from '../body-reader.js'
@@ -42,16 +42,18 @@
   refusing: boolean
   /** When the head was read, in milliseconds of the monotonic clock. */
   arrivedAt: number
+  /** Undefined for a request that is read in time. */
+  lateness: ReadLateness | undefined
   room: BodyRoom
 }
 
 /** Reads a request to its end, or returns the error to reject it with; undefined if the client disconnected while sending it. */
 export async function readRequest(message: IncomingMessage, context: ReadContext): Promise<Result<ClientRequest, RequestError> | undefined> {
-  const { limits: { maxBodyBytes }, arrivedAt, room } = context
+  const { limits: { maxBodyBytes }, arrivedAt, lateness, room } = context
   const head = checkHead(message, context)
   if (head.isErr())
     return head
-  const request: ClientRequest = { method: message.method!, path: message.url!, head: head.value, acceptsChunks: acceptsChunks(message), body: undefined, arrivedAt }
+  const request: ClientRequest = { method: message.method!, path: message.url!, head: head.value, acceptsChunks: acceptsChunks(message), body: undefined, arrivedAt, lateness }
   if (!hasBody(message))
     return Ok(request)
   const length = contentLength(message)
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -27,6 +27,7 @@
 import { NO_INPUTS } from './attempts/run-subject.js'
 import { RequestStep, runUntilOverdue } from './deadline-guard.js'
 import { atLeastOneMs, decideContinuationLimits } from './deadlines.js'
+import { LateRequests } from './late-requests.js'
 import { errorOfExpired, errorOfOutdatedConfiguration, errorOfPreparation, errorOfRemovedVersion, errorOfWithheld } from './request-errors.js'
 import { outcomeOf, RequestLog } from './request-log.js'
 import { RequestRouter } from './request-router.js'
@@ -67,6 +68,7 @@
 export class ProxyRequestHandler implements RequestHandler {
   private readonly router: RequestRouter
   private readonly log: RequestLog
+  private readonly lateRequests = new LateRequests()
 
   constructor(private readonly dependencies: ProxyRequestHandlerDependencies) {
     this.router = new RequestRouter(dependencies.configuration, dependencies.returns)
@@ -87,6 +89,9 @@
     const { deadlineAt, route } = routed.value
     if (performance.now() >= deadlineAt)
       return this.finish(request, route.name, clientResponse, { error: errorOfExpired(performance.now() - request.arrivedAt) })
+    const lateError = this.lateRequests.check(routed.value)
+    if (lateError)
+      return this.finish(request, route.name, clientResponse, { error: lateError })
     const ended = await runUntilOverdue({ deadlineAt, clientResponse, signal }, work => this.acceptAndRun(routed.value, work))
     if ('overdue' in ended) {
       const { step, error } = ended.overdue
--- /dev/null
+++ b/test/gateway/late-requests.test.ts
@@ -0,0 +1,62 @@
+import type { RoutedRequest } from '@eidermast/gateway'
+import { ErrorKind } from '@eidermast/common'
+import { LateRequests } from '@eidermast/gateway'
+import { beforeEach, describe, expect, test } from 'vitest'
+
+const ALLOWED_MS = 1000
+
+let now: number
+let requests: LateRequests
+
+beforeEach(() => {
+  now = 10_000
+  requests = new LateRequests(() => now)
+})
+
+/** Checks a request that waited; returns whether it is accepted. */
+function accepts(waitedMs: number, { account = 'large', lateForMs = 1000 } = {}): boolean {
+  return check(waitedMs, account, lateForMs) === undefined
+}
+
+function check(waitedMs: number, account: string, lateForMs: number) {
+  const request = { arrivedAt: now - waitedMs, firstEventBy: now - waitedMs + ALLOWED_MS, account: { name: account, keys: [] }, lateness: { waitedMs, lateForMs } }
+  return requests.check(request as Pick<RoutedRequest, 'arrivedAt' | 'firstEventBy' | 'account' | 'lateness'>)
+}
+
+describe('a request that was read late', () => {
+  test('is accepted after a short pause of the gateway, however long it waited', () => {
+    expect(accepts(900, { lateForMs: 999 })).toBe(true)
+  })
+
+  test.each([
+    { waitedMs: 500, isAccepted: true },
+    { waitedMs: 501, isAccepted: false },
+  ])('is accepted if it has half of its time left, while all are read late: $waitedMs ms of 1000', ({ waitedMs, isAccepted }) => {
+    expect(accepts(waitedMs)).toBe(isAccepted)
+  })
+
+  test('is told when what waits with it will have been read', () => {
+    expect(check(600, 'large', 3000)).toMatchObject({ kind: ErrorKind.Overloaded, ran: 'none', retryAfterMs: 600, message: expect.stringContaining('600 ms after its arrival, of 1000 ms that it may take, and has read late for 3000 ms') })
+  })
+
+  test.each([
+    { waitedMs: 750, isAccepted: true },
+    { waitedMs: 751, isAccepted: false },
+  ])('may wait longer if fewer of its account were accepted: $waitedMs ms of 1000', ({ waitedMs, isAccepted }) => {
+    for (let index = 0; index < 10; index++)
+      accepts(100)
+    expect(accepts(600)).toBe(false)
+    expect(accepts(waitedMs, { account: 'small' })).toBe(isAccepted)
+  })
+
+  test('is compared with what was accepted within the last two seconds', () => {
+    for (let index = 0; index < 10; index++)
+      accepts(100)
+    now += 2000
+    expect(accepts(600, { account: 'small' })).toBe(false)
+  })
+})
+
+test('a request that was read in time is accepted', () => {
+  expect(requests.check({ arrivedAt: now, firstEventBy: now + 1, account: undefined, lateness: undefined })).toBeUndefined()
+})
