A request that was read late may be sent elsewhere soon

The delay is 100 ms now, as for other errors that another gateway may not have. Retries cannot pile up: while all gateways read late, each of them waits for at least half of the time that its client has left.

--- a/packages/common/src/http/late-requests.ts
+++ b/packages/common/src/http/late-requests.ts
@@ -10,8 +10,7 @@
  * COUNT_WINDOW_MS, and its weight.
  * Rule: once requests have been read late for MIN_LATE_MS, one that has used up
  * MAX_WAITED_PART of its time is rejected. An account that had fewer accepted than
- * the mean of all accounts, by weight, may wait for MAX_WAITED_PART_BELOW_MEAN. The
- * retry delay is the wait, in which what waits now has been read.
+ * the mean of all accounts, by weight, may wait for MAX_WAITED_PART_BELOW_MEAN.
  * Why: in order of arrival, the wait grows to the time-out, so that nearly all
  * that is run ends too late. A rejection costs a fraction of a run, so the wait
  * stays at the bound, and what is run ends in time. After a short pause, what has
@@ -30,6 +29,11 @@
 /** Leaves time for the request itself. */
 const MAX_WAITED_PART_BELOW_MEAN = 0.75
 const COUNT_WINDOW_MS = 1000
+/**
+ * Short, since another process may read the retry at once. While all read late,
+ * the wait for each retry limits how many a client sends in its time.
+ */
+const RETRY_AFTER_MS = 100
 
 /** A request that was read. */
 export interface ReadRequest {
@@ -96,5 +100,5 @@
 
 function errorOfLate({ waitedMs, lateForMs }: ReadLateness, allowedMs: number): RequestError {
   const message = `the request was read ${Math.round(waitedMs)} ms after its arrival, of ${Math.round(allowedMs)} ms that it may take; requests have been read late for ${Math.round(lateForMs)} ms`
-  return createError(ErrorKind.Overloaded, message, { ran: Ran.None, retryAfterMs: waitedMs })
+  return createError(ErrorKind.Overloaded, message, { ran: Ran.None, retryAfterMs: RETRY_AFTER_MS })
 }
