Own connections that are never accepted do not count as a wait

Waits for a request to be read are measured by connections of the process to its own listener. One that is never accepted stayed the oldest for ever, so that all later requests on new connections counted as waiting since then: rejected as expired, by an entry of the daemon that had reached max-connections while it was busy, until it is started again. One that the kernel drops from a full queue did so for as long as its handshake is repeated.

Cause: an own connection was forgotten only when it was accepted or failed; one that is turned away ends without an error, and one that is out of order not at all. The class: a measurement that has no end if its answer is lost.

Change: it is forgotten when it closes, when one that was opened later is accepted, and once the event loop had nothing to do, since the queue was empty then.

--- a/packages/common/src/http/listener-queue.ts
+++ b/packages/common/src/http/listener-queue.ts
@@ -8,7 +8,10 @@
  * Rule: such a request has waited since that own connection was established,
  * because the listener's queue is in order; without one, and for all other
  * requests, since now. While the event loop is busy, an own connection is opened
- * every PROBE_INTERVAL_MS, and closed once it is accepted.
+ * every PROBE_INTERVAL_MS, and closed once it is accepted. Those that the kernel or
+ * the server keeps out of the queue count as little as none. The process reads late
+ * from the first connection that waited for MIN_LATE_WAIT_MS until one that did not,
+ * or until its event loop is no longer busy.
  * Why: a process that gets more work than it has processor time for accepts
  * connections late. Deadlines that count from the reading of a request let it work
  * for clients that no longer wait, so that all others wait longer. The kernel does
@@ -33,7 +36,7 @@
 const MAX_PROBES = 100
 /** Clients notice such a wait: it is a good part of the time within which they expect a first byte. */
 const REPORTED_WAIT_MS = 250
-/** Connections that waited for less were accepted in time: the wait is measured in steps of half of it. */
+/** Connections that waited for less were accepted in time; more than an error of the measurement. */
 const MIN_LATE_WAIT_MS = 100
 /** Minimum interval between two reports. */
 const REPORT_INTERVAL_MS = 1000
@@ -121,30 +124,44 @@
       this.lateSince ??= now
   }
 
-  /** Ends the own connection that an accepted socket belongs to; returns whether there is one. */
+  /**
+   * Ends the own connection that an accepted socket belongs to, and those that were
+   * opened before it, which are not in the queue; returns whether there is one.
+   */
   private endProbe(accepted: Socket): boolean {
     const { remotePort, remoteAddress } = accepted
-    for (const probe of this.probes) {
-      if (probe.socket.localPort !== remotePort || probe.socket.localAddress !== remoteAddress)
-        continue
+    const opened = [...this.probes]
+    const index = opened.findIndex(({ socket }) => socket.localPort === remotePort && socket.localAddress === remoteAddress)
+    if (index < 0)
+      return false
+    this.discard(opened.slice(0, index + 1))
+    accepted.destroy()
+    return true
+  }
+
+  private discard(probes: Iterable<Probe>): void {
+    for (const probe of probes) {
       this.probes.delete(probe)
       probe.socket.destroy()
-      accepted.destroy()
-      return true
     }
-    return false
   }
 
   private probeIfBusy(): void {
     const current = performance.eventLoopUtilization()
     const { utilization } = performance.eventLoopUtilization(current, this.utilization)
     this.utilization = current
-    if (utilization < BUSY_UTILIZATION && this.probes.size === 0)
-      this.lateSince = undefined
-    if (this.server.listening && utilization >= BUSY_UTILIZATION && this.probes.size < MAX_PROBES)
+    if (utilization < BUSY_UTILIZATION)
+      this.handleIdleTime()
+    else if (this.server.listening && this.probes.size < MAX_PROBES)
       this.openProbe(this.server.address() as AddressInfo)
   }
 
+  /** An event loop that had nothing to do has accepted all that was in the queue. */
+  private handleIdleTime(): void {
+    this.lateSince = undefined
+    this.discard(this.probes)
+  }
+
   private openProbe({ address, port }: AddressInfo): void {
     const socket = connect({ host: address, port })
     const probe: Probe = { socket, establishedAt: Number.POSITIVE_INFINITY }
@@ -152,8 +169,9 @@
     socket.on('connect', () => {
       probe.establishedAt = performance.now()
     })
-    // The listener was closed. Without a measurement, requests count from their reading.
-    socket.on('error', () => this.probes.delete(probe))
+    // The listener is closed, or turns connections away. Without a measurement, requests count from their reading.
+    socket.on('error', () => {})
+    socket.on('close', () => this.probes.delete(probe))
     socket.unref()
   }
 
