The check of requests that were read late takes the same time for any number of accounts

Found by reading: each check of a gateway that is short of processor time summed over all accounts, at the cost of the processor time that it lacks.

The sums are kept, and made anew once in each window. Rule and tests are the same; the two parts and the window say what they leave time for.

--- a/packages/common/src/http/late-requests.ts
+++ b/packages/common/src/http/late-requests.ts
@@ -25,9 +25,11 @@
 
 /** Requests that waited this long after a pause of the process do not mean that it has more than it can do. */
 const MIN_LATE_MS = 1000
+/** Leaves as much time for the request itself, and for a retry elsewhere. */
 const MAX_WAITED_PART = 0.5
-/** Leaves time for the request itself. */
+/** Leaves time for the request itself, also if it arrives behind many of another account. */
 const MAX_WAITED_PART_BELOW_MEAN = 0.75
+/** Long enough for a mean, and short enough to follow a burst. */
 const COUNT_WINDOW_MS = 1000
 /**
  * Short, since another process may read the retry at once. While all read late,
@@ -48,16 +50,21 @@
 }
 
 interface AccountCount {
+  /** Accepted within the current window. */
   accepted: number
+  acceptedBefore: number
   weight: number
+  /** Whether a request arrived within the current window. */
+  isActive: boolean
 }
 
-type AccountCounts = Map<string | undefined, AccountCount>
-
 /** Rejects requests that were read too late, and counts the others. */
 export class LateRequests {
-  private counts: AccountCounts = new Map()
-  private countsBefore: AccountCounts = new Map()
+  /** Accounts with a request in the current window or the one before. */
+  private readonly counts = new Map<string | undefined, AccountCount>()
+  /** Sums over `counts`. */
+  private accepted = 0
+  private weights = 0
   private windowStart = Number.NEGATIVE_INFINITY
 
   constructor(private readonly now = () => performance.now()) {}
@@ -67,38 +74,50 @@
     if (lateness === undefined)
       return undefined
     this.advanceWindow()
-    const count = this.counts.get(account) ?? { accepted: 0, weight }
-    this.counts.set(account, count)
-    if (lateness.lateForMs >= MIN_LATE_MS && lateness.waitedMs > allowedMs * this.maxWaitedPart(account))
+    const count = this.countOf(account, weight)
+    count.isActive = true
+    if (lateness.lateForMs >= MIN_LATE_MS && lateness.waitedMs > allowedMs * this.maxWaitedPart(count))
       return errorOfLate(lateness, allowedMs)
     count.accepted++
+    this.accepted++
     return undefined
   }
 
-  private maxWaitedPart(account: string | undefined): number {
-    const accounts = [...new Set([...this.counts.keys(), ...this.countsBefore.keys()])].map(name => this.countOf(name))
-    const accepted = accounts.reduce((sum, count) => sum + count.accepted, 0)
-    const weights = accounts.reduce((sum, count) => sum + count.weight, 0)
-    const own = this.countOf(account)
-    return own.accepted * weights < accepted * own.weight ? MAX_WAITED_PART_BELOW_MEAN : MAX_WAITED_PART
+  private maxWaitedPart({ accepted, acceptedBefore, weight }: AccountCount): number {
+    const isBelowMean = (accepted + acceptedBefore) * this.weights < this.accepted * weight
+    return isBelowMean ? MAX_WAITED_PART_BELOW_MEAN : MAX_WAITED_PART
   }
 
-  private countOf(account: string | undefined): AccountCount {
-    const [current, before] = [this.counts.get(account), this.countsBefore.get(account)]
-    return { accepted: (current?.accepted ?? 0) + (before?.accepted ?? 0), weight: (current ?? before)?.weight ?? 1 }
+  private countOf(account: string | undefined, weight: number): AccountCount {
+    const existing = this.counts.get(account)
+    if (existing)
+      return existing
+    const count = { accepted: 0, acceptedBefore: 0, weight, isActive: true }
+    this.counts.set(account, count)
+    this.weights += weight
+    return count
   }
 
   private advanceWindow(): void {
     const now = this.now()
-    if (now - this.windowStart < COUNT_WINDOW_MS)
+    const windows = Math.floor((now - this.windowStart) / COUNT_WINDOW_MS)
+    if (windows < 1)
       return
-    this.countsBefore = now - this.windowStart < 2 * COUNT_WINDOW_MS ? this.counts : new Map()
-    this.counts = new Map()
     this.windowStart = now
+    for (const [account, count] of this.counts) {
+      if (windows > 1 || !count.isActive)
+        this.counts.delete(account)
+      else
+        Object.assign(count, { accepted: 0, acceptedBefore: count.accepted, isActive: false })
+    }
+    const remaining = [...this.counts.values()]
+    this.accepted = remaining.reduce((sum, { acceptedBefore }) => sum + acceptedBefore, 0)
+    this.weights = remaining.reduce((sum, { weight }) => sum + weight, 0)
   }
 }
 
 function errorOfLate({ waitedMs, lateForMs }: ReadLateness, allowedMs: number): RequestError {
-  const message = `the request was read ${Math.round(waitedMs)} ms after its arrival, of ${Math.round(allowedMs)} ms that it may take; requests have been read late for ${Math.round(lateForMs)} ms`
+  const [waited, allowed, lateFor] = [waitedMs, allowedMs, lateForMs].map(Math.round)
+  const message = `the request was read ${waited} ms after its arrival, of ${allowed} ms that it may take; requests have been read late for ${lateFor} ms`
   return createError(ErrorKind.Overloaded, message, { ran: Ran.None, retryAfterMs: RETRY_AFTER_MS })
 }
