The clock of the uneven servers' test leaves out waits for a processor only

It left out all time without processor time, which includes a process that is blocked in a call to the system, so that a gateway which blocks its event loop so would not have shown. The kernel's time of the main thread in the run queue says what was meant, needs no timer, and is the stricter form.

--- a/test/platform/support/uneven-pool.ts
+++ b/test/platform/support/uneven-pool.ts
@@ -8,7 +8,7 @@
 import { request } from 'undici'
 import { expect, vi } from 'vitest'
 import { createRandom } from '../../gateway/support/random.js'
-import { ProcessClock } from '../../support/process-clock.js'
+import { processNow } from '../../support/process-clock.js'
 import { startGateway } from './in-process-gateway.js'
 import { requestIdHeader, StandInBackend } from './stand-in-backend.js'
 import { StandInStore } from './stand-in-store.js'
@@ -75,7 +75,7 @@
 /** An answer as the client received it. */
 export interface UnevenAnswer {
   status: number
-  /** Without the time in which this process, which runs clients, gateways and backend servers, got no processor time. */
+  /** Without the time in which this process, which runs clients, gateways and backend servers, waited for a processor. */
   tookMs: number
 }
 
@@ -84,7 +84,6 @@
   readonly store = new StandInStore()
   backends: UnevenBackend[] = []
   gateways: StartedGateway[] = []
-  private readonly clock = new ProcessClock()
   private sent = 0
 
   constructor(private readonly options: UnevenPoolOptions) {}
@@ -109,7 +108,6 @@
   }
 
   async stop(): Promise<void> {
-    this.clock.stop()
     await Promise.all(this.gateways.map(({ gateway }) => gateway.close()))
     await Promise.all([this.store.stop(), ...this.backends.map(({ server }) => server.stop())])
   }
@@ -127,11 +125,11 @@
   }
 
   private async send({ address }: StartedGateway, number: number): Promise<UnevenAnswer> {
-    const sentAt = this.clock.now()
+    const sentAt = processNow()
     const headers = { 'host': 'host.example', 'attempt-id': `request-${number}`, 'deadline-ms': String(DEADLINE_MS) }
     const response = await request(`${address}/plain/x`, { method: 'POST', headers, body: '' })
     await response.body.dump()
-    return { status: response.statusCode, tookMs: this.clock.now() - sentAt }
+    return { status: response.statusCode, tookMs: processNow() - sentAt }
   }
 }
 
