HTTP servers can guard their connections

Cause: Node parses all that one read of a socket brings, up to 64 KB or some 2,500 requests, before it looks at what is unanswered. Each request takes some kilobytes, and each chunk of a body a Buffer of some hundred bytes even for one byte. Nothing bounds connections, and an idle one keeps the head of its last request. 1,200 connections that sent requests ahead to a bare server of one line, without reading, ended its process with a heap of 160 MB.

Change: createGuardedServer. What a socket receives is parsed in slices that end where a head may end. Eight requests of a connection are handled at a time, further ones wait and are not read. What a connection takes beyond its own part is counted, for all servers of a process together; a connection whose head does not fit is refused with 503, one that sent more ahead is closed after its answers. Small chunks are joined. At the limit of connections the longest idle one gives way. Clients that leave an answer unread, a body unfinished or a connection open are disconnected. Connections that wait take turns for 1 ms of an iteration of the event loop: Node accepts one connection an iteration, and with longer turns (trial: 8 requests of each of 200 connections) an iteration took 17 to 150 ms, so that new clients waited for many seconds.

No program uses it yet.

--- /dev/null
+++ b/packages/common/src/http/guard/index.ts
@@ -0,0 +1,5 @@
+export * from './body-memory.js'
+export * from './connection-decision.js'
+export * from './connection-guard.js'
+export * from './memory-pool.js'
+export * from './slices.js'
--- a/packages/common/src/http/index.ts
+++ b/packages/common/src/http/index.ts
@@ -1,3 +1,6 @@
+export * from './body-buffer.js'
+export * from './compact-request.js'
+export * from './guard/index.js'
 export * from './late-requests.js'
 export * from './limited-body.js'
 export * from './limited-lines.js'
