A gateway holds a body in one block that grows

Callers saw: resets. 400 clients that each sent a body of 43,000 chunks of one byte and not its end ended a gateway (heap of 60 MB), on a route and on a path without one.

Cause: a Buffer for each chunk of a body was kept until its end. It takes some hundred bytes, and the limit on held bytes counted the one that it holds.

Change: BodyBuffer copies chunks to one block.

--- a/packages/gateway/src/connection/body-reader.ts
+++ b/packages/gateway/src/connection/body-reader.ts
@@ -2,13 +2,16 @@
  * Reads the entire body of an HTTP message, either a client's request or a
  * peer's call. The bytes are buffered until the end of the body.
  */
+import type { TakeMemory } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
-import { formatError } from '@eidermast/common'
+import { BodyBuffer, formatError } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
 
 /** Why a body could not be read to its end. */
 export enum BodyFailureKind {
   TooLarge = 'too-large',
+  /** The process has no memory left for it. */
+  NoMemory = 'no-memory',
   /** The connection was closed, or the read was aborted. */
   Broken = 'broken',
 }
@@ -19,20 +22,20 @@
   message: string
 }
 
-/** Reads a body to its end; stops reading once it exceeds the maximum size. */
-export async function readBody(body: AsyncIterable<Buffer>, maxBytes: number): Promise<Result<Buffer, BodyFailure>> {
-  const chunks: Buffer[] = []
-  let size = 0
+/** Reads a body to its end; stops reading once it exceeds the maximum size, or gets no memory. `takeMemory` defaults to one without a limit. */
+export async function readBody(body: AsyncIterable<Buffer>, maxBytes: number, takeMemory: TakeMemory = () => true): Promise<Result<Buffer, BodyFailure>> {
+  const buffer = new BodyBuffer()
   try {
     for await (const chunk of body) {
-      size += chunk.length
-      if (size > maxBytes)
+      if (buffer.length + chunk.length > maxBytes)
         return Err({ kind: BodyFailureKind.TooLarge, message: `body exceeds the limit of ${maxBytes} bytes` })
-      chunks.push(chunk)
+      if (!takeMemory(chunk.length))
+        return Err({ kind: BodyFailureKind.NoMemory, message: `no memory is left after ${buffer.length} bytes of the body` })
+      buffer.append(chunk)
     }
   }
   catch (error) {
     return Err({ kind: BodyFailureKind.Broken, message: formatError(error) })
   }
-  return Ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
+  return Ok(buffer.toBuffer())
 }
