Clients cannot take the memory or the descriptors of a gateway at any of its ports

Callers saw: resets while a gateway that had run out of memory started again, or no answer while it had no descriptor left for a backend server.

Cause: requests sent ahead were parsed and handled without limit at the ports for clients, readiness, other gateways and metrics, and their answers kept for clients that read none. Connections had no limit. Bytes held for clients were limited only where a contract called for it. A body to a path without a route had no time-out, and calls of other gateways and requests for metrics no limit on what they take together.

Change: all four servers are guarded; connections are limited by the setting max-open-files, shared memory by memory-megabytes. held-megabytes defaults to its part of the memory everywhere, so that the setting contracts is not needed any more.

The rows of held-bytes and platform-settings that expected no limit without a contract now expect the limit.

--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -5,7 +5,7 @@
  * process dies, connections break and the platform's load balancer sends new
  * requests to other gateways.
  */
-import type { EventLog, RequestError } from '@eidermast/common'
+import type { ConnectionLimits, EventLog, RequestError } from '@eidermast/common'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import type { ConfigurationHolder } from '../../version/configuration-holder.js'
@@ -15,8 +15,7 @@
 import type { RequestHandler } from './client-request.js'
 import type { ClientMetrics } from './client-transfers.js'
 import type { ReadContext } from './request-reader.js'
-import { createServer } from 'node:http'
-import { createError, ErrorKind, formatStack, ListenerQueue } from '@eidermast/common'
+import { createError, createGuardedServer, ErrorKind, formatStack, ListenerQueue } from '@eidermast/common'
 import { errorCode } from '../error-codes.js'
 import { BodyRoom } from './body-room.js'
 import { ClientTransfers } from './client-transfers.js'
@@ -29,6 +28,8 @@
 const DEFAULT_LIMITS: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 /** Node's limit, which is fixed when the server is created. It is higher than any configurable limit; the configured one is checked when a request is read. */
 const MAX_HEADER_BYTES = 65_536
+/** Time to receive the body of a request that no route serves. */
+const UNROUTED_BODY_MS = 5000
 /** Interval of Node's check for overdue request heads: they are timed out at most this much late. */
 const CONNECTION_CHECK_MS = 500
 /**
@@ -46,6 +47,7 @@
   held: HeldBytes
   metrics: ClientMetrics
   log: EventLog
+  connections: ConnectionLimits
 }
 
 /** Serves clients until it is closed. */
@@ -61,9 +63,10 @@
   private refusing = false
 
   constructor(private readonly dependencies: ClientServerDependencies) {
-    const { configuration, held, metrics, log } = dependencies
+    const { configuration, held, metrics, log, connections } = dependencies
     const options = { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_MS, noDelay: true }
-    this.server = createServer(options, (message, response) => void this.handle(message, response))
+    this.server = createGuardedServer(options, connections, (event, fields) => log.write(event, fields)).server
+    this.server.on('request', (message, response) => void this.handle(message, response))
     this.listenerQueue = new ListenerQueue(this.server, waitMs => log.write('listener-late', { waitMs: Math.round(waitMs) }))
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket))
     this.server.on('connection', socket => void socket.on('close', () => {
@@ -165,8 +168,10 @@
       clientResponse.reject(request.error)
   }
 
-  private deadlineOf({ url }: IncomingMessage, { head, arrivedAt }: ReadContext): number | undefined {
-    return head.isOk() ? this.dependencies.handler.deadlineOf({ path: url!, head: head.value, arrivedAt }) : undefined
+  /** When a request has to be read, on the monotonic clock in milliseconds. */
+  private deadlineOf({ url }: IncomingMessage, { head, arrivedAt }: ReadContext): number {
+    const deadlineAt = head.isOk() ? this.dependencies.handler.deadlineOf({ path: url!, head: head.value, arrivedAt }) : undefined
+    return deadlineAt ?? arrivedAt + UNROUTED_BODY_MS
   }
 
   /** Refuses a request for lack of room. Its body is discarded as it comes: closing its connection now could cost its client the answer. */
--- a/packages/gateway/src/connection/clients/read-deadline.ts
+++ b/packages/gateway/src/connection/clients/read-deadline.ts
@@ -20,10 +20,8 @@
 
 const OVERDUE = createError(ErrorKind.BodyStalled, 'the request body did not arrive within the time-out of the route or the client')
 
-/** Resolves with the result of a read, or with an error at its deadline. Reads without a deadline are not limited. */
-export async function endReadBy(deadlineAt: number | undefined, reading: Promise<ReadResult>): Promise<ReadResult> {
-  if (deadlineAt === undefined)
-    return reading
+/** Resolves with the result of a read, or with an error at its deadline. */
+export async function endReadBy(deadlineAt: number, reading: Promise<ReadResult>): Promise<ReadResult> {
   let timer: NodeJS.Timeout | undefined
   const overdue = new Promise<ReadResult>((resolve) => {
     timer = setTimeout(() => resolve(Err(OVERDUE)), Math.max(0, deadlineAt - performance.now()))
--- a/packages/gateway/src/connection/peers/peer-handler.ts
+++ b/packages/gateway/src/connection/peers/peer-handler.ts
@@ -8,34 +8,43 @@
  * together instead of 0.82 ms (3,000 calls in a warm process). A coordinator on
  * small VMs needs that CPU time during bursts.
  */
+import type { MemoryPool, TakeMemory } from '@eidermast/common'
 import type { AnyTRPCRouter } from '@trpc/server'
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
+import { takeUntilClosed } from '@eidermast/common'
 import { callTRPCProcedure, getTRPCErrorFromUnknown, getTRPCErrorShape, TRPCError } from '@trpc/server'
 import { getHTTPStatusCodeFromError } from '@trpc/server/http'
-import { readBody } from '../body-reader.js'
+import { BodyFailureKind, readBody } from '../body-reader.js'
 
 /** Maximum size of a call. Far larger than the stage work in a handover; bounds the memory that a faulty peer can occupy. */
 const MAX_CALL_BYTES = 4_000_000
 /** Base for parsing request paths with `URL`; its value is irrelevant. */
 const BASE_URL = 'http://gateway'
 
+const CODE_OF_FAILURE = {
+  [BodyFailureKind.TooLarge]: 'BAD_REQUEST',
+  [BodyFailureKind.Broken]: 'BAD_REQUEST',
+  [BodyFailureKind.NoMemory]: 'SERVICE_UNAVAILABLE',
+} as const
+
 /** The procedure that a request calls. */
 interface ProcedureCall {
   path: string
   type: 'query' | 'mutation'
 }
 
-/** Creates the request listener of the server for peers. */
-export function createPeerHandler(router: AnyTRPCRouter): RequestListener {
-  return (message, response) => void handleCall(router, message, response)
+/** Creates the request listener of the server for peers; bodies of calls are counted in the pool. */
+export function createPeerHandler(router: AnyTRPCRouter, pool: MemoryPool): RequestListener {
+  return (message, response) => void handleCall(router, pool, message, response)
 }
 
-async function handleCall(router: AnyTRPCRouter, message: IncomingMessage, response: ServerResponse): Promise<void> {
+async function handleCall(router: AnyTRPCRouter, pool: MemoryPool, message: IncomingMessage, response: ServerResponse): Promise<void> {
   const call = describeCall(message)
   const disconnect = new AbortController()
   response.on('close', () => response.writableFinished || disconnect.abort())
   try {
-    const getRawInput = (): Promise<unknown> => readInput(message)
+    const takeMemory = takeUntilClosed(pool, response)
+    const getRawInput = (): Promise<unknown> => readInput(message, takeMemory)
     const data = await callTRPCProcedure({ router, ...call, ctx: {}, getRawInput, signal: disconnect.signal, batchIndex: 0 })
     write(response, 200, { result: { data } })
   }
@@ -51,10 +60,10 @@
 }
 
 /** The input of a mutation; queries between gateways have none. */
-async function readInput(message: IncomingMessage): Promise<unknown> {
-  const body = await readBody(message, MAX_CALL_BYTES)
+async function readInput(message: IncomingMessage, takeMemory: TakeMemory): Promise<unknown> {
+  const body = await readBody(message, MAX_CALL_BYTES, takeMemory)
   if (body.isErr())
-    throw new TRPCError({ code: 'BAD_REQUEST', message: body.error.message })
+    throw new TRPCError({ code: CODE_OF_FAILURE[body.error.kind], message: body.error.message })
   try {
     return JSON.parse(body.value.toString())
   }
--- a/packages/gateway/src/process/gateway-settings.ts
+++ b/packages/gateway/src/process/gateway-settings.ts
@@ -6,7 +6,7 @@
  */
 import type { SettingsError } from '@eidermast/common'
 import type { Result } from 'ts-results-es'
-import { loadSettingsFile, MAX_PORT, numberSetting, optionalSection, parseSettingsText, textSetting } from '@eidermast/common'
+import { integerSetting, loadSettingsFile, MAX_PORT, numberSetting, optionalSection, parseSettingsText, textSetting } from '@eidermast/common'
 import * as z from 'zod'
 
 const text = textSetting('a non-empty string')
@@ -17,6 +17,8 @@
 })
 
 const BYTES_PER_MEGABYTE = 1e6
+/** Leaves a few to each port. */
+const MIN_OPEN_FILES = 300
 
 const processSchema = z.object({
   /** Name of this gateway, unique among its peers. */
@@ -31,9 +33,12 @@
   'core-share': numberSetting(0.01, 1000).default(1),
   /** Megabytes of memory available to the process; may be left empty by a platform that does not tell. @default unknown */
   'memory-megabytes': z.preprocess(value => value === '' ? undefined : value, numberSetting(1, 1_000_000).optional()),
-}).transform(({ zone, 'memory-megabytes': memoryMegabytes, ...rest }) => ({
+  /** Descriptors that the process may open; may be left empty by a platform that does not tell. @default unknown */
+  'max-open-files': z.preprocess(value => value === '' ? undefined : value, integerSetting(MIN_OPEN_FILES, 10_000_000).optional()),
+}).transform(({ zone, 'memory-megabytes': memoryMegabytes, 'max-open-files': maxOpenFiles, ...rest }) => ({
   ...rest,
   failureDomain: zone,
+  maxOpenFiles,
   memoryBytes: memoryMegabytes === undefined ? undefined : memoryMegabytes * BYTES_PER_MEGABYTE,
 }))
 
@@ -46,6 +51,16 @@
   'metrics-port': numberSetting(1, MAX_PORT),
 })
 
+const connectionsSchema = z.object({
+  /** Maximum number of clients' connections. @default half of the descriptors that are not kept for files */
+  'max-clients': integerSetting(1, 1_000_000).optional(),
+  /** Megabytes that the connections of all ports share for large heads and requests sent ahead. @default a part of the memory */
+  'shared-megabytes': numberSetting(1, 1_000_000).optional(),
+}).transform(({ 'max-clients': maxClients, 'shared-megabytes': sharedMegabytes }) => ({
+  maxClients,
+  sharedBytes: sharedMegabytes === undefined ? undefined : sharedMegabytes * BYTES_PER_MEGABYTE,
+}))
+
 const retrySchema = z.object({
   /** Retries allowed per request. @default 0.2 */
   'ratio': numberSetting(0, 100).default(0.2),
@@ -97,7 +112,7 @@
   'stage-sharing-accounts': numberSetting(0, 1_000_000).default(0),
   /** Longest wait in milliseconds of a request that arrives before this gateway has a configuration and backend servers. @default 0 */
   'start-wait-ms': numberSetting(0, 60_000).default(0),
-  /** Megabytes that the process may hold for clients and backend servers that are slow to read; 0 for no limit. @default a part of the memory, where the platform calls for a limit */
+  /** Megabytes that the process may hold for clients and backend servers that are slow to read; 0 for no limit. @default a part of the memory */
   'held-megabytes': numberSetting(0, 1_000_000).optional(),
 }).transform(({ 'held-megabytes': heldMegabytes, ...rest }) => ({
   ...rest,
@@ -112,6 +127,7 @@
 const settingsSchema = z.object({
   process: processSchema,
   listen: listenSchema,
+  connections: optionalSection(connectionsSchema),
   retry: optionalSection(retrySchema),
   load: optionalSection(loadSchema),
   log: optionalSection(logSchema),
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -13,12 +13,12 @@
 import type { RequestAdmission } from '../request/admission/request-admission.js'
 import type { RetryBudgetSettings } from '../request/attempts/retry-budget.js'
 import type { LoadEstimator } from '../request/load/load-estimator.js'
+import type { PortLimits } from './connection-limits.js'
 import type { GatewaySettings } from './gateway-settings.js'
 import type { AccountSharing } from './load/account-sharing.js'
 import type { SelfDescription } from './peer-service.js'
 import type { PlatformAdapter } from './platform-adapter.js'
-import { createServer } from 'node:http'
-import { OutlierEjection } from '@eidermast/common'
+import { MemoryPool, OutlierEjection } from '@eidermast/common'
 import { BackendConnections } from '../connection/backends/backend-connections.js'
 import { HttpBackendClient } from '../connection/backends/http-backend-client.js'
 import { checkByConnection } from '../connection/backends/presence-check.js'
@@ -43,6 +43,7 @@
 import { BackendRegistry } from './backend-registry.js'
 import { CallReporter } from './call-reporter.js'
 import { ConfigurationRefresh } from './configuration-refresh.js'
+import { decideConnectionLimits } from './connection-limits.js'
 import { CoordinatorOutageWatch } from './coordinator-outage-watch.js'
 import { CrashDetector } from './crashes/crash-detector.js'
 import { CrashTracker } from './crashes/crash-tracker.js'
@@ -55,7 +56,7 @@
 import { AccountShareMode, AdmissionMode, BackendSpeedMode, StageSharingMode } from './gateway-settings.js'
 import { decideHeldLimit } from './held-limit.js'
 import { BackendIntakes } from './intake/backend-intakes.js'
-import { createMetricsServer, createReadinessServer, InternalServers } from './internal-servers.js'
+import { createMetricsListener, createReadinessListener, InternalServers } from './internal-servers.js'
 import { createMaxMinSharing, NO_SHARING } from './load/account-sharing.js'
 import { NoInFlightExchange } from './load/in-flight-exchange.js'
 import { LoadExchange } from './load/load-exchange.js'
@@ -113,7 +114,10 @@
   private readonly estimator: LoadEstimator
   private readonly stageCoordinators: StageCoordinators
   private readonly readiness: Readiness
-  private readonly internalServers = new InternalServers()
+  private readonly portLimits: PortLimits
+  /** Shared by the connections of all ports. */
+  private readonly connectionMemory: MemoryPool
+  private readonly internalServers: InternalServers
   private readonly coordinatorOutages = new CoordinatorOutageWatch(() => this.platform.restartReads())
   private readonly peerUpdates = new PeerUpdates({
     count: () => this.members.count,
@@ -157,6 +161,9 @@
     this.connections = this.createConnections()
     this.stageCoordinators = this.createStageCoordinators()
     this.peerService = this.createPeerService()
+    this.portLimits = decideConnectionLimits({ ...settings.connections, maxOpenFiles: settings.process.maxOpenFiles, memoryBytes: settings.process.memoryBytes })
+    this.connectionMemory = new MemoryPool(this.portLimits.sharedBytes)
+    this.internalServers = new InternalServers(this.connectionMemory, log)
     this.held = this.createHeldBytes()
     this.clients = this.createClientServer()
     this.readiness = new Readiness(this.gatewayLog)
@@ -440,7 +447,6 @@
     const limitBytes = decideHeldLimit({
       configuredBytes: this.settings.load.heldBytes,
       memoryBytes: this.settings.process.memoryBytes,
-      isWanted: this.platform.limitsHeldBytes,
     })
     return new HeldBytes(limitBytes, this.metrics)
   }
@@ -469,7 +475,8 @@
       log: this.log,
     })
     const { configuration, held, metrics, log, platform: { clientCodec: codec } } = this
-    return new ClientServer({ handler, codec, configuration, held, metrics, log })
+    const connections = { maxConnections: this.portLimits.clients, pool: this.connectionMemory }
+    return new ClientServer({ handler, codec, configuration, held, metrics, log, connections })
   }
 
   private createConfigurationCheck(): ConfigurationRefresh {
@@ -502,11 +509,12 @@
   private async listen(): Promise<void> {
     const { clients, readiness, 'peer-port': peerPort, 'metrics-port': metricsPort } = this.settings.listen
     const { host } = this.settings.process
-    const peerServer = createServer(createPeerHandler(createPeerRouter(this.peerService)))
+    const { peers, operations } = this.portLimits
+    const peerHandler = createPeerHandler(createPeerRouter(this.peerService), this.connectionMemory)
     await this.clients.listen(clients.port, clients.host)
-    await this.internalServers.listen(createReadinessServer(() => this.isReady()), readiness.port, readiness.host)
-    await this.internalServers.listen(peerServer, peerPort, host)
-    await this.internalServers.listen(createMetricsServer(this.metrics.registry), metricsPort, host)
+    await this.internalServers.listen(createReadinessListener(() => this.isReady()), { ...readiness, maxConnections: operations })
+    await this.internalServers.listen(peerHandler, { host, port: peerPort, maxConnections: peers })
+    await this.internalServers.listen(createMetricsListener(this.metrics.registry), { host, port: metricsPort, maxConnections: operations })
   }
 
   private isReady(): boolean {
--- a/packages/gateway/src/process/held-limit.ts
+++ b/packages/gateway/src/process/held-limit.ts
@@ -4,13 +4,15 @@
  * Answers this load: slow readers beside large bodies and answers, which would
  * fill the memory of the process.
  * Inputs: the limit in the settings, the memory of the process (bytes, both as
- * configured; undefined if not), whether the deployment calls for a limit.
- * Rule: the configured limit, or HELD_SHARE of the memory where the deployment
- * calls for one; otherwise no limit.
+ * configured; undefined if not), the limit of its heap (bytes).
+ * Rule: the configured limit, or HELD_SHARE of the memory. Where the settings do
+ * not tell the memory, that of the heap takes its place.
  * Why: a process that outgrows its memory is killed with all that it holds.
  * Log event: `held-limit`; also metric `eidermast_gateway_held_bytes_limit`.
  */
 
+import { heapLimitBytes } from '@eidermast/common'
+
 /**
  * Part of the memory of a process. On the smallest VMs it is half of what the
  * limit of the heap leaves; connections, Node and the kernel need the other half.
@@ -23,13 +25,10 @@
   configuredBytes: number | undefined
   /** Undefined if the settings do not tell. */
   memoryBytes: number | undefined
-  /** Whether the deployment calls for a limit. */
-  isWanted: boolean
 }
 
 /** Returns the limit in bytes; Infinity for no limit. */
-export function decideHeldLimit({ configuredBytes, memoryBytes, isWanted }: HeldLimitInputs): number {
-  const chosenBytes = isWanted && memoryBytes !== undefined ? memoryBytes * HELD_SHARE : 0
-  const limitBytes = configuredBytes ?? chosenBytes
+export function decideHeldLimit({ configuredBytes, memoryBytes = heapLimitBytes() }: HeldLimitInputs): number {
+  const limitBytes = configuredBytes ?? memoryBytes * HELD_SHARE
   return limitBytes > 0 ? limitBytes : Number.POSITIVE_INFINITY
 }
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -146,8 +146,6 @@
   records: RecordStore
   /** Request rate that a cold backend server may get from all gateways together. */
   coldAllowance: ColdAllowance
-  /** Whether the deployment calls for a limit on bytes held for slow readers, where the settings give none. */
-  limitsHeldBytes: boolean
   clientCodec: ClientCodec
   backendCodec: BackendCodec
   stageClient: (connections: BackendConnections) => StageClient
--- a/test/gateway/held-bytes.test.ts
+++ b/test/gateway/held-bytes.test.ts
@@ -1,5 +1,6 @@
 import type { AnswerRoom, HeldState, RoomClaim, RoomRequest, TransferProgress, WaitingClaims } from '@eidermast/gateway'
 import { Readable } from 'node:stream'
+import { getHeapStatistics } from 'node:v8'
 import { ErrorKind } from '@eidermast/common'
 import { BodyRoom, bufferResponse, decideBodyWaitMs, decideCutOff, decideHeldLimit, decideReturnMs, decideRoom, HeldBytes, HeldKind, MAX_BUFFERED_RESPONSE_BYTES, MAX_STALL_MS, NOT_STALLED, refuseWait, ReserveState, RoomReason, SMALL_BYTES } from '@eidermast/gateway'
 import fc from 'fast-check'
@@ -57,13 +58,12 @@
   })
 
   test.each([
-    ['as configured', 5 * MB, 400 * MB, true, 5 * MB],
-    ['a part of the memory where the deployment calls for it', undefined, 400 * MB, true, 50 * MB],
-    ['unlimited where it does not', undefined, 400 * MB, false, Infinity],
-    ['unlimited where the memory is not known', undefined, undefined, true, Infinity],
-    ['unlimited where the settings say so', 0, 400 * MB, true, Infinity],
-  ])('is %s', (_name, configuredBytes, memoryBytes, isWanted, limit) => {
-    expect(decideHeldLimit({ configuredBytes, memoryBytes, isWanted })).toBe(limit)
+    ['as configured', 5 * MB, 400 * MB, 5 * MB],
+    ['a part of the memory', undefined, 400 * MB, 50 * MB],
+    ['a part of the heap where the memory is not known', undefined, undefined, getHeapStatistics().heap_size_limit / 8],
+    ['unlimited where the settings say so', 0, 400 * MB, Infinity],
+  ])('is %s', (_name, configuredBytes, memoryBytes, limit) => {
+    expect(decideHeldLimit({ configuredBytes, memoryBytes })).toBe(limit)
   })
 })
 
--- a/test/gateway/peer-calls.test.ts
+++ b/test/gateway/peer-calls.test.ts
@@ -1,6 +1,7 @@
 import type { Member, PeerService, PreparationRequest } from '@eidermast/gateway'
 import type { AddressInfo } from 'node:net'
 import { createServer } from 'node:http'
+import { MemoryPool } from '@eidermast/common'
 import { createPeerHandler, createPeerRouter, isSilent, PeerClients, PreparationFailureKind } from '@eidermast/gateway'
 import { Err } from 'ts-results-es'
 import { request } from 'undici'
@@ -38,7 +39,7 @@
 
 beforeEach(async () => {
   vi.clearAllMocks()
-  server = createServer(createPeerHandler(createPeerRouter(service)))
+  server = createServer(createPeerHandler(createPeerRouter(service), new MemoryPool(10_000_000)))
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   peer = { name: 'gateway-a', address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
   clients = new PeerClients()
--- a/test/platform/platform-settings.test.ts
+++ b/test/platform/platform-settings.test.ts
@@ -17,15 +17,6 @@
     expect(adapter.unwrap().coldAllowance).toEqual({ overshoot: 1.5, slack: 5 })
   })
 
-  test.each([
-    ['', false],
-    ['base,cost,stream', false],
-    ['base,pressure,stream', true],
-  ])('with the contracts %j limits what is held for slow readers: %s', (contracts, limited) => {
-    const adapter = createAdapter({ ...STORE, contracts }, createLog().log)
-    expect(adapter.unwrap().limitsHeldBytes).toBe(limited)
-  })
-
   test.each([
     ['evacuation-ms', '5 s', 'a number of milliseconds'],
     ['evacuation-ms', '-1', 'a number of milliseconds'],
@@ -38,17 +29,18 @@
 })
 
 test.each([
-  ['250', 'base,pressure', 250_000_000, true],
-  ['', '', undefined, false],
-])('the template passes on the memory of the process (%j MB) and the contracts (%j)', (memory, contracts, memoryBytes, limitsHeldBytes) => {
+  ['250', '4100', 250_000_000, 4100],
+  ['', '', undefined, undefined],
+])('the template passes on the memory (%j MB) and the descriptors (%j) of the process', (memory, descriptors, memoryBytes, maxOpenFiles) => {
   const filled = readFileSync('platform/settings.ini', 'utf8')
-    .replace('{{Contracts}}', contracts)
+    .replace('{{Limits.MaxOpenFiles}}', descriptors)
     .replace('{{Limits.MemoryMb}}', memory)
     .replaceAll(/\{\{Listen[^}]*\}\}/g, '127.0.0.1:1')
     .replaceAll(/\{\{Platform[^}]*\}\}/g, '127.0.0.1:1')
     .replaceAll(/\{\{[^}]*\}\}/g, '3')
   const settings = parseGatewaySettings(filled).unwrap()
   expect(settings.process.memoryBytes).toBe(memoryBytes)
+  expect(settings.process.maxOpenFiles).toBe(maxOpenFiles)
   expect(settings.load.heldBytes).toBeUndefined()
-  expect(createAdapter(settings.platform, createLog().log).unwrap().limitsHeldBytes).toBe(limitsHeldBytes)
+  expect(createAdapter(settings.platform, createLog().log).isOk()).toBe(true)
 })
