A request of very many header lines keeps its body

Callers saw: 200, while the backend server had got the request without its body; or 400 for want of an id that they had sent.

Cause: Node drops the header lines after the first 1,000 without a word. A gateway that does not see Content-Length or Transfer-Encoding takes the request for one without a body. Heads are also counted with a space after each colon, which need not be there, so that heads below the limit would be refused now that all lines are seen.

The stand-in server of the tests had the same limit.

--- a/packages/gateway/src/connection/clients/request-reader.ts
+++ b/packages/gateway/src/connection/clients/request-reader.ts
@@ -30,8 +30,8 @@
  * down. Short, since another gateway accepts the request immediately.
  */
 const STOPPING_RETRY_MS = 100
-/** Bytes in addition to a header's name and value on the wire: colon, space and CRLF. */
-const HEADER_SEPARATOR_BYTES = 4
+/** Bytes in addition to a header's name and value on the wire: colon and CRLF. A space may follow the colon. */
+const HEADER_SEPARATOR_BYTES = 3
 
 /** What is needed besides the message to read a request. */
 export interface ReadContext {
--- a/test/platform/support/stand-in-backend.ts
+++ b/test/platform/support/stand-in-backend.ts
@@ -77,6 +77,9 @@
   return (_, response) => void response.on('close', onClose)
 }
 
+/** More than gateways accept, since they add headers. */
+const MAX_HEAD_BYTES = 65_536
+
 /** Backend server on its own port. */
 export class StandInBackend {
   readonly seen: ReceivedRequest[] = []
@@ -86,7 +89,7 @@
   private readonly server: Server
 
   constructor(readonly id: string, readonly service: string, readonly failureDomain = 'zone-a') {
-    this.server = createServer((request, response) => {
+    this.server = createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
       const chunks: Buffer[] = []
       request.on('error', () => {})
       request.on('data', chunk => chunks.push(chunk))
@@ -96,6 +99,8 @@
         void this.respond(seen, response)
       })
     })
+    // Otherwise Node drops header lines beyond its limit.
+    this.server.maxHeadersCount = 0
   }
 
   async start(): Promise<void> {
