--- a/packages/gateway/src/process/gateway-settings.ts
+++ b/packages/gateway/src/process/gateway-settings.ts
@@ -17,8 +17,6 @@
 })
 
 const BYTES_PER_MEGABYTE = 1e6
-/** Leaves a few to each port. */
-const MIN_OPEN_FILES = 300
 
 const processSchema = z.object({
   /** Name of this gateway, unique among its peers. */
@@ -34,7 +32,7 @@
   /** Megabytes of memory available to the process; may be left empty by a platform that does not tell. @default unknown */
   'memory-megabytes': z.preprocess(value => value === '' ? undefined : value, numberSetting(1, 1_000_000).optional()),
   /** Descriptors that the process may open; may be left empty by a platform that does not tell. @default unknown */
-  'max-open-files': z.preprocess(value => value === '' ? undefined : value, integerSetting(MIN_OPEN_FILES, 10_000_000).optional()),
+  'max-open-files': z.preprocess(value => value === '' ? undefined : value, integerSetting(1, 10_000_000).optional()),
 }).transform(({ zone, 'memory-megabytes': memoryMegabytes, 'max-open-files': maxOpenFiles, ...rest }) => ({
   ...rest,
   failureDomain: zone,
--- a/packages/gateway/src/process/index.ts
+++ b/packages/gateway/src/process/index.ts
@@ -1,6 +1,7 @@
 export * from './backend-list.js'
 export * from './backend-registry.js'
 export * from './configuration-refresh.js'
+export * from './connection-limits.js'
 export * from './crashes/index.js'
 export * from './directory-lag-watch.js'
 export * from './drain/drain-plan.js'
