A closed connection ends the answers that wait for their turn, at every port

Found by reading: the memory that takeUntilClosed counts for a body was not given back if its connection closed while its answer waited behind another one, since Node closes only the answer whose turn it is. Clients that send bodies ahead and leave would have used up the memory for bodies of an entry, and for calls of a gateway, for good. The guard closes them, and takes the place of OpenAnswers of the gateway's clients.

--- a/packages/common/src/http/body-buffer.ts
+++ b/packages/common/src/http/body-buffer.ts
@@ -15,6 +15,9 @@
   private block = Buffer.alloc(0)
   private size = 0
 
+  /** `expectedBytes` is the length of the body, if it is known and may be taken at once. */
+  constructor(private readonly expectedBytes = 0) {}
+
   /** Number of bytes received. */
   get length(): number {
     return this.size
@@ -37,7 +40,7 @@
   }
 
   private grow(needed: number): void {
-    const block = Buffer.allocUnsafeSlow(Math.max(needed, this.block.length * GROWTH, MIN_BLOCK_BYTES))
+    const block = Buffer.allocUnsafeSlow(Math.max(needed, this.block.length * GROWTH, this.expectedBytes, MIN_BLOCK_BYTES))
     this.block.copy(block, 0, 0, this.size)
     this.block = block
   }
--- a/packages/common/src/http/compact-request.ts
+++ b/packages/common/src/http/compact-request.ts
@@ -17,9 +17,15 @@
 export class CompactRequest extends IncomingMessage {
   /** Bytes of the body that were received. */
   bodyBytes = 0
+  private knownLength: number | undefined
   private small: Buffer[] = []
   private smallBytes = 0
 
+  /** Bytes of the body that are still to come, if its length is known; otherwise 0. */
+  get remainingBytes(): number {
+    return this.complete || Number.isNaN(this.lengthBytes) ? 0 : Math.max(0, this.lengthBytes - this.bodyBytes)
+  }
+
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (chunk !== null)
       this.bodyBytes += chunk.length
@@ -37,6 +43,12 @@
     this.trailers = {}
   }
 
+  /** NaN if the body has no length. */
+  private get lengthBytes(): number {
+    this.knownLength ??= this.headers['transfer-encoding'] === undefined ? Number(this.headers['content-length']) : Number.NaN
+    return this.knownLength
+  }
+
   private collect(chunk: Buffer): boolean {
     // What arrives at once is passed on together, and nothing waits for more.
     if (this.small.length === 0)
--- a/packages/common/src/http/guard/connection-decision.ts
+++ b/packages/common/src/http/guard/connection-decision.ts
@@ -26,8 +26,10 @@
 
 /** Requests of a connection that are handled at a time. Clients that send ahead get their answers as fast as with more. */
 const MAX_UNANSWERED = 8
-/** As long as a client may leave its answer unread; the same as for clients of a gateway. */
-const MAX_OVERDUE_MS = 5000
+/** Longer than the limits of gateways and entries for their own answers, whose log events name the request. */
+const MAX_UNREAD_MS = 10_000
+/** Time to send the rest of a body whose request is answered. */
+const MAX_UNFINISHED_MS = 5000
 /** Time to receive the last answer, before the connection is closed by force. */
 const MAX_CLOSING_MS = 2000
 
@@ -88,9 +90,9 @@
 
 /** Why a connection is closed for which its client has left something to do for a time, in milliseconds; undefined if it is not. */
 export function closeOverdue(duty: ClientDuty, overdueMs: number): CloseReason | undefined {
-  if (duty === ClientDuty.Read && overdueMs >= MAX_OVERDUE_MS)
+  if (duty === ClientDuty.Read && overdueMs >= MAX_UNREAD_MS)
     return CloseReason.AnswerUnread
-  if (duty === ClientDuty.EndBody && overdueMs >= MAX_OVERDUE_MS)
+  if (duty === ClientDuty.EndBody && overdueMs >= MAX_UNFINISHED_MS)
     return CloseReason.BodyUnfinished
   if (duty === ClientDuty.Close && overdueMs >= MAX_CLOSING_MS)
     return CloseReason.NotClosed
--- a/packages/common/src/http/guard/guarded-connection.ts
+++ b/packages/common/src/http/guard/guarded-connection.ts
@@ -33,7 +33,8 @@
 /** A connection of a guarded server. */
 export class GuardedConnection implements SliceOwner {
   private readonly sliced: SlicedSocket
-  private unanswered = 0
+  /** Responses that are not written to their end, in order. */
+  private readonly open = new Set<ServerResponse>()
   /** Memory of the head that has begun and of the requests, and what was received and not parsed. Bytes. */
   private headBytes = 0
   private requestBytes = 0
@@ -62,10 +63,11 @@
     this.latestCost = cost
     this.requests++
     this.requestBytes += cost.bytes
-    this.unanswered++
+    this.open.add(response)
     if (this.unanswered === 1)
       this.observer.idleChanged(this, false)
     response.once('close', () => {
+      this.open.delete(response)
       if (message instanceof CompactRequest)
         message.releaseHead()
       this.closeRequest(cost)
@@ -104,6 +106,10 @@
     return acceptsMore({ unanswered: this.unanswered, isMemoryFull: this.pool.isFull })
   }
 
+  get remainingBodyBytes(): number {
+    return this.message instanceof CompactRequest ? this.message.remainingBytes : 0
+  }
+
   parseSlice(slice: Buffer, parse: () => void): void {
     const { requests, bodyBytes } = this
     parse()
@@ -123,6 +129,10 @@
     this.updateMemory()
   }
 
+  private get unanswered(): number {
+    return this.open.size
+  }
+
   private get bodyBytes(): number {
     return this.message instanceof CompactRequest ? this.message.bodyBytes : 0
   }
@@ -153,7 +163,6 @@
     this.requestBytes -= cost.bytes
     if (this.latestCost === cost)
       this.latestCost = undefined
-    this.unanswered--
     this.updateMemory()
     if (this.unanswered > 0 || this.socket.destroyed)
       return this.sliced.resume()
@@ -187,5 +196,16 @@
     this.sliced.stop()
     this.headBytes = 0
     this.updateMemory()
+    this.closeWithoutTurn()
+  }
+
+  /** Node closes only the response whose turn it is; those behind it are closed here, so that nothing waits for them. */
+  private closeWithoutTurn(): void {
+    for (const response of this.open) {
+      if (response.socket !== null)
+        continue
+      response.destroy()
+      response.emit('close')
+    }
   }
 }
--- a/packages/common/src/http/guard/sliced-socket.ts
+++ b/packages/common/src/http/guard/sliced-socket.ts
@@ -12,6 +12,8 @@
 export interface SliceOwner {
   /** Whether the next slice may be parsed now. */
   acceptsSlice: () => boolean
+  /** Bytes of a body that come next for certain; they hold no request, and are not divided. */
+  readonly remainingBodyBytes: number
   /** Has a slice parsed; its requests are emitted meanwhile. */
   parseSlice: (slice: Buffer, parse: () => void) => void
   /** So many bytes wait to be parsed. */
@@ -119,7 +121,7 @@
   private takeSlice(): Buffer {
     const [chunk] = this.waiting
     const start = this.offset
-    const end = this.mode === ReadMode.Whole ? chunk.length : findSliceEnd(chunk, start)
+    const end = this.mode === ReadMode.Whole ? chunk.length : findSliceEnd(chunk, start, this.owner.remainingBodyBytes)
     if (end === chunk.length) {
       this.waiting.shift()
       this.offset = 0
--- a/packages/common/src/http/guard/slices.ts
+++ b/packages/common/src/http/guard/slices.ts
@@ -11,8 +11,10 @@
 /** The ends of the last line of a head and of the blank line after it; the parser accepts both. */
 const BLANK_LINES = ['\n\r\n', '\n\n'] as const
 
-/** Returns the end of the slice that begins at `start`: after a blank line, where a head may end, or after MAX_SLICE_BYTES. */
-export function findSliceEnd(chunk: Buffer, start: number): number {
+/** Returns the end of the slice that begins at `start`: of what remains of a body, after a blank line, where a head may end, or after MAX_SLICE_BYTES. */
+export function findSliceEnd(chunk: Buffer, start: number, remainingBodyBytes = 0): number {
+  if (remainingBodyBytes > 0)
+    return Math.min(chunk.length, start + remainingBodyBytes)
   const end = Math.min(chunk.length, start + MAX_SLICE_BYTES)
   const searchStart = start + MIN_SLICE_BYTES
   if (searchStart >= end)
--- a/packages/gateway/src/connection/body-reader.ts
+++ b/packages/gateway/src/connection/body-reader.ts
@@ -22,9 +22,18 @@
   message: string
 }
 
-/** Reads a body to its end; stops reading once it exceeds the maximum size, or gets no memory. `takeMemory` defaults to one without a limit. */
-export async function readBody(body: AsyncIterable<Buffer>, maxBytes: number, takeMemory: TakeMemory = () => true): Promise<Result<Buffer, BodyFailure>> {
-  const buffer = new BodyBuffer()
+/** How a body is read. */
+export interface BodyOptions {
+  maxBytes: number
+  /** Length of the body, if memory for it was taken. @default unknown */
+  expectedBytes?: number
+  /** @default without a limit */
+  takeMemory?: TakeMemory
+}
+
+/** Reads a body to its end; stops reading once it exceeds the maximum size, or gets no memory. */
+export async function readBody(body: AsyncIterable<Buffer>, { maxBytes, expectedBytes, takeMemory = () => true }: BodyOptions): Promise<Result<Buffer, BodyFailure>> {
+  const buffer = new BodyBuffer(expectedBytes)
   try {
     for await (const chunk of body) {
       if (buffer.length + chunk.length > maxBytes)
--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -20,7 +20,6 @@
 import { BodyRoom } from './body-room.js'
 import { ClientTransfers } from './client-transfers.js'
 import { HttpClientResponse } from './http-client-response.js'
-import { OpenAnswers } from './open-answers.js'
 import { endReadBy } from './read-deadline.js'
 import { readRequest } from './request-reader.js'
 
@@ -56,7 +55,6 @@
   private readonly listenerQueue: ListenerQueue
   /** Undefined without a limit on held bytes: then no client is cut off. */
   private readonly transfers: ClientTransfers | undefined
-  private readonly answers = new OpenAnswers()
   private limits = DEFAULT_LIMITS
   private active = 0
   private draining = false
@@ -69,10 +67,7 @@
     this.server.on('request', (message, response) => void this.handle(message, response))
     this.listenerQueue = new ListenerQueue(this.server, waitMs => log.write('listener-late', { waitMs: Math.round(waitMs) }))
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket))
-    this.server.on('connection', socket => void socket.on('close', () => {
-      held.closeConnection(socket)
-      this.answers.closeConnection(socket)
-    }))
+    this.server.on('connection', socket => void socket.on('close', () => held.closeConnection(socket)))
     // Until then, clients that stop are cut off, also during a shutdown.
     this.server.once('close', () => this.transfers?.stop())
     this.applyLimits(DEFAULT_LIMITS)
@@ -129,7 +124,7 @@
     if (message.socket.writableEnded)
       return message.socket.destroySoon()
     this.active++
-    const closed = this.answers.open(message.socket, response)
+    const closed = new Promise(resolve => response.once('close', resolve))
     const arrivedAt = this.listenerQueue.arrivalOf(message.socket)
     const lateness = this.listenerQueue.latenessOf(arrivedAt)
     const { codec, held, log } = this.dependencies
--- a/packages/gateway/src/connection/clients/request-reader.ts
+++ b/packages/gateway/src/connection/clients/request-reader.ts
@@ -63,7 +63,7 @@
   if (claimed.isErr())
     return claimed
   const source = length === undefined ? room.claimWhileReading(message, maxBodyBytes, head.value) : message as AsyncIterable<Buffer>
-  const body = await readBody(source, maxBodyBytes)
+  const body = await readBody(source, { maxBytes: maxBodyBytes, expectedBytes: length })
   if (room.refusal)
     return Err(room.refusal)
   if (body.isOk()) {
--- a/packages/gateway/src/connection/peers/peer-handler.ts
+++ b/packages/gateway/src/connection/peers/peer-handler.ts
@@ -61,7 +61,7 @@
 
 /** The input of a mutation; queries between gateways have none. */
 async function readInput(message: IncomingMessage, takeMemory: TakeMemory): Promise<unknown> {
-  const body = await readBody(message, MAX_CALL_BYTES, takeMemory)
+  const body = await readBody(message, { maxBytes: MAX_CALL_BYTES, takeMemory })
   if (body.isErr())
     throw new TRPCError({ code: CODE_OF_FAILURE[body.error.kind], message: body.error.message })
   try {
