The body of a request that was begun is read while no memory is left

Found by reading: while the memory that connections share was used up, what came after the head of an ordinary request waited for the request to be answered, which waits for its body. Both rows of the new test failed before. The request whose body is read does not count any more. Lines between chunks in packets of their own were taken for those of a head, until the end of the body.

--- a/packages/common/src/http/guard/connection-decision.ts
+++ b/packages/common/src/http/guard/connection-decision.ts
@@ -63,7 +63,7 @@
   isMemoryFull: boolean
 }
 
-/** Whether more of a connection may be parsed that has so many unanswered requests. */
+/** Whether more of a connection may be parsed that has so many unanswered requests, without one whose body is being read. */
 export function acceptsMore({ unanswered, isMemoryFull }: { unanswered: number, isMemoryFull: boolean }): boolean {
   return unanswered === 0 || (unanswered < MAX_UNANSWERED && !isMemoryFull)
 }
--- a/packages/common/src/http/guard/guarded-connection.ts
+++ b/packages/common/src/http/guard/guarded-connection.ts
@@ -103,7 +103,9 @@
   }
 
   acceptsSlice(): boolean {
-    return acceptsMore({ unanswered: this.unanswered, isMemoryFull: this.pool.isFull })
+    // The body of a request that was begun is read in any case.
+    const before = this.isInBody && this.latestCost !== undefined ? this.unanswered - 1 : this.unanswered
+    return acceptsMore({ unanswered: before, isMemoryFull: this.pool.isFull })
   }
 
   get remainingBodyBytes(): number {
@@ -118,8 +120,8 @@
       this.headBytes = 0
     }
     // Lines that bring nothing of a body are those of a head, or of trailers, which are held like it.
-    else if (this.bodyBytes === bodyBytes) {
-      this.headBytes += costOfHead(slice)
+    else {
+      this.headBytes = this.bodyBytes === bodyBytes ? this.headBytes + costOfHead(slice) : 0
     }
     this.updateMemory()
   }
--- a/test/common/connection-guard.test.ts
+++ b/test/common/connection-guard.test.ts
@@ -3,7 +3,8 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { once } from 'node:events'
 import { connect } from 'node:net'
-import { acceptsMore, ClientDuty, closeForMemory, closeOverdue, CloseReason, createGuardedServer, findSliceEnd, MemoryPool, takeUntilClosed } from '@eidermast/common'
+import { text } from 'node:stream/consumers'
+import { acceptsMore, ClientDuty, closeForMemory, closeOverdue, CloseReason, createGuardedServer, findSliceEnd, MemoryPool, takeUntilClosed, wait } from '@eidermast/common'
 import { afterEach, describe, expect, test } from 'vitest'
 
 /** A refused client is disconnected after some seconds. */
@@ -149,6 +150,22 @@
     expect(socket.destroyed).toBe(false)
   })
 
+  test.each([
+    ['by length', 'Content-Length: 9', ['a body', ' of']],
+    ['in chunks', 'Transfer-Encoding: chunked', ['6', '\r\na body', '\r\n3\r\n', ' of\r\n', '0\r\n\r\n']],
+  ])('reads the body of a request %s to its end while no memory is left', async (_name, line, parts) => {
+    const pool = await start(10, new MemoryPool(1000))
+    pool.take(2000)
+    const bodies: string[] = []
+    server.on('request', async message => bodies.push(await text(message)))
+    const socket = await connectAndSend(`POST / HTTP/1.1\r\nHost: a\r\n${line}\r\n\r\n`)
+    for (const part of parts) {
+      await wait(20)
+      socket.write(part)
+    }
+    await expect.poll(() => bodies).toEqual(['a body of'])
+  })
+
   test('ends answers that had no turn when their connection closes, with the memory of their bodies', async () => {
     await start(10)
     const bodies = new MemoryPool(1_000_000)
