Calls between gateways have memory of their own

Found by reading: bodies of calls were counted with what clients' connections share, so that clients that use it up would have kept heartbeats out.

--- a/packages/gateway/src/process/connection-limits.ts
+++ b/packages/gateway/src/process/connection-limits.ts
@@ -9,9 +9,11 @@
  * Rule: what is configured; otherwise clients get half of the descriptors that are
  * not kept for files, and other gateways a quarter. The rest is left to
  * connections of this process, except for a few to its readiness and its metrics.
- * Shared memory is SHARED_PART of the memory of the process.
+ * Shared memory is SHARED_PART of the memory of the process. Bodies of calls of
+ * other gateways have as much for themselves.
  * Why: a process without descriptors reaches no backend server and no store, so
- * that it serves nobody. Few readers ask for readiness and metrics.
+ * that it serves nobody. Few readers ask for readiness and metrics. Clients that
+ * use up the shared memory must not keep heartbeats out.
  * Log event: `connections-closed` (`maxConnections`, `maxSharedBytes`).
  */
 import { heapLimitBytes } from '@eidermast/common'
@@ -46,15 +48,19 @@
   operations: number
   /** Memory in bytes that the connections of all ports share. */
   sharedBytes: number
+  /** Memory in bytes for bodies of calls of other gateways. */
+  peerCallBytes: number
 }
 
 export function decideConnectionLimits({ maxClients, sharedBytes, maxOpenFiles = DEFAULT_DESCRIPTORS, memoryBytes = heapLimitBytes() }: ConnectionLimitInputs): PortLimits {
   const available = Math.max(1, maxOpenFiles - FILE_DESCRIPTORS)
+  const partOfMemory = Math.max(MIN_SHARED_BYTES, memoryBytes * SHARED_PART)
   const partOf = (part: number): number => Math.max(1, Math.floor(available * part))
   return {
     clients: maxClients ?? partOf(CLIENTS_PART),
     peers: partOf(PEERS_PART),
     operations: Math.min(MAX_OPERATIONS, partOf(OPERATIONS_PART)),
-    sharedBytes: sharedBytes ?? Math.max(MIN_SHARED_BYTES, memoryBytes * SHARED_PART),
+    sharedBytes: sharedBytes ?? partOfMemory,
+    peerCallBytes: partOfMemory,
   }
 }
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -510,7 +510,7 @@
     const { clients, readiness, 'peer-port': peerPort, 'metrics-port': metricsPort } = this.settings.listen
     const { host } = this.settings.process
     const { peers, operations } = this.portLimits
-    const peerHandler = createPeerHandler(createPeerRouter(this.peerService), this.connectionMemory)
+    const peerHandler = createPeerHandler(createPeerRouter(this.peerService), new MemoryPool(this.portLimits.peerCallBytes))
     await this.clients.listen(clients.port, clients.host)
     await this.internalServers.listen(createReadinessListener(() => this.isReady()), { ...readiness, maxConnections: operations })
     await this.internalServers.listen(peerHandler, { host, port: peerPort, maxConnections: peers })
--- a/test/gateway/peer-calls.test.ts
+++ b/test/gateway/peer-calls.test.ts
@@ -35,11 +35,13 @@
 
 let server: ReturnType<typeof createServer>
 let clients: PeerClients
+let pool: MemoryPool
 let peer: Member
 
 beforeEach(async () => {
   vi.clearAllMocks()
-  server = createServer(createPeerHandler(createPeerRouter(service), new MemoryPool(10_000_000)))
+  pool = new MemoryPool(10_000_000)
+  server = createServer(createPeerHandler(createPeerRouter(service), pool))
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   peer = { name: 'gateway-a', address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
   clients = new PeerClients()
@@ -143,4 +145,16 @@
     expect(await response.body.json()).toHaveProperty('error')
     expect(service.heartbeat).not.toHaveBeenCalled()
   })
+
+  test('is rejected while no memory is left for its body, and served afterwards', async () => {
+    pool.take(10_000_000)
+    const response = await request(`http://${peer.address}/greet`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(HEARTBEAT) })
+    expect(response.statusCode).toBe(503)
+    await response.body.dump()
+    expect(service.heartbeat).not.toHaveBeenCalled()
+    pool.release(10_000_000)
+    await clients.heartbeat(peer, HEARTBEAT)
+    expect(service.heartbeat).toHaveBeenCalledOnce()
+    await vi.waitFor(() => expect(pool.takenBytes).toBe(0))
+  })
 })
