--- a/packages/common/src/http/compact-request.ts
+++ b/packages/common/src/http/compact-request.ts
@@ -1,8 +1,9 @@
 /**
  * A request that takes little memory: it joins the small chunks of its body before
- * its reader gets them, and forgets its head when it is answered. Node passes on each chunk in a `Buffer` of its own, which takes some hundred
- * bytes of memory even for a single byte; those that wait for a reader would take
- * many times the memory of the body. Lives as long as its request.
+ * its reader gets them, and forgets its head when it is answered. Node passes on
+ * each chunk in a `Buffer` of its own, which takes some hundred bytes of memory even
+ * for a single byte; those that wait for a reader would take many times the memory
+ * of the body. Lives as long as its request.
  */
 import { Buffer } from 'node:buffer'
 import { IncomingMessage } from 'node:http'
--- a/test/hostile-clients/gateway.test.ts
+++ b/test/hostile-clients/gateway.test.ts
@@ -88,6 +88,8 @@
     method: 'POST',
     headers: { 'host': 'host.example', 'attempt-id': 'ordinary', 'deadline-ms': '5000' },
     body: 'ordinary',
+    // Each on a connection of its own, as those of new clients.
+    reset: true,
     signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
   })
   await response.body.dump()
