Clients that stop are cut off by the guard, and by gateways only where the contract calls for it

A limit on held bytes everywhere brought ClientTransfers with it, which looks at every body and answer four times a second.

The limit stays everywhere. ClientTransfers are where the contract calls for them, as before, or held-megabytes is set; elsewhere the guard disconnects clients that do not read for 10 s, and bodies end with their deadlines.

--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -476,7 +476,8 @@
     })
     const { configuration, held, metrics, log, platform: { clientCodec: codec } } = this
     const connections = { maxConnections: this.portLimits.clients, pool: this.connectionMemory }
-    return new ClientServer({ handler, codec, configuration, held, metrics, log, connections })
+    const cutsOffSlowClients = this.platform.cutsOffSlowClients || this.settings.load.heldBytes !== undefined
+    return new ClientServer({ handler, codec, configuration, held, metrics, log, connections, cutsOffSlowClients })
   }
 
   private createConfigurationCheck(): ConfigurationRefresh {
