Revert: clients that stop are cut off by gateways everywhere again

Without ClientTransfers two rows of test/hostile-clients/gateway failed in one play beside two scores: beside bodies of very small chunks that stop, and beside requests with bodies sent ahead, no ordinary request was answered within 20 s, since what was begun holds its room until the time-out of its route.

--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -47,15 +47,13 @@
   metrics: ClientMetrics
   log: EventLog
   connections: ConnectionLimits
-  /** Whether clients that stop reading or sending are cut off after some seconds, with events that name their requests. */
-  cutsOffSlowClients: boolean
 }
 
 /** Serves clients until it is closed. */
 export class ClientServer {
   private readonly server: Server
   private readonly listenerQueue: ListenerQueue
-  /** Undefined where no client is cut off, but by the guard of connections. */
+  /** Undefined without a limit on held bytes: then no client is cut off. */
   private readonly transfers: ClientTransfers | undefined
   private limits = DEFAULT_LIMITS
   private active = 0
@@ -74,7 +72,7 @@
     this.server.once('close', () => this.transfers?.stop())
     this.applyLimits(DEFAULT_LIMITS)
     configuration.onChange(table => this.applyLimits(table.configuration.limits))
-    if (dependencies.cutsOffSlowClients && Number.isFinite(held.limitBytes))
+    if (Number.isFinite(held.limitBytes))
       this.transfers = new ClientTransfers(metrics, log)
   }
 
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -476,8 +476,7 @@
     })
     const { configuration, held, metrics, log, platform: { clientCodec: codec } } = this
     const connections = { maxConnections: this.portLimits.clients, pool: this.connectionMemory }
-    const cutsOffSlowClients = this.platform.cutsOffSlowClients || this.settings.load.heldBytes !== undefined
-    return new ClientServer({ handler, codec, configuration, held, metrics, log, connections, cutsOffSlowClients })
+    return new ClientServer({ handler, codec, configuration, held, metrics, log, connections })
   }
 
   private createConfigurationCheck(): ConfigurationRefresh {
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -146,8 +146,6 @@
   records: RecordStore
   /** Request rate that a cold backend server may get from all gateways together. */
   coldAllowance: ColdAllowance
-  /** Whether the deployment calls for cutting off clients that read or send slowly, where the settings give no limit on held bytes. */
-  cutsOffSlowClients: boolean
   clientCodec: ClientCodec
   backendCodec: BackendCodec
   stageClient: (connections: BackendConnections) => StageClient
