Metric of connections that were closed to protect a process

Cause: the limits of connections had a log event and no metric. Change: eidermast_gateway_connections_closed_total and eidermast_connections_closed_total, by reason, for all ports of a process. Ruled out: a counter for each port, since the log event names the port. 149 tests of the touched folders pass.

--- a/packages/common/src/http/guard/connection-guard.ts
+++ b/packages/common/src/http/guard/connection-guard.ts
@@ -18,11 +18,17 @@
 /** No limit on the lines of a head: Node would drop those beyond it. */
 const NO_LINE_LIMIT = 0
 
+/** Counts connections that were closed or not accepted; implemented by the process's metrics. */
+export interface ConnectionMetrics {
+  countConnectionsClosed: (reason: CloseReason, count: number) => void
+}
+
 /** Limits of the connections of a server. */
 export interface ConnectionLimits {
   maxConnections: number
   /** Shared by all servers of the process. */
   pool: MemoryPool
+  metrics: ConnectionMetrics
 }
 
 /** A server's options without those that guarding it decides. */
@@ -123,9 +129,11 @@
   }
 
   private report(): void {
-    const { pool, maxConnections } = this.limits
-    for (const [reason, count] of this.closed)
+    const { pool, maxConnections, metrics } = this.limits
+    for (const [reason, count] of this.closed) {
+      metrics.countConnectionsClosed(reason, count)
       this.log('connections-closed', { reason, count, open: this.size, maxConnections, sharedBytes: pool.takenBytes, maxSharedBytes: pool.limitBytes })
+    }
     this.closed.clear()
   }
 }
--- a/packages/daemon/src/process/entry/entry.ts
+++ b/packages/daemon/src/process/entry/entry.ts
@@ -47,7 +47,6 @@
 export class Entry implements Daemon {
   private readonly incarnation = createIncarnation()
   private readonly configuration = new Configuration()
-  private readonly metrics = new EntryMetrics()
   private readonly abortController = new AbortController()
   private readonly logClient: HttpLogClient
   private readonly follower: ConfigurationFollower
@@ -57,14 +56,15 @@
   private readonly membership: Membership
   private readonly requestComponents: RequestComponents
   private readonly callerService: EntryCallerService
-  private readonly operations = this.createOperations()
+  private readonly operations: OperationsSource
   private readonly callerServer: Server
   private callerAddress = ''
 
-  private constructor(private readonly settings: Settings, private readonly peerServer: PeerServer, private readonly memory: EntryMemory) {
+  private constructor(private readonly settings: Settings, private readonly peerServer: PeerServer, private readonly metrics: EntryMetrics, private readonly memory: EntryMemory) {
     const { process: identity, platform } = settings
-    const { incarnation, configuration, metrics } = this
+    const { incarnation, configuration } = this
     const { address } = peerServer
+    this.operations = this.createOperations()
     const decisions = new DecisionLog(identity.name)
     this.logClient = new HttpLogClient({ url: platform.log, timeoutMs: platform['log-timeout-ms'] })
     this.follower = new ConfigurationFollower(this.logClient, configuration)
@@ -99,8 +99,9 @@
     const { host, key, 'peer-port': port, 'caller-port': callerPort } = settings.process
     const memoryLimits = memoryLimitsOf(settings)
     const pool = new MemoryPool(memoryLimits.sharedBytes)
-    const connections = { maxConnections: settings.peers['max-connections'], pool }
-    const entry = new Entry(settings, await PeerServer.listen({ host, key, port, connections }), { connections: pool, bodies: new MemoryPool(memoryLimits.heldBodyBytes) })
+    const metrics = new EntryMetrics()
+    const connections = { maxConnections: settings.peers['max-connections'], pool, metrics }
+    const entry = new Entry(settings, await PeerServer.listen({ host, key, port, connections }), metrics, { connections: pool, bodies: new MemoryPool(memoryLimits.heldBodyBytes) })
     entry.callerAddress = await listen(entry.callerServer, host, callerPort)
     entry.runTasks()
     return entry
@@ -164,7 +165,7 @@
     const { entry } = this.settings
     return createCallerServer({
       limits: {
-        connections: { maxConnections: entry['max-connections'], pool: this.memory.connections },
+        connections: { maxConnections: entry['max-connections'], pool: this.memory.connections, metrics: this.metrics },
         bodies: this.memory.bodies,
         maxBodyBytes: entry['max-body-bytes'],
         bodyTimeoutMs: entry['body-timeout-ms'],
--- a/packages/daemon/src/process/metrics.ts
+++ b/packages/daemon/src/process/metrics.ts
@@ -2,6 +2,7 @@
  * Prometheus metrics of entries and sides. Operators' dashboards depend on the
  * names, labels and help texts. Counters start at 0 when the process starts.
  */
+import type { CloseReason, ConnectionMetrics } from '@eidermast/common'
 import type { StageCall, StageReply } from '../connection/messages.js'
 import type { RequestEnd, RequestMetrics, StageMetrics } from '../request/request-metrics.js'
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
@@ -13,13 +14,22 @@
 const MILLISECONDS_PER_SECOND = 1000
 
 /** Metrics registry of one process, including the default Node.js metrics of prom-client. */
-class ProcessMetrics {
+class ProcessMetrics implements ConnectionMetrics {
   readonly registry = new Registry()
+  private readonly connectionsClosed = this.createCounter(
+    'eidermast_connections_closed_total',
+    'Connections of all ports that were closed or not accepted to protect this process, by reason',
+    ['reason'],
+  )
 
   constructor() {
     collectDefaultMetrics({ register: this.registry })
   }
 
+  countConnectionsClosed(reason: CloseReason, count: number): void {
+    this.connectionsClosed.inc({ reason }, count)
+  }
+
   protected createCounter<Label extends string>(name: string, help: string, labelNames: Label[]): Counter<Label> {
     return new Counter({ name, help, labelNames, registers: [this.registry] })
   }
--- a/packages/daemon/src/process/side/side.ts
+++ b/packages/daemon/src/process/side/side.ts
@@ -44,7 +44,6 @@
 export class Side implements Daemon {
   private readonly incarnation = createIncarnation()
   private readonly configuration = new Configuration(SIDE_OBJECT_KINDS)
-  private readonly metrics = new SideMetrics()
   private readonly abortController = new AbortController()
   private readonly decisions: DecisionLog
   private readonly logClient: HttpLogClient
@@ -60,6 +59,7 @@
     private readonly settings: Settings,
     sideSettings: SideSettings,
     private readonly peerServer: PeerServer,
+    private readonly metrics: SideMetrics,
   ) {
     const { platform, process: identity } = settings
     const { incarnation, configuration } = this
@@ -84,9 +84,10 @@
 
   /** Starts a side and resolves once it is listening; rejects if it cannot listen on its port. */
   static async start(settings: Settings): Promise<Side> {
-    const connections = { maxConnections: settings.peers['max-connections'], pool: new MemoryPool(memoryLimitsOf(settings).sharedBytes) }
+    const metrics = new SideMetrics()
+    const connections = { maxConnections: settings.peers['max-connections'], pool: new MemoryPool(memoryLimitsOf(settings).sharedBytes), metrics }
     const { host, key, 'peer-port': port } = settings.process
-    const side = new Side(settings, settings.side!, await PeerServer.listen({ host, key, port, connections }))
+    const side = new Side(settings, settings.side!, await PeerServer.listen({ host, key, port, connections }), metrics)
     side.runTasks()
     return side
   }
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -3,6 +3,7 @@
  * (`replicas` counts backend servers, `owns_stages` shows the coordinator).
  * Counters start at zero in each process.
  */
+import type { CloseReason } from '@eidermast/common'
 import type { ClientServer } from '../connection/clients/client-server.js'
 import type { HeldBytes } from '../connection/held/held-bytes.js'
 import type { RoomReason } from '../connection/held/room-decision.js'
@@ -124,6 +125,13 @@
     registers: [this.registry],
   })
 
+  private readonly connectionsClosed = new Counter({
+    name: 'eidermast_gateway_connections_closed_total',
+    help: 'Connections of all ports that were closed or not accepted to protect this process, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  })
+
   private readonly streamsResumed = new Counter({
     name: 'eidermast_gateway_streams_resumed_total',
     help: 'Streams that clients resumed, by how the software version that began them was found; those with source unknown or lost were refused',
@@ -167,6 +175,11 @@
     this.clientCutOffs.inc()
   }
 
+  /** Counts connections that were closed or not accepted. */
+  countConnectionsClosed(reason: CloseReason, count: number): void {
+    this.connectionsClosed.inc({ reason }, count)
+  }
+
   private readonly namedAccounts = new Set<string>()
   private readonly accountRequests = new Counter({
     name: 'eidermast_gateway_account_requests_total',
--- a/packages/gateway/src/process/gateway.ts
+++ b/packages/gateway/src/process/gateway.ts
@@ -163,7 +163,7 @@
     this.peerService = this.createPeerService()
     this.portLimits = decideConnectionLimits({ ...settings.connections, maxOpenFiles: settings.process.maxOpenFiles, memoryBytes: settings.process.memoryBytes })
     this.connectionMemory = new MemoryPool(this.portLimits.sharedBytes)
-    this.internalServers = new InternalServers(this.connectionMemory, log)
+    this.internalServers = new InternalServers({ pool: this.connectionMemory, metrics: this.metrics }, log)
     this.held = this.createHeldBytes()
     this.clients = this.createClientServer()
     this.readiness = new Readiness(this.gatewayLog)
@@ -475,7 +475,7 @@
       log: this.log,
     })
     const { configuration, held, metrics, log, platform: { clientCodec: codec } } = this
-    const connections = { maxConnections: this.portLimits.clients, pool: this.connectionMemory }
+    const connections = { maxConnections: this.portLimits.clients, pool: this.connectionMemory, metrics: this.metrics }
     return new ClientServer({ handler, codec, configuration, held, metrics, log, connections })
   }
 
--- a/packages/gateway/src/process/internal-servers.ts
+++ b/packages/gateway/src/process/internal-servers.ts
@@ -2,7 +2,7 @@
  * HTTP servers for infrastructure rather than clients: readiness, peers and
  * metrics. Owns the servers from `listen` to `close`.
  */
-import type { EventLog, MemoryPool } from '@eidermast/common'
+import type { ConnectionLimits, EventLog } from '@eidermast/common'
 import type { RequestListener, Server } from 'node:http'
 import type { Registry } from 'prom-client'
 import { createGuardedServer, SharedRead } from '@eidermast/common'
@@ -21,11 +21,11 @@
 export class InternalServers {
   private readonly servers: Server[] = []
 
-  constructor(private readonly pool: MemoryPool, private readonly log: EventLog) {}
+  constructor(private readonly shared: Omit<ConnectionLimits, 'maxConnections'>, private readonly log: EventLog) {}
 
   /** Starts listening; rejects if the address cannot be bound. */
   async listen(listener: RequestListener, { host, port, maxConnections }: InternalAddress): Promise<void> {
-    const { server } = createGuardedServer(TIMEOUTS, { maxConnections, pool: this.pool }, (event, fields) => this.log.write(event, { port, ...fields }))
+    const { server } = createGuardedServer(TIMEOUTS, { ...this.shared, maxConnections }, (event, fields) => this.log.write(event, { port, ...fields }))
     server.on('request', listener)
     this.servers.push(server)
     await new Promise<void>((resolve, reject) => {
--- a/test/common/connection-guard.test.ts
+++ b/test/common/connection-guard.test.ts
@@ -66,6 +66,7 @@
   const open: ServerResponse[] = []
   const sockets: Socket[] = []
   let logged: LogFields[] = []
+  const counts = new Map<CloseReason, number>()
   let server: Server
 
   afterEach(() => {
@@ -78,7 +79,8 @@
   /** Starts a server that answers nothing by itself. */
   async function start(maxConnections: number, pool = new MemoryPool(1_000_000)): Promise<MemoryPool> {
     logged = []
-    const guarded = createGuardedServer({}, { maxConnections, pool }, (event, fields) => void logged.push({ event, ...fields }))
+    counts.clear()
+    const guarded = createGuardedServer({}, { maxConnections, pool, metrics: { countConnectionsClosed: (reason, count) => void (counts.set(reason, (counts.get(reason) ?? 0) + count)) } }, (event, fields) => void logged.push({ event, ...fields }))
     server = guarded.server
     server.on('request', (_message, response) => void open.push(response))
     server.listen(0, '127.0.0.1')
@@ -118,6 +120,7 @@
     await expect.poll(() => open.length).toBe(2)
     expect(busy.destroyed).toBe(false)
     await expect.poll(() => logged).toContainEqual(expect.objectContaining({ event: 'connections-closed', reason: CloseReason.IdleAtLimit, count: 1 }))
+    expect(counts).toEqual(new Map([[CloseReason.IdleAtLimit, 1]]))
   })
 
   test('does not accept a connection if all others have requests', async () => {
--- a/test/connection/caller-server.test.ts
+++ b/test/connection/caller-server.test.ts
@@ -35,7 +35,7 @@
     },
   }
   server = createCallerServer({
-    limits: { connections: { maxConnections: 1000, pool: new MemoryPool(1_000_000) }, bodies: new MemoryPool(1_000_000), maxBodyBytes: 1000, bodyTimeoutMs: 1000, writeTimeoutMs: 1000 },
+    limits: { connections: { maxConnections: 1000, pool: new MemoryPool(1_000_000), metrics: { countConnectionsClosed: () => {} } }, bodies: new MemoryPool(1_000_000), maxBodyBytes: 1000, bodyTimeoutMs: 1000, writeTimeoutMs: 1000 },
     configuration: { get: () => ACCOUNT } as unknown as Configuration,
     service: service as CallerService,
     answerOperations: async () => false,
--- a/test/connection/entry-peers.test.ts
+++ b/test/connection/entry-peers.test.ts
@@ -37,7 +37,7 @@
   incarnation = INCARNATION
   losses = 0
   calls = 0
-  server = await PeerServer.listen({ key: KEY, host: '127.0.0.1', port: 0, connections: { maxConnections: 100, pool: new MemoryPool(1_000_000) } })
+  server = await PeerServer.listen({ key: KEY, host: '127.0.0.1', port: 0, connections: { maxConnections: 100, pool: new MemoryPool(1_000_000), metrics: { countConnectionsClosed: () => {} } } })
   const service = {
     heartbeat: () => ({ incarnation, name: 'entry-2', offset: 0 }),
     forward: () => answer('{}'),
