The last gateway refuses new requests before it decides to end

Cause: while no other gateway serves, the times from which a stop refuses and from which it may end were the same, so that a count of no unanswered requests ended the stop while new ones were still accepted. The process read its connections for another 50 ms and for as long as the last log lines took.

Two rows of drain-plan.test.ts show the decision; both fail before.

Change: a stop ends only after a check that found new requests refused and all others answered. From the refusal on the count can only fall, so what is counted last is what is left at the exit, whatever delays it. The end closes the listener, and what still arrives is refused as not run.

--- a/packages/gateway/src/process/drain/drain-clients.ts
+++ b/packages/gateway/src/process/drain/drain-clients.ts
@@ -10,19 +10,25 @@
 /** Interval of the checks of requests in flight; delays the exit by at most this much. */
 const DRAIN_CHECK_INTERVAL_MS = 50
 
-/** Serves clients until the drain plan allows the process to end. */
-export async function drainClients(clients: ClientServer, gracePeriodMs: number, othersServe: () => boolean): Promise<void> {
+/** The server for clients, as far as its shutdown needs it. */
+export type DrainedClients = Pick<ClientServer, 'activeRequests' | 'beginDrain' | 'rejectNew' | 'close'>
+
+/** Serves clients until the drain plan allows the process to end; from then on, no request is accepted. */
+export async function drainClients(clients: DrainedClients, gracePeriodMs: number, othersServe: () => boolean): Promise<void> {
   const startedAt = performance.now()
   clients.beginDrain()
-  let step = DrainStep.Serve
-  while (step !== DrainStep.End) {
+  let isRefusing = false
+  for (;;) {
     const elapsedMs = performance.now() - startedAt
-    step = decideDrainStep({ elapsedMs, activeRequests: clients.activeRequests, gracePeriodMs, othersServe: othersServe() })
+    const step = decideDrainStep({ elapsedMs, isRefusing, activeRequests: clients.activeRequests, gracePeriodMs, othersServe: othersServe() })
+    if (step === DrainStep.End)
+      return clients.close()
     // Both repeated at each check, to also close connections that have become idle since.
     if (step === DrainStep.Refuse)
       clients.rejectNew()
     if (step === DrainStep.Close)
       clients.close()
+    isRefusing ||= step !== DrainStep.Serve
     await wait(DRAIN_CHECK_INTERVAL_MS)
   }
 }
--- a/packages/gateway/src/process/drain/drain-plan.ts
+++ b/packages/gateway/src/process/drain/drain-plan.ts
@@ -2,20 +2,22 @@
  * Decides when a gateway that was asked to stop refuses new requests, closes its
  * listener and ends.
  *
- * Inputs: milliseconds since SIGTERM, unanswered requests, whether another
- * gateway serves (all as of now, the last by heartbeats), and the grace period of
- * the settings (ms).
+ * Inputs: milliseconds since SIGTERM, whether new requests are refused already,
+ * unanswered requests, whether another gateway serves (all as of now, the last by
+ * heartbeats), and the grace period of the settings (ms).
  * Rule: report not ready at once, but serve for DRAIN_SERVE_MS; then refuse new
  * requests, close the listener after DRAIN_CLOSE_MS, and end when all requests
  * are answered. While no other gateway serves, serve for DRAIN_SERVE_ALONE_MS and
- * keep the listener open until the end. End at the latest END_MARGIN_MS before
- * the end of the grace period.
+ * keep the listener open until the end. Without a check that found new requests
+ * refused and all others answered, end only END_MARGIN_MS before the end of the
+ * grace period.
  * Why: the platform's load balancer detects only by its checks that this gateway
  * is not ready, and clients continue to use persistent connections. Refusing at
  * once would fail requests that can still be served. Serving longer delays the
  * restart, so that several gateways would be away at the same time in a rolling
  * restart. A closed listener helps only if the next connection reaches another
- * gateway.
+ * gateway. A request that is accepted after the last one was counted would be cut
+ * off, since the process still reads connections until it exits.
  * The process exits once its log lines are written, and no later than
  * EXIT_MARGIN_MS before SIGKILL.
  * Log events: `stop`, `stopped`.
@@ -65,6 +67,8 @@
 export interface DrainState {
   /** Since SIGTERM. */
   elapsedMs: number
+  /** Whether new requests are refused, so that the number of unanswered ones only falls. */
+  isRefusing: boolean
   /** Unanswered requests. */
   activeRequests: number
   /** From SIGTERM to SIGKILL. */
@@ -84,11 +88,11 @@
 }
 
 /** Decides the current step of a shutdown. */
-export function decideDrainStep({ elapsedMs, activeRequests, gracePeriodMs, othersServe }: DrainState): DrainStep {
-  const mayEnd = elapsedMs >= (othersServe ? DRAIN_CLOSE_MS : DRAIN_SERVE_ALONE_MS)
-  if (elapsedMs >= latestEndMs(gracePeriodMs) || (mayEnd && activeRequests === 0))
+export function decideDrainStep({ elapsedMs, isRefusing, activeRequests, gracePeriodMs, othersServe }: DrainState): DrainStep {
+  const isOver = elapsedMs >= (othersServe ? DRAIN_CLOSE_MS : DRAIN_SERVE_ALONE_MS)
+  if (elapsedMs >= latestEndMs(gracePeriodMs) || (isOver && isRefusing && activeRequests === 0))
     return DrainStep.End
-  if (othersServe && mayEnd)
+  if (othersServe && isOver)
     return DrainStep.Close
   const serveMs = othersServe ? DRAIN_SERVE_MS : DRAIN_SERVE_ALONE_MS
   return elapsedMs >= serveMs ? DrainStep.Refuse : DrainStep.Serve
--- a/test/gateway/drain-plan.test.ts
+++ b/test/gateway/drain-plan.test.ts
@@ -1,5 +1,5 @@
-import { decideDrainStep, DRAIN_CLOSE_MS, DRAIN_SERVE_ALONE_MS, DRAIN_SERVE_MS, DrainStep, latestEndMs } from '@eidermast/gateway'
-import { describe, expect, test } from 'vitest'
+import { decideDrainStep, DRAIN_CLOSE_MS, DRAIN_SERVE_ALONE_MS, DRAIN_SERVE_MS, drainClients, DrainStep, latestEndMs } from '@eidermast/gateway'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 
 const GRACE_PERIOD_MS = 8000
 /**
@@ -9,6 +9,8 @@
 const UNCONDITIONAL_AFTER_MS = 3000
 /** Allowance for the handling of SIGTERM, which takes up to 126 ms. */
 const SIGNAL_MS = 150
+/** Checks of a drain before it refuses new requests, and one more. */
+const CHECKS_WHILE_SERVING = 48
 
 describe('a gateway that shuts down', () => {
   test.each([
@@ -20,7 +22,7 @@
     ['continues while a request is unanswered', latestEndMs(GRACE_PERIOD_MS) - 1, 1, DrainStep.Close],
     ['ends before the grace period is over, regardless of requests in flight', latestEndMs(GRACE_PERIOD_MS), 1, DrainStep.End],
   ])('%s', (_name, elapsedMs, activeRequests, step) => {
-    expect(decideDrainStep({ elapsedMs, activeRequests, gracePeriodMs: GRACE_PERIOD_MS, othersServe: true })).toBe(step)
+    expect(decideDrainStep({ elapsedMs, isRefusing: true, activeRequests, gracePeriodMs: GRACE_PERIOD_MS, othersServe: true })).toBe(step)
   })
 
   test.each([
@@ -30,11 +32,19 @@
     ['ends when all requests are answered, to restart soon', DRAIN_SERVE_ALONE_MS, 0, DrainStep.End],
     ['ends before the grace period is over, regardless of requests in flight', latestEndMs(GRACE_PERIOD_MS), 1, DrainStep.End],
   ])('without another serving gateway %s', (_name, elapsedMs, activeRequests, step) => {
-    expect(decideDrainStep({ elapsedMs, activeRequests, gracePeriodMs: GRACE_PERIOD_MS, othersServe: false })).toBe(step)
+    expect(decideDrainStep({ elapsedMs, isRefusing: true, activeRequests, gracePeriodMs: GRACE_PERIOD_MS, othersServe: false })).toBe(step)
+  })
+
+  // Guards against an end that is decided while requests are still accepted.
+  test.each([
+    ['with another serving gateway', DRAIN_CLOSE_MS, true, DrainStep.Close],
+    ['without one', DRAIN_SERVE_ALONE_MS, false, DrainStep.Refuse],
+  ])('refuses new requests before it ends, %s', (_name, elapsedMs, othersServe, step) => {
+    expect(decideDrainStep({ elapsedMs, isRefusing: false, activeRequests: 0, gracePeriodMs: GRACE_PERIOD_MS, othersServe })).toBe(step)
   })
 
   test('ends within a grace period that is shorter than its plan', () => {
-    expect(decideDrainStep({ elapsedMs: 1000, activeRequests: 1, gracePeriodMs: 1000, othersServe: true })).toBe(DrainStep.End)
+    expect(decideDrainStep({ elapsedMs: 1000, isRefusing: true, activeRequests: 1, gracePeriodMs: 1000, othersServe: true })).toBe(DrainStep.End)
   })
 
   test('accepts no request that must be answered in full but may be cut off', () => {
@@ -46,3 +56,35 @@
     expect(DRAIN_SERVE_MS).toBeLessThan(DRAIN_CLOSE_MS)
   })
 })
+
+describe('the drain of a gateway', () => {
+  beforeEach(() => void vi.useFakeTimers())
+  afterEach(() => void vi.useRealTimers())
+
+  // Guards against requests that are accepted after the last check found none unanswered.
+  test.each<[string, (check: number) => boolean]>([
+    ['another gateway serves', () => true],
+    ['no other gateway serves', () => false],
+    ['the last other gateway leaves meanwhile', check => check < CHECKS_WHILE_SERVING],
+    ['another gateway comes back meanwhile', check => check >= CHECKS_WHILE_SERVING],
+    ['another gateway is seen at every second check', check => check % 2 === 0],
+  ])('counts the unanswered requests for the last time after it has refused new ones if %s', async (_name, othersServe) => {
+    const calls: string[] = []
+    const clients = {
+      get activeRequests() {
+        calls.push('count')
+        return 0
+      },
+      beginDrain: () => {},
+      rejectNew: () => void calls.push('reject'),
+      close: () => void calls.push('reject'),
+    }
+    let checks = 0
+    const drained = drainClients(clients, GRACE_PERIOD_MS, () => othersServe(checks++))
+    await vi.advanceTimersByTimeAsync(GRACE_PERIOD_MS)
+    await drained
+    expect(calls.indexOf('reject')).toBeGreaterThan(0)
+    expect(calls.indexOf('reject')).toBeLessThan(calls.lastIndexOf('count'))
+    expect(calls.at(-1)).toBe('reject')
+  })
+})
