Requests that still wait when a gateway's stop ends get an answer

Cause: a stop knew only the number of unanswered requests. At its last moment the process exited over them, though it could say of each that it has not run, or that its outcome is unknown.

Change: the server for clients keeps its open requests; 0.2 s before the end each whose answer has not begun is aborted with a reason of its own and answered: 503 if it has not run, 502 if it was sent. Every wait obeys this signal already, since clients may leave. Requests that wait while another gateway serves, and are due after the end, are rejected as soon as the listener is closed: they start at once elsewhere. Two rows of drain-plan.test.ts named the step just before the end; they name the new step there, and the earlier step up to it.

--- a/packages/gateway/src/connection/clients/client-request.ts
+++ b/packages/gateway/src/connection/clients/client-request.ts
@@ -5,6 +5,7 @@
 import type { ReadLateness } from '@eidermast/common'
 import type { ClientRequestHead } from './client-codec.js'
 import type { ClientResponse } from './client-response.js'
+import type { RequestProgress } from './request-progress.js'
 
 /** A request that was read completely. */
 export interface ClientRequest {
@@ -29,6 +30,10 @@
 export interface RequestHandler {
   /** When a request has to be answered, on the monotonic clock in milliseconds; undefined if no route serves it. */
   deadlineOf: (request: ArrivingRequest) => number | undefined
-  /** Sends exactly one response, or cuts it off; the signal is aborted when the client disconnects. */
-  serve: (request: ClientRequest, response: ClientResponse, signal: AbortSignal) => Promise<void>
+  /**
+   * Sends exactly one response, or cuts it off. The signal is aborted when the
+   * client disconnects, and with a `GatewayStoppingError` when the process ends;
+   * the request is then answered at once.
+   */
+  serve: (request: ClientRequest, response: ClientResponse, signal: AbortSignal, progress: RequestProgress) => Promise<void>
 }
--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -1,8 +1,7 @@
 /**
  * HTTP/1.1 server for clients: reads requests, passes them to the request path,
  * and shuts down gracefully. Owns the listener, the client connections, the
- * answers that are being written and the number of requests in flight. If the
- * process dies, connections break and the platform's load balancer sends new
+ * answers that are being written and the requests in flight. If the process dies, connections break and the platform's load balancer sends new
  * requests to other gateways.
  */
 import type { ConnectionLimits, EventLog, RequestError } from '@eidermast/common'
@@ -20,6 +19,7 @@
 import { BodyRoom } from './body-room.js'
 import { ClientTransfers } from './client-transfers.js'
 import { HttpClientResponse } from './http-client-response.js'
+import { OpenRequest } from './open-request.js'
 import { endReadBy } from './read-deadline.js'
 import { readRequest } from './request-reader.js'
 
@@ -38,6 +38,9 @@
  */
 const LISTEN_BACKLOG = 1024
 
+/** Errors of requests whose body is discarded as it comes. */
+const DISCARDED_BODY_KINDS: ReadonlySet<ErrorKind> = new Set([ErrorKind.Overloaded, ErrorKind.Stopping])
+
 /** Dependencies of the server. */
 export interface ClientServerDependencies {
   handler: RequestHandler
@@ -56,7 +59,8 @@
   /** Undefined without a limit on held bytes: then no client is cut off. */
   private readonly transfers: ClientTransfers | undefined
   private limits = DEFAULT_LIMITS
-  private active = 0
+  /** Requests in flight, until their answers are written. */
+  private readonly open = new Set<OpenRequest>()
   private draining = false
   private refusing = false
 
@@ -78,7 +82,7 @@
 
   /** Number of requests in flight, until their answers are written. */
   get activeRequests(): number {
-    return this.active
+    return this.open.size
   }
 
   /** For how long connections that are accepted now have waited at least, in milliseconds. */
@@ -105,6 +109,14 @@
     this.server.closeIdleConnections()
   }
 
+  /** Ends requests in flight before their answers; each one gets the error of a request that ends with the process. */
+  endRequests(isEnded: (request: OpenRequest) => boolean): void {
+    for (const request of this.open) {
+      if (isEnded(request))
+        request.stop()
+    }
+  }
+
   /** Closes the listener and idle connections; responses in flight are completed. */
   close(): void {
     this.refusing = true
@@ -123,7 +135,6 @@
     // The connection was answered by `rejectMalformed`; a 408 promises that what arrives after it does not run.
     if (message.socket.writableEnded)
       return message.socket.destroySoon()
-    this.active++
     const closed = new Promise(resolve => response.once('close', resolve))
     const arrivedAt = this.listenerQueue.arrivalOf(message.socket)
     const lateness = this.listenerQueue.latenessOf(arrivedAt)
@@ -133,14 +144,16 @@
     const holding = held.open(message.socket)
     const clientResponse = new HttpClientResponse(response, codec, requestId, holding, () => this.draining)
     const endTracking = this.transfers?.trackAnswer(clientResponse)
-    const signal = createDisconnectSignal(response)
+    const request = new OpenRequest(clientResponse)
+    this.open.add(request)
+    handleDisconnect(response, () => request.disconnect())
     response.on('close', () => {
       endTracking?.()
       holding.closeAnswer()
     })
     try {
-      const room = new BodyRoom(holding, signal, log)
-      await this.serve(message, { head, limits: this.limits, refusing: this.refusing, arrivedAt, lateness, room }, clientResponse, signal)
+      const room = new BodyRoom(holding, request.signal, log)
+      await this.serve(message, { head, limits: this.limits, refusing: this.refusing, arrivedAt, lateness, room }, clientResponse, request)
     }
     catch (error) {
       this.handleInternalError(error, clientResponse)
@@ -148,16 +161,17 @@
     finally {
       holding.endCall()
       await closed
-      this.active--
+      this.open.delete(request)
     }
   }
 
-  private async serve(message: IncomingMessage, context: ReadContext, clientResponse: HttpClientResponse, signal: AbortSignal): Promise<void> {
+  private async serve(message: IncomingMessage, context: ReadContext, clientResponse: HttpClientResponse, open: OpenRequest): Promise<void> {
+    open.deadlineAt = this.deadlineOf(message, context)
     const reading = this.transfers?.readRequest(message, context) ?? readRequest(message, context)
-    const request = await endReadBy(this.deadlineOf(message, context), reading)
+    const request = await endReadBy(open.deadlineAt, open.signal, reading)
     if (request?.isOk())
-      await this.dependencies.handler.serve(request.value, clientResponse, signal)
-    else if (request?.isErr() && request.error.kind === ErrorKind.Overloaded)
+      await this.dependencies.handler.serve(request.value, clientResponse, open.signal, open)
+    else if (request?.isErr() && DISCARDED_BODY_KINDS.has(request.error.kind))
       this.refuseUnread(message, request.error, clientResponse)
     else if (request?.isErr())
       clientResponse.reject(request.error)
@@ -169,7 +183,7 @@
     return deadlineAt ?? arrivedAt + UNROUTED_BODY_MS
   }
 
-  /** Refuses a request for lack of room. Its body is discarded as it comes: closing its connection now could cost its client the answer. */
+  /** Refuses a request that its client may send elsewhere or later. Its body is discarded as it comes: closing its connection now could cost its client the answer. */
   private refuseUnread(message: IncomingMessage, error: RequestError, clientResponse: HttpClientResponse): void {
     clientResponse.fail(error)
     message.resume()
@@ -193,15 +207,13 @@
   }
 }
 
-/** A signal that is aborted when the client disconnects before the response is complete. */
-function createDisconnectSignal(response: ServerResponse): AbortSignal {
-  const disconnect = new AbortController()
+/** Calls back when the client disconnects before the response is complete. */
+function handleDisconnect(response: ServerResponse, onDisconnect: () => void): void {
   response.on('close', () => {
     if (!response.writableFinished)
-      disconnect.abort()
+      onDisconnect()
   })
-  response.on('error', () => disconnect.abort())
-  return disconnect.signal
+  response.on('error', onDisconnect)
 }
 
 function statusOfParseError(error: Error): string {
--- a/packages/gateway/src/connection/clients/request-reader.ts
+++ b/packages/gateway/src/connection/clients/request-reader.ts
@@ -24,12 +24,8 @@
 import { Err, Ok } from 'ts-results-es'
 import { BodyFailureKind, readBody } from '../body-reader.js'
 import { SMALL_BYTES } from '../held/room-decision.js'
+import { errorOfStopping } from './stopping-error.js'
 
-/**
- * Retry delay for clients whose request is rejected by a gateway that is shutting
- * down. Short, since another gateway accepts the request immediately.
- */
-const STOPPING_RETRY_MS = 100
 /** Bytes in addition to a header's name and value on the wire: colon and CRLF. A space may follow the colon. */
 const HEADER_SEPARATOR_BYTES = 3
 
@@ -92,7 +88,7 @@
   if (headBytes(message) > limits.maxHeaderBytes)
     return Err(createError(ErrorKind.HeadersTooLarge, `request line and headers exceed the limit of ${limits.maxHeaderBytes} bytes`))
   if (refusing)
-    return Err(createError(ErrorKind.Stopping, 'the gateway is shutting down; retry the request', { retryAfterMs: STOPPING_RETRY_MS }))
+    return Err(errorOfStopping())
   return Ok(head.value)
 }
 
--- a/packages/gateway/src/process/drain/drain-plan.ts
+++ b/packages/gateway/src/process/drain/drain-plan.ts
@@ -10,7 +10,8 @@
  * are answered. While no other gateway serves, serve for DRAIN_SERVE_ALONE_MS and
  * keep the listener open until the end. Without a check that found new requests
  * refused and all others answered, end only END_MARGIN_MS before the end of the
- * grace period.
+ * grace period; ANSWER_MARGIN_MS before that, answer the requests that are left
+ * (`unanswered-requests.ts`).
  * Why: the platform's load balancer detects only by its checks that this gateway
  * is not ready, and clients continue to use persistent connections. Refusing at
  * once would fail requests that can still be served. Serving longer delays the
@@ -49,6 +50,12 @@
 /** Time to write the last log lines before SIGKILL; requests that are still unanswered are cut off this much earlier. */
 const END_MARGIN_MS = 400
 
+/**
+ * Time from the last answers to unanswered requests until the process ends, in
+ * which their work is ended and the answers are written.
+ */
+const ANSWER_MARGIN_MS = 200
+
 /** Time for the process to exit after the last log lines, before SIGKILL. */
 const EXIT_MARGIN_MS = 100
 
@@ -59,6 +66,8 @@
   Refuse = 'refuse',
   /** The listener is closed; responses in flight continue. */
   Close = 'close',
+  /** Requests whose answers have not begun are answered. */
+  Answer = 'answer',
   /** The process ends. */
   End = 'end',
 }
@@ -82,6 +91,11 @@
   return gracePeriodMs - END_MARGIN_MS
 }
 
+/** Time from SIGTERM after which the requests are answered whose answers have not begun. */
+export function latestAnswerMs(gracePeriodMs: number): number {
+  return latestEndMs(gracePeriodMs) - ANSWER_MARGIN_MS
+}
+
 /** Time to write the last log lines, `elapsedMs` after SIGTERM. */
 export function logFlushTimeoutMs(elapsedMs: number, gracePeriodMs: number): number {
   return Math.max(0, Math.min(MAX_LOG_FLUSH_MS, gracePeriodMs - EXIT_MARGIN_MS - elapsedMs))
@@ -92,6 +106,8 @@
   const isOver = elapsedMs >= (othersServe ? DRAIN_CLOSE_MS : DRAIN_SERVE_ALONE_MS)
   if (elapsedMs >= latestEndMs(gracePeriodMs) || (isOver && isRefusing && activeRequests === 0))
     return DrainStep.End
+  if (elapsedMs >= latestAnswerMs(gracePeriodMs))
+    return DrainStep.Answer
   if (othersServe && isOver)
     return DrainStep.Close
   const serveMs = othersServe ? DRAIN_SERVE_MS : DRAIN_SERVE_ALONE_MS
--- /dev/null
+++ b/packages/gateway/src/process/drain/unanswered-requests.ts
@@ -0,0 +1,37 @@
+/**
+ * Decides which requests a stopping gateway ends before they are answered.
+ *
+ * Inputs: the step of the shutdown; whether the answer to the request has begun,
+ * whether its stage work has begun or it may have been sent to a backend server
+ * (as of now); its deadline, and when unanswered requests are answered for the
+ * last time (both monotonic clock, ms).
+ * Rule: at the last time, end every request whose answer has not begun. Once the
+ * listener is closed, because another gateway serves, also end those for which no
+ * work has begun and whose deadline is later than that time. A request that has
+ * not run is rejected as such, another one ends with an unknown outcome.
+ * Why: the end of a connection tells its client nothing. A request that still
+ * waits while another gateway serves starts there at once, and here may be cut
+ * off. Work that has begun would be lost, and a request that is due before the
+ * last time gets its answer here by then.
+ * Log event: `request-ended` (`stopping`, or `outcome-unknown`).
+ */
+import { DrainStep } from './drain-plan.js'
+
+/** State of a request that is not answered completely. */
+export interface OpenRequestState {
+  /** Whether its answer has begun. */
+  isAnswered: boolean
+  /** Whether its stage work has begun, or it may have been sent to a backend server. */
+  isBegun: boolean
+  /** Monotonic clock, in milliseconds. */
+  deadlineAt: number
+}
+
+/** Whether a request is ended now; `latestAnswerAt` is on the monotonic clock, in milliseconds. */
+export function isEndedByStop({ isAnswered, isBegun, deadlineAt }: OpenRequestState, step: DrainStep, latestAnswerAt: number): boolean {
+  if (isAnswered)
+    return false
+  if (step === DrainStep.Answer)
+    return true
+  return step === DrainStep.Close && !isBegun && deadlineAt > latestAnswerAt
+}
--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -335,7 +335,10 @@
       inputs: this.handles,
       lastEventId: this.lastEventId,
       usedConnections: this.usedConnections,
-      onSent: () => this.retry?.spend(),
+      onSent: () => {
+        this.retry?.spend()
+        this.subject.onSent?.()
+      },
     }
   }
 
--- a/packages/gateway/src/request/attempts/run-subject.ts
+++ b/packages/gateway/src/request/attempts/run-subject.ts
@@ -48,8 +48,10 @@
   request: RoutedRequest
   inputs: RunInputs
   clientResponse: ClientResponse
-  /** Aborts when the client disconnects. */
+  /** Aborts when the client disconnects, and when the process ends. */
   signal: AbortSignal
+  /** Called just before the first byte of an attempt is sent. @default nothing */
+  onSent?: () => void
   /** Waits for room after a full backend server refused the request, or resolves with the error of its refusal. @default does not wait */
   awaitRoom?: () => Promise<Result<void, RequestError>>
 }
--- a/packages/gateway/src/request/deadline-guard.ts
+++ b/packages/gateway/src/request/deadline-guard.ts
@@ -1,16 +1,18 @@
 /**
- * Decides when a request is ended whose work has not ended by its deadline, and
- * how it is answered.
+ * Decides when a request is ended whose work has not ended by its deadline, or
+ * when the process ends, and how it is answered.
  *
  * Inputs: the request's deadline (monotonic clock, ms); the step that it has
  * reached; whether its response was started, as of the deadline.
  * Rule: OVERDUE_MS after the deadline, its work is aborted and it is answered,
  * whatever the work waits for: before the attempts as one that has not run, from
- * then on as one that may have. A started response is cut off.
+ * then on as one that may have. A started response is cut off. When the process
+ * ends, aborted work has ABORT_MS to end by itself before it is answered in the
+ * same way.
  * Why: each step has a limit of its own, which leaves time for an answer that
  * says more. A step whose limit is missing or does not act would hold the client
- * beyond the time-out of the route.
- * Log event: `request-overdue` (`step`).
+ * beyond the time-out of the route, or until its connection is cut off.
+ * Log event: `request-overdue` (`step`); `request-ended` when the process ends.
  *
  * Owns the signal of the work; what the work still sends afterwards is discarded.
  */
@@ -18,10 +20,14 @@
 import type { HeaderList } from '../connection/backends/backend-client.js'
 import type { AnswerRoom, ClientResponse } from '../connection/clients/client-response.js'
 import { createError, createTimeoutSignal, ErrorKind, Ran, TIMEOUT_ERROR } from '@eidermast/common'
+import { errorOfStopped, isStopping } from '../connection/clients/stopping-error.js'
 
 /** Time for the limits of the steps to act first. Clients wait that much longer than the time-out of the route. */
 const OVERDUE_MS = 150
 
+/** Time for aborted work to end by itself, which tells exactly whether a request has run. */
+const ABORT_MS = 50
+
 /** Steps of the work on a request. */
 export enum RequestStep {
   /** Whether and where it may run is found out. */
@@ -35,7 +41,7 @@
 
 /** What the work on a request gets. */
 export interface GuardedWork {
-  /** Aborts when the client disconnects, and when the request is overdue. */
+  /** Aborts when the client disconnects, when the request is overdue, and when the process ends. */
   signal: AbortSignal
   clientResponse: ClientResponse
   /** Records that the work has reached a step. */
@@ -53,31 +59,43 @@
   /** On the monotonic clock, in milliseconds. */
   deadlineAt: number
   clientResponse: ClientResponse
-  /** Aborts when the client disconnects. */
+  /** Aborts when the client disconnects, and when the process ends. */
   signal: AbortSignal
 }
 
-/** Runs the work on a request; resolves with its result, or with how the request ends once it is overdue. */
+/** How the work on a request ended: by itself, at the deadline, or with the process. */
+export type EndOfWork<Value> = { result: Value } | { overdue: OverdueRequest } | { stopped: RequestError }
+
+/** Runs the work on a request; resolves with its result, or with how the request ends once it is overdue or the process ends. */
 export async function runUntilOverdue<Value>(
   { deadlineAt, clientResponse, signal }: LimitedRequest,
   work: (guarded: GuardedWork) => Promise<Value>,
-): Promise<{ result: Value } | { overdue: OverdueRequest }> {
+): Promise<EndOfWork<Value>> {
   const limited = createTimeoutSignal(Math.max(1, deadlineAt + OVERDUE_MS - performance.now()), signal)
   const response = new ClosableResponse(clientResponse)
   let step = RequestStep.Accept
-  const overdue = new Promise<{ overdue: OverdueRequest }>((resolve) => {
-    limited.signal.addEventListener('abort', () => {
-      if (limited.signal.reason?.name !== TIMEOUT_ERROR)
-        return
+  let abortTimer: NodeJS.Timeout | undefined
+  const ended = new Promise<EndOfWork<Value>>((resolve) => {
+    const end = (how: EndOfWork<Value>): void => {
       response.close()
-      resolve({ overdue: { step, error: errorOfOverdue(step) } })
-    })
+      resolve(how)
+    }
+    const handleAbort = (): void => {
+      if (limited.signal.reason?.name === TIMEOUT_ERROR)
+        end({ overdue: { step, error: errorOfOverdue(step) } })
+      else if (isStopping(limited.signal))
+        abortTimer = setTimeout(() => end({ stopped: errorOfStopped(step === RequestStep.Attempts ? Ran.Unknown : Ran.None) }), ABORT_MS)
+    }
+    if (limited.signal.aborted)
+      handleAbort()
+    limited.signal.addEventListener('abort', handleAbort)
   })
   const working = work({ signal: limited.signal, clientResponse: response, reach: reached => void (step = reached) })
   try {
-    return await Promise.race([working.then(result => ({ result })), overdue])
+    return await Promise.race([working.then(result => ({ result })), ended])
   }
   finally {
+    clearTimeout(abortTimer)
     limited.dispose()
   }
 }
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -8,6 +8,7 @@
 import type { Result } from 'ts-results-es'
 import type { ArrivingRequest, ClientRequest, RequestHandler } from '../connection/clients/client-request.js'
 import type { ClientResponse } from '../connection/clients/client-response.js'
+import type { RequestProgress } from '../connection/clients/request-progress.js'
 import type { PreparationFailure, PreparationRequest, PreparedInputs, Preparer } from '../connection/peers/preparation.js'
 import type { ConfigurationHolder } from '../version/configuration-holder.js'
 import type { AccountShares, Demand } from './admission/account-shares.js'
@@ -23,6 +24,7 @@
 import type { StartGate } from './start-wait.js'
 import { createError, createTimeoutSignal, ErrorKind, LateRequests } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
+import { errorOfStopped, isStopping } from '../connection/clients/stopping-error.js'
 import { DemandEnd } from './admission/account-shares.js'
 import { NO_INPUTS } from './attempts/run-subject.js'
 import { RequestStep, runUntilOverdue } from './deadline-guard.js'
@@ -78,36 +80,37 @@
     return this.router.deadlineOf(request)
   }
 
-  /** Answers a request; the signal aborts when its client disconnects. */
-  async serve(request: ClientRequest, clientResponse: ClientResponse, signal: AbortSignal): Promise<void> {
+  /** Answers a request; the signal aborts when its client disconnects, and when the process ends. */
+  async serve(request: ClientRequest, clientResponse: ClientResponse, signal: AbortSignal, progress: RequestProgress): Promise<void> {
     if (!this.dependencies.startGate.isOpen)
       await this.dependencies.startGate.wait(decideStartWaitMs(request.head.deadlineMs, this.dependencies.maxStartWaitMs), signal)
     const routed = await this.route(request)
     if (routed.isErr())
       return this.finish(request, undefined, clientResponse, { error: routed.error })
     const { deadlineAt, route } = routed.value
+    progress.deadlineAt = deadlineAt
     if (performance.now() >= deadlineAt)
       return this.finish(request, route.name, clientResponse, { error: errorOfExpired(performance.now() - request.arrivedAt) })
     const lateError = this.checkLateness(routed.value)
     if (lateError)
       return this.finish(request, route.name, clientResponse, { error: lateError })
-    const ended = await runUntilOverdue({ deadlineAt, clientResponse, signal }, work => this.acceptAndRun(routed.value, work))
+    const ended = await runUntilOverdue({ deadlineAt, clientResponse, signal }, work => this.acceptAndRun(routed.value, work, progress))
     if ('overdue' in ended) {
       const { step, error } = ended.overdue
       this.log.requestOverdue({ requestId: request.head.requestId, route: route.name, step, overdueMs: performance.now() - deadlineAt })
       this.dependencies.metrics.countOverdue(step)
       return this.finish(request, route.name, clientResponse, { error })
     }
-    this.finish(request, route.name, clientResponse, ended.result)
+    this.finish(request, route.name, clientResponse, 'stopped' in ended ? { error: ended.stopped } : explainStop(ended.result, signal))
   }
 
   private checkLateness({ account, arrivedAt, firstEventBy, lateness }: RoutedRequest): RequestError | undefined {
     return this.lateRequests.check({ account: account?.name, allowedMs: firstEventBy - arrivedAt, lateness })
   }
 
-  private async acceptAndRun(request: RoutedRequest, work: GuardedWork): Promise<RunResult> {
+  private async acceptAndRun(request: RoutedRequest, work: GuardedWork, progress: RequestProgress): Promise<RunResult> {
     const accepted = await this.accept(request)
-    return accepted.isErr() ? { error: accepted.error } : this.run(accepted.value, work)
+    return accepted.isErr() ? { error: accepted.error } : this.run(accepted.value, work, progress)
   }
 
   /** Routes a request. It is not denied by a configuration that may have been replaced, since clients do not retry after that. */
@@ -140,14 +143,15 @@
     return refusal === undefined ? undefined : createError(ErrorKind.Quarantined, refusal)
   }
 
-  private run(request: RoutedRequest, work: GuardedWork): Promise<RunResult> {
+  private run(request: RoutedRequest, work: GuardedWork, progress: RequestProgress): Promise<RunResult> {
     if (request.route.stages.length === 0)
-      return this.admitAndRun(request, work)
+      return this.admitAndRun(request, work, progress)
+    progress.isBegun = true
     return this.prepareAndRun(request, work)
   }
 
   /** Runs a request without stages once it is admitted. */
-  private async admitAndRun(request: RoutedRequest, { clientResponse, signal, reach }: GuardedWork): Promise<RunResult> {
+  private async admitAndRun(request: RoutedRequest, { clientResponse, signal, reach }: GuardedWork, progress: RequestProgress): Promise<RunResult> {
     const { admission, returns, shares } = this.dependencies
     const demand = describeDemand(request)
     shares.recordArrival(demand)
@@ -158,7 +162,7 @@
       reach(RequestStep.Attempts)
       const result = admitted.isErr()
         ? { error: admitted.error }
-        : await this.runAdmitted(admitted.value, { request, inputs: NO_INPUTS, clientResponse, signal })
+        : await this.runAdmitted(admitted.value, { request, inputs: NO_INPUTS, clientResponse, signal, onSent: () => void (progress.isBegun = true) })
       end = endOfDemand(result)
       if (result.error?.retryAfterMs !== undefined && (end === DemandEnd.NoRoom || end === DemandEnd.OverShare))
         returns.recordRefusal(request.fingerprint, result.error.retryAfterMs, performance.now())
@@ -263,6 +267,11 @@
   return kind === ErrorKind.Unauthenticated || kind === ErrorKind.UnknownPath
 }
 
+/** A request that ended because this process ends is answered as such, by how much of it was executed. */
+function explainStop(result: RunResult, signal: AbortSignal): RunResult {
+  return result.error && isStopping(signal) ? { ...result, error: errorOfStopped(result.error.ran) } : result
+}
+
 function describeDemand({ service, account, arrivalKind }: RoutedRequest): Demand {
   return { service, account: account?.name, kind: arrivalKind }
 }
--- a/test/gateway/drain-plan.test.ts
+++ b/test/gateway/drain-plan.test.ts
@@ -1,4 +1,4 @@
-import { decideDrainStep, DRAIN_CLOSE_MS, DRAIN_SERVE_ALONE_MS, DRAIN_SERVE_MS, drainClients, DrainStep, latestEndMs } from '@eidermast/gateway'
+import { decideDrainStep, DRAIN_CLOSE_MS, DRAIN_SERVE_ALONE_MS, DRAIN_SERVE_MS, drainClients, DrainStep, isEndedByStop, latestAnswerMs, latestEndMs } from '@eidermast/gateway'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 
 const GRACE_PERIOD_MS = 8000
@@ -19,7 +19,10 @@
     ['continues while its listener is open, even without requests', DRAIN_CLOSE_MS - 1, 0, DrainStep.Refuse],
     ['closes its listener while requests are unanswered', DRAIN_CLOSE_MS, 1, DrainStep.Close],
     ['ends when its listener is closed and all requests are answered', DRAIN_CLOSE_MS, 0, DrainStep.End],
-    ['continues while a request is unanswered', latestEndMs(GRACE_PERIOD_MS) - 1, 1, DrainStep.Close],
+    ['continues while a request is unanswered', latestAnswerMs(GRACE_PERIOD_MS) - 1, 1, DrainStep.Close],
+    ['answers the requests that are left', latestAnswerMs(GRACE_PERIOD_MS), 1, DrainStep.Answer],
+    ['continues while their answers are written', latestEndMs(GRACE_PERIOD_MS) - 1, 1, DrainStep.Answer],
+    ['ends when they are written', latestAnswerMs(GRACE_PERIOD_MS) + 1, 0, DrainStep.End],
     ['ends before the grace period is over, regardless of requests in flight', latestEndMs(GRACE_PERIOD_MS), 1, DrainStep.End],
   ])('%s', (_name, elapsedMs, activeRequests, step) => {
     expect(decideDrainStep({ elapsedMs, isRefusing: true, activeRequests, gracePeriodMs: GRACE_PERIOD_MS, othersServe: true })).toBe(step)
@@ -28,7 +31,9 @@
   test.each([
     ['serves when it would otherwise refuse', DRAIN_SERVE_ALONE_MS - 1, 0, DrainStep.Serve],
     ['then refuses, and keeps its listener open', DRAIN_SERVE_ALONE_MS, 1, DrainStep.Refuse],
-    ['keeps its listener open until it ends', latestEndMs(GRACE_PERIOD_MS) - 1, 1, DrainStep.Refuse],
+    ['keeps its listener open while requests are unanswered', latestAnswerMs(GRACE_PERIOD_MS) - 1, 1, DrainStep.Refuse],
+    ['answers the requests that are left', latestAnswerMs(GRACE_PERIOD_MS), 1, DrainStep.Answer],
+    ['continues while their answers are written', latestEndMs(GRACE_PERIOD_MS) - 1, 1, DrainStep.Answer],
     ['ends when all requests are answered, to restart soon', DRAIN_SERVE_ALONE_MS, 0, DrainStep.End],
     ['ends before the grace period is over, regardless of requests in flight', latestEndMs(GRACE_PERIOD_MS), 1, DrainStep.End],
   ])('without another serving gateway %s', (_name, elapsedMs, activeRequests, step) => {
@@ -77,6 +82,7 @@
       },
       beginDrain: () => {},
       rejectNew: () => void calls.push('reject'),
+      endRequests: () => {},
       close: () => void calls.push('reject'),
     }
     let checks = 0
@@ -88,3 +94,21 @@
     expect(calls.at(-1)).toBe('reject')
   })
 })
+
+describe('a request that is unanswered while its gateway shuts down', () => {
+  const LATEST_ANSWER_AT = 7000
+  const waiting = { isAnswered: false, isBegun: false, deadlineAt: LATEST_ANSWER_AT + 1 }
+
+  test.each([
+    ['that still waits continues while the listener is open', {}, DrainStep.Refuse, false],
+    ['that still waits is ended once another gateway serves alone', {}, DrainStep.Close, true],
+    ['that is due in time continues', { deadlineAt: LATEST_ANSWER_AT }, DrainStep.Close, false],
+    ['for which work has begun continues', { isBegun: true }, DrainStep.Close, false],
+    ['that still waits is ended at last', {}, DrainStep.Answer, true],
+    ['that was due by then is ended at last', { deadlineAt: LATEST_ANSWER_AT }, DrainStep.Answer, true],
+    ['for which work has begun is ended at last', { isBegun: true }, DrainStep.Answer, true],
+    ['whose answer has begun continues', { isAnswered: true, isBegun: true }, DrainStep.Answer, false],
+  ])('%s', (_name, state, step, isEnded) => {
+    expect(isEndedByStop({ ...waiting, ...state }, step, LATEST_ANSWER_AT)).toBe(isEnded)
+  })
+})
--- a/test/gateway/proxy-request-handler.test.ts
+++ b/test/gateway/proxy-request-handler.test.ts
@@ -1,9 +1,9 @@
 import type { RequestError } from '@eidermast/common'
-import type { ClientRequest, ClientResponse, PreparationRequest, ProxyRequestHandlerDependencies, RecreationProgress, RunSubject } from '@eidermast/gateway'
+import type { ClientRequest, ClientResponse, PreparationRequest, ProxyRequestHandlerDependencies, RecreationProgress, RequestProgress, RunSubject } from '@eidermast/gateway'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { ErrorKind, NEVER_ABORTED, Ran, wait } from '@eidermast/common'
-import { ConfigurationHolder, DeadlineReturnDetector, DemandEnd, PreparationFailureKind, ProxyRequestHandler } from '@eidermast/gateway'
+import { ConfigurationHolder, DeadlineReturnDetector, DemandEnd, GatewayStoppingError, PreparationFailureKind, ProxyRequestHandler } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
 import { describe, expect, test, vi } from 'vitest'
 import { createConfiguration, createLog, createRoute, NO_CRASHES } from './support/fakes.js'
@@ -13,6 +13,10 @@
 const MAX_OVERDUE_MS = 500
 const CLIENT_RESPONSE: ClientResponse = { started: false, sendComplete: () => {}, begin: () => {}, send: async () => {}, end: () => {}, cutOff: () => {}, fail: () => {} }
 
+function createProgress(): RequestProgress {
+  return { deadlineAt: Number.POSITIVE_INFINITY, isBegun: false }
+}
+
 test('a request without stages gives back its room, and counts as ended, also if its answer cannot be sent', async () => {
   const { log } = createLog()
   const configuration = new ConfigurationHolder(() => createConfiguration({ routes: [createRoute()] }), log)
@@ -33,7 +37,7 @@
   } as unknown as ProxyRequestHandlerDependencies)
   const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: undefined, promptParts: [], stageItems: [], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
   const request: ClientRequest = { method: 'GET', path: '/a/', head, body: undefined, arrivedAt: performance.now() }
-  await expect(handler.serve(request, CLIENT_RESPONSE, new AbortController().signal)).rejects.toThrow('invalid character')
+  await expect(handler.serve(request, CLIENT_RESPONSE, new AbortController().signal, createProgress())).rejects.toThrow('invalid character')
   expect(release).toHaveBeenCalledTimes(1)
   expect(shares.recordEnd).toHaveBeenCalledWith(expect.anything(), DemandEnd.Other)
 })
@@ -58,7 +62,7 @@
     } as unknown as ProxyRequestHandlerDependencies)
     const fail = vi.fn()
     const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: 20_000, promptParts: [], stageItems: [1], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
-    void handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt: performance.now() }, { ...CLIENT_RESPONSE, fail }, new AbortController().signal)
+    void handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt: performance.now() }, { ...CLIENT_RESPONSE, fail }, new AbortController().signal, createProgress())
     for (let passed = 0; passed < TIMEOUT_MS + MAX_OVERDUE_MS; passed += 50) {
       collectGarbage()
       await wait(50)
@@ -72,7 +76,7 @@
   const never = (): Promise<never> => new Promise(() => {})
 
   /** Serves a request with some dependencies replaced; resolves with its answer and when it came after the arrival, in milliseconds. */
-  async function serve(dependencies: object, stages = STAGES, started = false): Promise<{ error: RequestError | undefined, tookMs: number, steps: string[], isAborted: boolean }> {
+  async function serve(dependencies: object, stages = STAGES, started = false, signal = NEVER_ABORTED): Promise<{ error: RequestError | undefined, tookMs: number, steps: string[], isAborted: boolean }> {
     const { log } = createLog()
     const configuration = new ConfigurationHolder(() => createConfiguration({ routes: [createRoute({ timeoutMs: TIMEOUT_MS, stages })] }), log)
     configuration.offer('', 'test')
@@ -103,7 +107,7 @@
     const arrivedAt = performance.now()
     let error: RequestError | undefined
     const response = { ...CLIENT_RESPONSE, started, fail: (sent: RequestError) => (error = sent) }
-    await handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt }, response, NEVER_ABORTED)
+    await handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt }, response, signal, createProgress())
     return { error, tookMs: performance.now() - arrivedAt, steps, isAborted }
   }
 
@@ -119,6 +123,20 @@
     expect(tookMs).toBeLessThan(TIMEOUT_MS + MAX_OVERDUE_MS)
   })
 
+  // Guards against requests that are cut off by the end of the process without an answer.
+  test.each([
+    ['is found out where it may run', ErrorKind.Stopping, Ran.None, { streams: { findOrigin: never } }, STAGES],
+    ['it waits for room', ErrorKind.Stopping, Ran.None, { admission: { admit: never } }, []],
+    ['its stages run', ErrorKind.Stopping, Ran.None, { preparer: { prepare: never, release: () => {} } }, STAGES],
+    ['it is sent', ErrorKind.OutcomeUnknown, Ran.Unknown, {}, STAGES],
+  ])('is answered when the gateway stops while %s', async (_name, kind, ran, dependencies, stages) => {
+    const controller = new AbortController()
+    setTimeout(() => controller.abort(new GatewayStoppingError()), TIMEOUT_MS / 3)
+    const { error, tookMs } = await serve(dependencies, stages, false, controller.signal)
+    expect(error).toMatchObject({ kind, ran })
+    expect(tookMs).toBeLessThan(TIMEOUT_MS)
+  })
+
   test('is cut off and its work aborted if its answer has begun', async () => {
     const { error, tookMs, isAborted } = await serve({}, [], true)
     expect({ error, isAborted }).toEqual({ error: undefined, isAborted: true })
@@ -157,7 +175,7 @@
       log,
     } as unknown as ProxyRequestHandlerDependencies)
     const head = { requestId: 'id', host: 'host.example', key: undefined, deadlineMs: 20_000, promptParts: [], stageItems: [1], stageKey: '', lastEventId: undefined, resumedRequestId: undefined, headers: [] }
-    await handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt: performance.now() - afterMs }, CLIENT_RESPONSE, new AbortController().signal)
+    await handler.serve({ method: 'GET', path: '/a/', head, body: undefined, arrivedAt: performance.now() - afterMs }, CLIENT_RESPONSE, new AbortController().signal, createProgress())
     return { work: prepare.mock.calls[1][0], isAborted }
   }
 
