The ledger of versions records an only version too

Callers saw (reported of a system like ours, shown here by a test): after all gateways were killed while one version served, and another version took its place before they were back, every stream that clients resumed was joined from both versions, with nothing in the answer to show it (ORDER).

Cause: the ledger in the store recorded a service only once it had several versions. Gateways that start after the loss of all found no record and one listed version, and took it for the one that began every stream.

Change: the coordinator writes the record of an only version as well, once for each service. A starting gateway then counts both versions and refuses what it cannot place. A test asked that nothing is written while one version serves, which was the fault; it asks for exactly one record now.

--- a/packages/gateway/src/process/versions/version-ledger.ts
+++ b/packages/gateway/src/process/versions/version-ledger.ts
@@ -1,9 +1,10 @@
 /**
  * Keeps in the platform's store which software versions of a service have served
- * within the longest life of a stream, where there are several, so that a gateway
- * that starts knows it even after all have ended. The coordinator writes a
- * service's record when the versions change, and again when a removed one can have
- * no streams left; every gateway reads the records once, at its start.
+ * within the longest life of a stream, so that a gateway that starts knows it even
+ * after all have ended. The coordinator writes a service's record when the
+ * versions change, and again when a removed one can have no streams left; every
+ * gateway reads the records once, at its start. An only version is recorded too,
+ * since another one may take its place while no gateway runs.
  *
  * Two coordinators may write for a while; the record then holds what the last one
  * knows. A record that lists too many versions costs streams that could go on.
@@ -76,7 +77,7 @@
   private async update(service: string): Promise<void> {
     const versions = this.dependencies.recentVersions(service)
     const record = JSON.stringify(versions)
-    if (this.records.get(service) === record || (versions.length < 2 && !this.records.has(service)))
+    if (this.records.get(service) === record || (versions.length === 0 && !this.records.has(service)))
       return
     try {
       await this.dependencies.store.append(VERSION_TOPIC, { key: service, value: Buffer.from(record) })
--- a/test/gateway/stream-records.test.ts
+++ b/test/gateway/stream-records.test.ts
@@ -287,10 +287,18 @@
     return ledger
   }
 
-  test('writes nothing while one version serves', async () => {
+  // Guards against streams that go on at another version that took the place of the only one while no gateway ran.
+  test('is written once while one version serves', async () => {
     const store = new FakeRecords()
     createLedger(store)
     await vi.advanceTimersByTimeAsync(5000)
+    expect(store.appended.map(({ key, value }) => [key, value.toString()])).toEqual([['model', '["v1"]']])
+  })
+
+  test('is not written while no version serves', async () => {
+    const store = new FakeRecords()
+    createLedger(store, { recentVersions: () => [] })
+    await vi.advanceTimersByTimeAsync(5000)
     expect(store.appended).toEqual([])
   })
 
@@ -299,11 +307,11 @@
     let recent = ['v1']
     createLedger(store, { recentVersions: () => recent })
     createLedger(store, { recentVersions: () => recent, isCoordinator: () => false })
-    for (const versions of [['v1', 'v2'], ['v2']]) {
+    for (const versions of [['v1'], ['v1', 'v2'], ['v2']]) {
       recent = versions
       await vi.advanceTimersByTimeAsync(2000)
     }
-    expect(store.appended.map(({ key, value }) => [key, value.toString()])).toEqual([['model', '["v1","v2"]'], ['model', '["v2"]']])
+    expect(store.appended.map(({ key, value }) => [key, value.toString()])).toEqual([['model', '["v1"]'], ['model', '["v1","v2"]'], ['model', '["v2"]']])
   })
 
   test('tells a gateway that starts which versions served', async () => {
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -61,6 +61,10 @@
     backend.respond = streamVersion(backend.softwareVersion!, () => runs++ % 3 === 0 ? 10 : Number.POSITIVE_INFINITY)
 }
 
+function unlistVersion(version: string): void {
+  deployment.ofVersion(version).forEach(backend => deployment.unlist(backend))
+}
+
 /** Whether the client had to resume the stream after its first event. */
 function isResumed({ tries }: ReceivedStream): boolean {
   return tries.some(({ resumes }) => resumes)
@@ -215,7 +219,7 @@
   test('is refused after all gateways were killed, if its version has left and another one serves alone', async () => {
     await startDeployment({ v1: EACH, v2: EACH })
     const resumed = await resumeAfter(async () => {
-      deployment.ofVersion('v1').forEach(backend => deployment.unlist(backend))
+      unlistVersion('v1')
       await deployment.waitUntilListed()
       await deployment.killAndRestart([0, 1, 2])
     }, { resumesAfterChange: true })
@@ -223,6 +227,33 @@
     expect(statusesOf(resumed)).toEqual([503])
   })
 
+  // Guards against streams that are joined from two versions after all records of them were lost in a change of versions.
+  test.each<[string, Record<string, number>, () => Promise<void>]>([
+    ['while two versions serve', { v1: EACH, v2: EACH }, async () => {}],
+    ['as its version leaves', { v1: EACH, v2: EACH }, async () => unlistVersion('v1')],
+    ['as another version takes the place of the only one', { v1: EACH }, async () => {
+      unlistVersion('v1')
+      await deployment.addBackends('v2', EACH)
+    }],
+    ['as a third version takes the place of both', { v1: EACH, v2: EACH }, async () => {
+      unlistVersion('v1')
+      unlistVersion('v2')
+      await deployment.addBackends('v3', EACH)
+    }],
+  ])('holds events of one version only, over all its tries, if all gateways are killed twice %s', async (_name, counts, change) => {
+    await startDeployment(counts)
+    for (const backend of deployment.backends.filter(({ service }) => service === 'model'))
+      backend.respond = streamVersion(backend.softwareVersion!, undefined, LONG_PAUSE_MS)
+    const running = startStreams(STREAMS)
+    await waitUntilHalfWay()
+    await Promise.all([deployment.killAndRestart([0, 1, 2]), change()])
+    await deployment.waitUntilListed()
+    await deployment.killAndRestart([0, 1, 2])
+    const resumed = (await running).filter(isResumed)
+    expect(resumed.length).toBeGreaterThan(STREAMS / 2)
+    expect(resumed.filter(isMixed)).toEqual([])
+  })
+
   test('goes on at its version if another one is first listed while its gateway is killed', async () => {
     await startDeployment({ v1: EACH })
     const resumed = await resumeAfter(async () => {
