Heads that are no response of HTTP count as broken calls

Callers saw (reported of systems like ours with the status 000, shown here for others): a backend server's status 600 or 999 reached the client as it was, with its signature; a 204 that bears a body reached it as a success without one; a request whose server sent an interim head with a length, and nothing after it, was waited on until its deadline.

Cause: the form of a head was left to the parser of the HTTP client, which accepts statuses from 100 to 999 and a body that the status excludes. 000 and five others were refused by it before.

The connection is closed and the call counts as broken, as one that may have run.

--- a/packages/daemon/src/connection/http-backend-client.ts
+++ b/packages/daemon/src/connection/http-backend-client.ts
@@ -9,6 +9,7 @@
 import type { CallError } from '../version/call-error.js'
 import type { BackendClient, BackendLoad, BackendOrderMessage, BackendResult } from './backend-client.js'
 import type { ServiceRequest, StageCall } from './messages.js'
+import { assertValidHead } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
 import { Agent, request } from 'undici'
 import { CallFailure } from '../version/call-error.js'
@@ -31,6 +32,9 @@
 /** undici's value of `pipelining` for connections that are used once. */
 const NO_KEEP_ALIVE = 0
 
+/** What a run sends. */
+type RunOptions = Pick<Dispatcher.RequestOptions, 'method' | 'headers' | 'body' | 'signal'>
+
 /** HTTP client of a backend server. */
 export class HttpBackendClient implements BackendClient {
   /** For runs and orders. */
@@ -80,12 +84,11 @@
   }
 
   private async runStage(call: StageCall, signal: AbortSignal, onToken?: (text: string) => void): Promise<BackendResult> {
-    const response = await request(`${this.url}/v1/run`, {
+    const response = await this.send('/v1/run', {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: formatRunRequest(call, onToken !== undefined),
       signal,
-      dispatcher: this.callAgent,
     })
     if (response.statusCode !== 200)
       return await readErrorResponse(response)
@@ -93,15 +96,32 @@
   }
 
   private async runService(call: StageCall, { method, path }: ServiceRequest, signal: AbortSignal): Promise<BackendResult> {
-    const response = await request(`${this.url}${path}`, {
+    const response = await this.send(path, {
       method: method as Dispatcher.HttpMethod,
       headers: { 'content-type': 'application/json', 'eidermast-request-id': call.identity.requestId },
       body: call.input === '' ? null : call.input,
       signal,
-      dispatcher: this.callAgent,
     })
     return await readServiceResponse(response, { method, address: socketAddressOf(this.url), signal })
   }
+
+  /** Sends a run; rejects if the head of its response is not valid, whose connection is then closed. */
+  private async send(path: string, options: RunOptions): Promise<Dispatcher.ResponseData> {
+    const response = await request(`${this.url}${path}`, {
+      ...options,
+      dispatcher: this.callAgent,
+      onInfo: ({ statusCode: status, headers }) => assertValidHead({ status, headers }),
+    })
+    try {
+      assertValidHead({ status: response.statusCode, headers: response.headers })
+      return response
+    }
+    catch (error) {
+      // destroy() emits an error on the body stream; without a listener, it would terminate the process.
+      response.body.on('error', () => {}).destroy()
+      throw error
+    }
+  }
 }
 
 /** `host:port` of a URL. */
--- a/packages/gateway/src/connection/backends/guarded-call.ts
+++ b/packages/gateway/src/connection/backends/guarded-call.ts
@@ -1,6 +1,7 @@
 /**
  * Sends a call to a backend server under a guard, which may refuse the call just
- * before its first byte, and its response as soon as the head has arrived. undici
+ * before its first byte, and its response as soon as the head has arrived; a head
+ * that is not valid HTTP is refused for every call. undici
  * closes the connection of a refused response at once, whatever of it has arrived:
  * closing its body does nothing if the response arrived whole, and the connection
  * would be used again while the backend server still works on the call.
@@ -10,10 +11,9 @@
 import type { Dispatcher } from 'undici'
 import type { ResponseHeaders } from './backend-notice.js'
 import type { BackendConnection, ConnectionSlot, SlottedOptions } from './connection-client.js'
+import { assertValidHead, FIRST_FINAL_STATUS } from '@eidermast/common'
 import { DecoratorHandler } from 'undici'
 
-/** First status of a final response; lower ones are interim (RFC 9110, section 15.2). */
-const FIRST_FINAL_STATUS = 200
 /**
  * Time from the first byte of a response head to its last. Servers write a head at
  * once; allows for a lost packet that is sent again.
@@ -67,6 +67,7 @@
   /** Interim responses are dropped: no caller needs them, and `DecoratorHandler` accepts one head only. */
   onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: ResponseHeaders, message?: string): void {
     clearTimeout(this.headTimer)
+    assertValidHead({ status, headers })
     if (status < FIRST_FINAL_STATUS)
       return
     this.guard.checkHead(headers)
--- a/test/connection/daemon-backend-client.test.ts
+++ b/test/connection/daemon-backend-client.test.ts
@@ -6,6 +6,9 @@
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import { createStageCall } from '../support/fixtures.js'
 
+/** Far longer than a response on the same VM takes. */
+const MAX_ANSWER_MS = 3000
+
 let server: Server
 let client: HttpBackendClient
 /** Called with each connection and the number of the request on it. */
@@ -61,6 +64,19 @@
   })
 })
 
+// Guards against heads that are no response, taken for one or waited on until the deadline.
+test.each([
+  ['the status 000', 'HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n'],
+  ['the status 101', 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n'],
+  ['the status 199 and a length', 'HTTP/1.1 199 OK\r\nContent-Length: 0\r\n\r\n'],
+  ['the status 204 and a body', 'HTTP/1.1 204 No Content\r\nContent-Length: 6\r\n\r\nanswer'],
+  ['the status 600', 'HTTP/1.1 600 Unknown\r\nContent-Length: 6\r\n\r\nanswer'],
+])('the response of a plain service with %s is none', async (_name, head) => {
+  respond = socket => socket.write(head)
+  const result = await callService(AbortSignal.timeout(MAX_ANSWER_MS))
+  expect(result).toMatchObject({ outcome: BackendOutcome.Lost, output: '' })
+})
+
 describe('a backend server that sends without end', () => {
   const BLOCK = 'x'.repeat(1_000_000)
 
