Bodies that wait for room keep fewer bytes outside of the account

Cause: bytes that no account counts. The HTTP client read 64 KiB of each body ahead of its reader, and a part of a chunked body kept the whole buffer in which it was received.

Change: 16 KiB are read ahead, and a part that keeps a much larger buffer is copied.

--- a/packages/gateway/src/connection/backends/guarded-call.ts
+++ b/packages/gateway/src/connection/backends/guarded-call.ts
@@ -20,6 +20,12 @@
  */
 const MAX_HEAD_MS = 1000
 
+/**
+ * Bytes of a body that undici reads ahead of its reader. Bounds the memory of
+ * bodies that wait for room, on all connections together.
+ */
+const MAX_UNREAD_BODY_BYTES = 16_384
+
 /** Checks of one call. */
 export interface CallGuard {
   /**
@@ -36,7 +42,7 @@
 export function sendGuarded(dispatcher: Dispatcher, options: Dispatcher.RequestOptions, guard: CallGuard): Promise<Dispatcher.ResponseData> {
   const slot: ConnectionSlot = {}
   const guarded = dispatcher.compose(dispatch => (call, handler) => dispatch(call, new GuardedHandler(handler, guard, slot)))
-  const slotted: Dispatcher.RequestOptions & SlottedOptions = { ...options, slot }
+  const slotted: Dispatcher.RequestOptions & SlottedOptions = { ...options, slot, highWaterMark: MAX_UNREAD_BODY_BYTES }
   return guarded.request(slotted)
 }
 
--- a/packages/gateway/src/request/responses/response-relay.ts
+++ b/packages/gateway/src/request/responses/response-relay.ts
@@ -9,6 +9,7 @@
 import type { BackendResponse } from '../../connection/backends/backend-client.js'
 import type { AnswerRoom, ClientResponse } from '../../connection/clients/client-response.js'
 import type { Probe } from './stall-detector.js'
+import { Buffer } from 'node:buffer'
 import { formatError } from '@eidermast/common'
 import { Err, Ok } from 'ts-results-es'
 import { MAX_BUFFERED_RESPONSE_BYTES } from '../../connection/held/room-decision.js'
@@ -17,6 +18,9 @@
 import { EventTransfer } from './event-transfer.js'
 import { StallDetector } from './stall-detector.js'
 
+/** A part of a body is copied if the buffer in which it was received is larger by this factor. */
+const MAX_BUFFER_RATIO = 1.25
+
 /** A non-streaming response that was read to its end. */
 export interface BufferedResponse {
   response: BackendResponse
@@ -83,7 +87,7 @@
       this.size += part.length
       checkSize(this.size)
       await this.claimUpTo(this.size)
-      this.parts.push(part)
+      this.parts.push(detachPart(part))
     }
   }
 
@@ -106,6 +110,11 @@
   }
 }
 
+/** Returns a part that keeps no larger buffer in memory than its own bytes, which are what is counted. */
+function detachPart(part: Buffer): Buffer {
+  return part.buffer.byteLength > part.length * MAX_BUFFER_RATIO ? Buffer.from(part) : part
+}
+
 function checkSize(bytes: number): void {
   if (bytes > MAX_BUFFERED_RESPONSE_BYTES)
     throw new Error(`response body exceeds the limit of ${MAX_BUFFERED_RESPONSE_BYTES} bytes`)
