Requests that end to arrive late in a stop are refused

Callers saw (reported of systems like ours): in a planned stop of one gateway, requests that came late in the grace period were taken and passed on, and cut at its end with no answer.

Cause: whether a request is refused was decided when its head was read. One whose body ended after the gateway began to refuse was passed on at any time until the end of the grace period.

Evidence: test/platform/stopped-requests.test.ts, a stream at the last gateway whose body ends 4.5 s after SIGTERM: it was passed on and cut off 3 s later.

Change: once new requests are refused, those that are not read to their end are refused as well, unless they are due before the end.

--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -169,6 +169,7 @@
     open.deadlineAt = this.deadlineOf(message, context)
     const reading = this.transfers?.readRequest(message, context) ?? readRequest(message, context)
     const request = await endReadBy(open.deadlineAt, open.signal, reading)
+    open.isRead = true
     if (request?.isOk())
       await this.dependencies.handler.serve(request.value, clientResponse, open.signal, open)
     else if (request?.isErr() && DISCARDED_BODY_KINDS.has(request.error.kind))
--- a/packages/gateway/src/connection/clients/open-request.ts
+++ b/packages/gateway/src/connection/clients/open-request.ts
@@ -11,6 +11,8 @@
 export class OpenRequest implements RequestProgress {
   deadlineAt = Number.POSITIVE_INFINITY
   isBegun = false
+  /** Whether it was read to its end. */
+  isRead = false
   private readonly controller = new AbortController()
 
   constructor(private readonly response: Pick<ClientResponse, 'started'>) {}
--- a/test/gateway/drain-plan.test.ts
+++ b/test/gateway/drain-plan.test.ts
@@ -97,11 +97,14 @@
 
 describe('a request that is unanswered while its gateway shuts down', () => {
   const LATEST_ANSWER_AT = 7000
-  const waiting = { isAnswered: false, isBegun: false, deadlineAt: LATEST_ANSWER_AT + 1 }
+  const waiting = { isRead: true, isAnswered: false, isBegun: false, deadlineAt: LATEST_ANSWER_AT + 1 }
 
   test.each([
     ['that still waits continues while the listener is open', {}, DrainStep.Refuse, false],
     ['that still waits is ended once another gateway serves alone', {}, DrainStep.Close, true],
+    ['that is not read yet continues while new ones are served', { isRead: false }, DrainStep.Serve, false],
+    ['that is not read yet is ended once new ones are refused', { isRead: false }, DrainStep.Refuse, true],
+    ['that is not read yet and due in time continues', { isRead: false, deadlineAt: LATEST_ANSWER_AT }, DrainStep.Refuse, false],
     ['that is due in time continues', { deadlineAt: LATEST_ANSWER_AT }, DrainStep.Close, false],
     ['for which work has begun continues', { isBegun: true }, DrainStep.Close, false],
     ['that still waits is ended at last', {}, DrainStep.Answer, true],
--- a/test/platform/stopped-requests.test.ts
+++ b/test/platform/stopped-requests.test.ts
@@ -15,6 +15,8 @@
 const CHECK_MARGIN_MS = 1500
 /** Interval between the bytes of a body that is sent slowly. */
 const BODY_INTERVAL_MS = 200
+/** Later than the time from which a gateway that is stopped refuses new requests, also as the last one. */
+const BODY_ENDS_AFTER_MS = 4500
 /** Requests that are sent on: the minimum of connections to one backend server. */
 const SENT = 2
 const WAITING = 4
@@ -133,6 +135,18 @@
     expect(backends[0].seen.filter(({ headers }) => headers['attempt-id'])).toEqual([])
   }, 20_000)
 
+  // Guards against requests that are taken late in the grace period and cut off at its end.
+  test('are refused and not run if their bodies end after it refuses new ones and they are due later than its end', async () => {
+    await start(['gateway-a'])
+    const bodyBytes = Math.ceil(BODY_ENDS_AFTER_MS / BODY_INTERVAL_MS)
+    const received = sendSlowly(`POST /stream/ HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: late\r\nDeadline-Ms: ${DEADLINE_MS}\r\nContent-Length: ${bodyBytes}\r\n\r\n`)
+    await expect.poll(() => gateways[0].gateway.clients.activeRequests, { timeout: 5000 }).toBe(1)
+    await gateways[0].gateway.drain()
+    await gateways[0].gateway.close()
+    expect(await received).toMatch(/^HTTP\/1.1 503 /)
+    expect(backends[0].seen.filter(({ headers }) => headers['attempt-id'])).toEqual([])
+  }, 20_000)
+
   test('are answered as not run before it ends while their bodies are sent', async () => {
     await start(['gateway-a'])
     const received = sendSlowly(`POST /plain/ HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: part\r\nDeadline-Ms: ${DEADLINE_MS}\r\nContent-Length: 1000\r\n\r\n`)
