An entry that stops refuses requests whose bodies end late

Callers would see: a request whose body ended after its entry had begun to refuse new ones was run, while the stop waited for requests in flight without it; its connection was closed at the end of the stop.

The entry looked at its stop before it read a body only.

Evidence: test/connection/caller-server.test.ts, "a request whose body ends after its entry refuses new ones", fails before.

Change: the stop is looked at again once the body was read, before anything of the request runs.

--- a/packages/daemon/src/connection/caller-identity.ts
+++ b/packages/daemon/src/connection/caller-identity.ts
@@ -37,7 +37,7 @@
   service: CallerService,
 ): Result<Caller, RequestError> {
   if (service.isRefusing())
-    return Err(createError(ErrorKind.Stopping, 'This entry is stopping; send the request again, and the load balancer will route it to another entry.'))
+    return Err(errorOfStopping())
   if (!service.knowsConfiguration())
     return Err(createError(ErrorKind.NotReady, 'This entry has not loaded its configuration yet; retry after the indicated delay.'))
   const parsed = parseCallerHeaders(headers)
@@ -48,6 +48,11 @@
     .mapErr(denial => errorOfDenial(denial, service.configurationFreshness))
 }
 
+/** The error of a request to an entry that is stopping. */
+export function errorOfStopping(): RequestError {
+  return createError(ErrorKind.Stopping, 'This entry is stopping; send the request again, and the load balancer will route it to another entry.')
+}
+
 /** Finds the account that a request names and whose token it has. */
 function findAccount({ account: name, tokenHash }: CallerHeaders, configuration: Configuration): Result<UsableObject<Account>, RequestError> {
   const account = configuration.get(ObjectKind.Account, name)
--- a/packages/daemon/src/connection/caller-server.ts
+++ b/packages/daemon/src/connection/caller-server.ts
@@ -17,7 +17,7 @@
 import { AnswerWriter } from './answer-writer.js'
 import { parseJson } from './answer.js'
 import { readBody } from './body-reader.js'
-import { identifyCaller } from './caller-identity.js'
+import { errorOfStopping, identifyCaller } from './caller-identity.js'
 import { CallerPathKind, hasDotSegment, parseCallerPath, requiredMethod } from './caller-path.js'
 import { errorOfDenial } from './configuration-denial.js'
 import { isRequestId } from './identity.js'
@@ -135,6 +135,9 @@
     const body = await this.readBody(request, exchange.response)
     if (body.isErr())
       return rejectRequest(exchange, body.error)
+    // The entry may have begun to stop while the body arrived.
+    if (this.options.service.isRefusing())
+      return rejectRequest(exchange, errorOfStopping())
     const callerSignal = createDisconnectSignal(exchange.response)
     await this.run(path, exchange, { caller: caller.value, body: body.value, arrivedAt: exchange.arrivedAt, lateness: exchange.lateness, callerSignal })
   }
--- a/test/connection/caller-server.test.ts
+++ b/test/connection/caller-server.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server } from 'node:net'
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
+import { connect } from 'node:net'
 import process from 'node:process'
 import { createError, ErrorKind, MemoryPool } from '@eidermast/common'
 import { createCallerServer } from '@eidermast/daemon'
@@ -22,12 +23,14 @@
 
 let server: Server
 let calls: ServiceCall[]
+let isRefusing: boolean
 
 beforeEach(async () => {
   calls = []
+  isRefusing = false
   const service: Partial<CallerService> = {
     knowsConfiguration: () => true,
-    isRefusing: () => false,
+    isRefusing: () => isRefusing,
     knowsService: () => true,
     runService: async (call) => {
       calls.push(call)
@@ -48,6 +51,20 @@
   server.close()
 })
 
+// Guards against requests that begin to run while a stopping entry waits for those in flight.
+test('a request whose body ends after its entry refuses new ones is refused and not run', async () => {
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  let received = ''
+  socket.on('data', chunk => received += chunk)
+  socket.write('POST /v1/services/plain/x HTTP/1.1\r\nHost: entry\r\nEidermast-Account: rider-app\r\nContent-Length: 2\r\n\r\n{')
+  await once(server, 'request')
+  isRefusing = true
+  socket.write('}')
+  await once(socket, 'close')
+  expect(received).toMatch(/^HTTP\/1.1 503 [\s\S]*"kind":"stopping"/)
+  expect(calls).toEqual([])
+})
+
 describe('requests to an entry that is short of processor time', () => {
   test('count from a time while their connections waited to be accepted, and never from before', async () => {
     const clients = spawn(process.execPath, ['-e', CLIENTS, String((server.address() as AddressInfo).port)])
