Names and comments of requests that end with a stop

Read as a newcomer: isAnswered said that an answer had begun, isBegun that work had. No change of behaviour; test/gateway and test/pages pass.

--- a/packages/gateway/src/connection/clients/client-server.ts
+++ b/packages/gateway/src/connection/clients/client-server.ts
@@ -1,8 +1,9 @@
 /**
  * HTTP/1.1 server for clients: reads requests, passes them to the request path,
  * and shuts down gracefully. Owns the listener, the client connections, the
- * answers that are being written and the requests in flight. If the process dies, connections break and the platform's load balancer sends new
- * requests to other gateways.
+ * answers that are being written and the requests in flight. If the process dies,
+ * connections break and the platform's load balancer sends new requests to other
+ * gateways.
  */
 import type { ConnectionLimits, EventLog, RequestError } from '@eidermast/common'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
--- a/packages/gateway/src/connection/clients/open-request.ts
+++ b/packages/gateway/src/connection/clients/open-request.ts
@@ -10,7 +10,7 @@
 /** A request on a client's connection. */
 export class OpenRequest implements RequestProgress {
   deadlineAt = Number.POSITIVE_INFINITY
-  isBegun = false
+  hasWorkBegun = false
   /** Whether it was read to its end. */
   isRead = false
   private readonly controller = new AbortController()
@@ -23,7 +23,7 @@
   }
 
   /** Whether its answer has begun. */
-  get isAnswered(): boolean {
+  get hasAnswerBegun(): boolean {
     return this.response.started
   }
 
--- a/packages/gateway/src/connection/clients/request-progress.ts
+++ b/packages/gateway/src/connection/clients/request-progress.ts
@@ -8,5 +8,5 @@
   /** When it has to be answered, on the monotonic clock in milliseconds; Infinity while not known. */
   deadlineAt: number
   /** Whether its stage work has begun, or it may have been sent to a backend server. */
-  isBegun: boolean
+  hasWorkBegun: boolean
 }
--- a/packages/gateway/src/process/drain/unanswered-requests.ts
+++ b/packages/gateway/src/process/drain/unanswered-requests.ts
@@ -10,8 +10,8 @@
  * refused, those that are not read yet; once the listener is closed, because
  * another gateway serves, those for which no work has begun. A request that has
  * not run is rejected as such, another one ends with an unknown outcome.
- * Why: the end of a connection tells its client nothing. A request that ends to
- * arrive late, or still waits while another gateway serves, may be cut off here.
+ * Why: the end of a connection tells its client nothing. A request whose last byte
+ * comes late, or that still waits while another gateway serves, may be cut off here.
  * Work that has begun would be lost, and a request that is due before the last
  * time gets its answer here by then.
  * Log event: `request-ended` (`stopping`, or `outcome-unknown`).
@@ -23,19 +23,19 @@
   /** Whether it was read to its end. */
   isRead: boolean
   /** Whether its answer has begun. */
-  isAnswered: boolean
+  hasAnswerBegun: boolean
   /** Whether its stage work has begun, or it may have been sent to a backend server. */
-  isBegun: boolean
+  hasWorkBegun: boolean
   /** Monotonic clock, in milliseconds. */
   deadlineAt: number
 }
 
 /** Whether a request is ended now; `latestAnswerAt` is on the monotonic clock, in milliseconds. */
-export function isEndedByStop({ isRead, isAnswered, isBegun, deadlineAt }: OpenRequestState, step: DrainStep, latestAnswerAt: number): boolean {
-  if (isAnswered || step === DrainStep.Serve)
+export function isEndedByStop({ isRead, hasAnswerBegun, hasWorkBegun, deadlineAt }: OpenRequestState, step: DrainStep, latestAnswerAt: number): boolean {
+  if (hasAnswerBegun || step === DrainStep.Serve)
     return false
   if (step === DrainStep.Answer)
     return true
-  const isLate = !isRead || (step === DrainStep.Close && !isBegun)
+  const isLate = !isRead || (step === DrainStep.Close && !hasWorkBegun)
   return isLate && deadlineAt > latestAnswerAt
 }
--- a/packages/gateway/src/request/proxy-request-handler.ts
+++ b/packages/gateway/src/request/proxy-request-handler.ts
@@ -146,7 +146,7 @@
   private run(request: RoutedRequest, work: GuardedWork, progress: RequestProgress): Promise<RunResult> {
     if (request.route.stages.length === 0)
       return this.admitAndRun(request, work, progress)
-    progress.isBegun = true
+    progress.hasWorkBegun = true
     return this.prepareAndRun(request, work)
   }
 
@@ -162,7 +162,7 @@
       reach(RequestStep.Attempts)
       const result = admitted.isErr()
         ? { error: admitted.error }
-        : await this.runAdmitted(admitted.value, { request, inputs: NO_INPUTS, clientResponse, signal, onSent: () => void (progress.isBegun = true) })
+        : await this.runAdmitted(admitted.value, { request, inputs: NO_INPUTS, clientResponse, signal, onSent: () => void (progress.hasWorkBegun = true) })
       end = endOfDemand(result)
       if (result.error?.retryAfterMs !== undefined && (end === DemandEnd.NoRoom || end === DemandEnd.OverShare))
         returns.recordRefusal(request.fingerprint, result.error.retryAfterMs, performance.now())
--- a/test/gateway/drain-plan.test.ts
+++ b/test/gateway/drain-plan.test.ts
@@ -97,7 +97,7 @@
 
 describe('a request that is unanswered while its gateway shuts down', () => {
   const LATEST_ANSWER_AT = 7000
-  const waiting = { isRead: true, isAnswered: false, isBegun: false, deadlineAt: LATEST_ANSWER_AT + 1 }
+  const waiting = { isRead: true, hasAnswerBegun: false, hasWorkBegun: false, deadlineAt: LATEST_ANSWER_AT + 1 }
 
   test.each([
     ['that still waits continues while the listener is open', {}, DrainStep.Refuse, false],
@@ -106,11 +106,11 @@
     ['that is not read yet is ended once new ones are refused', { isRead: false }, DrainStep.Refuse, true],
     ['that is not read yet and due in time continues', { isRead: false, deadlineAt: LATEST_ANSWER_AT }, DrainStep.Refuse, false],
     ['that is due in time continues', { deadlineAt: LATEST_ANSWER_AT }, DrainStep.Close, false],
-    ['for which work has begun continues', { isBegun: true }, DrainStep.Close, false],
+    ['for which work has begun continues', { hasWorkBegun: true }, DrainStep.Close, false],
     ['that still waits is ended at last', {}, DrainStep.Answer, true],
     ['that was due by then is ended at last', { deadlineAt: LATEST_ANSWER_AT }, DrainStep.Answer, true],
-    ['for which work has begun is ended at last', { isBegun: true }, DrainStep.Answer, true],
-    ['whose answer has begun continues', { isAnswered: true, isBegun: true }, DrainStep.Answer, false],
+    ['for which work has begun is ended at last', { hasWorkBegun: true }, DrainStep.Answer, true],
+    ['whose answer has begun continues', { hasAnswerBegun: true, hasWorkBegun: true }, DrainStep.Answer, false],
   ])('%s', (_name, state, step, isEnded) => {
     expect(isEndedByStop({ ...waiting, ...state }, step, LATEST_ANSWER_AT)).toBe(isEnded)
   })
--- a/test/gateway/proxy-request-handler.test.ts
+++ b/test/gateway/proxy-request-handler.test.ts
@@ -14,7 +14,7 @@
 const CLIENT_RESPONSE: ClientResponse = { started: false, sendComplete: () => {}, begin: () => {}, send: async () => {}, end: () => {}, cutOff: () => {}, fail: () => {} }
 
 function createProgress(): RequestProgress {
-  return { deadlineAt: Number.POSITIVE_INFINITY, isBegun: false }
+  return { deadlineAt: Number.POSITIVE_INFINITY, hasWorkBegun: false }
 }
 
 test('a request without stages gives back its room, and counts as ended, also if its answer cannot be sent', async () => {
