--- a/packages/common/src/http/response-head.ts
+++ b/packages/common/src/http/response-head.ts
@@ -27,7 +27,7 @@
 }
 
 /** A head that is no response of HTTP. */
-export class InvalidHeadError extends Error {
+class InvalidHeadError extends Error {
   constructor(reason: string) {
     super(`the response head is invalid: ${reason}`)
     this.name = 'InvalidHeadError'
