A request that is ended between two attempts is not sent again

Callers would see: a request whose client has left, or whose gateway stops, while it waits between two attempts (for a backend server to accept work, for stage results that are made again, for a crash check) was sent to the next backend server all the same, and no abort reached that call any more. At a stop such a request, which had not run, was run and got an unknown outcome.

Cause: an attempt listens for the abort of its request and does not look whether it has happened; only the first attempt looked.

Evidence: test/gateway/backend-run.test.ts, "is not sent again if it is ended meanwhile", fails before: the second backend server is called.

Change: the signal is looked at after the waits between attempts.

--- a/packages/gateway/src/request/attempts/backend-run.ts
+++ b/packages/gateway/src/request/attempts/backend-run.ts
@@ -137,6 +137,9 @@
     while (decision === RetryDecision.Proceed) {
       await this.awaitBackend()
       const next = await this.prepareAttempt()
+      // Between attempts nothing else looks at the signal.
+      if (signal.aborted)
+        return this.end(RetryDecision.Cancelled)
       if (next.isErr())
         return this.end(next.error)
       const result = await this.attempt(next.value)
--- a/test/gateway/backend-run.test.ts
+++ b/test/gateway/backend-run.test.ts
@@ -1,6 +1,6 @@
 import type { BackendCall, BackendClient, ClientResponse, RoutedRequest, RunInputs } from '@eidermast/gateway'
 import { Buffer } from 'node:buffer'
-import { ErrorKind, OutlierEjection } from '@eidermast/common'
+import { ErrorKind, OutlierEjection, Ran } from '@eidermast/common'
 import { BackendRegistry, BackendRunner, CallFailureKind, LeastLoadPolicy, NO_INPUTS, RetryBudget, RetryDecision } from '@eidermast/gateway'
 import { Err, Ok } from 'ts-results-es'
 import { describe, expect, test, vi } from 'vitest'
@@ -54,8 +54,9 @@
   const runner = new BackendRunner({ failureDomain: 'zone-a', registry, client, ejection, plainPolicy: policy, enginePolicy: policy, budget, coldStartLimiter: UNLIMITED_COLD_STARTS, intake: OPEN_INTAKE, crashes: NO_CRASHES, log, isEngine: () => false, streams: NO_STREAMS })
   const recreate = vi.fn(async () => recreateHandles(registry))
   const inputs: RunInputs = { handles: ['lost'], failureDomain: undefined, bytes: 0, engine, recreate }
-  const run = () => runner.run({ request: createRequest(), inputs, clientResponse: createClientResponse(), signal: new AbortController().signal })
-  return { run, client, budget, recreate }
+  const controller = new AbortController()
+  const run = () => runner.run({ request: createRequest(), inputs, clientResponse: createClientResponse(), signal: controller.signal })
+  return { run, client, budget, recreate, abort: () => controller.abort() }
 }
 
 describe('a request whose stage results are recreated', () => {
@@ -80,6 +81,16 @@
     expect(client.called[0]).toBe('first')
   })
 
+  // Guards against requests that are sent after they were ended.
+  test('is not sent again if it is ended meanwhile', async () => {
+    const { run, client, abort } = createRun({ recreateHandles: () => {
+      abort()
+      return ['recreated']
+    } })
+    expect(await run()).toMatchObject({ retry: RetryDecision.Cancelled, error: { ran: Ran.None } })
+    expect(client.called).toEqual(['first'])
+  })
+
   test('does not recreate them if the retry budget is used up', async () => {
     const { run, client, recreate } = createRun({ budgetExtra: 0, recreateHandles: () => ['recreated'] })
     expect(await run()).toMatchObject({ retry: RetryDecision.BudgetUsed })
