The log says why the coordinator changed, and whether a slow gateway had processor time

Cause: an incident could not be told from its logs. stage-coordinator did not say why the role went on, member-failed not whether the member had been sent heartbeats, and slow not whether the VM gave less processor time or the process needed more. Change: stage-coordinator has a reason (failed, stopping, slow, removed, outranked), member-failed the age of the last answer and the heartbeats that wait for theirs, slow and no-longer-slow the part of a core that was used. No decision is changed. Four rows of members.test.ts read the new fields.

--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -7,6 +7,7 @@
 import type { CallStart } from '../connection/backends/work-call.js'
 import type { Member } from '../connection/peers/member.js'
 import type { EvacuationOrder } from '../version/evacuation-order.js'
+import type { CoordinatorChange } from './membership/coordinator-election.js'
 import type { SourceOutage } from './platform-adapter.js'
 import process from 'node:process'
 import { formatError } from '@eidermast/common'
@@ -87,22 +88,23 @@
     this.log.write('member-removed', { member: name })
   }
 
-  memberFailed(member: Member): void {
-    this.log.write('member-failed', { member: member.name })
+  /** A member counts as failed: its last answer is `silentMs` milliseconds old (absent: there is none), and `unanswered` heartbeats wait for theirs. */
+  memberFailed(member: Member, silentMs: number, unanswered: number): void {
+    this.log.write('member-failed', { member: member.name, silentMs: Number.isFinite(silentMs) ? Math.round(silentMs) : undefined, unanswered })
   }
 
   memberRecovered(member: Member): void {
     this.log.write('member-recovered', { member: member.name })
   }
 
-  /** This process started or stopped being short of CPU time. */
-  slownessChanged(slow: boolean, meanLatenessMs: number): void {
-    this.log.write(slow ? 'slow' : 'no-longer-slow', { meanLatenessMs: Math.round(meanLatenessMs) })
+  /** This process started or stopped being short of CPU time. `cpuShare` is the part of a core that it used during its last tick. */
+  slownessChanged(slow: boolean, meanLatenessMs: number, cpuShare: number): void {
+    this.log.write(slow ? 'slow' : 'no-longer-slow', { meanLatenessMs: Math.round(meanLatenessMs), cpuShare: Number(cpuShare.toFixed(2)) })
   }
 
   /** `members` is the number of listed gateways, including this one. */
-  coordinatorChanged(coordinator: Member, previous: Member, members: number): void {
-    this.log.write('stage-coordinator', { coordinator: coordinator.name, previous: previous.name, members })
+  coordinatorChanged({ coordinator, previous, reason }: CoordinatorChange, members: number): void {
+    this.log.write('stage-coordinator', { coordinator: coordinator.name, previous: previous.name, reason, members })
   }
 
   /** Another gateway became the coordinator of a stage shard; `previous` is undefined for the first one. */
--- a/packages/gateway/src/process/membership/coordinator-election.ts
+++ b/packages/gateway/src/process/membership/coordinator-election.ts
@@ -28,6 +28,24 @@
 /** A member that may use this many cores is large regardless of the others. */
 const LARGE_CORES = 0.5
 
+/** Why another gateway coordinates: what became of the previous coordinator. */
+export enum CoordinatorChangeReason {
+  Failed = 'failed',
+  Stopping = 'stopping',
+  Slow = 'slow',
+  /** The directory no longer lists it. */
+  Removed = 'removed',
+  /** A member that ranks before it can coordinate. */
+  Outranked = 'outranked',
+}
+
+/** A change of the overall coordinator. */
+export interface CoordinatorChange {
+  coordinator: Member
+  previous: Member
+  reason: CoordinatorChangeReason
+}
+
 /** Sorts members by priority as coordinator: large ones first, then by announcement order, then by name. */
 export function rankCandidates(states: Iterable<MemberState>): MemberState[] {
   const members = [...states]
@@ -50,3 +68,14 @@
   const usable = ranked.filter(candidate => candidate.alive && !candidate.stopping)
   return (usable.find(candidate => !candidate.slow) ?? usable[0])?.member ?? fallback
 }
+
+/** Why a gateway no longer coordinates, from its state; undefined if the directory no longer lists it. */
+export function explainChange(previous: MemberState | undefined): CoordinatorChangeReason {
+  if (!previous)
+    return CoordinatorChangeReason.Removed
+  if (!previous.alive)
+    return CoordinatorChangeReason.Failed
+  if (previous.stopping)
+    return CoordinatorChangeReason.Stopping
+  return previous.slow ? CoordinatorChangeReason.Slow : CoordinatorChangeReason.Outranked
+}
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -18,7 +18,7 @@
 import type { MemberState } from './member-state.js'
 import type { PeerContact } from './peer-monitor.js'
 import { GatewayLog } from '../gateway-log.js'
-import { electCoordinator, rankCandidates } from './coordinator-election.js'
+import { electCoordinator, explainChange, rankCandidates } from './coordinator-election.js'
 import { HEARTBEAT_INTERVAL_MS } from './failure-detection.js'
 import { createMemberState } from './member-state.js'
 import { PeerMonitor } from './peer-monitor.js'
@@ -313,7 +313,8 @@
     const coordinator = electCoordinator(this.ranked, this.self)
     if (isSameProcess(coordinator, previous))
       return
-    this.log.coordinatorChanged(coordinator, previous, this.states.size)
+    const reason = explainChange(this.states.get(previous.name))
+    this.log.coordinatorChanged({ coordinator, previous, reason }, this.states.size)
     this.currentCoordinator = coordinator
     for (const listener of this.coordinatorListeners)
       listener()
--- a/packages/gateway/src/process/membership/peer-monitor.ts
+++ b/packages/gateway/src/process/membership/peer-monitor.ts
@@ -11,6 +11,7 @@
 import type { GatewayLog } from '../gateway-log.js'
 import type { FailureWatch } from './failure-watches.js'
 import type { MemberState } from './member-state.js'
+import { CpuMeter } from './cpu-meter.js'
 import { hasFailed, HEARTBEAT_INTERVAL_MS, ownPauseMs } from './failure-detection.js'
 import { FailureWatches } from './failure-watches.js'
 import { isHeartbeatDue, selectMonitored } from './heartbeat-targets.js'
@@ -52,6 +53,7 @@
   private readonly failureWatches = new FailureWatches()
   private readonly discovery = new PeerDiscovery()
   private readonly slownessDetector: SlownessDetector
+  private readonly cpuMeter = new CpuMeter()
   private lastTickAt = performance.now()
   /** Counts the restarts of the discovery, to ignore replies to heartbeats of an earlier round. */
   private discoveryRound = 0
@@ -95,8 +97,9 @@
 
   /** Treats a member as failed until it answers a heartbeat. */
   suspect(state: MemberState): void {
+    const now = performance.now()
+    this.setAlive(state, false, now)
     state.lastReplyAt = Number.NEGATIVE_INFINITY
-    this.setAlive(state, false)
   }
 
   /**
@@ -107,7 +110,8 @@
   recordTick(now: number): void {
     const sinceLastMs = now - this.lastTickAt
     this.lastTickAt = now
-    this.setSelfSlow(this.slownessDetector.recordTick(sinceLastMs - HEARTBEAT_INTERVAL_MS, now))
+    const cpuShare = this.cpuMeter.takeShare(sinceLastMs)
+    this.setSelfSlow(this.slownessDetector.recordTick(sinceLastMs - HEARTBEAT_INTERVAL_MS, now), cpuShare)
     const pausedMs = ownPauseMs(sinceLastMs)
     for (const state of this.deps.members.states())
       state.lastReplyAt += pausedMs
@@ -118,19 +122,19 @@
     const { members } = this.deps
     const monitored = selectMonitored(members.ranked(), members.candidates(), now)
     for (const [state, intervalMs] of monitored) {
-      this.setAlive(state, !hasFailed(now - state.lastReplyAt, intervalMs))
+      this.setAlive(state, !hasFailed(now - state.lastReplyAt, intervalMs), now)
       if (isHeartbeatDue(state, intervalMs, now))
         void this.sendHeartbeat(state, now)
     }
     this.discovery.update({ probed: [...monitored.keys()].map(state => state.probed), now })
   }
 
-  private setSelfSlow(slow: boolean): void {
+  private setSelfSlow(slow: boolean, cpuShare: number): void {
     const state = this.deps.members.self()
     if (!state || state.slow === slow)
       return
     state.slow = slow
-    this.deps.log.slownessChanged(slow, this.slownessDetector.meanLatenessMs)
+    this.deps.log.slownessChanged(slow, this.slownessDetector.meanLatenessMs, cpuShare)
   }
 
   private async sendHeartbeat(state: MemberState, now: number): Promise<void> {
@@ -168,17 +172,17 @@
     state.slow = reply.slow
     if (reply.announcementOrder !== undefined && reply.announcementOrder !== state.announcementOrder)
       this.deps.onOrderChange(state, reply.announcementOrder)
-    this.setAlive(state, true)
+    this.setAlive(state, true, state.lastReplyAt)
     this.deps.onReply(state.member, reply)
   }
 
-  private setAlive(state: MemberState, alive: boolean): void {
+  private setAlive(state: MemberState, alive: boolean, now: number): void {
     if (state.alive === alive)
       return
     state.alive = alive
     if (alive)
       return this.deps.log.memberRecovered(state.member)
-    this.deps.log.memberFailed(state.member)
+    this.deps.log.memberFailed(state.member, now - state.lastReplyAt, state.pendingHeartbeats)
     this.failureWatches.abort(state.member.name)
   }
 }
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -35,11 +35,12 @@
 function createMembers(self = 'gateway-c') {
   const peers = new FakePeers()
   const versions: number[] = []
-  const members = new Members({ name: self, address: self }, peers, createLog().log, (_, { version }) => versions.push(version))
+  const { log, lines } = createLog()
+  const members = new Members({ name: self, address: self }, peers, log, (_, { version }) => versions.push(version))
   const names = ['gateway-a', 'gateway-b', 'gateway-c', 'gateway-d']
   names.forEach((name, announcementOrder) => members.upsert({ name, address: name, announcementOrder }))
   members.start()
-  return { members, peers, versions }
+  return { members, peers, versions, lines }
 }
 
 /** Creates members that have exchanged heartbeats for a while; `gateway-a` coordinates if it answers. */
@@ -251,6 +252,29 @@
     })
   })
 
+  test.each<[string, PeerBehaviour]>([
+    ['failed', 'silent'],
+    ['stopping', { ...ALIVE, stopping: true }],
+    ['slow', SLOW],
+  ])('changes with the reason in the log, if the previous one is %s', async (reason, behaviour) => {
+    const { peers, lines } = await createSettledMembers()
+    peers.replies.set('gateway-a', behaviour)
+    await vi.advanceTimersByTimeAsync(1500)
+    peers.replies.set('gateway-a', ALIVE)
+    await vi.advanceTimersByTimeAsync(1500)
+    const changes = lines.filter(({ event, previous }) => event === 'stage-coordinator' && previous !== 'gateway-c')
+    expect(changes).toMatchObject([{ coordinator: 'gateway-b', reason }, { coordinator: 'gateway-a', reason: 'outranked' }])
+  })
+
+  test('fails in the log with the age of its last answer and the heartbeats that wait for theirs', async () => {
+    const { peers, lines } = await createSettledMembers()
+    peers.replies.set('gateway-a', 'silent')
+    await vi.advanceTimersByTimeAsync(1100)
+    const failure = lines.find(({ event }) => event === 'member-failed')
+    expect(failure).toMatchObject({ member: 'gateway-a', unanswered: 3 })
+    expect(failure!.silentMs).toBeGreaterThanOrEqual(600)
+  })
+
   test('needs heartbeats to the coordinator and its successor only, regardless of the number of members', async () => {
     const { members, peers } = createMembers('gateway-z')
     for (let index = 0; index < 20; index++)
