--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -1,4 +1,5 @@
 import type { HeartbeatReply, Member } from '@eidermast/gateway'
+import process from 'node:process'
 import { createShard, Members } from '@eidermast/gateway'
 import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
 import { createLog } from './support/fakes.js'
@@ -242,6 +243,15 @@
       expect(members.isCoordinator).toBe(true)
     })
 
+    // Guards against coordinators that pass the role on, one after the other, because the role itself keeps them busy.
+    test('stays if the process uses the CPU time that its VM gives it', async () => {
+      const { members } = await createSettledMembers({ 'gateway-b': ALIVE, 'gateway-c': ALIVE }, 'gateway-a', 500)
+      const cpuUsage = vi.spyOn(process, 'cpuUsage').mockImplementation(() => ({ user: performance.now() * 1000, system: 0 }))
+      await beSlowFor(3000)
+      expect(members.isCoordinator).toBe(true)
+      cpuUsage.mockRestore()
+    })
+
     test('stays after a single long pause', async () => {
       const { members } = await createSettledMembers({ 'gateway-b': ALIVE }, 'gateway-a', 500)
       const now = performance.now.bind(performance)
