A coordinator that is busy with its own work does not hand the role over

Cause: slowness.ts took late ticks for a VM that gives too little processor time. The coordinator's ticks are late because the role is work. It handed the role to a gateway of the same size, which got the same work and what was handed over with it; each change threw stage work away and let clients return. Change: a tick counts as late only if the process used less than half of the CPU time that it may use.

--- a/packages/gateway/src/process/gateway-log.ts
+++ b/packages/gateway/src/process/gateway-log.ts
@@ -97,9 +97,9 @@
     this.log.write('member-recovered', { member: member.name })
   }
 
-  /** This process started or stopped being short of CPU time. `cpuShare` is the part of a core that it used during its last tick. */
-  slownessChanged(slow: boolean, meanLatenessMs: number, cpuShare: number): void {
-    this.log.write(slow ? 'slow' : 'no-longer-slow', { meanLatenessMs: Math.round(meanLatenessMs), cpuShare: Number(cpuShare.toFixed(2)) })
+  /** This process started or stopped being short of CPU time. `usedCoreShare` is the part of a core that it used before its last tick. */
+  slownessChanged(slow: boolean, meanLatenessMs: number, usedCoreShare: number): void {
+    this.log.write(slow ? 'slow' : 'no-longer-slow', { meanLatenessMs: Math.round(meanLatenessMs), usedCoreShare: Number(usedCoreShare.toFixed(2)) })
   }
 
   /** `members` is the number of listed gateways, including this one. */
--- a/packages/gateway/src/process/membership/cpu-meter.ts
+++ b/packages/gateway/src/process/membership/cpu-meter.ts
@@ -11,7 +11,7 @@
   private usedUntilMs = readCpuMs()
 
   /** Returns the part of a core that was used since the last reading, `elapsedMs` milliseconds ago; above 1 if several threads ran. */
-  takeShare(elapsedMs: number): number {
+  takeCoreShare(elapsedMs: number): number {
     const usedMs = readCpuMs()
     const share = (usedMs - this.usedUntilMs) / Math.max(1, elapsedMs)
     this.usedUntilMs = usedMs
--- a/packages/gateway/src/process/membership/peer-monitor.ts
+++ b/packages/gateway/src/process/membership/peer-monitor.ts
@@ -110,8 +110,9 @@
   recordTick(now: number): void {
     const sinceLastMs = now - this.lastTickAt
     this.lastTickAt = now
-    const cpuShare = this.cpuMeter.takeShare(sinceLastMs)
-    this.setSelfSlow(this.slownessDetector.recordTick(sinceLastMs - HEARTBEAT_INTERVAL_MS, now), cpuShare)
+    const usedCoreShare = this.cpuMeter.takeCoreShare(sinceLastMs)
+    const lateMs = sinceLastMs - HEARTBEAT_INTERVAL_MS
+    this.setSelfSlow(this.slownessDetector.recordTick({ lateMs, usedCoreShare }, now), usedCoreShare)
     const pausedMs = ownPauseMs(sinceLastMs)
     for (const state of this.deps.members.states())
       state.lastReplyAt += pausedMs
@@ -129,12 +130,12 @@
     this.discovery.update({ probed: [...monitored.keys()].map(state => state.probed), now })
   }
 
-  private setSelfSlow(slow: boolean, cpuShare: number): void {
+  private setSelfSlow(slow: boolean, usedCoreShare: number): void {
     const state = this.deps.members.self()
     if (!state || state.slow === slow)
       return
     state.slow = slow
-    this.deps.log.slownessChanged(slow, this.slownessDetector.meanLatenessMs, cpuShare)
+    this.deps.log.slownessChanged(slow, this.slownessDetector.meanLatenessMs, usedCoreShare)
   }
 
   private async sendHeartbeat(state: MemberState, now: number): Promise<void> {
--- a/packages/gateway/src/process/membership/slowness.ts
+++ b/packages/gateway/src/process/membership/slowness.ts
@@ -1,18 +1,22 @@
 /**
  * Decides whether this process is too slow to coordinate the stage work.
  *
- * Inputs: the lateness of each of its ticks (ms), several ticks a second; the
- * share of a core that the process may use (settings).
+ * Inputs: the lateness of each of its ticks (ms), several ticks a second, and the
+ * part of a core that the process has used since the tick before; the share of a
+ * core that it may use (settings).
  * Rule: slow when the moving average of the lateness, with weight
  * NEWEST_TICK_WEIGHT for the newest tick, reaches SLOW_LATENESS_MS, scaled up if
  * the share is below REFERENCE_CORE_SHARE; for SLOW_HOLD_MS from the last such
  * tick. The lateness of a single tick is capped at MAX_LATENESS_RATIO times the
- * threshold.
+ * threshold. A tick counts as punctual if the process has used at least
+ * BUSY_SHARE of what it may use.
  * Why: a process that is short of CPU time still answers heartbeats, so
  * that no peer considers it failed while all stage work waits for it. The
  * lateness of its ticks shows this before its calls are late. A single pause,
  * however long, is over when it is noticed; only repeated lateness means that the
- * process is slow. The usual lateness on a small VM does not count: no other
+ * process is slow. A process that is late though it gets its CPU time is busy: the
+ * role would make any other gateway as busy, and each change throws stage work
+ * away. The usual lateness on a small VM does not count: no other
  * gateway would be better, and each change of the coordinator costs requests.
  * Log events: `slow`, `no-longer-slow`.
  */
@@ -28,6 +32,13 @@
  * gateways would become slow one after the other.
  */
 const REFERENCE_CORE_SHARE = 0.5
+/**
+ * Part of its CPU time from which on a late process counts as busy. What is
+ * missing otherwise was taken by its VM or by other processes.
+ */
+const BUSY_SHARE = 0.5
+/** A process does its work on one thread, so that it uses little more than one core. */
+const MAX_USABLE_CORES = 1
 /** Without a cap, one long pause would count as slowness. */
 const MAX_LATENESS_RATIO = 2.5
 /** Weight of the newest tick in the moving average. Low, so that several ticks decide together. */
@@ -38,26 +49,38 @@
  */
 const SLOW_HOLD_MS = 30_000
 
+/** One tick of a process. */
+export interface Tick {
+  /** Milliseconds after it was due. */
+  lateMs: number
+  /** Part of a core that the process has used since the tick before. */
+  usedCoreShare: number
+}
+
 /** Tracks the lateness of this process's ticks. Times are on the monotonic clock, in milliseconds. */
 export class SlownessDetector {
   private readonly slowLatenessMs: number
+  /** Part of a core that a busy process uses at least. */
+  private readonly busyCoreShare: number
   private latenessMs = 0
   private slowUntil = Number.NEGATIVE_INFINITY
 
   /** `coreShare` is the share of a core that the process may use. */
   constructor(coreShare = REFERENCE_CORE_SHARE) {
     this.slowLatenessMs = SLOW_LATENESS_MS * Math.max(1, REFERENCE_CORE_SHARE / coreShare)
+    this.busyCoreShare = BUSY_SHARE * Math.min(MAX_USABLE_CORES, coreShare)
   }
 
-  /** Moving average of the tick lateness, in milliseconds. */
+  /** Moving average of the lateness that counts, in milliseconds. */
   get meanLatenessMs(): number {
     return this.latenessMs
   }
 
   /** Records a tick and returns whether the process is slow now. */
-  recordTick(lateMs: number, now: number): boolean {
-    const cappedLateMs = Math.min(this.slowLatenessMs * MAX_LATENESS_RATIO, Math.max(0, lateMs))
-    this.latenessMs += (cappedLateMs - this.latenessMs) * NEWEST_TICK_WEIGHT
+  recordTick({ lateMs, usedCoreShare }: Tick, now: number): boolean {
+    const countedMs = usedCoreShare >= this.busyCoreShare ? 0 : Math.max(0, lateMs)
+    const cappedMs = Math.min(this.slowLatenessMs * MAX_LATENESS_RATIO, countedMs)
+    this.latenessMs += (cappedMs - this.latenessMs) * NEWEST_TICK_WEIGHT
     if (this.latenessMs >= this.slowLatenessMs)
       this.slowUntil = now + SLOW_HOLD_MS
     return now < this.slowUntil
