--- a/packages/gateway/src/process/membership/slowness.ts
+++ b/packages/gateway/src/process/membership/slowness.ts
@@ -33,10 +33,11 @@
  */
 const REFERENCE_CORE_SHARE = 0.5
 /**
- * Part of its CPU time from which on a late process counts as busy. What is
- * missing otherwise was taken by its VM or by other processes.
+ * Part of its CPU time from which on a late process counts as busy. With less, its
+ * VM is so much slower than others that moving the role is worth the work that is
+ * thrown away.
  */
-const BUSY_SHARE = 0.5
+const BUSY_SHARE = 1 / 3
 /** A process does its work on one thread, so that it uses little more than one core. */
 const MAX_USABLE_CORES = 1
 /** Without a cap, one long pause would count as slowness. */
