A gateway that responds to requests does not count as failed

Callers saw stage work begin again, and refusals, while a coordinator was busy. Cause: only answers to heartbeats counted as a sign of life. Change: a response to a preparation request counts as well. A gateway that has ended, is suspended or cut off responds to nothing, so that it is detected as soon as before; one that counts as failed still has to answer a heartbeat. The new row of members.test.ts fails without it.

--- a/packages/gateway/src/process/membership/failure-detection.ts
+++ b/packages/gateway/src/process/membership/failure-detection.ts
@@ -2,13 +2,14 @@
  * Decides when this process considers a gateway failed. Peers do not report
  * failures of other gateways.
  *
- * Inputs: milliseconds since the member last answered a heartbeat (monotonic
- * clock, at most one tick old), and how late this process's own tick is.
+ * Inputs: milliseconds since the member last answered a heartbeat or another call
+ * (monotonic clock, at most one tick old), and how late this process's own tick
+ * is.
  * Rule: a member has failed if it has not answered for FAILED_AFTER_MS. Time
  * during which this process itself was paused does not count.
  * Why: several heartbeats may be lost within that time, so that no single one
- * decides. When one unanswered heartbeat (450 ms) used up most of it, a healthy
- * coordinator was considered failed and two gateways coordinated. A tick checks
+ * decides; heartbeats are sent while others are unanswered. A busy member answers
+ * them late, but goes on answering other calls. A tick checks
  * for failures before replies that arrived in the meantime are read; a process
  * with repeated pauses of 0.1 to 0.3 s therefore dropped a healthy coordinator
  * for 47 to 140 ms.
--- a/packages/gateway/src/process/membership/members.ts
+++ b/packages/gateway/src/process/membership/members.ts
@@ -225,6 +225,13 @@
     this.tick()
   }
 
+  /** Reports a response of a member to another call than a heartbeat, which shows that its process runs. */
+  noteResponse(member: Member): void {
+    const state = this.states.get(member.name)
+    if (state && isSameProcess(state.member, member))
+      this.peerMonitor.noteResponse(state)
+  }
+
   /** Reports a failed call to a member, which must answer a heartbeat before it is used again. */
   suspect(member: Member): void {
     const state = this.states.get(member.name)
--- a/packages/gateway/src/process/membership/peer-monitor.ts
+++ b/packages/gateway/src/process/membership/peer-monitor.ts
@@ -95,6 +95,12 @@
     this.discovery.restart(now)
   }
 
+  /** Records that a member has responded to a call; one that counts as failed has to answer a heartbeat first. */
+  noteResponse(state: MemberState): void {
+    if (state.alive && !state.isSelf)
+      state.lastReplyAt = performance.now()
+  }
+
   /** Treats a member as failed until it answers a heartbeat. */
   suspect(state: MemberState): void {
     const now = performance.now()
--- a/packages/gateway/src/process/stages/shared-preparer.ts
+++ b/packages/gateway/src/process/stages/shared-preparer.ts
@@ -139,7 +139,9 @@
     const failure = this.members.watchFailure(coordinator)
     const either = joinSignals(signal, failure.signal)
     try {
-      return await this.peers.prepare(coordinator, request, either.signal)
+      const result = await this.peers.prepare(coordinator, request, either.signal)
+      this.members.noteResponse(coordinator)
+      return result
     }
     catch (error) {
       // A call that was cancelled with its request, or that is repeated on a new connection, is no evidence against the coordinator.
--- a/test/gateway/members.test.ts
+++ b/test/gateway/members.test.ts
@@ -23,7 +23,7 @@
     if (reply === 'late')
       return new Promise(resolve => setTimeout(() => resolve(ALIVE), LATE_REPLY_MS))
     if (reply === 'silent')
-      return new Promise((_, reject) => setTimeout(() => reject(new Error('no answer')), 450))
+      return new Promise((_, reject) => setTimeout(() => reject(new Error('no answer')), 600))
     return reply
   }
 }
@@ -188,6 +188,21 @@
     expect(failure.signal.aborted).toBe(true)
   })
 
+  // Guards against busy coordinators that count as failed while they respond to requests.
+  test('stays while it responds to other calls, though too late to heartbeats, and changes once it does not', async () => {
+    const { members, peers } = await createSettledMembers(undefined, 'gateway-c', 1000)
+    const first = members.coordinator
+    peers.replies.set('gateway-a', 'silent')
+    const responses = setInterval(() => members.noteResponse(first), 300)
+    await vi.advanceTimersByTimeAsync(3000)
+    expect(members.coordinator).toBe(first)
+    clearInterval(responses)
+    await vi.advanceTimersByTimeAsync(900)
+    expect(members.coordinator.name).toBe('gateway-b')
+    members.noteResponse(first)
+    expect(members.coordinator.name).toBe('gateway-b')
+  })
+
   test('changes from a stopping gateway to one that answers', async () => {
     const { members } = await createSettledMembers({ 'gateway-b': ALIVE }, 'gateway-a', 500)
     expect(members.isCoordinator).toBe(true)
