Heartbeats have connections of their own

Callers saw stage work begin again, and refusals, while a coordinator was busy. Cause: heartbeats took whichever connection to the peer was free, or opened a new one. Change: a connection pool for heartbeats. An answer is awaited for 600 ms, the silence after which a gateway has failed anyway: a later answer of a busy one counts, and the connection is kept. The new row of peer-calls.test.ts fails without the pool.

--- a/packages/gateway/src/connection/peers/peer-clients.ts
+++ b/packages/gateway/src/connection/peers/peer-clients.ts
@@ -1,7 +1,7 @@
 /**
- * Calls to other gateways over a shared connection pool, which is closed when the
- * process ends; peers detect that calls in flight break. Every call rejects if
- * the peer does not respond in time.
+ * Calls to other gateways over two connection pools, one of them for heartbeats,
+ * which are closed when the process ends; peers detect that calls in flight break.
+ * Every call rejects if the peer does not respond in time.
  */
 import type { TRPCClient } from '@trpc/client'
 import type { Result } from 'ts-results-es'
@@ -26,10 +26,11 @@
  */
 const IDLE_TIMEOUT_MS = 10_000
 /**
- * Timeout of a heartbeat. Long enough for a busy gateway; delays the detection of
- * a frozen one.
+ * Timeout of a heartbeat, which ends its connection. As long as the silence after
+ * which a gateway has failed, so that a late answer of a busy one counts, and the
+ * next heartbeat needs no new connection, which such a gateway accepts late.
  */
-const HEARTBEAT_TIMEOUT_MS = 450
+const HEARTBEAT_TIMEOUT_MS = 600
 /**
  * Timeout for fetching a peer's configuration or list of backend servers. Both
  * may be large; after a timeout, they are requested again following the next
@@ -68,8 +69,8 @@
   return !hasResponded && !isConnectionRefused(error)
 }
 
-/** Clients by peer address, created on first use and kept until the process ends. */
-export class PeerClients {
+/** Calls over one connection pool, with a client for each peer address, created on first use and kept until the process ends. */
+class PooledClients {
   private readonly agent = new Agent({
     connect: { timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false },
     keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -79,65 +80,76 @@
 
   private readonly clients = new Map<string, TRPCClient<PeerRouter>>()
 
+  clientFor(member: Member): TRPCClient<PeerRouter> {
+    const existing = this.clients.get(member.address)
+    if (existing)
+      return existing
+    const client = createTRPCClient<PeerRouter>({
+      links: [httpLink({
+        url: `http://${member.address}`,
+        // tRPC declares its fetch option with DOM types.
+        fetch: (url, options) => this.fetch(url as string, options as FetchOptions) as never,
+      })],
+    })
+    this.clients.set(member.address, client)
+    return client
+  }
+
+  async close(): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  /** The subset of `fetch` that tRPC's link needs, without web streams. */
+  private async fetch(url: string, options: FetchOptions): Promise<FetchResponse> {
+    const { origin, pathname, search } = new URL(url)
+    const { statusCode, body } = await this.agent.request({ ...options, origin, path: `${pathname}${search}` })
+    return { ok: statusCode === OK_STATUS, status: statusCode, json: () => body.json() }
+  }
+}
+
+/** Calls to peers. */
+export class PeerClients {
+  private readonly calls = new PooledClients()
+  /** A busy peer accepts new connections late, so heartbeats keep theirs whatever other calls do. */
+  private readonly heartbeats = new PooledClients()
+
   async heartbeat(member: Member, heartbeat: Heartbeat): Promise<HeartbeatReply> {
     const signal = AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS)
-    return decodeHeartbeatReply(await this.clientFor(member).greet.mutate(encodeHeartbeat(heartbeat), { signal }))
+    return decodeHeartbeatReply(await this.heartbeats.clientFor(member).greet.mutate(encodeHeartbeat(heartbeat), { signal }))
   }
 
   /** The peer's configuration; null if it has none. */
   configuration(member: Member): Promise<ConfigurationRecord | null> {
-    return this.clientFor(member).configuration.query(undefined, { signal: AbortSignal.timeout(STATE_FETCH_TIMEOUT_MS) })
+    return this.calls.clientFor(member).configuration.query(undefined, { signal: AbortSignal.timeout(STATE_FETCH_TIMEOUT_MS) })
   }
 
   /** The peer's list of backend servers. */
   async backends(member: Member): Promise<ListedBackends> {
     const signal = AbortSignal.timeout(STATE_FETCH_TIMEOUT_MS)
-    return decodeListedBackends(await this.clientFor(member).backends.query(undefined, { signal }))
+    return decodeListedBackends(await this.calls.clientFor(member).backends.query(undefined, { signal }))
   }
 
   /** Runs the stage work of a request at a peer; limited only by the signal. */
   async prepare(member: Member, request: PreparationRequest, signal: AbortSignal): Promise<Result<PreparedInputs, PreparationFailure>> {
-    return decodePreparationReply(await this.clientFor(member).prepare.mutate(encodePreparationRequest(request), { signal }))
+    return decodePreparationReply(await this.calls.clientFor(member).prepare.mutate(encodePreparationRequest(request), { signal }))
   }
 
   async release(member: Member, requestIds: string[]): Promise<void> {
-    await this.clientFor(member).release.mutate(requestIds, { signal: AbortSignal.timeout(RELEASE_TIMEOUT_MS) })
+    await this.calls.clientFor(member).release.mutate(requestIds, { signal: AbortSignal.timeout(RELEASE_TIMEOUT_MS) })
   }
 
   /** Tells a peer which software versions began streams of this gateway. */
   async noteStreams(member: Member, streams: StreamMessage[]): Promise<void> {
-    await this.clientFor(member).noteStreams.mutate(streams, { signal: AbortSignal.timeout(STREAM_REPORT_TIMEOUT_MS) })
+    await this.calls.clientFor(member).noteStreams.mutate(streams, { signal: AbortSignal.timeout(STREAM_REPORT_TIMEOUT_MS) })
   }
 
   /** What a peer knows of a stream. */
   async findStream(member: Member, question: StreamQuestion): Promise<StreamAnswer> {
     const signal = AbortSignal.timeout(STREAM_QUESTION_TIMEOUT_MS)
-    return streamAnswerSchema.parse(await this.clientFor(member).findStream.mutate(question, { signal }))
+    return streamAnswerSchema.parse(await this.calls.clientFor(member).findStream.mutate(question, { signal }))
   }
 
   async close(): Promise<void> {
-    await this.agent.destroy()
-  }
-
-  private clientFor(member: Member): TRPCClient<PeerRouter> {
-    const existing = this.clients.get(member.address)
-    if (existing)
-      return existing
-    const client = createTRPCClient<PeerRouter>({
-      links: [httpLink({
-        url: `http://${member.address}`,
-        // tRPC declares its fetch option with DOM types.
-        fetch: (url, options) => this.fetch(url as string, options as FetchOptions) as never,
-      })],
-    })
-    this.clients.set(member.address, client)
-    return client
-  }
-
-  /** The subset of `fetch` that tRPC's link needs, without web streams. */
-  private async fetch(url: string, options: FetchOptions): Promise<FetchResponse> {
-    const { origin, pathname, search } = new URL(url)
-    const { statusCode, body } = await this.agent.request({ ...options, origin, path: `${pathname}${search}` })
-    return { ok: statusCode === OK_STATUS, status: statusCode, json: () => body.json() }
+    await Promise.all([this.calls.close(), this.heartbeats.close()])
   }
 }
--- a/packages/gateway/src/process/membership/heartbeat-targets.ts
+++ b/packages/gateway/src/process/membership/heartbeat-targets.ts
@@ -24,7 +24,7 @@
 
 /**
  * Members probed for the first time at once. Several, because a probe without an
- * answer takes 0.45 s, by which it would delay finding the successor; few,
+ * answer takes 0.6 s, by which it would delay finding the successor; few,
  * because a starting process opens a connection for each.
  */
 const MIN_CONCURRENT_PROBES = 4
@@ -42,7 +42,7 @@
 
 /**
  * Unanswered heartbeats to one member at a time. A reply is awaited for at most
- * 450 ms, three intervals. Further heartbeats are sent meanwhile, so that a
+ * 600 ms, four intervals. Further heartbeats are sent meanwhile, so that a
  * single lost one does not use up most of the time after which a member counts as
  * failed.
  */
--- a/test/gateway/peer-calls.test.ts
+++ b/test/gateway/peer-calls.test.ts
@@ -1,7 +1,7 @@
 import type { Member, PeerService, PreparationRequest } from '@eidermast/gateway'
 import type { AddressInfo } from 'node:net'
 import { createServer } from 'node:http'
-import { MemoryPool } from '@eidermast/common'
+import { MemoryPool, wait } from '@eidermast/common'
 import { createPeerHandler, createPeerRouter, isSilent, PeerClients, PreparationFailureKind } from '@eidermast/gateway'
 import { Err } from 'ts-results-es'
 import { request } from 'undici'
@@ -9,6 +9,8 @@
 import { createRecord } from './support/fakes.js'
 
 const HEARTBEAT = { name: 'gateway-b', address: '127.0.0.1:1', version: 3 }
+/** Until a connection whose call has ended is used again. */
+const UNTIL_IDLE_MS = 50
 const REQUEST: PreparationRequest = {
   requestId: 'request-1',
   stages: [{ service: 'encode', dependsOn: [], resultBytes: 10, items: 2 }],
@@ -59,6 +61,23 @@
     expect(service.heartbeat).toHaveBeenCalledWith(HEARTBEAT)
   })
 
+  // Guards against heartbeats that wait for a new connection because other calls hold the open ones.
+  test('delivers heartbeats beside calls under way, if the peer accepts no further connections', async () => {
+    let endPreparation = (): void => {}
+    service.prepare.mockImplementationOnce(() => new Promise(resolve => endPreparation = () => resolve(Err(OVERLOADED))))
+    await clients.heartbeat(peer, HEARTBEAT)
+    await wait(UNTIL_IDLE_MS)
+    const result = clients.prepare(peer, REQUEST, new AbortController().signal)
+    await vi.waitFor(() => expect(service.prepare).toHaveBeenCalled())
+    server.removeAllListeners('connection')
+    for (let heartbeat = 0; heartbeat < 3; heartbeat++) {
+      expect(await clients.heartbeat(peer, HEARTBEAT)).toMatchObject({ version: 7 })
+      await wait(UNTIL_IDLE_MS)
+    }
+    endPreparation()
+    expect((await result).unwrapErr()).toEqual(OVERLOADED)
+  })
+
   test('reports streams with their versions, and finds a stream', async () => {
     await clients.noteStreams(peer, [{ key: 'k', version: 'v1' }])
     expect(service.noteStreams).toHaveBeenCalledWith([{ key: 'k', version: 'v1' }])
