--- a/test/connection/daemon-backend-client.test.ts
+++ b/test/connection/daemon-backend-client.test.ts
@@ -77,6 +77,21 @@
   expect(result).toMatchObject({ outcome: BackendOutcome.Lost, output: '' })
 })
 
+// Guards against heads that were cut off, taken for the head of an empty or short answer.
+test.each([
+  ['a length', 'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n'],
+  ['chunks', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'],
+  ['neither and a close', 'HTTP/1.1 200 OK\r\nConnection: close\r\nX-Last: 1\r\n\r\n'],
+  ['an interim response and a close before it', 'HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\nHTTP/1.1 200 OK\r\n\r\n'],
+])('the response of a plain service is lost, wherever a head with %s is cut', async (_name, head) => {
+  for (let bytes = 0; bytes < head.length; bytes++) {
+    for (const isReset of [false, true]) {
+      respond = socket => socket.write(head.slice(0, bytes), () => isReset ? socket.resetAndDestroy() : socket.end())
+      expect(await callService(), `cut after ${bytes} bytes`).toMatchObject({ outcome: BackendOutcome.Lost, output: '' })
+    }
+  }
+})
+
 describe('a backend server that sends without end', () => {
   const BLOCK = 'x'.repeat(1_000_000)
 
