A list from a peer, or an answer that has waited, does not make the list of backend servers recent

Clients saw streams that went on at another software version (ORDER), where a gateway was out of step while a version joined. Cause: the age of the list was the time since any answer about it arrived. A peer's list counted as read in that moment, however old it was, and so did an answer of the store that had waited in a suspended process or on a link. A stream without a record went on at the only version of such a list. Change: the list is dated by the time until which it has every change. Own reads give it by the start of the call and its wait; peers' lists give none.

--- a/packages/gateway/src/process/backend-list.ts
+++ b/packages/gateway/src/process/backend-list.ts
@@ -58,8 +58,8 @@
     return { revision: this.currentRevision, entries: [...this.entries.values()], lapsing: this.registry.lapsing }
   }
 
-  handleSourceResponse(): void {
-    this.registry.recordListRead()
+  handleSourceResponse(asOf: number): void {
+    this.registry.recordListRead(asOf)
   }
 
   handleSourceFailure(): void {
@@ -192,6 +192,7 @@
 
   private recordPeerRead(revision: number, peer: Member): void {
     this.log.backendListAdopted(peer, revision, this.currentRevision, this.registry.listAgeMs)
+    // The peer may not have read the list for some time itself.
     this.registry.recordListRead()
   }
 
--- a/packages/gateway/src/process/backend-registry.ts
+++ b/packages/gateway/src/process/backend-registry.ts
@@ -37,9 +37,11 @@
   private readonly listeners: BackendListener[] = []
   /** End of the grace period for removed entries, on the monotonic clock in milliseconds. */
   private graceUntil = 0
-  /** Times of the last two reads of the list, on the monotonic clock in milliseconds. */
+  /** When the last answer about the list arrived, on the monotonic clock in milliseconds. */
   private lastReadAt = performance.now()
-  private previousReadAt = performance.now()
+  /** Until when the list contains every change, and until when it did before the last answer. */
+  private completeUntil = performance.now()
+  private previouslyCompleteUntil = performance.now()
   /** Scheduled removals of backend servers whose entries have expired, by id. */
   private readonly pendingRemovals = new Map<string, PendingRemoval>()
   /** Last outage of the list's source, in which entries may have expired; undefined before the first one. */
@@ -86,15 +88,20 @@
     return counts
   }
 
-  /** Age of the last read of the list in milliseconds; an upper bound on the age of any change not yet seen. */
+  /** Upper bound on the age of any change not yet seen, in milliseconds. */
   get listAgeMs(): number {
-    return performance.now() - this.lastReadAt
+    return performance.now() - this.completeUntil
   }
 
-  /** The platform or a peer delivered the list; called before the changes are applied. */
-  recordListRead(): void {
-    this.previousReadAt = this.lastReadAt
+  /**
+   * The platform or a peer delivered the list; called before the changes are
+   * applied. `asOf`: until when it contains every change, on the monotonic clock in
+   * milliseconds; undefined if that is not known.
+   */
+  recordListRead(asOf?: number): void {
     this.lastReadAt = performance.now()
+    this.previouslyCompleteUntil = this.completeUntil
+    this.completeUntil = Math.max(this.completeUntil, asOf ?? Number.NEGATIVE_INFINITY)
   }
 
   /** The source responds again after an outage, during which entries may have expired. */
@@ -213,9 +220,9 @@
     return evacuated.reduce((sum, { outstanding }) => sum + outstanding, 0)
   }
 
-  /** Interval between the last two reads of the list in milliseconds: the maximum age of a change in the last one. */
+  /** Maximum age of a change in the last answer about the list, in milliseconds. */
   private get noticedWithinMs(): number {
-    return this.lastReadAt - this.previousReadAt
+    return this.lastReadAt - this.previouslyCompleteUntil
   }
 
   private add(record: BackendRecord): void {
--- a/packages/gateway/src/process/gateway-metrics.ts
+++ b/packages/gateway/src/process/gateway-metrics.ts
@@ -300,7 +300,7 @@
     this.addGauge('eidermast_gateway_replicas', 'Backend servers known', () => registry.size)
     this.addGauge(
       'eidermast_gateway_backend_list_age_seconds',
-      'Time since the list of backend servers was last read, from the platform or a peer',
+      'Time since the list of backend servers was known to be complete, by own reads',
       () => registry.listAgeMs / MILLISECONDS_PER_SECOND,
     )
     this.addGauge('eidermast_gateway_evacuated_domains', 'Failure domains whose backend servers get no work', () => evacuations.evacuated.size)
--- a/packages/gateway/src/process/platform-adapter.ts
+++ b/packages/gateway/src/process/platform-adapter.ts
@@ -71,8 +71,8 @@
 export interface BackendSink {
   /** Revision of the list, as known from the source or from peers. */
   readonly revision: number
-  /** The source responded; called before the changes are delivered. */
-  handleSourceResponse: () => void
+  /** The source responded with all changes until `asOf` (monotonic clock, milliseconds); called before they are delivered. */
+  handleSourceResponse: (asOf: number) => void
   /** The source does not respond; called on the first failure. */
   handleSourceFailure: () => void
   /** The source responds again after an outage, during which entries may have expired. */
--- a/packages/gateway/src/process/topic-follower.ts
+++ b/packages/gateway/src/process/topic-follower.ts
@@ -44,8 +44,8 @@
   knownPosition?: () => TopicPosition
   /** The store does not respond; called on the first failure. */
   failed?: () => void
-  /** The store answered a read; called before the records are delivered. */
-  answered?: () => void
+  /** The store answered a read with all that the topic held at `asOf` (monotonic clock, milliseconds); called before the records are delivered. */
+  answered?: (asOf: number) => void
   /** The sink has all that the topic held at `asOf` (monotonic clock, milliseconds); called after the records are delivered. */
   upToDate?: (asOf: number) => void
   /** The store responds again after failures; called before the records are delivered. */
@@ -122,12 +122,13 @@
     const { records, era, end, waitMs = NO_WAIT_MS } = await this.read(position.offset, signal)
     if (era !== position.era)
       throw new HistoryDeletedError(`store era changed from ${position.era} to ${era}`)
-    this.reportResponse(era)
+    // The store answers at once if there are records, and otherwise looks for them until the wait is over. The answer may have waited here for a suspended process, or on a link that was cut.
+    const asOf = records.length > 0 ? this.calledAt : Math.min(performance.now(), this.calledAt + waitMs)
+    this.reportResponse(era, asOf)
     for (const record of records)
       this.deliver({ ...record, era, offset: position.offset++ })
-    // The store answers at once if there are records, and otherwise looks for them until the wait is over.
     if (position.offset >= end)
-      this.sink.upToDate?.(records.length > 0 ? this.calledAt : Math.min(performance.now(), this.calledAt + waitMs))
+      this.sink.upToDate?.(asOf)
     if (records.length > 0 && this.sink.pauseMs)
       await wait(this.sink.pauseMs, signal, this.lastRead.signal)
   }
@@ -163,7 +164,7 @@
   private async readLatest(): Promise<void> {
     this.calledAt = performance.now()
     const { records, end } = await this.store.readLatest(this.topic, this.failures > 0 ? undefined : FIRST_LATEST_TIMEOUT_MS)
-    this.reportResponse(end.era)
+    this.reportResponse(end.era, this.calledAt)
     this.sink.snapshot(records, end)
     this.latestOffsets = new Map(records.filter(record => record.offset >= end.offset).map(record => [record.key, record.offset]))
     this.position = { ...end }
@@ -179,8 +180,8 @@
       this.sink.record(record)
   }
 
-  private reportResponse(era: number): void {
-    this.sink.answered?.()
+  private reportResponse(era: number, asOf: number): void {
+    this.sink.answered?.(asOf)
     const lostWrites = this.era !== undefined && era !== this.era
     this.era = era
     if (this.failures > 0 || lostWrites)
--- a/test/gateway/backend-registry.test.ts
+++ b/test/gateway/backend-registry.test.ts
@@ -73,13 +73,13 @@
 })
 
 describe('a change of the list', () => {
-  test('is logged with its maximum age, the interval between the last two reads of the list', () => {
+  test('is logged with its maximum age, the time since the list was known to be complete', () => {
     const { log, lines } = createLog()
     const watched = new BackendRegistry(log)
     watched.upsert(RECORD)
-    watched.recordListRead()
+    watched.recordListRead(performance.now())
     vi.advanceTimersByTime(4600)
-    watched.recordListRead()
+    watched.recordListRead(performance.now())
     watched.upsert({ ...RECORD, draining: true })
     vi.advanceTimersByTime(300)
     watched.remove(RECORD.id, 'list entry was removed')
@@ -89,6 +89,19 @@
     ])
     expect(watched.listAgeMs).toBe(300)
   })
+
+  // Guards against streams joined from two versions at a gateway that takes an old list for a recent one.
+  test('may be missing for as long as an answer has waited here, and whatever a peer has sent', () => {
+    const watched = new BackendRegistry(createLog().log)
+    watched.recordListRead(performance.now())
+    vi.advanceTimersByTime(4000)
+    watched.recordListRead(performance.now() - 3000)
+    expect(watched.listAgeMs).toBe(3000)
+    watched.recordListRead()
+    expect(watched.listAgeMs).toBe(3000)
+    watched.recordListRead(performance.now() - 3500)
+    expect(watched.listAgeMs).toBe(3000)
+  })
 })
 
 describe('the intake state that a backend server announced', () => {
--- a/test/platform/stream-versions.test.ts
+++ b/test/platform/stream-versions.test.ts
@@ -209,6 +209,35 @@
       expect(resumed.filter(isMixed)).toEqual([])
     })
 
+    // Guards against streams joined from two versions at a gateway that takes the old list of a peer for a recent one.
+    test('is refused if the peer whose list it takes has missed that another version was listed', async () => {
+      await startDeployment({ v1: EACH }, GATEWAYS)
+      const { gateways } = deployment
+      const peer = await deployment.findCoordinator()
+      const begins = (peer + 1) % GATEWAYS
+      const resumes = (peer + 2) % GATEWAYS
+      gateways[resumes].signal('SIGSTOP')
+      const [changed] = await deployment.addBackends('v1', 1)
+      await vi.waitFor(() => expect(gateways[peer].readLog()).toContain(changed.id), { timeout: 5000, interval: 20 })
+      gateways[peer].signal('SIGSTOP')
+      deployment.cutFromStore(peer)
+      deployment.cutFromStore(resumes)
+      const [introduced] = await deployment.addBackends('v2', EACH * 3)
+      await vi.waitFor(() => expect(gateways[begins].readLog()).toContain(introduced.id), { timeout: 10_000, interval: 20 })
+      await wait(INTRODUCED_AFTER_MS)
+      const running = startStreams(STREAMS, { gateway: begins, maxTries: 2, maxGapMs: MAX_GAP_MS })
+      await waitUntilHalfWay()
+      gateways.filter((_, index) => ![peer, begins, resumes].includes(index)).forEach(gateway => gateway.signal('SIGSTOP'))
+      gateways[peer].signal('SIGCONT')
+      gateways[resumes].signal('SIGCONT')
+      await vi.waitFor(() => expect(gateways[resumes].readLog()).toContain(changed.id), { timeout: 1000, interval: 10 })
+      await deployment.kill(begins)
+      const resumed = (await running).filter(isResumed)
+      expect(resumed.length).toBeGreaterThan(STREAMS / 2)
+      expect(resumed.filter(({ versions }) => versions[0] === 'v2').length).toBeGreaterThan(2)
+      expect(resumed.filter(isMixed)).toEqual([])
+    })
+
     test('goes on at the only version that the store lists', async () => {
       await startDeployment({ v1: EACH }, GATEWAYS)
       const resumed = await resumeAtSuspended(() => wait(INTRODUCED_AFTER_MS))
