--- a/test/platform/backend-entries.test.ts
+++ b/test/platform/backend-entries.test.ts
@@ -16,6 +16,8 @@
 const BOUNDS = { contactMs: 3000, configurationMs: 2000, drainMs: 2000, evacuationMs: 5000 }
 const NO_PEERS = { receivesPeerUpdates: false, updatesPeers: true, onUpdatingPeers: () => {}, count: 1 }
 const ENTRY = { Service: 'plain', Address: '127.0.0.1:9000', Zone: 'zone-a', Version: 'v1', Capacity: 4, State: 'ready', ColdRemainingMs: 0, Sequence: 1, born: 1_700_000_000_000 }
+/** Levels of arrays, which overflow the stack of a recursive reader. */
+const DEEP = 100_000
 const FIELDS = ['Service', 'Address', 'Zone', 'Capacity', 'State', 'born'] as const
 
 let store: StandInStore
@@ -52,6 +54,13 @@
     ['no address', { ...ENTRY, Address: undefined }],
     ['an invalid address', { ...ENTRY, Address: 'nowhere' }],
     ['an invalid port', { ...ENTRY, Address: '127.0.0.1:99999' }],
+    ['a part of an address beyond its range', { ...ENTRY, Address: '999.0.0.1:9000' }],
+    ['an address of too few parts', { ...ENTRY, Address: '127.1:9000' }],
+    ['an address without digits', { ...ENTRY, Address: '....:9000' }],
+    ['a capacity that is too large for a number', JSON.stringify(ENTRY).replace('"Capacity":4', '"Capacity":1e999')],
+    ['a start time that is too large for a number', JSON.stringify(ENTRY).replace('"born":1700000000000', '"born":1e999')],
+    ['nothing but deep nesting', '['.repeat(DEEP) + ']'.repeat(DEEP)],
+    ['deep nesting in a field', JSON.stringify(ENTRY).replace('"zone-a"', '['.repeat(DEEP) + ']'.repeat(DEEP))],
     ['a capacity of another type', { ...ENTRY, Capacity: '4' }],
     ['no capacity', { ...ENTRY, Capacity: undefined }],
     ['a fractional start time', { ...ENTRY, born: 1.5 }],
--- a/test/soak/support/gateway-child.ts
+++ b/test/soak/support/gateway-child.ts
@@ -74,6 +74,11 @@
     return (await request(this.metrics, { signal: AbortSignal.timeout(1000) })).body.text()
   }
 
+  /** Whether the current process has not ended. */
+  get isRunning(): boolean {
+    return this.child?.exitCode === null && this.child.signalCode === null
+  }
+
   /** Sends a signal to the current process. */
   signal(signal: NodeJS.Signals): void {
     this.child?.kill(signal)
