--- a/test/platform/lost-read.test.ts
+++ b/test/platform/lost-read.test.ts
@@ -113,7 +113,7 @@
   test('lists a gateway that is added within three seconds, because the coordinator lists more gateways', async () => {
     proxies[1].stallOpenConnections()
     const addedAt = performance.now()
-    store.put('keyed.eidermast-gateways', 'gateway-c', { text: '127.0.0.1:1 zone-a 1' })
+    store.put('keyed.eidermast-gateways', 'gateway-c', '127.0.0.1:1 zone-a 1')
     await vi.waitFor(() => expect(gateway.gateway.members.count).toBe(3), { timeout: 8000 })
     expect(performance.now() - addedAt).toBeLessThan(CONTACT_MS)
   })
